--- /dev/null
+++ b/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,1 @@
+//! The agent daemon: the only path to the endpoint on its host.
--- /dev/null
+++ b/src/base/mod.rs
@@ -0,0 +1,15 @@
+//! Types shared by every module: time, identifiers, units, content hashes and numbered events.
+
+mod clock;
+pub mod event;
+mod hash;
+mod id;
+mod unit;
+
+pub use clock::{wall_ms, Clock, ManualClock, Millis, SystemClock};
+pub use hash::{rendezvous, Digest, HashMap, HashSet};
+pub use id::{
+    Attempt, Fence, IdError, Instance, Offset, ProcessName, RecordId, Region, RequestId, Service,
+    VersionName, Workspace, Zone,
+};
+pub use unit::{Percent, Rate, Size, UnitError};
--- /dev/null
+++ b/src/bin/sesamewing-agent.rs
@@ -0,0 +1,3 @@
+//! The agent daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/sesamewing-entry.rs
@@ -0,0 +1,3 @@
+//! The entry daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/sesamewing.rs
@@ -0,0 +1,2 @@
+//! Operator command line.
+fn main() {}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,1 @@
+//! Decisions as state machines without I/O.
--- /dev/null
+++ b/src/endpoint/mod.rs
@@ -0,0 +1,1 @@
+//! Endpoints behind a small trait, and their HTTP adapters.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry daemon: takes requests of callers and routes them to agents.
--- /dev/null
+++ b/src/kernel/claim.rs
@@ -0,0 +1,201 @@
+//! Claims that make non-repeatable requests run at most once.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use super::record::{Claim, Done, Void};
+use crate::base::{Attempt, Digest, Instance, Millis, ProcessName, RequestId};
+
+/// Largest number of request ids kept at once; further claims are refused.
+pub const CLAIMS_MAX: usize = 1 << 18;
+
+/// Largest outcome body that is kept in the log, in bytes.
+pub const OUTCOME_MAX: usize = 4096;
+
+/// Time by which a request id may lie ahead of the log's time; allows for clock skew of callers.
+const AHEAD_MAX: Millis = Millis::from_secs(60);
+
+/// What the endpoint answered to a claimed attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type of the body.
+    pub media: String,
+    /// Hash of the body.
+    pub digest: Digest,
+    /// The body, or `None` if it is longer than [`OUTCOME_MAX`] and only the agent has it.
+    pub body: Option<Vec<u8>>,
+}
+
+/// State of the latest attempt of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimState {
+    /// One run of an agent may run the attempt or has run it.
+    Claimed {
+        /// Agent that holds the claim.
+        holder: ProcessName,
+        /// Run of that agent.
+        instance: Instance,
+    },
+    /// The attempt can never run; the next attempt may be claimed.
+    Void,
+    /// The attempt ran with this outcome.
+    Done(Outcome),
+}
+
+/// One request id.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Slot {
+    /// Hash of the request; `None` until a claim names it.
+    digest: Option<Digest>,
+    /// Latest attempt that a record named.
+    attempt: Attempt,
+    /// State of that attempt.
+    state: ClaimState,
+}
+
+/// All request ids within the window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claims {
+    /// Time for which ids are kept; shorter than the log's retention.
+    window: Millis,
+    /// Slots by id; at most [`CLAIMS_MAX`].
+    slots: BTreeMap<RequestId, Slot>,
+    /// Ids in the order of their first record, with the log time of that record.
+    order: VecDeque<(Millis, RequestId)>,
+}
+
+impl Claims {
+    /// Creates an empty table that keeps ids for `window`.
+    pub fn new(window: Millis) -> Self {
+        Self {
+            window,
+            slots: BTreeMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
+    /// Returns attempt number, state and request hash of an id.
+    pub fn get(&self, id: &RequestId) -> Option<(Attempt, &ClaimState, Option<Digest>)> {
+        self.slots.get(id).map(|s| (s.attempt, &s.state, s.digest))
+    }
+
+    /// Returns the number of ids kept.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns whether no id is kept.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Returns whether an id lies outside the window at log time `now`.
+    ///
+    /// Ids without a time are always outside, because a repeat could not be recognised after the window.
+    pub fn is_expired(&self, now: Millis, id: &RequestId) -> bool {
+        let Some(created) = id.created_ms() else {
+            return true;
+        };
+        created > (now + AHEAD_MAX).0 || Millis(created) + self.window < now
+    }
+
+    /// Removes ids whose first record is older than the window plus the allowed clock skew.
+    ///
+    /// An id is removed only after [`Self::is_expired`] holds for it, so that a removed id can never be claimed again.
+    pub(super) fn prune(&mut self, now: Millis) {
+        let keep = self.window + AHEAD_MAX;
+        while self.order.front().is_some_and(|(t, _)| *t + keep < now) {
+            if let Some((_, id)) = self.order.pop_front() {
+                self.slots.remove(&id);
+            }
+        }
+    }
+
+    fn insert(&mut self, now: Millis, id: RequestId, slot: Slot) -> bool {
+        if self.slots.len() >= CLAIMS_MAX || self.is_expired(now, &id) {
+            return false;
+        }
+        self.slots.insert(id, slot);
+        self.order.push_back((now, id));
+        true
+    }
+
+    /// Applies a claim; returns whether its holder may run the attempt.
+    pub(super) fn claim(&mut self, now: Millis, c: &Claim) -> bool {
+        let state = ClaimState::Claimed {
+            holder: c.holder.clone(),
+            instance: c.instance,
+        };
+        let Some(slot) = self.slots.get_mut(&c.request) else {
+            let slot = Slot {
+                digest: Some(c.digest),
+                attempt: c.attempt,
+                state,
+            };
+            return c.attempt == Attempt(1) && self.insert(now, c.request, slot);
+        };
+        let next = slot.state == ClaimState::Void && c.attempt.0 == slot.attempt.0 + 1;
+        if !next || slot.digest.is_some_and(|d| d != c.digest) {
+            return false;
+        }
+        *slot = Slot {
+            digest: Some(c.digest),
+            attempt: c.attempt,
+            state,
+        };
+        true
+    }
+
+    /// Applies a void; returns whether the attempt is void now.
+    pub(super) fn void(&mut self, now: Millis, v: &Void) -> bool {
+        let Some(slot) = self.slots.get_mut(&v.request) else {
+            let slot = Slot {
+                digest: None,
+                attempt: v.attempt,
+                state: ClaimState::Void,
+            };
+            return v.attempt == Attempt(1) && self.insert(now, v.request, slot);
+        };
+        if v.attempt.0 == slot.attempt.0 + 1 && slot.state == ClaimState::Void {
+            slot.attempt = v.attempt;
+            return true;
+        }
+        if v.attempt != slot.attempt {
+            return false;
+        }
+        match &slot.state {
+            ClaimState::Void => true,
+            ClaimState::Claimed { instance, .. } if *instance == v.instance => {
+                slot.state = ClaimState::Void;
+                true
+            }
+            ClaimState::Claimed { .. } | ClaimState::Done(_) => false,
+        }
+    }
+
+    /// Applies an outcome; returns whether it was stored.
+    pub(super) fn done(&mut self, d: &Done) -> bool {
+        let small = d
+            .outcome
+            .body
+            .as_ref()
+            .is_none_or(|b| b.len() <= OUTCOME_MAX);
+        let Some(slot) = self
+            .slots
+            .get_mut(&d.request)
+            .filter(|s| s.attempt == d.attempt)
+        else {
+            return false;
+        };
+        let own =
+            matches!(&slot.state, ClaimState::Claimed { instance, .. } if *instance == d.instance);
+        if !own || !small {
+            return false;
+        }
+        slot.state = ClaimState::Done(d.outcome.clone());
+        true
+    }
+}
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,1 @@
+//! The operator commands.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,28 @@
+//! The settings tree: options with defaults and ranges, and the values in force for each service and workspace.
+//!
+//! Each option belongs to a section, which is one struct in one file with every default. Options register themselves
+//! in [`OPTIONS`], from which the reader, the checks and the table in `docs/settings.md` are derived.
+
+mod access;
+mod burst;
+mod claim;
+mod limit;
+mod request;
+mod resolve;
+mod retry;
+mod route;
+mod section;
+mod value;
+mod weights;
+
+pub use access::Access;
+pub use burst::Burst;
+pub use claim::ClaimConfig;
+pub use limit::Limit;
+pub use request::{Method, Request};
+pub use resolve::{InForce, ServiceSettings, WorkspaceSettings};
+pub use retry::Retry;
+pub use route::{Policy, Route};
+pub use section::{Level, Section, Spec, OPTIONS};
+pub use value::{Value, ValueError};
+pub use weights::{Prefer, Weights};
--- /dev/null
+++ b/src/settings/weights.rs
@@ -0,0 +1,61 @@
+//! The model version that a service runs.
+
+use std::{fmt, str::FromStr};
+
+use super::{
+    section::section,
+    value::{from_text, Value, ValueError},
+};
+use crate::base::{Digest, Percent, VersionName};
+
+/// What a rollout saves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Prefer {
+    /// Time to N replicas, with up to four copies from the origin.
+    Time,
+    /// Origin bytes, with one copy from the origin.
+    Origin,
+}
+
+impl fmt::Display for Prefer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Time => "time",
+            Self::Origin => "origin",
+        })
+    }
+}
+
+impl FromStr for Prefer {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        match s {
+            "time" => Ok(Self::Time),
+            "origin" => Ok(Self::Origin),
+            _ => Err(format!("`{s}` is not a preference; use `time` or `origin`")),
+        }
+    }
+}
+
+impl Value for Prefer {
+    const KIND: &'static str = "preference";
+
+    fn parse(text: &str) -> Result<Self, ValueError> {
+        from_text(text)
+    }
+}
+
+section! {
+    /// Version and distribution of a service's weights.
+    Weights = "weights" {
+        "Name of the version; none for a plain service."
+        version: Option<VersionName> = "none", "", "", Service;
+        "BLAKE3 hash of the version's manifest."
+        manifest: Option<Digest> = "none", "", "", Service;
+        "What a rollout saves: time or origin."
+        prefer: Prefer = "time", "", "", Service;
+        "Share of the inter-region link that weights may use."
+        crossing: Percent = "50%", "1%", "100%", Region;
+    }
+}
