--- a/src/kernel/claim.rs
+++ b/src/kernel/claim.rs
@@ -17,7 +17,7 @@
 const AHEAD_MAX: Millis = Millis::from_secs(60);
 
 /// What the endpoint answered to a claimed attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Outcome {
     /// HTTP status.
     pub status: u16,
@@ -30,7 +30,7 @@
 }
 
 /// State of the latest attempt of a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ClaimState {
     /// One run of an agent may run the attempt or has run it.
     Claimed {
@@ -46,7 +46,7 @@
 }
 
 /// One request id.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct Slot {
     /// Hash of the request; `None` until a claim names it.
     digest: Option<Digest>,
@@ -57,7 +57,7 @@
 }
 
 /// All request ids within the window.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Claims {
     /// Time for which ids are kept; shorter than the log's retention.
     window: Millis,
--- a/src/kernel/config.rs
+++ b/src/kernel/config.rs
@@ -102,7 +102,7 @@
 }
 
 /// One node of the tree.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Node {
     /// Offset of the last accepted change of this node.
     pub revision: Offset,
@@ -134,7 +134,7 @@
 }
 
 /// All nodes of the settings tree.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Config {
     /// Live and removed nodes; at most [`NODES_MAX`].
     nodes: BTreeMap<NodePath, Node>,
--- a/src/kernel/dedupe.rs
+++ b/src/kernel/dedupe.rs
@@ -12,7 +12,7 @@
 pub const RECENT_MAX: usize = 4096;
 
 /// A bounded set of record ids in order of arrival.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Dedupe {
     /// Same members as `order`.
     seen: BTreeSet<RecordId>,
--- a/src/kernel/lease.rs
+++ b/src/kernel/lease.rs
@@ -14,7 +14,7 @@
 const RESOURCE_MAX: usize = 128;
 
 /// A held lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Lease {
     /// Name of the holder.
     pub holder: ProcessName,
@@ -29,7 +29,7 @@
 }
 
 /// All held leases.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Leases {
     /// Held leases by resource; at most [`LEASES_MAX`].
     held: BTreeMap<String, Lease>,
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -9,6 +9,7 @@
 mod dedupe;
 mod lease;
 mod record;
+mod snapshot;
 mod state;
 
 pub use claim::{ClaimState, Claims, Outcome, CLAIMS_MAX, OUTCOME_MAX};
@@ -19,4 +20,5 @@
     Body, BodyKind, Claim, Done, Entry, Expire, LeaseOp, Publish, Record, RecordError, Void,
     RECORD_MAX, SCHEMA,
 };
+pub use snapshot::{Assembler, Snapshot, SnapshotChunk, SNAPSHOT_MAX};
 pub use state::{Effect, Kernel, Refusal, Step};
--- a/src/kernel/state.rs
+++ b/src/kernel/state.rs
@@ -12,7 +12,7 @@
 use crate::base::{Digest, Millis, Offset, RecordId};
 
 /// The agreed state after a prefix of the log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Kernel {
     /// Offset of the last applied record; never goes back.
     applied: Offset,
