feat: stand-in of the platform with injectable faults

Cause: tests of the daemons need a log service, a weight store and a host list. Change: the crate sesamewing-standin starts a platform in the process of a test, with log streams (retention, long polls, log time), a weight store behind one rate-limited link, a lagging host list, certificates, generated weights and fault injection.

--- /dev/null
+++ b/standin/src/endpoint/mod.rs
@@ -0,0 +1,1 @@
+//! Endpoints.
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Development stand-ins for the platform and the endpoints.
+//!
+//! Each stand-in runs as a program or, through [`Platform`] and [`Endpoint`], inside the process of a test. A stand-in
+//! has a runtime of its own, so that it can be killed like a process.
+
+pub mod certs;
+mod fault;
+mod platform;
+mod server;
+mod text;
+pub mod weights;
+
+pub use fault::{Fault, FaultError};
+pub use platform::{Platform, PlatformOptions};
+pub use server::Server;
+pub use text::{answer_text, token_text};
