--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,12 +4,14 @@
 //! has a runtime of its own, so that it can be killed like a process.
 
 pub mod certs;
+mod endpoint;
 mod fault;
 mod platform;
 mod server;
 mod text;
 pub mod weights;
 
+pub use endpoint::{prefixes, Endpoint, EndpointOptions, Kind};
 pub use fault::{Fault, FaultError};
 pub use platform::{Platform, PlatformOptions};
 pub use server::Server;
