fix: state what a cleared silent fault does to bodies in progress

Cause: a trial showed that Rocket ends the chunked body of a failed stream as if it were whole (curl exits with 0). Change: the comments say so; the test of load commands runs a faster engine.

--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -38,7 +38,8 @@
     CorruptChunk,
     /// Weight bytes stop without closing the connection.
     StalledLink,
-    /// Connections that are open now get no further byte, also for answers in progress; new connections work.
+    /// Connections that are open now get no further byte, also for answers in progress; new connections work. When the
+    /// fault is cleared, waiting requests end without an answer and bodies in progress end early.
     Silent,
     /// Host list or endpoint status stay as last reported.
     FreezeReports,
@@ -218,8 +219,9 @@
     }
 }
 
-/// Ends the task of the current request, upon which the server closes the connection without a (further) answer.
+/// Ends the task of the current request, upon which the server closes the connection if it has not answered yet.
 ///
+/// In a body stream, Rocket instead ends the body early as if it were whole.
 /// Rocket has no other way to give no answer: each result of a handler, also a panic, becomes a response. Fairings
 /// and body streams run outside of the handler, and `resume_unwind` prints no panic message.
 fn close_connection() -> ! {
--- a/standin/tests/weight_loads.rs
+++ b/standin/tests/weight_loads.rs
@@ -10,6 +10,7 @@
         checked,
         load: Millis(1),
         prefill: Millis(1),
+        speed: 2400,
         ..EndpointOptions::default()
     })
     .await
