feat: read process settings and start both daemons

Cause: the daemons had no reader of their settings file and no start-up. Change: ProcessSettings::load reads YAML through saphyr-parser events with bounded size and depth, and reports every mistake with line, key and remedy. process::start handles options, logging, signals, the operator API and the exit code; the programs are thin over it. Conclusion: the daemons start, drain on SIGTERM and answer on the operator address; the roles' own work is not linked yet.

--- a/src/bin/sesamewing-agent.rs
+++ b/src/bin/sesamewing-agent.rs
@@ -1,3 +1,9 @@
 //! The agent daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+use sesamewing::{process, wire::Role};
+
+fn main() -> ExitCode {
+    process::start(Role::Agent, process::until_drained)
+}
--- a/src/bin/sesamewing-entry.rs
+++ b/src/bin/sesamewing-entry.rs
@@ -1,3 +1,9 @@
 //! The entry daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+use sesamewing::{process, wire::Role};
+
+fn main() -> ExitCode {
+    process::start(Role::Entry, process::until_drained)
+}
--- a/src/net/tls.rs
+++ b/src/net/tls.rs
@@ -81,6 +81,17 @@
         PrivateKeyDer::from_pem_file(&self.key).map_err(|e| file_error(&self.key, e))
     }
 
+    /// Checks that the files can be used, without opening a socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file that cannot be used.
+    pub fn check(&self) -> Result<(), TlsError> {
+        self.server()?;
+        self.client()?;
+        Ok(())
+    }
+
     /// Builds the server side; clients without a certificate of the authority are refused.
     pub(super) fn server(&self) -> Result<QuicServerConfig, TlsError> {
         let provider: Arc<CryptoProvider> = ring::default_provider().into();
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -1,9 +1,13 @@
 //! Metrics, logging, the timeline and the operator HTTP API of both daemons.
 
+mod api;
+mod logging;
 mod metrics;
 mod status;
 mod timeline;
 
+pub use api::{reload_tls, OperatorApi};
+pub use logging::init_logging;
 pub use metrics::Metrics;
-pub use status::{RoleState, RoleStatus};
+pub use status::{ProcessStatus, RoleState, RoleStatus};
 pub use timeline::{Moment, Scope, Timeline};
--- a/src/observe/status.rs
+++ b/src/observe/status.rs
@@ -1,8 +1,12 @@
-//! The part of a process's status that depends on its role.
+//! The status that a process reports to operators.
 
 use serde::{Deserialize, Serialize};
 
-use crate::base::VersionName;
+use crate::{
+    base::{Millis, Offset, ProcessName, Region, Service, VersionName, Zone},
+    process::Phase,
+    wire::Role,
+};
 
 /// Whether a process takes work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,3 +35,36 @@
     /// What an operator has to look at, as numbered events with text.
     pub alarms: Vec<String>,
 }
+
+/// Answer to `GET /status`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessStatus {
+    /// Name of the process.
+    pub name: ProcessName,
+    /// Role.
+    pub role: Role,
+    /// Run of the process; text because JSON numbers are exact only up to 2^53.
+    pub instance: String,
+    /// Region.
+    pub region: Region,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Service of the endpoint; agents only.
+    pub service: Option<Service>,
+    /// Phase of the process's life.
+    pub phase: Phase,
+    /// Offset of the last applied record of the control stream.
+    pub applied: Offset,
+    /// Offset of the last accepted settings change that was applied.
+    pub revision: Offset,
+    /// Time since the last record was applied.
+    pub applied_ms: Millis,
+    /// Why application of the stream is blocked, if it is.
+    pub blocked: Option<String>,
+    /// Time since which neither the log nor a peer could be reached; absent while connected.
+    pub isolated_ms: Option<Millis>,
+    /// Time since the process started.
+    pub uptime_ms: Millis,
+    /// State of the daemon.
+    pub status: RoleStatus,
+}
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use super::ProcessSettings;
@@ -17,7 +18,8 @@
 };
 
 /// Phase of a process's life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Phase {
     /// Takes new work.
     Serving,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,7 +1,10 @@
-//! What both daemons share: process settings and the running process's context.
+//! What both daemons share: process settings, the running process's context, and start-up.
 
 mod context;
+mod load;
 mod settings;
+mod start;
 
 pub use context::{Context, Phase, CLAIM_WINDOW};
 pub use settings::{EndpointKind, EndpointSettings, Fencing, Links, ProcessSettings};
+pub use start::{start, until_drained};
