feat: read and check the settings tree

Cause: operators had no form in which to write the settings tree, and nothing checked it before an append. Change: Tree reads nested or dotted options with line numbers, checks name, level, unit and range of each, and evaluates the registered cross-checks in the CHECKS slice for every service and workspace. Conclusion: an invalid tree is refused with every problem's line, key and remedy.

--- a/src/settings/burst.rs
+++ b/src/settings/burst.rs
@@ -1,6 +1,8 @@
 //! How many hosts hold a version, and until when.
 
-use super::section::section;
+use linkme::distributed_slice;
+
+use super::{section::section, Check, Subject, CHECKS};
 use crate::base::{Millis, Percent};
 
 section! {
@@ -18,3 +20,18 @@
         lead: Millis = "10min", "1min", "7d", Region;
     }
 }
+
+#[distributed_slice(CHECKS)]
+static REPLICAS: Check = Check {
+    rule: "`burst.replicas` is at most `burst.ceiling`",
+    options: &["burst.replicas", "burst.ceiling"],
+    run: |subject| {
+        let Subject::Service(s) = subject else {
+            return None;
+        };
+        let (low, high) = (s.burst.replicas, s.burst.ceiling);
+        (low > high).then(|| {
+            format!("`burst.replicas` {low} is above `burst.ceiling` {high}; lower the former or raise the latter")
+        })
+    },
+};
--- a/src/settings/claim.rs
+++ b/src/settings/claim.rs
@@ -1,6 +1,8 @@
 //! Non-repeatable requests.
 
-use super::section::section;
+use linkme::distributed_slice;
+
+use super::{section::section, Check, Subject, CHECKS};
 use crate::base::Millis;
 
 section! {
@@ -12,3 +14,33 @@
         readback: Millis = "2s", "10ms", "60s", Service;
     }
 }
+
+#[distributed_slice(CHECKS)]
+static READBACK: Check = Check {
+    rule: "`claim.readback` is at most `request.deadline` of the service",
+    options: &["claim.readback", "request.deadline"],
+    run: |subject| {
+        let Subject::Service(s) = subject else {
+            return None;
+        };
+        let (wait, deadline) = (s.claim.readback, s.request.deadline);
+        (wait > deadline).then(|| {
+            format!("`claim.readback` {wait} is beyond `request.deadline` {deadline}, so no claim can fail in time; shorten the former")
+        })
+    },
+};
+
+#[distributed_slice(CHECKS)]
+static LINGER: Check = Check {
+    rule: "`claim.linger` is below `claim.readback`",
+    options: &["claim.linger", "claim.readback"],
+    run: |subject| {
+        let Subject::Service(s) = subject else {
+            return None;
+        };
+        let (linger, wait) = (s.claim.linger, s.claim.readback);
+        (linger >= wait).then(|| {
+            format!("`claim.linger` {linger} is not below `claim.readback` {wait}, so claims expire before they are sent; shorten the former")
+        })
+    },
+};
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -20,7 +20,7 @@
     /// Starts to read a mapping; a value of another kind is a problem.
     pub(crate) fn new(prefix: &str, node: &'a Node, problems: &mut Vec<Problem>) -> Self {
         let pairs = node.pairs().unwrap_or_else(|| {
-            let key = prefix.trim_end_matches('.');
+            let key = prefix.trim_end_matches(['.', ' ']);
             problems.push(Problem::new(
                 node.line,
                 key,
--- a/src/settings/limit.rs
+++ b/src/settings/limit.rs
@@ -1,6 +1,8 @@
 //! Admission limits of a workspace.
 
-use super::section::section;
+use linkme::distributed_slice;
+
+use super::{section::section, Check, Subject, CHECKS};
 use crate::base::Millis;
 
 section! {
@@ -16,3 +18,18 @@
         wait: Millis = "500ms", "0ms", "60s", Workspace;
     }
 }
+
+#[distributed_slice(CHECKS)]
+static WAIT: Check = Check {
+    rule: "`limit.wait` is at most `request.deadline`",
+    options: &["limit.wait", "request.deadline"],
+    run: |subject| {
+        let Subject::Workspace(w) = subject else {
+            return None;
+        };
+        let (wait, deadline) = (w.limit.wait, w.request.deadline);
+        (wait > deadline).then(|| {
+            format!("`limit.wait` {wait} is beyond `request.deadline` {deadline}; shorten the former or raise the latter")
+        })
+    },
+};
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 
 mod access;
 mod burst;
+mod check;
 mod claim;
 mod fields;
 mod limit;
@@ -14,12 +15,14 @@
 mod retry;
 mod route;
 mod section;
+mod tree;
 mod value;
 mod weights;
 pub(crate) mod yaml;
 
 pub use access::Access;
 pub use burst::Burst;
+pub use check::{Check, Subject, CHECKS};
 pub use claim::ClaimConfig;
 pub(crate) use fields::Fields;
 pub use limit::Limit;
@@ -29,6 +32,7 @@
 pub use retry::Retry;
 pub use route::{Policy, Route};
 pub use section::{Level, Section, Spec, OPTIONS};
+pub use tree::Tree;
 pub use value::{Value, ValueError};
 pub use weights::{Prefer, Weights};
 pub(crate) use yaml::Node;
--- a/src/settings/section.rs
+++ b/src/settings/section.rs
@@ -21,6 +21,18 @@
     Workspace,
 }
 
+impl Level {
+    /// Returns the word for a node of this level.
+    pub fn noun(self) -> &'static str {
+        match self {
+            Self::Root => "root",
+            Self::Region => "region",
+            Self::Service => "service",
+            Self::Workspace => "workspace",
+        }
+    }
+}
+
 /// Description of one option.
 #[derive(Clone, Copy, Debug)]
 pub struct Spec {
--- a/src/settings/weights.rs
+++ b/src/settings/weights.rs
@@ -2,9 +2,12 @@
 
 use std::{fmt, str::FromStr};
 
+use linkme::distributed_slice;
+
 use super::{
     section::section,
     value::{from_text, Value, ValueError},
+    Check, Subject, CHECKS,
 };
 use crate::base::{Digest, Percent, VersionName};
 
@@ -59,3 +62,24 @@
         crossing: Percent = "50%", "1%", "100%", Region;
     }
 }
+
+#[distributed_slice(CHECKS)]
+static PAIR: Check = Check {
+    rule: "`weights.version` and `weights.manifest` are set together",
+    options: &["weights.version", "weights.manifest"],
+    run: |subject| {
+        let Subject::Service(s) = subject else {
+            return None;
+        };
+        match (&s.weights.version, &s.weights.manifest) {
+            (Some(v), None) => Some(format!(
+                "version `{v}` has no manifest; set `weights.manifest` to the hash of its manifest"
+            )),
+            (None, Some(_)) => Some(
+                "the manifest belongs to no version; set `weights.version` or remove the manifest"
+                    .to_owned(),
+            ),
+            _ => None,
+        }
+    },
+};
