--- a/src/observe/api.rs
+++ b/src/observe/api.rs
@@ -8,6 +8,7 @@
     },
 };
 
+use prometheus_client::metrics::gauge::Gauge;
 use rocket::{
     config::{Ident, LogLevel, Shutdown},
     fairing::AdHoc,
@@ -46,9 +47,31 @@
     ctx: Context,
     /// Time of the process clock at which the applied offset last changed.
     changed: Arc<AtomicU64>,
+    applied: Gauge,
+    blocked: Gauge,
+    isolated: Gauge,
 }
 
 impl Operator {
+    fn new(ctx: &Context, changed: Arc<AtomicU64>) -> Self {
+        let op = Self {
+            ctx: ctx.clone(),
+            changed,
+            applied: Gauge::default(),
+            blocked: Gauge::default(),
+            isolated: Gauge::default(),
+        };
+        ctx.metrics.register(|r| {
+            let applied = "Offset of the last applied record of the control stream";
+            r.register("applied_offset", applied, op.applied.clone());
+            let blocked = "Whether application of the control stream is blocked";
+            r.register("feed_blocked", blocked, op.blocked.clone());
+            let isolated = "Whether neither the log nor a peer can be reached";
+            r.register("feed_isolated", isolated, op.isolated.clone());
+        });
+        op
+    }
+
     fn status(&self) -> ProcessStatus {
         let (ctx, s) = (&self.ctx, &self.ctx.settings);
         let now = ctx.clock.now();
@@ -178,10 +201,7 @@
     /// Returns an error if the address cannot be bound.
     pub async fn start(ctx: &Context) -> eyre::Result<Self> {
         let changed = Arc::new(AtomicU64::new(ctx.clock.now().0));
-        let op = Operator {
-            ctx: ctx.clone(),
-            changed: changed.clone(),
-        };
+        let op = Operator::new(ctx, changed.clone());
         let (tx, rx) = oneshot::channel();
         let liftoff = AdHoc::on_liftoff("ready", |rocket| {
             let config = rocket.config();
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -193,14 +193,16 @@
     async fn watch(mut self, ctx: Context) {
         let mut signalled = false;
         loop {
+            // A reload that was asked for before a drain still happens.
             let name = tokio::select! {
-                _ = self.term.recv() => "SIGTERM",
-                _ = self.int.recv() => "SIGINT",
+                biased;
                 _ = self.hup.recv() => {
                     // The outcome is logged; the old files stay in use if the new ones are refused.
                     let _ = reload_tls(&ctx);
                     continue;
                 }
+                _ = self.term.recv() => "SIGTERM",
+                _ = self.int.recv() => "SIGINT",
             };
             if signalled {
                 crate::emit!(KILLED, "{name}");
