--- a/src/bin/sesamewing.rs
+++ b/src/bin/sesamewing.rs
@@ -1,2 +1,7 @@
 //! Operator command line.
-fn main() {}
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sesamewing::operator::main()
+}
--- a/src/kernel/config.rs
+++ b/src/kernel/config.rs
@@ -1,6 +1,10 @@
 //! The settings tree as agreed through the log.
 
-use std::{collections::BTreeMap, fmt, str::FromStr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    str::FromStr,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -165,18 +169,40 @@
 
     /// Finds the first base revision that is no longer in force.
     fn conflict(&self, p: &Publish) -> Option<Conflict> {
-        p.base.iter().find_map(|(path, base)| {
-            let found = self.node_revision(path);
-            (found != *base).then(|| Conflict {
-                path: path.clone(),
-                base: *base,
-                found,
-                winner: self
-                    .nodes
-                    .get(path)
-                    .map_or_else(String::new, |n| n.author.clone()),
-                author: p.author.clone(),
-            })
+        let differing = p
+            .base
+            .iter()
+            .find(|(path, base)| self.node_revision(path) != *base)
+            .map(|(path, base)| (path, *base));
+        let (path, base) = differing.or_else(|| self.unseen(p).map(|path| (path, Offset(0))))?;
+        let node = self.nodes.get(path);
+        Some(Conflict {
+            path: path.clone(),
+            base,
+            found: self.node_revision(path),
+            winner: node.map_or_else(String::new, |n| n.author.clone()),
+            author: p.author.clone(),
+        })
+    }
+
+    /// Finds a node that a removal would remove although the change does not name it.
+    ///
+    /// Such a node was added after the removal was prepared; to remove it would revert an accepted change.
+    fn unseen(&self, p: &Publish) -> Option<&NodePath> {
+        let removed: BTreeSet<&NodePath> = p
+            .nodes
+            .iter()
+            .filter(|(_, values)| values.is_none())
+            .map(|(path, _)| path)
+            .collect();
+        if removed.is_empty() {
+            return None;
+        }
+        let named: BTreeSet<&NodePath> = p.base.iter().map(|(path, _)| path).collect();
+        let live = self.nodes.iter().filter(|(_, n)| n.live);
+        live.map(|(path, _)| path).find(|path| {
+            let mut up = std::iter::successors(Some((*path).clone()), NodePath::parent);
+            !named.contains(path) && up.any(|p| removed.contains(&p))
         })
     }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -24,7 +24,7 @@
 pub use burst::Burst;
 pub use check::{Check, Subject, CHECKS};
 pub use claim::ClaimConfig;
-pub(crate) use fields::Fields;
+pub(crate) use fields::{nearest, Fields};
 pub use limit::Limit;
 pub use problem::{Problem, Problems};
 pub use request::{Method, Request};
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod node;
 pub(crate) mod platform;
 
 use std::{
