test: concurrent publishes, rollout status and lost answers

Cause: the append was never repeated in the test of a lost answer, and ports were chosen before they were bound. Change: the test platform hides records until the second append; eight operators publish one node at once; status shows versions, chunks and alarms; processes inside tests bind port 0. Rocket's launch line is kept out of the log, and the time line holds start, drain, reload and settings changes. Conclusion: exactly one of the simultaneous changes is accepted, the others get exit code 4.

--- a/src/observe/api.rs
+++ b/src/observe/api.rs
@@ -20,9 +20,9 @@
 };
 use tokio::sync::oneshot;
 
-use super::{Moment, ProcessStatus};
+use super::{Moment, ProcessStatus, Scope};
 use crate::{
-    base::{Clock, Millis, RequestId, VersionName},
+    base::{Clock, Millis, Offset, RequestId, VersionName},
     process::{Context, Phase},
 };
 
@@ -33,6 +33,9 @@
     /// The TLS files were read again.
     TLS_RELOADED = 811, "tls-reloaded", Info,
         "the TLS files were read again; new connections use them", "nothing";
+    /// A settings change took effect.
+    SETTINGS_APPLIED = 813, "settings-applied", Debug,
+        "a change of the settings tree took effect in this process", "nothing";
     /// The TLS files could not be read again.
     TLS_REFUSED = 812, "tls-refused", Error,
         "the TLS files cannot be used; connections keep the old ones", "correct the files and reload again";
@@ -153,7 +156,11 @@
 #[post("/drain")]
 fn drain(op: &State<Operator>) -> (Status, Json<ProcessStatus>) {
     if op.ctx.phase() == Phase::Serving {
-        crate::emit!(DRAIN_REQUESTED, "through the operator API");
+        let text = "through the operator API";
+        crate::emit!(DRAIN_REQUESTED, "{text}");
+        op.ctx
+            .timeline
+            .record(&DRAIN_REQUESTED, Scope::default(), text);
         op.ctx.advance(Phase::Draining);
     }
     (Status::Accepted, Json(op.status()))
@@ -173,7 +180,10 @@
 pub fn reload_tls(ctx: &Context) -> Result<(), crate::net::TlsError> {
     match ctx.transport.reload() {
         Ok(()) => {
-            crate::emit!(TLS_RELOADED, "{}", ctx.settings.tls.certificate.display());
+            let file = ctx.settings.tls.certificate.display();
+            crate::emit!(TLS_RELOADED, "{file}");
+            ctx.timeline
+                .record(&TLS_RELOADED, Scope::default(), file.to_string());
             Ok(())
         }
         Err(e) => {
@@ -253,11 +263,20 @@
     }
 }
 
-/// Keeps the time of the last change of the applied offset.
+/// Keeps the time of the last change of the applied offset, and notes changes of the settings in the time line.
 async fn track(ctx: Context, changed: Arc<AtomicU64>) {
     let mut applied = ctx.replica.watch();
+    let mut last = Offset(0);
     while applied.changed().await.is_ok() {
         changed.store(ctx.clock.now().0, Ordering::Relaxed);
+        let revision = ctx.replica.with_kernel(|k| k.config().revision());
+        if revision != last {
+            last = revision;
+            let text = format!("offset {revision}");
+            crate::emit!(SETTINGS_APPLIED, "{text}");
+            ctx.timeline
+                .record(&SETTINGS_APPLIED, Scope::default(), text);
+        }
     }
 }
 
--- a/src/observe/logging.rs
+++ b/src/observe/logging.rs
@@ -2,6 +2,11 @@
 
 use log::{LevelFilter, Log, Metadata, Record};
 use simplelog::{ConfigBuilder, LevelPadding, WriteLogger};
+use time::{format_description::FormatItem, macros::format_description};
+
+/// UTC with milliseconds.
+const TIME: &[FormatItem<'static>] =
+    format_description!("[year]-[month]-[day]T[hour]:[minute]:[second].[subsecond digits:3]Z");
 
 /// Targets of libraries that log each request or packet; only their warnings and errors are kept.
 ///
@@ -13,13 +18,21 @@
 /// Passes records to the logger, except the details of libraries.
 struct Filter(Box<WriteLogger<std::io::Stderr>>);
 
-fn is_quiet(target: &str) -> bool {
-    QUIET.iter().any(|q| target.starts_with(q))
+/// Returns the least severe level that is kept of a target.
+fn limit(target: &str) -> LevelFilter {
+    // Rocket announces its launch as a warning.
+    if target.starts_with("rocket::launch") {
+        return LevelFilter::Error;
+    }
+    if QUIET.iter().any(|q| target.starts_with(q)) {
+        return LevelFilter::Warn;
+    }
+    LevelFilter::Trace
 }
 
 impl Log for Filter {
     fn enabled(&self, m: &Metadata<'_>) -> bool {
-        self.0.enabled(m) && (m.level() <= LevelFilter::Warn || !is_quiet(m.target()))
+        m.level() <= limit(m.target()) && self.0.enabled(m)
     }
 
     fn log(&self, r: &Record<'_>) {
@@ -40,7 +53,7 @@
 /// Returns an error if the program has a logger already.
 pub fn init_logging(level: LevelFilter) -> Result<(), log::SetLoggerError> {
     let config = ConfigBuilder::new()
-        .set_time_format_rfc3339()
+        .set_time_format_custom(TIME)
         .set_thread_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .set_target_level(LevelFilter::Debug)
--- a/src/operator/show.rs
+++ b/src/operator/show.rs
@@ -63,7 +63,7 @@
                 );
                 [
                     key,
-                    value,
+                    shown(value),
                     &from.to_string(),
                     &node.revision.to_string(),
                     &node.author,
@@ -76,7 +76,7 @@
                     .find(|s| s.key == key)
                     .map_or("", |s| s.default);
                 values.insert(key.to_owned(), json!({"value": default, "from": null}));
-                [key, default, "default", "", ""].map(str::to_owned)
+                [key, shown(default), "default", "", ""].map(str::to_owned)
             }
         };
         rows.push(row.to_vec());
@@ -91,3 +91,11 @@
         json!({"path": path.to_string(), "offset": state.kernel.applied(), "values": values}),
     ))
 }
+
+/// Makes an empty value visible.
+fn shown(value: &str) -> &str {
+    if value.is_empty() {
+        return "\"\"";
+    }
+    value
+}
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -9,7 +9,7 @@
 use super::{Context, Phase, ProcessSettings};
 use crate::{
     base::Millis,
-    observe::{init_logging, reload_tls, OperatorApi},
+    observe::{init_logging, reload_tls, OperatorApi, Scope},
     wire::Role,
 };
 
@@ -155,11 +155,9 @@
     let ctx = Context::start(settings)?;
     let api = OperatorApi::start(&ctx).await?;
     let (name, version) = (&ctx.settings.name, env!("CARGO_PKG_VERSION"));
-    crate::emit!(
-        STARTED,
-        "{name}, instance {}, version {version}",
-        ctx.instance
-    );
+    let text = format!("{name}, instance {}, version {version}", ctx.instance);
+    crate::emit!(STARTED, "{text}");
+    ctx.timeline.record(&STARTED, Scope::default(), text);
     // Programs that start daemons wait for this line.
     println!("ready {name}");
     let watcher = tokio::spawn(signals.watch(ctx.clone()));
@@ -210,6 +208,7 @@
             }
             signalled = true;
             crate::emit!(SIGNALLED, "{name}");
+            ctx.timeline.record(&SIGNALLED, Scope::default(), name);
             ctx.advance(Phase::Draining);
         }
     }
--- a/tests/operator_api.rs
+++ b/tests/operator_api.rs
@@ -38,10 +38,10 @@
         let (code, body) = get(&format!("{base}/metrics")).await;
         assert_eq!(code, 200);
         assert!(body.contains("sesamewing_applied_offset 0"), "{body}");
-        assert_eq!(
-            get(&format!("{base}/timeline?from=0")).await,
-            (200, String::new())
-        );
+        let (code, body) = get(&format!("{base}/timeline?from=0")).await;
+        assert!(code == 200 && body.contains("SW800 started"), "{body}");
+        let (code, body) = get(&format!("{base}/timeline?to=0")).await;
+        assert_eq!((code, body.as_str()), (200, ""));
         assert_eq!(get(&format!("{base}/timeline?from=x")).await.0, 400);
         assert_eq!(get(&format!("{base}/timeline?request=x")).await.0, 400);
         assert_eq!(post(&format!("{base}/drain")).await, 202);
@@ -65,7 +65,7 @@
     assert!(log.contains("SW811 tls-reloaded"), "{log}");
     assert_eq!(log.matches("SW812 tls-refused").count(), 2, "{log}");
     assert!(log.contains("SW801 signalled"), "{log}");
-    assert!(!log.contains("rocket"), "{log}");
+    assert!(!log.to_lowercase().contains("rocket"), "{log}");
 }
 
 #[test]
--- a/tests/operator_cli.rs
+++ b/tests/operator_cli.rs
@@ -6,10 +6,12 @@
     fs,
     path::{Path, PathBuf},
     process::Command,
+    sync::Arc,
 };
 
 use sesamewing::{
     base::event::EVENTS,
+    observe::{RoleState, RoleStatus},
     process::Phase,
     wire::{HostEntry, HostState, Role},
 };
@@ -209,6 +211,32 @@
     );
 }
 
+/// Operators who publish the same node at the same moment: the log's order lets exactly one change through.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_of_many_simultaneous_changes_is_accepted() {
+    let op = Operator::new().await;
+    assert_eq!(op.publish(&op.write("tree.yaml", TREE), "ada").code, 0);
+    let files: Vec<_> = (0..8)
+        .map(|n| {
+            op.write(
+                &format!("{n}.yaml"),
+                &format!("revision: 1\n{TREE}").replace("rate: 100", &format!("rate: {}", 200 + n)),
+            )
+        })
+        .collect();
+    let codes: Vec<i32> = std::thread::scope(|s| {
+        let runs: Vec<_> = files
+            .iter()
+            .map(|f| s.spawn(|| op.publish(f, f.rsplit('/').next().unwrap_or("x")).code))
+            .collect();
+        runs.into_iter()
+            .map(|r| r.join().expect("it ran"))
+            .collect()
+    });
+    assert_eq!(codes.iter().filter(|c| **c == 0).count(), 1, "{codes:?}");
+    assert_eq!(codes.iter().filter(|c| **c == 4).count(), 7, "{codes:?}");
+}
+
 /// A removal must not take away a workspace that was added below it after the pull.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn removal_of_an_unseen_child_conflicts() {
@@ -245,14 +273,15 @@
     assert_eq!(op.run(&["show", "/east/drafts"]).code, 1);
 }
 
-/// The answer of the platform is lost twice; the record is appended again and applies once.
+/// The platform's answer is lost and the record is not yet readable; it is appended again and applies once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_lost_answer_publishes_once() {
     let op = Operator::new().await;
-    op.platform.lose(1);
+    op.platform.lose();
     let run = op.publish(&op.write("tree.yaml", TREE), "ada");
     assert_eq!(run.code, 0, "{run:?}");
     assert!(run.out.contains("accepted at offset 1"), "{run:?}");
+    assert_eq!(op.platform.appends(), 2);
     let shown = op.ok(&["show", "/east/drafts", "--json"]);
     let json: serde_json::Value = serde_json::from_str(&shown).expect("JSON");
     assert_eq!(json["values"]["route.subset"]["revision"], 1);
@@ -293,7 +322,7 @@
         operator: free(),
         state: HostState::Live,
         role: Role::Agent,
-        ..fast.ctx.host_entry()
+        ..fast.host_entry()
     };
     op.platform.list(gone);
     let run = op.run(&["status"]);
@@ -327,6 +356,39 @@
     assert!(run.err.contains("accepted at offset 2"), "{run:?}");
 }
 
+/// What an operator needs during a rollout: versions and chunks of each agent, alarms, and the end of a watch.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_shows_rollouts_and_alarms() {
+    let (op, certs) = (Operator::new().await, Certificates::new());
+    let node = Node::start("agent-1", &op.platform, &certs, true).await;
+    node.ctx.status.store(Arc::new(RoleStatus {
+        state: RoleState::Serving,
+        version: Some("v7".parse().expect("a name")),
+        chunks: Some((3, 9)),
+        running: 4,
+        alarms: vec!["SW601 origin-silent".to_owned()],
+    }));
+    let out = op.ok(&["status"]);
+    let row = out
+        .lines()
+        .find(|l| l.starts_with("agent-1"))
+        .expect("a row");
+    for wanted in ["serving", "v7", "3/9", "4", "alarm: SW601 origin-silent"] {
+        assert!(row.contains(wanted), "{row}");
+    }
+    let url = op.platform.url.clone();
+    let watch = std::thread::spawn(move || {
+        sesamewing(&["status", "--offset", "1", "--watch", "--platform", &url])
+    });
+    assert_eq!(op.publish(&op.write("tree.yaml", TREE), "ada").code, 0);
+    let run = watch.join().expect("it ran");
+    assert_eq!(run.code, 0, "{run:?}");
+    assert!(
+        run.out.contains("1 of 1 processes have applied offset 1"),
+        "{run:?}"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn drain_reaches_the_named_process() {
     let (op, certs) = (Operator::new().await, Certificates::new());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use std::{
     fs::{self, File},
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -49,6 +49,12 @@
     }
 }
 
+/// Any free port.
+pub(crate) const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Starts of a daemon; another program may take one of its ports between the choice and the start.
+const STARTS: u32 = 5;
+
 /// Returns a TCP and UDP port that was free a moment ago.
 pub(crate) fn free() -> SocketAddr {
     loop {
@@ -91,9 +97,21 @@
 }
 
 impl Daemon {
-    /// Starts a daemon and waits for its `ready` line.
+    /// Starts a daemon on free ports and waits for its `ready` line.
     pub(crate) fn start(role: Role, certs: &Certificates, platform: &str) -> Self {
-        let (file, operator) = settings(role, certs, platform);
+        let mut log = String::new();
+        for _ in 0..STARTS {
+            let (file, operator) = settings(role, certs, platform);
+            match Self::launch(role, &file, operator) {
+                Ok(daemon) => return daemon,
+                Err(text) if text.contains("cannot be") => log = text,
+                Err(text) => panic!("{text}"),
+            }
+        }
+        panic!("{log}");
+    }
+
+    fn launch(role: Role, file: &Path, operator: SocketAddr) -> Result<Self, String> {
         let log = file.with_extension("log");
         let program = match role {
             Role::Entry => env!("CARGO_BIN_EXE_sesamewing-entry"),
@@ -101,7 +119,7 @@
         };
         let mut child = Command::new(program)
             .arg("--config")
-            .arg(&file)
+            .arg(file)
             .stdout(Stdio::piped())
             .stderr(File::create(&log).expect("created"))
             .spawn()
@@ -116,8 +134,8 @@
             operator,
             log,
         };
-        daemon.name = name.unwrap_or_else(|| panic!("{line:?} {}", daemon.log()));
-        daemon
+        daemon.name = name.ok_or_else(|| daemon.log())?;
+        Ok(daemon)
     }
 
     pub(crate) fn operator(&self) -> String {
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -6,10 +6,10 @@
     net::TlsFiles,
     observe::OperatorApi,
     process::{Context, Links, ProcessSettings},
-    wire::Role,
+    wire::{HostEntry, Role},
 };
 
-use super::{free, platform::Platform, Certificates};
+use super::{platform::Platform, Certificates, ANY};
 
 /// A process that only operators see.
 pub(crate) struct Node {
@@ -26,9 +26,9 @@
             role: Role::Entry,
             region: "east".parse().expect("a region"),
             zone: "east-a".parse().expect("a zone"),
-            peer: free(),
-            operator: free(),
-            callers: Some(free()),
+            peer: ANY,
+            operator: ANY,
+            callers: Some(ANY),
             guard: None,
             platform: p.url.clone(),
             tls: TlsFiles {
@@ -49,7 +49,16 @@
         if feed {
             tokio::spawn(follow(ctx.replica.clone(), ctx.platform.clone()));
         }
-        p.list(ctx.host_entry());
-        Self { ctx, api }
+        let node = Self { ctx, api };
+        p.list(node.host_entry());
+        node
+    }
+
+    /// Describes the process with the address that its operator API was given.
+    pub(crate) fn host_entry(&self) -> HostEntry {
+        HostEntry {
+            operator: self.api.address,
+            ..self.ctx.host_entry()
+        }
     }
 }
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -25,6 +25,8 @@
     hosts: Mutex<Vec<HostEntry>>,
     /// Number of further appends that are stored but answered with an error.
     lost: Mutex<u32>,
+    /// Number of records below which reads return nothing.
+    hidden: Mutex<usize>,
 }
 
 type Refused = (Status, &'static str);
@@ -63,6 +65,8 @@
         let _ = tokio::time::timeout(wait, rx.wait_for(|log| log.len() >= from)).await;
     }
     let log = rx.borrow();
+    let hidden = *shared.hidden.lock().expect("not poisoned");
+    let log = if log.len() < hidden { &[][..] } else { &log };
     let records: Vec<_> = log
         .iter()
         .enumerate()
@@ -88,24 +92,25 @@
 
 impl Platform {
     pub(crate) async fn start() -> Self {
-        let addr: SocketAddr = super::free();
         let state = Arc::<Shared>::default();
         let config = rocket::Config {
-            address: addr.ip(),
-            port: addr.port(),
+            address: super::ANY.ip(),
+            port: super::ANY.port(),
             log_level: rocket::config::LogLevel::Off,
             ..rocket::Config::release_default()
         };
         let (tx, rx) = tokio::sync::oneshot::channel();
-        let ready = rocket::fairing::AdHoc::on_liftoff("ready", |_| {
-            Box::pin(async move { tx.send(()).expect("awaited") })
+        let ready = rocket::fairing::AdHoc::on_liftoff("ready", |rocket| {
+            let config = rocket.config();
+            let addr = SocketAddr::new(config.address, config.port);
+            Box::pin(async move { tx.send(addr).expect("awaited") })
         });
         let server = rocket::custom(config)
             .manage(state.clone())
             .attach(ready)
             .mount("/", routes![append, read, hosts]);
         tokio::spawn(server.launch());
-        rx.await.expect("the platform listens");
+        let addr = rx.await.expect("the platform listens");
         Self {
             url: format!("http://{addr}"),
             state,
@@ -116,9 +121,10 @@
         self.state.hosts.lock().expect("not poisoned").push(host);
     }
 
-    /// Stores the next appends but answers them with an error.
-    pub(crate) fn lose(&self, appends: u32) {
-        *self.state.lost.lock().expect("not poisoned") = appends;
+    /// Stores the next append but answers it with an error, and shows no record before a second append.
+    pub(crate) fn lose(&self) {
+        *self.state.lost.lock().expect("not poisoned") = 1;
+        *self.state.hidden.lock().expect("not poisoned") = self.appends() + 2;
     }
 
     pub(crate) fn appends(&self) -> usize {
