feat: agent runs requests at its engine and loads weights under a lease

Cause: entries need a path to the endpoints that never mixes versions, truncates answers or reports a request that ran as not run.

Change: trait `Endpoint` with adapters for engines and plain services; lease holder and drain as state machines; the agent daemon with request streaming, reports, load commands under the endpoint's lease, guard address, host list entry and graceful drain. Weights come through `weights::Source`, whose first implementation reads the origin.

Claims of non-repeatable requests are refused as not run until the claim runner exists.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,1 +1,133 @@
 //! The agent daemon: the only path to the endpoint on its host.
+
+mod answer;
+mod board;
+mod event;
+mod guard;
+mod host;
+mod lessee;
+mod load;
+mod poll;
+mod report;
+mod runner;
+mod serve;
+mod sink;
+
+pub use board::{Board, Permit, View};
+pub use lessee::Lessee;
+pub use load::Loader;
+pub use runner::Runner;
+pub use sink::{Gone, Sink};
+
+use std::sync::Arc;
+
+use eyre::WrapErr;
+use tokio::sync::oneshot;
+
+use crate::{
+    decide::lease::LeaseHolder,
+    emit,
+    endpoint::{Endpoint, Engine, Plain},
+    feed,
+    process::{Context, EndpointKind, EndpointSettings, Phase},
+    weights::OriginSource,
+};
+
+/// Runs the agent until the phase is [`Phase::Stopped`].
+///
+/// # Errors
+///
+/// Returns an error if the settings name no endpoint or the endpoint's address cannot be used.
+pub async fn run(ctx: Context) -> eyre::Result<()> {
+    let settings = ctx.settings.endpoint.clone();
+    let settings = settings.ok_or_else(|| {
+        eyre::eyre!("the process settings of an agent need an `endpoint` section; add it")
+    })?;
+    crate::endpoint::check(&settings).map_err(|e| eyre::eyre!(e))?;
+    match settings.kind {
+        EndpointKind::Engine => {
+            let engine = Engine::new(&settings.address).wrap_err("endpoint")?;
+            serve(ctx, settings, engine).await
+        }
+        EndpointKind::Plain => {
+            let plain = Plain::new(&settings.address).wrap_err("endpoint")?;
+            serve(ctx, settings, plain).await
+        }
+    }
+    Ok(())
+}
+
+/// Serves until the drain is complete.
+async fn serve<E: Endpoint>(ctx: Context, settings: EndpointSettings, endpoint: E) {
+    let weights = settings.kind == EndpointKind::Engine;
+    let board = Arc::new(Board::new(ctx.status.clone(), weights));
+    let mut tasks = tokio::task::JoinSet::new();
+    tasks.spawn(feed::follow(ctx.replica.clone(), ctx.platform.clone()));
+    tasks.spawn(poll::poll(endpoint.clone(), board.clone()));
+    let (end, ended) = oneshot::channel();
+    let announcer = tokio::spawn(host::announce(ctx.clone(), ended));
+    if weights {
+        tasks.spawn(loader(&ctx, &settings, endpoint.clone(), board.clone()).run());
+    }
+    let runner = Runner {
+        endpoint,
+        region: ctx.settings.region.clone(),
+        service: settings.service,
+        replica: ctx.replica.clone(),
+        board: board.clone(),
+        clock: ctx.clock,
+    };
+    let server = Arc::new(serve::Server {
+        ctx: ctx.clone(),
+        runner,
+        reporter: report::Reporter::default(),
+    });
+    let transport = ctx.transport.clone();
+    tasks.spawn(async move {
+        transport
+            .serve(move |incoming| server.clone().handle(incoming))
+            .await;
+    });
+    host::drain(&ctx, &board).await;
+    drop(end);
+    let _ = announcer.await;
+    emit!(event::DRAINING, "the drain is complete");
+    ctx.advance(Phase::Stopped);
+}
+
+type HttpLoader<E> = Loader<
+    E,
+    crate::platform::HttpPlatform,
+    crate::base::SystemClock,
+    OriginSource<crate::platform::HttpPlatform>,
+>;
+
+fn loader<E: Endpoint>(
+    ctx: &Context,
+    settings: &EndpointSettings,
+    endpoint: E,
+    board: Arc<Board>,
+) -> HttpLoader<E> {
+    let s = &ctx.settings;
+    let resource = format!("endpoint/{}", s.name);
+    let holder = LeaseHolder::new(resource, s.name.clone(), ctx.instance);
+    let lessee = Lessee::new(
+        ctx.platform.clone(),
+        ctx.clock,
+        ctx.replica.clone(),
+        board.clone(),
+        holder,
+    );
+    Loader {
+        endpoint,
+        source: OriginSource::new(ctx.platform.clone(), s.links.memory),
+        lessee,
+        replica: ctx.replica.clone(),
+        board,
+        timeline: ctx.timeline.clone(),
+        region: s.region.clone(),
+        service: settings.service.clone(),
+        guard: s.guard,
+        fencing: settings.fencing,
+    }
+}
--- /dev/null
+++ b/src/agent/report.rs
@@ -0,0 +1,89 @@
+//! Reports to the entries that watch this agent.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use super::board::Board;
+use crate::{
+    base::{Millis, Service},
+    net::Call,
+    process::Context,
+    wire::{AgentReport, WatchRequest},
+};
+
+/// Shortest time between two reports, so that each request does not cause a report to each watcher.
+const SPACING: Millis = Millis(50);
+
+/// Longest time between two reports, whatever the watcher asks for.
+const INTERVAL_MAX: Millis = Millis(1000);
+
+/// Time for the watcher to read a report.
+const SEND_TIMEOUT: Millis = Millis(2000);
+
+/// Numbers the reports of this run of the process.
+#[derive(Debug, Default)]
+pub(super) struct Reporter {
+    sequence: AtomicU64,
+}
+
+impl Reporter {
+    /// Sends reports on change and regularly until the watcher closes the stream.
+    pub(super) async fn serve(
+        &self,
+        ctx: &Context,
+        service: &Service,
+        board: &Board,
+        req: WatchRequest,
+        mut call: Call,
+    ) {
+        let interval = req.interval.clamp(SPACING, INTERVAL_MAX);
+        let mut changes = board.watch();
+        let (mut from, _) = board.prefixes(u64::MAX);
+        loop {
+            let leaving = changes.borrow_and_update().leaving;
+            let (next, prefixes) = board.prefixes(from);
+            from = next;
+            let report = self.report(ctx, service, board, prefixes);
+            if call.tx.send_within(&report, SEND_TIMEOUT).await.is_err() {
+                return;
+            }
+            let changed = async {
+                // A leaving report is not held back.
+                let urgent = changes.wait_for(|v| v.leaving && !leaving);
+                if tokio::time::timeout(SPACING.duration(), urgent)
+                    .await
+                    .is_err()
+                {
+                    let _ = changes.changed().await;
+                }
+            };
+            tokio::select! {
+                _ = tokio::time::timeout(interval.duration(), changed) => {}
+                () = call.tx.closed() => return,
+            }
+        }
+    }
+
+    fn report(
+        &self,
+        ctx: &Context,
+        service: &Service,
+        board: &Board,
+        prefixes: Vec<u64>,
+    ) -> AgentReport {
+        let view = board.view();
+        AgentReport {
+            name: ctx.settings.name.clone(),
+            instance: ctx.instance,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+            service: service.clone(),
+            state: view.state(),
+            version: view.endpoint.version.clone(),
+            applied: ctx.replica.applied(),
+            running: view.running,
+            waiting: view.endpoint.waiting,
+            capacity: view.endpoint.capacity,
+            speed: view.endpoint.speed,
+            prefixes,
+        }
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,1 +1,4 @@
 //! Decisions as state machines without I/O.
+
+pub mod drain;
+pub mod lease;
