feat: claim runner and its driver, settlements

Cause: a request that is not repeatable must run at most once although answers of appends, agents and endpoints get lost.

Change: `decide/claim` as a state machine without I/O (group commit, read-back before each run, voids, outcomes, repeats, settlements) and its driver in `agent/claims`, which follows the claims stream with its own kernel. Settlements use an instance of their own, because the kernel lets a void of the claiming instance undo its claim.

--- a/src/agent/host.rs
+++ b/src/agent/host.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::oneshot;
 
-use super::{board::Board, event::DRAINING};
+use super::{board::Board, claims::Claims, event::DRAINING};
 use crate::{
     base::{Clock, Millis},
     emit,
@@ -19,6 +19,9 @@
 /// Time to remove the entry; after that the list is left to forget it.
 const REMOVE_TIMEOUT: Millis = Millis(2000);
 
+/// Time to append outcomes that were answered already; without them repeated ids get `MayHaveRun`.
+const RECORD_TIME: Millis = Millis(5000);
+
 /// Pause between two looks at the work in progress during a drain.
 const DRAIN_PAUSE: Millis = Millis(20);
 
@@ -43,12 +46,17 @@
     let _ = tokio::time::timeout(REMOVE_TIMEOUT.duration(), remove).await;
 }
 
-/// Waits for the drain, completes the work in progress and stops.
-pub(super) async fn drain(ctx: &Context, board: &Board) {
+/// Waits for the drain and completes the work in progress.
+pub(super) async fn drain(ctx: &Context, board: &Board, claims: Option<&Claims>) {
     ctx.reached(Phase::Draining).await;
     board.begin_drain(ctx.clock.now());
     emit!(DRAINING, "{} requests in progress", board.view().running);
     while !board.is_drained(ctx.clock.now()) && ctx.phase() < Phase::Stopped {
         tokio::time::sleep(DRAIN_PAUSE.duration()).await;
     }
+    let end = ctx.clock.now() + RECORD_TIME;
+    let pending = || claims.is_some_and(|c| c.pending() > 0);
+    while pending() && ctx.clock.now() < end && ctx.phase() < Phase::Stopped {
+        tokio::time::sleep(DRAIN_PAUSE.duration()).await;
+    }
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod board;
+mod claims;
 mod event;
 mod guard;
 mod host;
@@ -14,6 +15,7 @@
 mod sink;
 
 pub use board::{Board, Permit, View};
+pub use claims::{Claims, Driver, Identity};
 pub use lessee::Lessee;
 pub use load::Loader;
 pub use runner::Runner;
@@ -25,10 +27,12 @@
 use tokio::sync::oneshot;
 
 use crate::{
+    base::SystemClock,
     decide::lease::LeaseHolder,
     emit,
     endpoint::{Endpoint, Engine, Plain},
     feed,
+    platform::HttpPlatform,
     process::{Context, EndpointKind, EndpointSettings, Phase},
     weights::OriginSource,
 };
@@ -69,6 +73,11 @@
     if weights {
         tasks.spawn(loader(&ctx, &settings, endpoint.clone(), board.clone()).run());
     }
+    let claims = (!weights).then(|| {
+        let (driver, claims) = claim_driver(&ctx, &settings, endpoint.clone(), board.clone());
+        tasks.spawn(driver.run());
+        claims
+    });
     let runner = Runner {
         endpoint,
         region: ctx.settings.region.clone(),
@@ -81,6 +90,7 @@
         ctx: ctx.clone(),
         runner,
         reporter: report::Reporter::default(),
+        claims: claims.clone(),
     });
     let transport = ctx.transport.clone();
     tasks.spawn(async move {
@@ -88,19 +98,30 @@
             .serve(move |incoming| server.clone().handle(incoming))
             .await;
     });
-    host::drain(&ctx, &board).await;
+    host::drain(&ctx, &board, claims.as_ref()).await;
     drop(end);
     let _ = announcer.await;
     emit!(event::DRAINING, "the drain is complete");
     ctx.advance(Phase::Stopped);
 }
 
-type HttpLoader<E> = Loader<
-    E,
-    crate::platform::HttpPlatform,
-    crate::base::SystemClock,
-    OriginSource<crate::platform::HttpPlatform>,
->;
+fn claim_driver<E: Endpoint>(
+    ctx: &Context,
+    settings: &EndpointSettings,
+    endpoint: E,
+    board: Arc<Board>,
+) -> (Driver<E, HttpPlatform, SystemClock>, Claims) {
+    let identity = Identity {
+        name: ctx.settings.name.clone(),
+        instance: ctx.instance,
+        region: ctx.settings.region.clone(),
+        service: settings.service.clone(),
+    };
+    let (log, replica) = (ctx.platform.clone(), ctx.replica.clone());
+    Driver::new(identity, endpoint, log, ctx.clock, replica, board)
+}
+
+type HttpLoader<E> = Loader<E, HttpPlatform, SystemClock, OriginSource<HttpPlatform>>;
 
 fn loader<E: Endpoint>(
     ctx: &Context,
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -2,12 +2,20 @@
 
 use std::sync::Arc;
 
-use super::{report::Reporter, runner, sink::Sink, Runner};
+use super::{
+    claims::{self, Claims},
+    report::Reporter,
+    runner,
+    sink::Sink,
+    Runner,
+};
 use crate::{
-    base::{Clock, Millis},
+    base::{Attempt, Clock, Millis, Offset},
+    decide::claim::Verdict,
     endpoint::Endpoint,
     net::{Call, Incoming},
     process::Context,
+    settings::Request,
     wire::{self, NotRun, RunOutcome, RunRequest, SettleReply},
 };
 
@@ -23,6 +31,8 @@
     pub(super) ctx: Context,
     pub(super) runner: Runner<E>,
     pub(super) reporter: Reporter,
+    /// Agents of plain services only.
+    pub(super) claims: Option<Claims>,
 }
 
 impl<E: Endpoint> Server<E> {
@@ -32,9 +42,14 @@
         let Incoming { open, mut call, .. } = incoming;
         match open.call {
             wire::Call::Run(req) => self.run(req, open.applied, received, call).await,
-            wire::Call::Settle(_) => {
-                if call.tx.send(&SettleReply::Unknown).await.is_ok() {
-                    call.tx.finish();
+            wire::Call::Settle(req) => {
+                let deadline = received + req.remaining;
+                let fate = match &self.claims {
+                    Some(claims) => claims.settle(req.id, req.attempt, deadline).await,
+                    None => SettleReply::Unknown,
+                };
+                if call.tx.send(&fate).await.is_ok() {
+                    flush(call).await;
                 }
             }
             wire::Call::Watch(req) => {
@@ -48,26 +63,64 @@
         }
     }
 
-    async fn run(
-        &self,
-        req: RunRequest,
-        applied: crate::base::Offset,
-        received: Millis,
-        mut call: Call,
-    ) {
+    async fn run(&self, req: RunRequest, applied: Offset, received: Millis, mut call: Call) {
         let Some(permit) = self.runner.board.enter() else {
             return refuse(&req, NotRun::Leaving, call).await;
         };
         if !self.ctx.replica.wait_for(applied, CATCH_UP).await {
             return refuse(&req, NotRun::Version, call).await;
         }
-        if req.attempt.is_some() {
-            return refuse(&req, NotRun::Service, call).await;
+        match (&self.claims, req.attempt) {
+            (Some(claims), Some(attempt)) => {
+                self.claim(claims, req, attempt, received, &mut call).await;
+            }
+            (None, Some(_)) => return refuse(&req, NotRun::Service, call).await,
+            (Some(_), None) if !self.is_repeatable(&req) => {
+                return refuse(&req, NotRun::Version, call).await;
+            }
+            (_, None) => self.runner.stream(&req, received, &mut call.tx).await,
         }
-        self.runner.stream(&req, received, &mut call.tx).await;
         flush(call).await;
         drop(permit);
     }
+
+    /// Returns whether the settings in force allow the request to run more than once.
+    ///
+    /// The entry decides this, possibly on older settings.
+    fn is_repeatable(&self, req: &RunRequest) -> bool {
+        let settings = self.ctx.replica.settings();
+        let service = settings.service(&self.runner.region, &self.runner.service);
+        let methods = service.map_or_else(
+            || Request::default().repeatable,
+            |s| s.request.repeatable.clone(),
+        );
+        methods.iter().any(|m| m.to_string() == req.method)
+    }
+
+    /// Runs a request at most once; the run goes on if the entry no longer reads the answer.
+    async fn claim(
+        &self,
+        claims: &Claims,
+        req: RunRequest,
+        attempt: Attempt,
+        received: Millis,
+        call: &mut Call,
+    ) {
+        let deadline = received + req.remaining;
+        let refusal = self.runner.refusal(&req, deadline);
+        if refusal == Some(NotRun::Service) {
+            return runner::fail(&req, RunOutcome::NotRun(NotRun::Service), &mut call.tx).await;
+        }
+        let id = req.id;
+        let verdict = claims.submit(req, attempt, deadline, refusal).await;
+        if matches!(verdict, Verdict::Done { .. }) {
+            self.runner
+                .board
+                .observe_time(self.ctx.clock.now() - received);
+        }
+        // An entry that no longer reads asks again under the same id.
+        let _ = claims::answer(id, verdict, &mut call.tx).await;
+    }
 }
 
 async fn refuse(req: &RunRequest, reason: NotRun, mut call: Call) {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,4 +1,5 @@
 //! Decisions as state machines without I/O.
 
+pub mod claim;
 pub mod drain;
 pub mod lease;
