feat: thin entry daemon

Serves the callers' HTTP API with rocket, follows the control stream, announces itself in the host list and runs each request on one agent of the service.

Admission, membership, routing policies, retries and settling follow.

--- /dev/null
+++ b/src/entry/serve.rs
@@ -0,0 +1,113 @@
+//! Start and end of the entry.
+
+use std::{sync::Arc, time::Duration};
+
+use eyre::{eyre, WrapErr};
+use rocket::{
+    config::{Config, LogLevel, Shutdown},
+    Rocket,
+};
+
+use super::{api, events::CALLERS_FAILED, shared::Shared};
+use crate::{
+    emit, feed,
+    net::Incoming,
+    platform::HostList,
+    process::{Context, Phase},
+    wire::Call,
+};
+
+/// Interval of announcements; the host list is eventually consistent and may lose one.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Seconds that rocket allows requests at its shutdown; the phases have ended them before.
+const SHUTDOWN_SECS: u32 = 3600;
+
+/// Runs the entry until the phase is [`Phase::Stopped`].
+///
+/// # Errors
+///
+/// Returns an error if the callers' address cannot be served.
+pub async fn run(ctx: Context) -> eyre::Result<()> {
+    let shared = Arc::new(Shared::new(ctx.clone()));
+    let server = callers(&shared).await?;
+    let stop = server.shutdown();
+    let mut tasks = tokio::task::JoinSet::new();
+    tasks.spawn(feed::follow(ctx.replica.clone(), ctx.platform.clone()));
+    tasks.spawn(announce(ctx.clone()));
+    tasks.spawn(peers(ctx.clone()));
+    let mut launch = tokio::spawn(server.launch());
+    tokio::select! {
+        () = ctx.reached(Phase::Stopped) => {}
+        end = &mut launch => {
+            let reason = match end {
+                Ok(Err(e)) => e.kind().to_string(),
+                _ => "it ended early".to_owned(),
+            };
+            emit!(CALLERS_FAILED, "{reason}");
+            return Err(eyre!("the callers' address cannot be served ({reason}); check `callers` in the process settings"));
+        }
+    }
+    stop.notify();
+    // Idle callers' connections do not hold up the end of the process.
+    let _ = tokio::time::timeout(Duration::from_millis(500), launch).await;
+    tasks.shutdown().await;
+    Ok(())
+}
+
+/// Sets up the callers' HTTP server.
+async fn callers(shared: &Arc<Shared>) -> eyre::Result<Rocket<rocket::Ignite>> {
+    let addr = shared.ctx.settings.callers.ok_or_else(|| {
+        eyre!("an entry needs the callers' address; set `callers` in the process settings")
+    })?;
+    let config = Config {
+        address: addr.ip(),
+        port: addr.port(),
+        log_level: LogLevel::Off,
+        cli_colors: false,
+        shutdown: Shutdown {
+            ctrlc: false,
+            signals: Default::default(),
+            grace: SHUTDOWN_SECS,
+            mercy: SHUTDOWN_SECS,
+            force: false,
+            ..Shutdown::default()
+        },
+        ..Config::release_default()
+    };
+    rocket::custom(config)
+        .mount("/", api::routes(shared))
+        .register("/", vec![api::catcher()])
+        .ignite()
+        .await
+        .map_err(|e| eyre!("{}", e.kind()))
+        .wrap_err("the callers' server cannot be set up; check `callers` in the process settings")
+}
+
+/// Keeps this process in the host list, and tells its phase at once.
+async fn announce(ctx: Context) {
+    let mut phase = ctx.phase.subscribe();
+    loop {
+        if *phase.borrow_and_update() == Phase::Stopped {
+            return;
+        }
+        if let Err(e) = ctx.platform.announce(&ctx.host_entry()).await {
+            log::debug!("the host list was not updated: {e}");
+        }
+        let _ = tokio::time::timeout(ANNOUNCE_INTERVAL, phase.changed()).await;
+    }
+}
+
+/// Answers other processes.
+async fn peers(ctx: Context) {
+    let transport = ctx.transport.clone();
+    transport
+        .serve(|incoming: Incoming| async move {
+            match incoming.open.call {
+                // The feed tree is answered here once this process may be a parent.
+                Call::Feed(_) => {}
+                _ => log::debug!("{} asked for what an entry does not serve", incoming.peer),
+            }
+        })
+        .await;
+}
