--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -19,9 +19,9 @@
     pub(super) outcome: String,
 }
 
-/// Labels of a retry.
+/// Labels of a service.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-pub(super) struct Retried {
+pub(super) struct ByService {
     pub(super) service: String,
 }
 
@@ -29,7 +29,9 @@
 #[derive(Debug)]
 pub(super) struct EntryMetrics {
     pub(super) ended: Family<Ended, Counter>,
-    pub(super) retried: Family<Retried, Counter>,
+    pub(super) retried: Family<ByService, Counter>,
+    /// Agents that requests are routed to.
+    pub(super) agents: Family<ByService, Gauge>,
     /// Frames with the id of another request.
     pub(super) crossed: Counter,
     /// Answers whose end did not match what arrived.
@@ -47,6 +49,7 @@
         let out = Self {
             ended: Family::default(),
             retried: Family::default(),
+            agents: Family::default(),
             crossed: Counter::default(),
             corrupt: Counter::default(),
             running: Gauge::default(),
@@ -60,6 +63,11 @@
                 "Further attempts of requests",
                 out.retried.clone(),
             );
+            r.register(
+                "agents",
+                "Agents that take requests and confirm the version in the settings",
+                out.agents.clone(),
+            );
             r.register(
                 "crossed_frames",
                 "Frames that carried the id of another request and were dropped",
@@ -95,10 +103,19 @@
             .inc();
     }
 
+    /// Sets the number of agents that requests are routed to.
+    pub(super) fn set_agents(&self, service: &str, count: usize) {
+        self.agents
+            .get_or_create(&ByService {
+                service: service.to_owned(),
+            })
+            .set(count as i64);
+    }
+
     /// Counts a further attempt.
     pub(super) fn retry(&self, service: &str) {
         self.retried
-            .get_or_create(&Retried {
+            .get_or_create(&ByService {
                 service: service.to_owned(),
             })
             .inc();
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -175,9 +175,10 @@
     let path = req.uri().path();
     let rest = path.as_str().strip_prefix("/v1/services/").unwrap_or("");
     let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
-    let climbs = path
-        .raw_segments()
-        .any(|s| matches!(s.percent_decode_lossy().as_ref(), "." | ".."));
+    let climbs = path.raw_segments().any(|s| {
+        let text = s.percent_decode_lossy();
+        text.split('/').any(|part| matches!(part, "." | ".."))
+    });
     if climbs {
         return Err(Problem::refused(
             400,
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -26,9 +26,6 @@
 /// Interval of announcements; the host list is eventually consistent and may lose one.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Time for the last bytes of answers to reach slow callers after nothing is in progress any more.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Seconds that rocket allows requests at its shutdown; the phases have ended them before.
 const SHUTDOWN_SECS: u32 = 3600;
 
@@ -65,8 +62,8 @@
         }
     }
     stop.notify();
-    // The last bytes of an answer may still be on their way to a slow caller.
-    let _ = tokio::time::timeout(FLUSH_TIMEOUT, launch).await;
+    // The server would wait for idle callers' connections; their requests have ended.
+    launch.abort();
     tasks.shutdown().await;
     if let Err(e) = ctx.platform.remove(&ctx.settings.name).await {
         log::debug!("the host list was not updated: {e}");
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -1,7 +1,7 @@
 //! What all requests of an entry share.
 
 use std::sync::{
-    atomic::{AtomicU32, Ordering},
+    atomic::{AtomicU32, AtomicU64, Ordering},
     Arc, Mutex, MutexGuard, PoisonError,
 };
 
@@ -54,6 +54,8 @@
     running: AtomicU32,
     /// Notified when a request ended.
     idle: Notify,
+    /// Time of the process clock at which the last request ended, in milliseconds.
+    ended: AtomicU64,
 }
 
 /// Counts a request as in progress until it is dropped.
@@ -62,6 +64,7 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
+        self.0.ended.store(self.0.now().0, Ordering::SeqCst);
         self.0.running.fetch_sub(1, Ordering::SeqCst);
         self.0.metrics.running.dec();
         self.0.idle.notify_one();
@@ -81,10 +84,18 @@
         self.running.load(Ordering::SeqCst)
     }
 
-    /// Waits until no request is in progress.
-    pub(super) async fn drained(&self) {
-        while self.running() > 0 {
-            self.idle.notified().await;
+    /// Waits until no request has been in progress for `quiet`.
+    pub(super) async fn drained(&self, quiet: Millis) {
+        loop {
+            while self.running() > 0 {
+                self.idle.notified().await;
+            }
+            let ended = Millis(self.ended.load(Ordering::SeqCst));
+            let past = self.now() - ended;
+            if ended == Millis::ZERO || past >= quiet {
+                return;
+            }
+            tokio::time::sleep((quiet - past).duration()).await;
         }
     }
 
@@ -107,6 +118,7 @@
             entries: AtomicU32::new(1),
             running: AtomicU32::new(0),
             idle: Notify::new(),
+            ended: AtomicU64::new(0),
             ctx,
         }
     }
@@ -227,6 +239,7 @@
     fn rebuild(&self, view: &View) {
         let settings = self.settings();
         let mut tables = HashMap::default();
+        let mut windows = Vec::new();
         for (service, s) in settings.services(&self.ctx.settings.region) {
             let targets: Vec<Target> = view
                 .members
@@ -240,11 +253,15 @@
                     (report.version == s.weights.version).then(|| Target::new(p, report, own, slot))
                 })
                 .collect();
+            self.metrics.set_agents(service.as_str(), targets.len());
             let table = Table::new(targets, &s.route);
-            self.gate(service).set_window(table.window(self.entries()));
+            windows.push((self.gate(service), table.window(self.entries())));
             tables.insert(service.clone(), Arc::new(table));
         }
         self.tables.store(Arc::new(tables));
+        for (gate, window) in windows {
+            gate.set_window(window);
+        }
     }
 
     /// Returns the live entries of this region in the host list, this one included.
--- a/src/entry/upkeep.rs
+++ b/src/entry/upkeep.rs
@@ -7,7 +7,7 @@
     shared::Shared,
 };
 use crate::{
-    base::Offset,
+    base::{Millis, Offset},
     emit,
     observe::{RoleState, RoleStatus},
     process::Phase,
@@ -23,6 +23,10 @@
 /// another one instead of finding a closed port.
 const DRAIN_MIN: Duration = Duration::from_secs(1);
 
+/// Time for which the last bytes of an answer may be on their way to a slow caller: the HTTP library buffers some
+/// 400 KB, which take 160 ms at 20 Mbit/s.
+const FLUSH: Millis = Millis(1000);
+
 /// Admits waiting requests as tokens of their rates arrive.
 pub(super) async fn admission(shared: Arc<Shared>) {
     loop {
@@ -95,7 +99,7 @@
     shared.ctx.reached(Phase::Draining).await;
     emit!(DRAINING, "{} requests in progress", shared.running());
     tokio::time::sleep(DRAIN_MIN).await;
-    shared.drained().await;
+    shared.drained(FLUSH).await;
     emit!(DRAINED, "all requests have ended");
     shared.ctx.advance(Phase::Stopped);
 }
