--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,3 +3,7 @@
 pub mod claim;
 pub mod drain;
 pub mod lease;
+pub mod limit;
+pub mod member;
+pub mod retry;
+pub mod route;
