feat: distribution of weights between agents

Cause: a model must reach all hosts near the bound of the links, with few bytes from the origin. Change: pure chunk scheduler with rendezvous leaders and ring neighbours, chunk store by content hash with a memory budget, driver over the transport and the weight store, token buckets, options weights.store and weights.link.

--- /dev/null
+++ b/src/decide/chunk/config.rs
@@ -0,0 +1,57 @@
+//! Limits of the exchange.
+
+use crate::{
+    base::{Millis, Rate, Size},
+    settings::Prefer,
+};
+
+/// Limits of the exchange; [`Config::new`] has every default.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// What a rollout saves.
+    pub prefer: Prefer,
+    /// Rate at which chunks may enter this region from the store's region; `None` is unlimited.
+    pub crossing: Option<Rate>,
+    /// Size of a whole chunk.
+    pub chunk: Size,
+    /// Requests in flight to one peer.
+    pub depth: usize,
+    /// Requests in flight to all peers; covers the time in which a peer serves its other slots.
+    pub flight: usize,
+    /// Requests in flight to the origin.
+    pub origin: usize,
+    /// Chunks that leaders of all hosts may fetch from the origin at once. The origin shares its link between them, so
+    /// a large window delays the first complete chunk, and a small one leaves the link idle until news has spread.
+    pub window: usize,
+    /// Time without progress after which the next rank takes over, and after which a request may be duplicated.
+    pub stall: Millis,
+    /// Time for which a busy peer is not asked again.
+    pub busy: Millis,
+    /// Time for which a peer that failed once is not asked again; doubles with each further failure.
+    pub backoff: Millis,
+}
+
+/// Shortest stall delay; connections are replaced within about one second.
+const STALL_MIN: Millis = Millis(2000);
+
+/// Longest back-off after failures.
+pub(super) const BACKOFF_MAX: Millis = Millis(4000);
+
+impl Config {
+    /// Chooses limits for a chunk size and the host's download rate.
+    pub fn new(prefer: Prefer, chunk: Size, down: Rate) -> Self {
+        let chunk_ms = Millis(chunk.0.saturating_mul(1000) / down.0.max(1));
+        Self {
+            prefer,
+            crossing: None,
+            chunk,
+            depth: 2,
+            flight: 8,
+            origin: 2,
+            window: 16,
+            stall: STALL_MIN.max(chunk_ms.times(24)),
+            busy: Millis((chunk_ms.0 / 2).clamp(5, 200)),
+            backoff: Millis(500),
+        }
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,1 +1,3 @@
 //! Decisions as state machines without I/O.
+
+pub mod chunk;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,11 @@
 //! QUIC transport between the system's processes.
 
 mod frame;
+mod pace;
 mod tls;
 mod transport;
 
 pub use frame::{FrameReceiver, FrameSender};
+pub use pace::{Bucket, Pacer};
 pub use tls::{TlsError, TlsFiles, SERVER_NAME};
 pub use transport::{Call, Incoming, NetError, Transport};
--- a/src/settings/value.rs
+++ b/src/settings/value.rs
@@ -2,7 +2,7 @@
 
 use std::str::FromStr;
 
-use crate::base::{Digest, Millis, Percent, Rate, Size, VersionName};
+use crate::base::{Digest, Millis, Percent, Rate, Region, Size, VersionName};
 
 /// An option value that is not valid.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -85,6 +85,7 @@
     Percent, "share";
     Digest, "hash";
     VersionName, "name";
+    Region, "name";
 }
 
 impl Value for u32 {
--- a/src/settings/weights.rs
+++ b/src/settings/weights.rs
@@ -6,7 +6,7 @@
     section::section,
     value::{from_text, Value, ValueError},
 };
-use crate::base::{Digest, Percent, VersionName};
+use crate::base::{Digest, Percent, Rate, Region, VersionName};
 
 /// What a rollout saves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -55,6 +55,10 @@
         manifest: Option<Digest> = "none", "", "", Service;
         "What a rollout saves: time or origin."
         prefer: Prefer = "time", "", "", Service;
+        "Region of the weight store; none if every region has a store of its own."
+        store: Option<Region> = "none", "", "", Root;
+        "Rate of the link into the region from the store's region."
+        link: Rate = "20Mbit/s", "1kbit/s", "", Region;
         "Share of the inter-region link that weights may use."
         crossing: Percent = "50%", "1%", "100%", Region;
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,7 +9,7 @@
 mod report;
 mod run;
 
-pub use chunk::{ChunkReply, ChunkRequest, Have, HaveUpdate};
+pub use chunk::{ChunkReply, ChunkRequest, Have, HaveUpdate, PART_MAX};
 pub use codec::{decode, encode, CodecError, FRAME_MAX, FRAME_PREFIX};
 pub use feed::{FeedItem, FeedRecord, FeedRequest, HostEntry, HostState, Hosts, Role};
 pub use report::{AgentReport, AgentState, WatchRequest};
@@ -43,6 +43,6 @@
     Feed(FeedRequest),
     /// Subscribes to an agent's chunk availability; answered by [`HaveUpdate`] frames until the stream closes.
     Have(Have),
-    /// Fetches a chunk or a manifest; answered by one [`ChunkReply`].
+    /// Fetches a chunk or a manifest; answered by [`ChunkReply`] frames.
     Chunk(ChunkRequest),
 }
