--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,7 +10,7 @@
 mod run;
 mod share;
 
-pub use chunk::{ChunkReply, ChunkRequest, Have, HaveUpdate};
+pub use chunk::{ChunkReply, ChunkRequest, Have, HaveUpdate, PART_MAX};
 pub use codec::{decode, encode, CodecError, FRAME_MAX, FRAME_PREFIX};
 pub use feed::{FeedItem, FeedRecord, FeedRequest, HostEntry, HostState, Hosts, Role};
 pub use report::{AgentReport, AgentState, WatchRequest};
@@ -45,7 +45,7 @@
     Feed(FeedRequest),
     /// Subscribes to an agent's chunk availability; answered by [`HaveUpdate`] frames until the stream closes.
     Have(Have),
-    /// Fetches a chunk or a manifest; answered by one [`ChunkReply`].
+    /// Fetches a chunk or a manifest; answered by [`ChunkReply`] frames.
     Chunk(ChunkRequest),
     /// Asks another entry for shares of workspace limits; answered by one [`ShareReply`].
     Share(ShareRequest),
