--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -99,6 +99,7 @@
                     self.board.clear(&LOAD_FAILED);
                     emit!(LOADED, "version {}", target.version);
                     self.timeline.record(&LOADED, target.version.clone(), "");
+                    self.source.retain(&[target.manifest]);
                     loaded = Some(target);
                 }
                 Err(e) => {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -34,7 +34,7 @@
     feed,
     platform::HttpPlatform,
     process::{Context, EndpointKind, EndpointSettings, Phase},
-    weights::OriginSource,
+    weights::Distribution,
 };
 
 /// Runs the agent until the phase is [`Phase::Stopped`].
@@ -70,8 +70,16 @@
     tasks.spawn(poll::poll(endpoint.clone(), board.clone()));
     let (end, ended) = oneshot::channel();
     let announcer = tokio::spawn(host::announce(ctx.clone(), ended));
-    if weights {
-        tasks.spawn(loader(&ctx, &settings, endpoint.clone(), board.clone()).run());
+    let distribution = weights.then(|| Distribution::start(ctx.clone()));
+    if let Some(source) = &distribution {
+        let loader = loader(
+            &ctx,
+            &settings,
+            endpoint.clone(),
+            board.clone(),
+            source.clone(),
+        );
+        tasks.spawn(loader.run());
     }
     let claims = (!weights).then(|| {
         let (driver, claims) = claim_driver(&ctx, &settings, endpoint.clone(), board.clone());
@@ -91,6 +99,7 @@
         runner,
         reporter: report::Reporter::default(),
         claims: claims.clone(),
+        distribution,
     });
     let transport = ctx.transport.clone();
     tasks.spawn(async move {
@@ -121,13 +130,14 @@
     Driver::new(identity, endpoint, log, ctx.clock, replica, board)
 }
 
-type HttpLoader<E> = Loader<E, HttpPlatform, SystemClock, OriginSource<HttpPlatform>>;
+type HttpLoader<E> = Loader<E, HttpPlatform, SystemClock, Arc<Distribution>>;
 
 fn loader<E: Endpoint>(
     ctx: &Context,
     settings: &EndpointSettings,
     endpoint: E,
     board: Arc<Board>,
+    source: Arc<Distribution>,
 ) -> HttpLoader<E> {
     let s = &ctx.settings;
     let resource = format!("endpoint/{}", s.name);
@@ -141,7 +151,7 @@
     );
     Loader {
         endpoint,
-        source: OriginSource::new(ctx.platform.clone(), s.links.memory),
+        source,
         lessee,
         replica: ctx.replica.clone(),
         board,
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -16,6 +16,7 @@
     net::{Call, Incoming},
     process::Context,
     settings::Request,
+    weights::Distribution,
     wire::{self, NotRun, RunOutcome, RunRequest, SettleReply},
 };
 
@@ -33,12 +34,23 @@
     pub(super) reporter: Reporter,
     /// Agents of plain services only.
     pub(super) claims: Option<Claims>,
+    /// Agents of model engines only.
+    pub(super) distribution: Option<Arc<Distribution>>,
 }
 
 impl<E: Endpoint> Server<E> {
     /// Handles one exchange to its end.
     pub(super) async fn handle(self: Arc<Self>, incoming: Incoming) {
         let received = self.ctx.clock.now();
+        if matches!(
+            incoming.open.call,
+            wire::Call::Have(_) | wire::Call::Chunk(_)
+        ) {
+            if let Some(distribution) = &self.distribution {
+                distribution.handle(incoming).await;
+            }
+            return;
+        }
         let Incoming { open, mut call, .. } = incoming;
         match open.call {
             wire::Call::Run(req) => self.run(req, open.applied, received, call).await,
@@ -58,8 +70,8 @@
                     .serve(&self.ctx, &self.runner.service, board, req, call)
                     .await;
             }
-            wire::Call::Have(_) | wire::Call::Chunk(_) => {}
-            wire::Call::Feed(_) => {}
+            // Chunk calls are handled above; the others are for entries.
+            _ => {}
         }
     }
 
--- a/src/bin/sesamewing-agent.rs
+++ b/src/bin/sesamewing-agent.rs
@@ -5,5 +5,5 @@
 use sesamewing::{process, wire::Role};
 
 fn main() -> ExitCode {
-    process::start(Role::Agent, process::until_drained)
+    process::start(Role::Agent, sesamewing::agent::run)
 }
--- a/src/bin/sesamewing-entry.rs
+++ b/src/bin/sesamewing-entry.rs
@@ -5,5 +5,5 @@
 use sesamewing::{process, wire::Role};
 
 fn main() -> ExitCode {
-    process::start(Role::Entry, process::until_drained)
+    process::start(Role::Entry, sesamewing::entry::run)
 }
--- a/src/weights/mod.rs
+++ b/src/weights/mod.rs
@@ -7,20 +7,15 @@
 mod fetch;
 mod hosts;
 mod manifest;
-<<<<<<< HEAD
 mod source;
-=======
 mod store;
 mod upload;
->>>>>>> weights
 
 pub use counters::{Counters, Totals};
 pub use distribution::{Complete, Distribution};
 pub use error::WeightsError;
 pub use manifest::{Manifest, ManifestError};
-<<<<<<< HEAD
-pub use source::{Complete, OriginSource, Source, SourceError};
-=======
+pub use source::Source;
 pub use store::{ChunkStore, Version};
 
 crate::events! {
@@ -40,4 +35,3 @@
     COPY_REPLACED = 604, "copy-replaced", Info,
         "another version is wanted; chunks that both share are kept", "none";
 }
->>>>>>> weights
