fix: raise an alarm while a copy of weights stands still

Cause: the chunk exchange retries for ever, so that a corrupt origin no longer reached the agent's status (agent_run corrupted_version_is_not_loaded_and_is_replaced timed out after 30 s). Change: the loader raises weights-missing after 5 s without a new chunk and clears it on progress.

--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -1,6 +1,6 @@
 //! Obtains the version in the settings and commands the endpoint to load it.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use super::{
     board::Board,
@@ -29,6 +29,9 @@
 /// Pause between two looks at the endpoint's status.
 const CONFIRM_PAUSE: Millis = Millis(50);
 
+/// Time without a new chunk after which a copy raises an alarm.
+const STALL_ALARM: Millis = Millis::from_secs(5);
+
 /// Version that the settings name.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Target {
@@ -137,10 +140,11 @@
             let mut tick = tokio::time::interval(Millis(200).duration());
             let ensure = self.source.ensure(target.manifest);
             tokio::pin!(ensure);
+            let mut last = (self.source.progress(), Instant::now());
             loop {
                 tokio::select! {
                     done = &mut ensure => return done,
-                    _ = tick.tick() => self.board.set_chunks(self.source.progress()),
+                    _ = tick.tick() => self.watch_progress(&mut last),
                 }
             }
         };
@@ -167,6 +171,19 @@
         None
     }
 
+    /// Publishes the progress of a copy and raises an alarm while it stands still.
+    fn watch_progress(&self, last: &mut (Option<(u32, u32)>, Instant)) {
+        let progress = self.source.progress();
+        self.board.set_chunks(progress);
+        if progress != last.0 {
+            self.board.clear(&WEIGHTS_MISSING);
+            *last = (progress, Instant::now());
+        }
+        if last.1.elapsed() >= STALL_ALARM.duration() {
+            self.board.raise(&WEIGHTS_MISSING, &format!("no chunk arrived for {STALL_ALARM}"));
+        }
+    }
+
     /// Waits until the settings name another version.
     async fn replaced(&self, old: &Target) {
         let mut applied = self.replica.watch();
