fix: bound the problems reported for one settings file

Change: reading stops to report after 1,000 problems. Conclusion: memory for a faulty file is bounded.

--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -4,7 +4,7 @@
 
 use super::{
     yaml::{Node, Pair},
-    Problem,
+    Problem, PROBLEMS_MAX,
 };
 
 /// The keys of one mapping; each key that was not asked for is a problem.
@@ -143,6 +143,9 @@
             if self.known.contains(&key.text.as_str()) {
                 continue;
             }
+            if problems.len() >= PROBLEMS_MAX {
+                return;
+            }
             let hint = nearest(&key.text, self.known.iter().copied());
             problems.push(unknown(key.line, self.key(&key.text), hint));
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -26,6 +26,7 @@
 pub use claim::ClaimConfig;
 pub(crate) use fields::{nearest, Fields};
 pub use limit::Limit;
+pub(crate) use problem::PROBLEMS_MAX;
 pub use problem::{Problem, Problems};
 pub use request::{Method, Request};
 pub use resolve::{InForce, ServiceSettings, WorkspaceSettings};
--- a/src/settings/problem.rs
+++ b/src/settings/problem.rs
@@ -4,6 +4,9 @@
 
 use serde::Serialize;
 
+/// Problems of one file after which reading stops; more do not help an operator and would cost memory.
+pub(crate) const PROBLEMS_MAX: usize = 1000;
+
 /// One problem, at the place where an operator mends it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct Problem {
--- a/src/settings/tree.rs
+++ b/src/settings/tree.rs
@@ -7,7 +7,7 @@
     fields::{nearest, unknown, Fields},
     section::{Level, OPTIONS},
     yaml::{self, Node, Pair},
-    Problem, Problems,
+    Problem, Problems, PROBLEMS_MAX,
 };
 use crate::{
     base::Offset,
@@ -214,6 +214,9 @@
         value: &Node,
         problems: &mut Vec<Problem>,
     ) {
+        if problems.len() >= PROBLEMS_MAX {
+            return;
+        }
         let full = || format!("{path} {key}");
         let Some(text) = value.text() else {
             let message = "a mapping or nested list stands where one value is expected; write one value or a flat list";
@@ -336,6 +339,10 @@
 where
     T::Err: std::fmt::Display,
 {
+    // Nodes after the last reported problem are left out; the file is refused anyway.
+    if problems.len() >= PROBLEMS_MAX {
+        return None;
+    }
     name.text
         .parse()
         .map_err(|e: T::Err| problems.push(Problem::new(name.line, parent, e)))
--- a/src/settings/yaml.rs
+++ b/src/settings/yaml.rs
@@ -8,7 +8,7 @@
 
 use saphyr_parser::{Event, Parser, Span};
 
-use super::Problem;
+use super::{Problem, PROBLEMS_MAX};
 
 /// Largest settings file, in bytes.
 pub const FILE_MAX: usize = 4 << 20;
@@ -124,6 +124,9 @@
         if let Kind::Map(pairs) = &node.kind {
             let mut seen = std::collections::BTreeMap::new();
             for (key, _) in pairs {
+                if self.problems.len() >= PROBLEMS_MAX {
+                    break;
+                }
                 if let Some(first) = seen.insert(key.text.as_str(), key.line) {
                     self.problems.push(Problem::new(
                         key.line,
--- a/tests/settings_tree.rs
+++ b/tests/settings_tree.rs
@@ -259,6 +259,51 @@
     }
 }
 
+/// Files of the largest size that produce as much work as possible; the bound of the reports keeps memory in check.
+#[test]
+fn large_faulty_files_end_with_bounded_reports() {
+    let size = sesamewing::settings::FILE_MAX;
+    let fill = |head: &str, unit: &str| {
+        let mut text = head.to_owned();
+        while text.len() + unit.len() < size {
+            text += unit;
+        }
+        text
+    };
+    let numbered = |head: &str, indent: &str, value: &str| {
+        let mut text = head.to_owned();
+        for i in 0.. {
+            let line = format!("{indent}k{i}: {value}\n");
+            if text.len() + line.len() >= size {
+                return text;
+            }
+            text += &line;
+        }
+        text
+    };
+    for text in [
+        numbered("defaults:\n", "  ", "1"),
+        numbered("defaults:\n", "  limit.rat", "1"),
+        numbered("regions:\n", "  ", "1"),
+        numbered("regions:\n", "  ", "{x: 1}"),
+        numbered("", "", "1"),
+        fill("defaults:\n", "  a: 1\n"),
+        fill("a: ", "? "),
+        fill("a: ", "- "),
+        fill("a: [", "x, "),
+        fill("a: \"", "x\n"),
+        fill("a: \"", "\\u0041"),
+        fill("a: |\n", " \n"),
+        fill("a: ", "x\n "),
+        fill("", "%a\n"),
+        fill("a", ": a"),
+        fill("", "!"),
+    ] {
+        let found = Tree::parse(&text).expect_err("refused");
+        assert!(!found.is_empty() && found.len() <= 1001, "{}", found.len());
+    }
+}
+
 fn option() -> impl Strategy<Value = (&'static str, &'static str)> {
     let specs: Vec<_> = OPTIONS
         .iter()
