--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -180,7 +180,10 @@
             *last = (progress, Instant::now());
         }
         if last.1.elapsed() >= STALL_ALARM.duration() {
-            self.board.raise(&WEIGHTS_MISSING, &format!("no chunk arrived for {STALL_ALARM}"));
+            self.board.raise(
+                &WEIGHTS_MISSING,
+                &format!("no chunk arrived for {STALL_ALARM}"),
+            );
         }
     }
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -7,4 +7,4 @@
 
 pub use context::{Context, Phase, CLAIM_WINDOW};
 pub use settings::{EndpointKind, EndpointSettings, Fencing, Links, ProcessSettings};
-pub use start::{start, until_drained};
+pub use start::start;
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -213,14 +213,3 @@
         }
     }
 }
-
-/// Runs no work: waits for the drain and stops.
-///
-/// # Errors
-///
-/// Returns no error.
-pub async fn until_drained(ctx: Context) -> eyre::Result<()> {
-    ctx.reached(Phase::Draining).await;
-    ctx.advance(Phase::Stopped);
-    Ok(())
-}
