--- a/src/decide/route/policy.rs
+++ b/src/decide/route/policy.rs
@@ -99,8 +99,9 @@
     let load: u64 = pool.iter().map(|t| u64::from(t.load())).sum::<u64>() + 1;
     let capacity: u64 = pool.iter().map(|t| u64::from(t.capacity.max(1))).sum();
     let bound = load * 1000 * u64::from(100 + slack) / (capacity * 100);
-    // One request is always within the bound, however small the mean is.
-    let within = |t: &Target| t.load() == 0 || t.share() <= bound;
+    // One request is always within the bound, however small the mean is. A cached prefix saves less than a wait at
+    // the endpoint costs, so an agent without free capacity is not preferred.
+    let within = |t: &Target| t.load() == 0 || t.share() <= bound.min(1000);
     let score = |t: &Target| (!t.holds(prefix), mix(t.seed ^ prefix));
     pool.iter()
         .copied()
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,357 @@
+//! Admission: fairness, deadlines, the reserve for status checks, and shares over entries.
+
+mod entry_support;
+
+use std::collections::BTreeMap;
+
+use assert_matches::assert_matches;
+use entry_support::{outcome, World};
+use sesamewing::{
+    base::{Millis, ProcessName, Workspace},
+    decide::limit::{
+        share::{Holder, Pool, Share},
+        Ask, Class, Limiter, Reason, Ticket, Verdict, RESERVE,
+    },
+};
+
+const WIDE: Share = Share {
+    concurrency: 10_000,
+    rate: 10_000_000,
+};
+
+fn ask(workspace: &Workspace) -> Ask<'_> {
+    Ask {
+        workspace,
+        share: WIDE,
+        weight: 1,
+        wait: Millis(500),
+        remaining: Millis(30_000),
+        class: Class::Work,
+    }
+}
+
+fn space(name: &str) -> Workspace {
+    name.parse().unwrap()
+}
+
+/// A seeded load on one limiter, in steps of 1 ms.
+struct Load {
+    limiter: Limiter,
+    random: fastrand::Rng,
+    /// End of each admitted request, with its start and workspace.
+    running: Vec<(Millis, Millis, usize)>,
+    waiting: BTreeMap<Ticket, (usize, Millis, Millis)>,
+    /// Requests answered before their deadline, for each workspace.
+    good: Vec<u32>,
+    refused: u32,
+}
+
+const WINDOW: u32 = 20;
+const SERVICE: u64 = 100;
+const DEADLINE: Millis = Millis(1000);
+
+impl Load {
+    /// Offers `rates` requests a second of each workspace with its weight, for `time`.
+    fn run(seed: u64, spaces: &[(u64, u32)], time: Millis) -> Self {
+        let mut load = Self {
+            limiter: Limiter::default(),
+            random: fastrand::Rng::with_seed(seed),
+            running: Vec::new(),
+            waiting: BTreeMap::new(),
+            good: vec![0; spaces.len()],
+            refused: 0,
+        };
+        load.limiter.set_window(Millis(1), WINDOW);
+        let names: Vec<_> = (0..spaces.len()).map(|i| space(&format!("w{i}"))).collect();
+        for ms in 1..time.0 {
+            let now = Millis(ms);
+            load.end(now, &names);
+            for (i, (rate, weight)) in spaces.iter().enumerate() {
+                // Up to four arrivals in a millisecond.
+                let arrivals = (0..4).filter(|_| load.random.u64(0..4000) < *rate).count();
+                for _ in 0..arrivals {
+                    let mut a = ask(&names[i]);
+                    (a.weight, a.remaining) = (*weight, DEADLINE);
+                    match load.limiter.ask(now, &a) {
+                        Verdict::Admit(_) => load.start(now, i, now),
+                        Verdict::Wait(t, until) => drop(load.waiting.insert(t, (i, until, now))),
+                        Verdict::Refuse(..) => load.refused += 1,
+                    }
+                    load.admit(now);
+                }
+            }
+        }
+        load
+    }
+
+    fn start(&mut self, now: Millis, workspace: usize, arrived: Millis) {
+        let time = SERVICE / 2 + self.random.u64(0..=SERVICE);
+        self.running.push((now + Millis(time), arrived, workspace));
+    }
+
+    fn admit(&mut self, now: Millis) {
+        for t in self.limiter.admitted() {
+            let (i, _, arrived) = self.waiting.remove(&t).expect("only who waits is admitted");
+            self.start(now, i, arrived);
+        }
+    }
+
+    fn end(&mut self, now: Millis, names: &[Workspace]) {
+        let (over, running) = self.running.drain(..).partition(|(end, ..)| *end <= now);
+        self.running = running;
+        let over: Vec<(Millis, Millis, usize)> = over;
+        for (end, arrived, i) in over {
+            self.good[i] += u32::from(end - arrived <= DEADLINE);
+            let duration = Some(Millis(SERVICE));
+            self.limiter.release(now, &names[i], Class::Work, duration);
+            self.admit(now);
+        }
+        let late: Vec<_> = self
+            .waiting
+            .iter()
+            .filter(|(_, w)| w.1 <= now)
+            .map(|(t, w)| (*t, w.0))
+            .collect();
+        for (t, i) in late {
+            assert!(
+                self.limiter.cancel(&names[i], t),
+                "an expired request was admitted in silence"
+            );
+            self.waiting.remove(&t);
+            self.refused += 1;
+        }
+    }
+}
+
+/// Guards against a greedy workspace that takes the share of a small one.
+#[test]
+fn small_workspace_gets_its_share() {
+    let capacity = u64::from(WINDOW) * 1000 / SERVICE;
+    for (seed, weights) in [(1, [1, 1]), (2, [3, 1]), (3, [9, 1])] {
+        let sum: u32 = weights.iter().sum();
+        let entitled = capacity * u64::from(weights[1]) / u64::from(sum);
+        // Offered exactly its share, random gaps and bursts alone would lose some of it.
+        let spaces = [(capacity * 5, weights[0]), (entitled * 5 / 4, weights[1])];
+        let load = Load::run(seed, &spaces, Millis(20_000));
+        let share = f64::from(load.good[1]) / (entitled * 20) as f64;
+        println!("weights {weights:?}: small workspace gets {share:.3} of its share");
+        assert!(share >= 0.9, "seed {seed}: {share}");
+    }
+}
+
+/// Guards against goodput that falls when twice as much is offered as fits.
+#[test]
+fn goodput_holds_at_twice_the_capacity() {
+    let capacity = u64::from(WINDOW) * 1000 / SERVICE;
+    let at = |rate| {
+        let load = Load::run(7, &[(rate, 1)], Millis(20_000));
+        f64::from(load.good[0])
+    };
+    let ratio = at(capacity * 2) / at(capacity);
+    println!("goodput at twice the capacity: {ratio:.3} of that at capacity");
+    assert!(ratio >= 0.95, "{ratio}");
+}
+
+/// Guards against requests that wait although the known queue and speed rule out an answer in time.
+#[test]
+fn hopeless_deadline_is_refused_at_once() {
+    let lab = space("lab");
+    let mut l = Limiter::default();
+    l.set_window(Millis(1), 2);
+    for i in 0..8 {
+        assert_matches!(l.ask(Millis(i), &ask(&lab)), Verdict::Admit(_));
+        l.release(Millis(i), &lab, Class::Work, Some(Millis(2000)));
+    }
+    let hurry = Ask {
+        remaining: Millis(500),
+        ..ask(&lab)
+    };
+    assert_matches!(
+        l.ask(Millis(10), &hurry),
+        Verdict::Refuse(Reason::Deadline, _)
+    );
+    assert_matches!(l.ask(Millis(10), &ask(&lab)), Verdict::Admit(_));
+    assert_matches!(l.ask(Millis(10), &ask(&lab)), Verdict::Admit(_));
+    // A place becomes free only after about a second, and the workspace waits at most half of one.
+    assert_matches!(l.ask(Millis(10), &ask(&lab)), Verdict::Refuse(Reason::Saturated, t) if t >= Millis(500));
+    // Old measurements must not refuse for ever.
+    let later = Millis(60_000);
+    l.release(later, &lab, Class::Work, None);
+    assert_matches!(l.ask(later, &hurry), Verdict::Admit(_));
+}
+
+/// Guards against status checks that queue behind orders, and against a reserve without bound.
+#[test]
+fn status_checks_have_a_reserve() {
+    let lab = space("lab");
+    let mut l = Limiter::default();
+    l.set_window(Millis(1), 1);
+    assert_matches!(l.ask(Millis(1), &ask(&lab)), Verdict::Admit(Class::Work));
+    assert_matches!(l.ask(Millis(1), &ask(&lab)), Verdict::Wait(..));
+    let status = Ask {
+        class: Class::Status,
+        ..ask(&lab)
+    };
+    for _ in 0..RESERVE {
+        assert_matches!(l.ask(Millis(1), &status), Verdict::Admit(Class::Status));
+    }
+    assert_matches!(l.ask(Millis(1), &status), Verdict::Wait(..));
+    l.release(Millis(2), &lab, Class::Status, None);
+    assert_matches!(l.ask(Millis(2), &status), Verdict::Admit(Class::Status));
+}
+
+/// Guards against a rate limit that lets more pass, or that refuses without a useful time.
+#[test]
+fn rate_limit_names_the_time() {
+    let lab = space("lab");
+    let mut l = Limiter::default();
+    l.set_window(Millis(1), 1000);
+    let slow = Ask {
+        share: Share {
+            concurrency: 100,
+            rate: 2000,
+        },
+        wait: Millis(100),
+        ..ask(&lab)
+    };
+    assert_matches!(l.ask(Millis(1), &slow), Verdict::Admit(_));
+    assert_matches!(l.ask(Millis(1), &slow), Verdict::Admit(_));
+    assert_matches!(l.ask(Millis(1), &slow), Verdict::Refuse(Reason::Rate, t) if t == Millis(500));
+    let mut passed = 0;
+    for t in (2..10_002).step_by(10) {
+        let now = Millis(t);
+        passed += usize::from(matches!(l.ask(now, &slow), Verdict::Admit(_)));
+        passed += l.admitted().len();
+    }
+    assert!(
+        (17..=20).contains(&passed),
+        "{passed} in 10 s at 2 a second"
+    );
+}
+
+/// Guards against grants that add up to more than the limit, and against shares that do not follow demand.
+#[test]
+fn shares_follow_demand_within_the_limit() {
+    let limit = Share {
+        concurrency: 64,
+        rate: 1_000_000,
+    };
+    for seed in 0..50 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut pool = Pool::default();
+        let mut held: BTreeMap<ProcessName, (Share, Millis)> = BTreeMap::new();
+        let mut now = Millis(0);
+        for _ in 0..400 {
+            now += Millis(random.u64(0..300));
+            let name: ProcessName = format!("entry-{}", random.u32(0..9)).parse().unwrap();
+            let demand = Share {
+                concurrency: random.u32(0..100),
+                rate: random.u64(0..2_000_000),
+            };
+            let got = pool.ask(now, &name, demand, limit, Millis(3000));
+            held.insert(name, (got, now + Millis(3000)));
+            held.retain(|_, (_, until)| *until > now);
+            let sum: u32 = held.values().map(|(s, _)| s.concurrency).sum();
+            let rate: u64 = held.values().map(|(s, _)| s.rate).sum();
+            assert!(
+                sum <= 64 && rate <= 1_000_000,
+                "seed {seed}: {sum} at once, {rate} a second"
+            );
+        }
+    }
+    let mut pool = Pool::default();
+    let names: Vec<ProcessName> = (0..3).map(|i| format!("e{i}").parse().unwrap()).collect();
+    let ask = |pool: &mut Pool, i: usize, concurrency| {
+        let demand = Share {
+            concurrency,
+            rate: 0,
+        };
+        pool.ask(Millis(1), &names[i], demand, limit, Millis(3000))
+            .concurrency
+    };
+    assert_eq!(
+        ask(&mut pool, 0, 500),
+        64,
+        "the only entry with demand gets all"
+    );
+    ask(&mut pool, 1, 500);
+    // The first entry gives up its surplus with its next report; then both have half.
+    assert_eq!(ask(&mut pool, 0, 500), 32);
+    assert_eq!(ask(&mut pool, 1, 500), 32);
+}
+
+/// Guards against an entry without a coordinator that admits nothing, or the whole limit.
+#[test]
+fn without_a_grant_the_share_is_equal() {
+    let limit = Share {
+        concurrency: 64,
+        rate: 90_000,
+    };
+    let mut holder = Holder::default();
+    assert_eq!(
+        holder.share(Millis(1), limit, 9),
+        Share {
+            concurrency: 8,
+            rate: 10_000
+        }
+    );
+    holder.granted(
+        Share {
+            concurrency: 50,
+            rate: 0,
+        },
+        Millis(100),
+    );
+    assert_eq!(holder.share(Millis(99), limit, 9).concurrency, 50);
+    let lower = Share {
+        concurrency: 10,
+        rate: 0,
+    };
+    assert_eq!(
+        holder.share(Millis(99), lower, 9).concurrency,
+        10,
+        "a lowered limit binds at once"
+    );
+    assert_eq!(holder.share(Millis(100), limit, 9).concurrency, 8);
+}
+
+/// Guards against refusals at overload that are late, without a time, or with the same time for everybody.
+#[tokio::test(flavor = "multi_thread")]
+async fn overload_is_refused_with_spread_times() {
+    let world = World::start(
+        "drafts",
+        1,
+        &[
+            (
+                "/east/drafts",
+                &[("weights.version", entry_support::VERSION)],
+            ),
+            (
+                "/east/drafts/lab",
+                &[("limit.rate", "1"), ("limit.wait", "0ms")],
+            ),
+        ],
+    )
+    .await;
+    assert_eq!(world.completion(false).send().await.unwrap().status(), 200);
+    let mut times = Vec::new();
+    for _ in 0..20 {
+        let begun = std::time::Instant::now();
+        let resp = world.completion(false).send().await.unwrap();
+        if resp.status() == 200 {
+            continue;
+        }
+        assert!(resp.headers().contains_key("Retry-After"));
+        let (status, body) = outcome(resp).await;
+        assert_eq!(
+            (status, &body["outcome"]),
+            (429, &"not_run".into()),
+            "{body}"
+        );
+        assert!(begun.elapsed().as_secs() < 5, "refused at once");
+        times.push(body["retry_after_ms"].as_u64().unwrap());
+    }
+    times.sort_unstable();
+    times.dedup();
+    assert!(times.len() >= 8, "spread: {times:?}");
+}
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,261 @@
+//! Which agents an entry watches and takes for alive.
+
+use sesamewing::{
+    base::{Instance, Millis, Offset, ProcessName, Service},
+    decide::member::{Action, Members, PeerState, Wish, GONE_AFTER, SUSPECT_AFTER, UNFIT_AFTER},
+    wire::{AgentReport, AgentState, HostEntry, HostState, Hosts, Role},
+};
+
+const T0: Millis = Millis(1_000_000);
+
+fn name(i: usize) -> ProcessName {
+    format!("agent-{i}").parse().unwrap()
+}
+
+fn host(i: usize, zone: &str, state: HostState) -> HostEntry {
+    let peer = format!("127.0.0.1:{}", 10_000 + i).parse().unwrap();
+    HostEntry {
+        name: name(i),
+        role: Role::Agent,
+        region: zone[..4].parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        peer,
+        operator: peer,
+        callers: None,
+        service: Some("drafts".parse().unwrap()),
+        state,
+    }
+}
+
+/// Hosts in three zones: `n` each in the own zone, another zone of the region, and another region.
+fn hosts(n: usize) -> Hosts {
+    let zones = ["east-a", "east-b", "west-a"];
+    let hosts = (0..3 * n)
+        .map(|i| host(i, zones[i / n], HostState::Live))
+        .collect();
+    Hosts { hosts }
+}
+
+fn report(i: usize, run: u64, sequence: u64, state: AgentState) -> AgentReport {
+    AgentReport {
+        name: name(i),
+        instance: Instance(run),
+        sequence,
+        service: "drafts".parse().unwrap(),
+        state,
+        version: Some("v1".parse().unwrap()),
+        applied: Offset(1),
+        running: 0,
+        waiting: 0,
+        capacity: 8,
+        speed: 0,
+        prefixes: Vec::new(),
+    }
+}
+
+fn wish(subset: usize) -> impl Fn(&Service) -> Option<Wish> {
+    move |_| {
+        Some(Wish {
+            subset,
+            across: true,
+            version: Some("v1".parse().unwrap()),
+        })
+    }
+}
+
+fn members(hosts: &Hosts) -> Members {
+    let mut m = Members::new(
+        "entry-1".parse().unwrap(),
+        "east".parse().unwrap(),
+        "east-a".parse().unwrap(),
+    );
+    m.listed(T0, hosts);
+    m
+}
+
+fn watched(m: &Members) -> Vec<ProcessName> {
+    m.peers()
+        .filter(|p| p.watched)
+        .map(|p| p.host.name.clone())
+        .collect()
+}
+
+fn state(m: &Members, i: usize) -> PeerState {
+    m.get(&name(i)).unwrap().state
+}
+
+/// Guards against work for silent agents, and against a recovered agent that stays out.
+#[test]
+fn silence_leads_to_suspect_and_gone() {
+    let mut m = members(&hosts(1));
+    m.tick(T0, wish(8));
+    assert_eq!(state(&m, 0), PeerState::Joining);
+    assert!(m.report(T0, report(0, 1, 1, AgentState::Serving)));
+    assert!(m.get(&name(0)).unwrap().takes_work());
+    m.tick(T0 + SUSPECT_AFTER, wish(8));
+    assert_eq!(state(&m, 0), PeerState::Suspect);
+    assert!(!m.get(&name(0)).unwrap().takes_work());
+    m.tick(T0 + GONE_AFTER, wish(8));
+    assert_eq!(state(&m, 0), PeerState::Gone);
+    assert!(m.report(T0 + GONE_AFTER, report(0, 1, 2, AgentState::Serving)));
+    assert_eq!(state(&m, 0), PeerState::Alive);
+}
+
+/// Guards against a leaving agent that a later or reordered report brings back.
+#[test]
+fn leaving_is_final_for_a_run() {
+    let mut m = members(&hosts(1));
+    m.tick(T0, wish(8));
+    m.report(T0, report(0, 1, 1, AgentState::Serving));
+    m.report(T0, report(0, 1, 3, AgentState::Leaving));
+    assert!(
+        !m.report(T0, report(0, 1, 2, AgentState::Serving)),
+        "older report"
+    );
+    m.report(T0, report(0, 1, 4, AgentState::Serving));
+    assert_eq!(state(&m, 0), PeerState::Leaving);
+    // The list still shows it as live.
+    m.listed(T0, &hosts(1));
+    m.tick(T0, wish(8));
+    assert_eq!(state(&m, 0), PeerState::Leaving);
+    m.report(T0, report(0, 2, 1, AgentState::Serving));
+    assert_eq!(
+        state(&m, 0),
+        PeerState::Alive,
+        "a later run is another agent"
+    );
+    assert!(
+        !m.report(T0, report(0, 1, 9, AgentState::Leaving)),
+        "late report of the earlier run"
+    );
+    assert_eq!(state(&m, 0), PeerState::Alive);
+}
+
+/// Guards against a stale or empty list that takes serving agents out, and against removed agents that stay.
+#[test]
+fn direct_reports_win_over_the_list() {
+    let mut m = members(&hosts(1));
+    m.tick(T0, wish(8));
+    m.report(T0, report(0, 1, 1, AgentState::Serving));
+    let leaving = Hosts {
+        hosts: vec![host(0, "east-a", HostState::Leaving)],
+    };
+    m.listed(T0, &leaving);
+    assert_eq!(state(&m, 0), PeerState::Alive);
+    m.listed(T0, &Hosts::default());
+    assert!(m.get(&name(0)).unwrap().takes_work());
+    assert!(m.get(&name(1)).is_none(), "a removed agent without reports");
+    m.tick(T0 + SUSPECT_AFTER, wish(8));
+    m.listed(T0 + SUSPECT_AFTER, &Hosts::default());
+    assert!(m.get(&name(0)).is_none());
+}
+
+/// Guards against a subset that ignores zones, exceeds its bound or reshuffles when one host changes.
+#[test]
+fn subset_is_bounded_near_and_stable() {
+    let all = hosts(40);
+    let mut m = members(&all);
+    m.tick(T0, wish(32));
+    let before = watched(&m);
+    assert_eq!(before.len(), 32);
+    assert!(before
+        .iter()
+        .all(|n| m.get(n).unwrap().host.zone.as_str() == "east-a"));
+    for (i, gone) in before.iter().enumerate() {
+        let mut fewer = all.clone();
+        fewer.hosts.retain(|h| h.name != *gone);
+        let mut other = members(&fewer);
+        other.tick(T0, wish(32));
+        let after = watched(&other);
+        let kept = before.iter().filter(|n| after.contains(n)).count();
+        assert_eq!((after.len(), kept), (32, 31), "removal {i}");
+    }
+    let mut small = members(&hosts(20));
+    small.tick(T0, wish(32));
+    let near = |m: &Members, zone: &str| {
+        let zones = watched(m)
+            .into_iter()
+            .map(|n| m.get(&n).unwrap().host.zone.clone());
+        zones.filter(|z| z.as_str() == zone).count()
+    };
+    assert_eq!((near(&small, "east-a"), near(&small, "east-b")), (20, 12));
+}
+
+/// Guards against entries that all watch the same agents and leave others without work.
+#[test]
+fn subsets_of_entries_cover_all_agents() {
+    let all = hosts(40);
+    let mut seen: Vec<ProcessName> = Vec::new();
+    for e in 0..20 {
+        let own = format!("entry-{e}").parse().unwrap();
+        let mut m = Members::new(own, "east".parse().unwrap(), "east-a".parse().unwrap());
+        m.listed(T0, &all);
+        m.tick(T0, wish(16));
+        seen.extend(watched(&m));
+    }
+    seen.sort();
+    seen.dedup();
+    assert_eq!(seen.len(), 40);
+}
+
+/// Guards against an entry that serves nobody during a rollout because its subset lacks the version.
+#[test]
+fn agents_without_the_version_give_their_place() {
+    let mut m = members(&hosts(40));
+    let mut now = T0;
+    let has = |n: &ProcessName| {
+        n.as_str()
+            .trim_start_matches("agent-")
+            .parse::<usize>()
+            .unwrap()
+            % 10
+            == 7
+    };
+    // Only one host in ten holds the version; 4 of them are in the own zone.
+    for _ in 0..200 {
+        m.tick(now, wish(8));
+        for n in watched(&m) {
+            let i = n.as_str().trim_start_matches("agent-").parse().unwrap();
+            let mut r = report(i, 1, now.0, AgentState::Serving);
+            r.version = has(&n).then(|| "v1".parse().unwrap());
+            m.report(now, r);
+        }
+        now += Millis(500);
+    }
+    let fit = watched(&m).iter().filter(|n| has(n)).count();
+    assert!(
+        fit >= 4,
+        "{fit} of {:?} after {} (unfit after {UNFIT_AFTER})",
+        watched(&m),
+        now - T0
+    );
+}
+
+/// Guards against subscriptions that are opened twice or never ended.
+#[test]
+fn actions_match_the_watched_set() {
+    let mut m = members(&hosts(4));
+    let (actions, _) = m.tick(T0, wish(4));
+    assert_eq!(
+        actions
+            .iter()
+            .filter(|a| matches!(a, Action::Watch(..)))
+            .count(),
+        4
+    );
+    assert_eq!(m.tick(T0, wish(4)).0, []);
+    let (actions, _) = m.tick(T0, wish(2));
+    assert_eq!(
+        actions
+            .iter()
+            .filter(|a| matches!(a, Action::Unwatch(_)))
+            .count(),
+        2
+    );
+    let (actions, _) = m.tick(T0, |_| None);
+    assert_eq!(
+        actions.len(),
+        2,
+        "a service that left the settings is not watched"
+    );
+}
--- /dev/null
+++ b/tests/retry_budget.rs
@@ -0,0 +1,108 @@
+//! Retries: the budget under a storm, and what follows each loss.
+
+mod entry_support;
+
+use entry_support::{outcome, World};
+use sesamewing::{
+    base::Percent,
+    decide::retry::{next, Budget, Loss, Next, Progress, BURST},
+    wire::NotRun,
+};
+
+/// Guards against retries that multiply a failure of all agents into an overload.
+#[test]
+fn budget_holds_under_a_storm() {
+    let (share, requests) = (Percent(10), 10_000_u32);
+    let mut budget = Budget::default();
+    let mut retries = 0;
+    for _ in 0..requests {
+        budget.request(share);
+        retries += (0..5).filter(|_| budget.take(share)).count() as u32;
+    }
+    assert!(retries <= requests / 10 + BURST, "{retries}");
+    assert!(retries >= requests / 10, "{retries}");
+}
+
+/// Guards against a quiet time that saves up retries for a storm.
+#[test]
+fn quiet_time_saves_only_a_burst() {
+    let mut budget = Budget::default();
+    (0..100_000).for_each(|_| budget.request(Percent(10)));
+    assert_eq!(
+        (0..1000).filter(|_| budget.take(Percent(10))).count(),
+        BURST as usize
+    );
+    assert!(
+        !Budget::default().take(Percent(0)),
+        "a share of 0% forbids retries"
+    );
+}
+
+/// Guards against a retry of what may have run, and against a restart of what was delivered.
+#[test]
+fn losses_are_told_apart() {
+    let decide = |repeatable, delivered, loss| {
+        let progress = Progress {
+            repeatable,
+            attempts: 1,
+            allowed: 3,
+            delivered,
+        };
+        next(&progress, loss, &mut Budget::default(), Percent(10))
+    };
+    let again = |advance| Next::Again { advance };
+    let cases = [
+        (true, 0, Loss::Lost, again(false)),
+        (true, 0, Loss::Corrupt, again(false)),
+        (true, 5, Loss::Lost, Next::Resume),
+        (true, 5, Loss::NotRun(NotRun::Leaving), Next::Resume),
+        // Delivered text may be wrong, so that a continuation would make a wrong answer whole.
+        (true, 5, Loss::Corrupt, Next::Stop),
+        (true, 0, Loss::Deadline, Next::Stop),
+        (false, 0, Loss::Lost, Next::Settle),
+        (false, 0, Loss::Corrupt, Next::Settle),
+        (false, 0, Loss::Unsent, again(false)),
+        (false, 0, Loss::NotRun(NotRun::Log), again(false)),
+        (false, 0, Loss::NotRun(NotRun::Void), again(true)),
+        (false, 0, Loss::NotRun(NotRun::Digest), Next::Stop),
+        (false, 0, Loss::NotRun(NotRun::Expired), Next::Stop),
+        (false, 0, Loss::InProgress, Next::Stop),
+        (false, 0, Loss::Deadline, Next::Stop),
+    ];
+    for (repeatable, delivered, loss, want) in cases {
+        assert_eq!(
+            decide(repeatable, delivered, loss),
+            want,
+            "{repeatable} {delivered} {loss:?}"
+        );
+    }
+}
+
+/// Guards against a storm of retries through the whole daemon, and against a false outcome for what never ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn storm_at_the_daemon_is_bounded() {
+    let world = World::model(4).await;
+    world.agents.iter().for_each(|a| a.refuse(NotRun::Busy));
+    let requests = 200;
+    for _ in 0..requests {
+        let (status, body) = outcome(world.completion(false).send().await.unwrap()).await;
+        assert_eq!((status, &body["outcome"]), (503, &"not_run".into()));
+    }
+    let extra = world.runs() - requests;
+    assert!(extra <= requests / 10 + BURST as usize, "{extra} retries");
+    assert_eq!(world.metric("sesamewing_retries_total"), extra as u64);
+}
+
+/// Guards against a second attempt on the agent that just failed while others are left.
+#[tokio::test(flavor = "multi_thread")]
+async fn retry_uses_another_agent() {
+    let world = World::model(3).await;
+    world.agents.iter().for_each(|a| a.frames(|_| Vec::new()));
+    let (status, _) = outcome(world.completion(false).send().await.unwrap()).await;
+    assert_eq!(
+        status, 504,
+        "each agent got the request, so it may have run"
+    );
+    let runs: Vec<_> = world.agents.iter().map(|a| a.runs().len()).collect();
+    assert_eq!(runs, [1, 1, 1]);
+}
--- /dev/null
+++ b/tests/routing.rs
@@ -0,0 +1,375 @@
+//! Routing: distance, load, prefixes, breakers, and the policies on one seeded load.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use assert_matches::assert_matches;
+use sesamewing::{
+    base::{Instance, Millis, Offset, ProcessName, VersionName},
+    decide::{
+        member::Distance,
+        route::{prefix_hash, Breaker, Guard, Query, Slot, Table, Target, FAILURES_MAX, OPEN_MIN},
+    },
+    settings::{Policy, Route},
+    wire::{AgentReport, AgentState},
+};
+
+fn version() -> Option<VersionName> {
+    Some("v1".parse().unwrap())
+}
+
+fn target(i: usize, distance: Distance) -> Target {
+    Target {
+        name: format!("agent-{i}").parse().unwrap(),
+        peer: format!("127.0.0.1:{}", 10_000 + i).parse().unwrap(),
+        distance,
+        version: version(),
+        capacity: 8,
+        reported: 0,
+        own: 0,
+        seed: prefix_hash(&i.to_le_bytes()),
+        slot: Arc::default(),
+    }
+}
+
+fn table(targets: Vec<Target>, policy: Policy) -> Table {
+    let route = Route {
+        policy,
+        ..Route::default()
+    };
+    Table::new(targets, &route)
+}
+
+fn query<'a>(version: &'a Option<VersionName>, tried: &'a [ProcessName], random: u64) -> Query<'a> {
+    Query {
+        now: Millis(1000),
+        version,
+        prefix: None,
+        tried,
+        random,
+    }
+}
+
+const POLICIES: [Policy; 4] = [
+    Policy::Affinity,
+    Policy::Choices,
+    Policy::Random,
+    Policy::Reported,
+];
+
+/// Guards against work far away while there is room nearby, and against a full zone that blocks the region.
+#[test]
+fn nearest_agents_with_room_come_first() {
+    let distances = [Distance::Zone, Distance::Region, Distance::Remote];
+    for policy in POLICIES {
+        let mut targets: Vec<_> = (0..9).map(|i| target(i, distances[i / 3])).collect();
+        for (full, want) in [
+            (0, Distance::Zone),
+            (3, Distance::Region),
+            (6, Distance::Remote),
+        ] {
+            targets[..full].iter_mut().for_each(|t| t.reported = 100);
+            let table = table(targets.clone(), policy);
+            for random in 0..50 {
+                let got = table.choose(&query(&version(), &[], random)).unwrap();
+                assert_eq!(got.distance, want, "{policy}");
+            }
+        }
+        targets.iter_mut().for_each(|t| t.reported = 100);
+        let got = table(targets, policy);
+        let got = got.choose(&query(&version(), &[], 1)).unwrap();
+        assert!(
+            got.distance != Distance::Remote,
+            "without room nothing crosses regions"
+        );
+    }
+}
+
+/// Guards against a stale version, and against an agent that is tried twice while others are left.
+#[test]
+fn version_and_tried_agents_are_excluded() {
+    for policy in POLICIES {
+        let mut targets: Vec<_> = (0..4).map(|i| target(i, Distance::Zone)).collect();
+        targets[0].version = Some("v0".parse().unwrap());
+        let mut tried = Vec::new();
+        let table = table(targets, policy);
+        for random in 0..3 {
+            let got = table.choose(&query(&version(), &tried, random)).unwrap();
+            assert!(
+                !tried.contains(&got.name) && got.version == version(),
+                "{policy}"
+            );
+            tried.push(got.name.clone());
+        }
+        assert!(
+            table.choose(&query(&version(), &tried, 1)).is_none(),
+            "{policy}"
+        );
+        assert!(table
+            .choose(&query(&Some("v9".parse().unwrap()), &[], 1))
+            .is_none());
+    }
+    let only = table(vec![target(0, Distance::Zone)], Policy::Choices);
+    let tried = ["agent-0".parse().unwrap()];
+    assert!(
+        only.choose(&query(&version(), &tried, 1)).is_some(),
+        "the only agent is tried again"
+    );
+}
+
+/// Guards against prefixes that go astray without reports, and against a hot prefix that overloads one agent.
+#[test]
+fn affinity_is_consistent_and_bounded() {
+    let targets: Vec<_> = (0..16).map(|i| target(i, Distance::Zone)).collect();
+    let table = table(targets.clone(), Policy::Affinity);
+    let prefix = prefix_hash(b"once upon a time");
+    let choose = |random| {
+        let q = Query {
+            prefix: Some(prefix),
+            ..query(&None, &[], random)
+        };
+        let v = version();
+        table
+            .choose(&Query { version: &v, ..q })
+            .unwrap()
+            .name
+            .clone()
+    };
+    let first = choose(0);
+    assert!((1..100).all(|random| choose(random) == first));
+    // A late report corrects the rendezvous choice.
+    let holder = targets.iter().find(|t| t.name != first).unwrap();
+    holder.slot.learn(&AgentReport {
+        name: holder.name.clone(),
+        instance: Instance(1),
+        sequence: 1,
+        service: "drafts".parse().unwrap(),
+        state: AgentState::Serving,
+        version: version(),
+        applied: Offset(1),
+        running: 0,
+        waiting: 0,
+        capacity: 8,
+        speed: 0,
+        prefixes: vec![prefix],
+    });
+    assert_eq!(choose(0), holder.name);
+    let mut guards: Vec<Guard> = Vec::new();
+    let mut most = 0;
+    for random in 0..64 {
+        let name = choose(random);
+        let t = targets.iter().find(|t| t.name == name).unwrap();
+        guards.push(t.slot.begin(Millis(1)));
+        most = most.max(t.slot.inflight());
+    }
+    // The mean is 4; the slack of 25% allows 5, and one request may be on its way.
+    assert!(most <= 6, "{most} of 64 at one agent");
+}
+
+/// Guards against a broken agent that keeps getting requests, and against one that never gets a probe.
+#[test]
+fn breaker_opens_and_probes() {
+    let mut b = Breaker::default();
+    let now = Millis(1000);
+    for _ in 0..FAILURES_MAX {
+        assert!(b.allows(now));
+        b.begin(now);
+        b.failure(now);
+    }
+    assert!(!b.allows(now));
+    let later = now + OPEN_MIN;
+    assert!(
+        b.allows(later) && b.begin(later),
+        "the first request is the probe"
+    );
+    assert!(!b.allows(later), "only one probe at a time");
+    b.failure(later);
+    assert!(
+        !b.allows(later + OPEN_MIN),
+        "a failed probe doubles the time"
+    );
+    let last = later + OPEN_MIN.times(2);
+    assert!(b.begin(last));
+    b.release();
+    assert!(b.begin(last), "a probe without a verdict is repeated");
+    b.success();
+    assert!(b.allows(last) && !b.begin(last));
+}
+
+/// Guards against an open breaker that is ignored, and against a service that stops when all are open.
+#[test]
+fn open_breakers_are_avoided() {
+    let targets: Vec<_> = (0..2).map(|i| target(i, Distance::Zone)).collect();
+    let guard = targets[0].slot.begin(Millis(1000));
+    (0..FAILURES_MAX).for_each(|_| guard.failure(Millis(1000)));
+    let table = table(targets.clone(), Policy::Random);
+    for random in 0..50 {
+        let got = table.choose(&query(&version(), &[], random)).unwrap();
+        assert_eq!(got.name, targets[1].name);
+    }
+    let other = targets[1].slot.begin(Millis(1000));
+    (0..FAILURES_MAX).for_each(|_| other.failure(Millis(1000)));
+    assert_matches!(table.choose(&query(&version(), &[], 1)), Some(_));
+}
+
+/// Guards against a window that ignores what other entries use, or shuts an entry out.
+#[test]
+fn window_follows_reports() {
+    let mut targets: Vec<_> = (0..4).map(|i| target(i, Distance::Zone)).collect();
+    // Each agent runs 8 at once and takes 2 more.
+    assert_eq!(table(targets.clone(), Policy::Choices).window(4), 40);
+    targets
+        .iter_mut()
+        .for_each(|t| (t.reported, t.own) = (9, 3));
+    assert_eq!(table(targets.clone(), Policy::Choices).window(4), 16);
+    targets
+        .iter_mut()
+        .for_each(|t| (t.reported, t.own) = (30, 0));
+    assert_eq!(
+        table(targets, Policy::Choices).window(4),
+        10,
+        "a quarter of the room stays"
+    );
+}
+
+/// One endpoint of the simulation.
+#[derive(Default)]
+struct Engine {
+    running: Vec<Millis>,
+    queue: VecDeque<(u64, Millis)>,
+    /// Cached prefixes, latest last.
+    cache: VecDeque<u64>,
+    news: Vec<u64>,
+}
+
+#[derive(Debug)]
+struct Figures {
+    hits: f64,
+    p50: u64,
+    p95: u64,
+}
+
+const ENGINES: usize = 16;
+const ENTRIES: usize = 4;
+const CAPACITY: u32 = 8;
+
+/// Runs one seeded load of 30 s at about three quarters of the capacity through 4 entries that get a report of each
+/// endpoint at an interval in milliseconds.
+fn simulate(policy: Policy, interval: u64, seed: u64) -> Figures {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut engines: Vec<Engine> = (0..ENGINES).map(|_| Engine::default()).collect();
+    let mut targets: Vec<Vec<Target>> = (0..ENTRIES)
+        .map(|_| (0..ENGINES).map(|i| target(i, Distance::Zone)).collect())
+        .collect();
+    let mut guards: Vec<(Millis, Guard)> = Vec::new();
+    let (mut times, mut hits) = (Vec::new(), 0_u32);
+    let v = version();
+    for ms in 0..30_000 {
+        let now = Millis(ms);
+        guards.retain(|(end, _)| *end > now);
+        for (e, engine) in engines.iter_mut().enumerate() {
+            engine.running.retain(|end| *end > now);
+            // At another time for each engine.
+            if ms % interval == interval * e as u64 / ENGINES as u64 {
+                let report = AgentReport {
+                    name: format!("agent-{e}").parse().unwrap(),
+                    instance: Instance(1),
+                    sequence: ms,
+                    service: "drafts".parse().unwrap(),
+                    state: AgentState::Serving,
+                    version: v.clone(),
+                    applied: Offset(1),
+                    running: engine.running.len() as u32,
+                    waiting: engine.queue.len() as u32,
+                    capacity: CAPACITY,
+                    speed: 0,
+                    prefixes: std::mem::take(&mut engine.news),
+                };
+                for t in targets.iter_mut().map(|t| &mut t[e]) {
+                    (t.reported, t.own) = (report.running + report.waiting, t.slot.inflight());
+                    t.slot.learn(&report);
+                }
+            }
+        }
+        // 110 requests a second; a request takes 0.7 s with its prefix cached and 1.1 s without.
+        if random.u32(0..1000) < 110 {
+            // A few prefixes are frequent, most are rare.
+            let prefix = (200.0_f64.powf(random.f64())) as u64;
+            let entry = random.usize(0..ENTRIES);
+            let table = table(targets[entry].clone(), policy);
+            let q = Query {
+                now,
+                version: &v,
+                prefix: Some(prefix),
+                tried: &[],
+                random: random.u64(..),
+            };
+            let chosen = table.choose(&q).unwrap();
+            let e = (0..ENGINES)
+                .find(|i| targets[entry][*i].name == chosen.name)
+                .unwrap();
+            let engine = &mut engines[e];
+            let hit = engine.cache.contains(&prefix);
+            engine.cache.retain(|p| *p != prefix);
+            engine.cache.push_back(prefix);
+            if engine.cache.len() > 24 {
+                engine.cache.pop_front();
+            }
+            if !hit {
+                engine.news.push(prefix);
+            }
+            hits += u32::from(hit);
+            let run = if hit { 700 } else { 1100 };
+            // The request starts once all but `CAPACITY - 1` of those before it have ended.
+            let mut ends = engine.running.clone();
+            ends.sort_unstable();
+            let ahead = ends.len().checked_sub(CAPACITY as usize);
+            let start = ahead.map_or(now, |i| ends[i].max(now));
+            let end = start + Millis(run);
+            engine.running.push(end);
+            guards.push((end, targets[entry][e].slot.begin(now)));
+            times.push((end - now).0);
+        }
+    }
+    times.sort_unstable();
+    Figures {
+        hits: f64::from(hits) / times.len() as f64,
+        p50: times[times.len() / 2],
+        p95: times[times.len() * 95 / 100],
+    }
+}
+
+/// Guards against a policy that is worse than the ones it is meant to replace; prints the figures.
+#[test]
+fn policies_on_one_load() {
+    let at = |interval| {
+        POLICIES.map(|p| {
+            let f = simulate(p, interval, 42);
+            let Figures { hits, p50, p95 } = f;
+            println!("reports every {interval} ms, {p}: prefix hits {hits:.2}, p50 {p50} ms, p95 {p95} ms");
+            f
+        })
+    };
+    // The load when only heartbeats arrive; agents report changes sooner.
+    at(1000);
+    let [affinity, choices, random, reported] = at(250);
+    assert!(
+        affinity.hits > choices.hits,
+        "affinity finds more cached prefixes"
+    );
+    assert!(affinity.p95 <= random.p95 && affinity.p50 <= choices.p50);
+    assert!(choices.p95 <= random.p95, "two choices beat one");
+    assert!(
+        choices.p95 <= reported.p95,
+        "stale reports alone send all requests to one agent"
+    );
+}
+
+/// Guards against counts that drift when requests end.
+#[test]
+fn slots_count_down() {
+    let slot: Arc<Slot> = Arc::default();
+    let guards: Vec<_> = (0..5).map(|_| slot.begin(Millis(1))).collect();
+    assert_eq!(slot.inflight(), 5);
+    drop(guards);
+    assert_eq!(slot.inflight(), 0);
+}
