--- a/src/decide/limit/fair.rs
+++ b/src/decide/limit/fair.rs
@@ -219,7 +219,8 @@
         let (mean, short) = self.durations(now);
         let missing = ((ahead + 1) * 1000).saturating_sub(space.tokens);
         let rate = match space.share.rate {
-            0 => RETRY_MAX,
+            // A larger share is asked for at once.
+            0 => RETRY_UNKNOWN,
             r => Millis((missing * 1000).div_ceil(r)),
         };
         let over = |limit: u32, used: u32, place: u64| match limit {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -2,12 +2,12 @@
 
 mod entry_support;
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use assert_matches::assert_matches;
-use entry_support::{outcome, World};
+use entry_support::{outcome, reply, until, whole, World};
 use sesamewing::{
-    base::{Millis, Offset, ProcessName, Workspace},
+    base::{Millis, Offset, ProcessName, RequestId, Workspace},
     decide::limit::{
         share::{Holder, Pool, Share},
         Ask, Class, Limiter, Reason, Ticket, Verdict, RESERVE,
@@ -338,6 +338,47 @@
     assert_eq!(holder.share(Millis(100), limit, 9).concurrency, 8);
 }
 
+/// Guards against a technician's status check that waits behind orders.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_check_passes_during_overload() {
+    let world = World::plain(1).await;
+    let go = Arc::new(tokio::sync::Semaphore::new(0));
+    let wait = go.clone();
+    world.agents[0].script(move |req, mut call| {
+        let wait = wait.clone();
+        async move {
+            if req.method == "POST" {
+                let _permit = wait.acquire().await;
+            }
+            reply(&mut call, whole(req.id, None, 0, &["ok"])).await;
+        }
+    });
+    world.agents[0].set(|r| r.capacity = 1);
+    let order = || {
+        let id = RequestId::now().to_string();
+        let req = world.request("POST", "/v1/services/orders/new");
+        tokio::spawn(req.header("Idempotency-Key", id).body("dig").send())
+    };
+    // One runs and one more keeps the endpoint busy; the window has room for no other.
+    let mut orders = Vec::new();
+    orders.push(order());
+    orders.push(order());
+    until("two orders at the endpoint", || world.runs() == 2).await;
+    let (status, body) = outcome(order().await.unwrap().unwrap()).await;
+    assert_eq!((status, &body["outcome"]), (503, &"not_run".into()));
+    let resp = world
+        .request("GET", "/v1/services/orders/17")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(resp.status(), 200);
+    assert_eq!(world.runs(), 3);
+    go.add_permits(2);
+    for order in orders {
+        assert_eq!(order.await.unwrap().unwrap().status(), 200);
+    }
+}
+
 /// Guards against an entry that grants more than the limit to others, or for workspaces that it does not know.
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_grants_shares_to_others() {
