fix: prefix hash over whole blocks, time for the agent to resume

Endpoints report prefixes of whole 64-byte blocks, so a prompt of 100 bytes never matched its report. The entry now waits two stall times between parts: the agent notices a stalled endpoint after one and may continue the answer itself; with equal times both hops would resume it at once. Also a lint in the admission tests.

--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -15,15 +15,21 @@
 pub use policy::{policy, Chooser, PolicySpec, POLICIES};
 pub use table::{Guard, Query, Slot, Table, Target};
 
-/// Bytes at the beginning of a prompt that make up its prefix.
+/// Bytes of a prompt that make up its prefix at most.
 pub const PREFIX_BYTES: usize = 256;
 
-/// Returns the hash of a prompt's prefix: the first 8 bytes, little-endian, of the BLAKE3 hash of its first
-/// [`PREFIX_BYTES`] bytes.
+/// Endpoints cache prefixes in whole blocks of this many bytes.
+pub const PREFIX_BLOCK: usize = 64;
+
+/// Returns the hash of a prompt's prefix: the first 8 bytes, little-endian, of the BLAKE3 hash of its first whole
+/// blocks, up to [`PREFIX_BYTES`]; a prompt shorter than a block counts whole.
 ///
 /// Endpoints that report cached prefixes use the same hash; others are routed to by rendezvous hash alone.
 pub fn prefix_hash(prompt: &[u8]) -> u64 {
-    let end = prompt.len().min(PREFIX_BYTES);
+    let end = match prompt.len().min(PREFIX_BYTES) {
+        short if short < PREFIX_BLOCK => short,
+        long => long - long % PREFIX_BLOCK,
+    };
     let hash = blake3::hash(&prompt[..end]);
     u64::from_le_bytes(
         hash.as_bytes()[..8]
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -15,6 +15,10 @@
 /// Time to hand a request to the transport.
 const SEND_TIMEOUT: Millis = Millis(2000);
 
+/// Stall times of the service before an answer counts as broken: the agent notices a stalled endpoint after one and may
+/// need another to continue the answer itself.
+const STALLS: u64 = 2;
+
 /// Interval at which a waiting request looks whether its agent is alive.
 const LOOK: Millis = Millis(100);
 
@@ -162,10 +166,9 @@
             }
             // Before the answer begins the request may wait at the endpoint; then only the agent's reports show
             // whether it is alive.
-            let wait = if self.headed {
-                left.min(job.stall)
-            } else {
-                left
+            let wait = match self.headed {
+                true => left.min(job.stall.times(STALLS)),
+                false => left,
             };
             let guard = &self.guard;
             let reply = tokio::select! {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -360,9 +360,7 @@
         tokio::spawn(req.header("Idempotency-Key", id).body("dig").send())
     };
     // One runs and one more keeps the endpoint busy; the window has room for no other.
-    let mut orders = Vec::new();
-    orders.push(order());
-    orders.push(order());
+    let orders = [order(), order()];
     until("two orders at the endpoint", || world.runs() == 2).await;
     let (status, body) = outcome(order().await.unwrap().unwrap()).await;
     assert_eq!((status, &body["outcome"]), (503, &"not_run".into()));
--- a/tests/entry_http.rs
+++ b/tests/entry_http.rs
@@ -454,6 +454,59 @@
     assert!(!text.contains("v2"), "{text}");
 }
 
+/// Guards against a stream that hangs at a stalled agent whose reports still arrive.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_stream_continues_elsewhere() {
+    let world = World::start(
+        "drafts",
+        2,
+        &[
+            (
+                "/east/drafts",
+                &[("weights.version", VERSION), ("request.stall", "200ms")],
+            ),
+            ("/east/drafts/lab", &[]),
+        ],
+    )
+    .await;
+    for agent in &world.agents {
+        agent.script(|req, mut call| async move {
+            let texts = ["one ", "two ", "three ", "four"];
+            let rest = &texts[req.resume as usize..];
+            let mut frames = whole(req.id, Some(VERSION), req.resume, rest);
+            if req.resume == 0 {
+                frames.truncate(2);
+                for frame in frames {
+                    call.tx.send(&frame).await.unwrap();
+                }
+                std::future::pending::<()>().await;
+            } else {
+                reply(&mut call, frames).await;
+            }
+        });
+    }
+    let text = world
+        .completion(true)
+        .send()
+        .await
+        .unwrap()
+        .text()
+        .await
+        .unwrap();
+    assert!(
+        text.contains("\"tokens\":4") && text.ends_with("[DONE]\n\n"),
+        "{text}"
+    );
+    assert_eq!(
+        world
+            .agents
+            .iter()
+            .map(|a| a.runs().len())
+            .collect::<Vec<_>>(),
+        [1, 1]
+    );
+}
+
 /// Guards against a list of entries that is not nearest first or names no lifetime.
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_are_listed_nearest_first() {
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -4,7 +4,7 @@
 
 use assert_matches::assert_matches;
 use sesamewing::{
-    base::{Instance, Millis, Offset, ProcessName, VersionName},
+    base::{Digest, Instance, Millis, Offset, ProcessName, VersionName},
     decide::{
         member::Distance,
         route::{prefix_hash, Breaker, Guard, Query, Slot, Table, Target, FAILURES_MAX, OPEN_MIN},
@@ -136,6 +136,26 @@
     );
 }
 
+/// Guards against a prefix hash that differs from the one that endpoints report for whole blocks of 64 bytes.
+#[test]
+fn prefixes_are_whole_blocks() {
+    let text = [b'x'; 300];
+    let reported = |len: usize| {
+        let hash = Digest::of(&text[..len]).0;
+        u64::from_le_bytes(hash[..8].try_into().unwrap())
+    };
+    for (len, block) in [
+        (10, 10),
+        (64, 64),
+        (100, 64),
+        (255, 192),
+        (256, 256),
+        (300, 256),
+    ] {
+        assert_eq!(prefix_hash(&text[..len]), reported(block), "{len} bytes");
+    }
+}
+
 /// Guards against prefixes that go astray without reports, and against a hot prefix that overloads one agent.
 #[test]
 fn affinity_is_consistent_and_bounded() {
