--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -4,9 +4,9 @@
 
 use entry_support::{outcome, World};
 use sesamewing::{
-    base::Percent,
+    base::{Millis, Percent},
     decide::retry::{next, Budget, Loss, Next, Progress, BURST},
-    wire::NotRun,
+    wire::{NotRun, Reply, RunOutcome},
 };
 
 /// Guards against retries that multiply a failure of all agents into an overload.
@@ -106,3 +106,27 @@
     let runs: Vec<_> = world.agents.iter().map(|a| a.runs().len()).collect();
     assert_eq!(runs, [1, 1, 1]);
 }
+
+/// Guards against "not run" for a request whose earlier attempt was lost, when the last agent refuses it.
+#[tokio::test(flavor = "multi_thread")]
+async fn earlier_loss_is_not_forgotten() {
+    let world = World::model(2).await;
+    let all = world.agents.clone();
+    for agent in &world.agents {
+        let all = all.clone();
+        agent.frames(move |req| {
+            // The first attempt is cut, the second one refused.
+            if all.iter().map(|a| a.runs().len()).sum::<usize>() == 1 {
+                return Vec::new();
+            }
+            vec![Reply::Failed {
+                id: req.id,
+                outcome: RunOutcome::NotRun(NotRun::Busy),
+                retry: Millis(200),
+            }]
+        });
+    }
+    let (status, body) = outcome(world.completion(false).send().await.unwrap()).await;
+    assert_eq!((status, &body["outcome"]), (504, &"may_have_run".into()));
+    assert_eq!(world.runs(), 2);
+}
--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -6,7 +6,10 @@
 
 use assert_matches::assert_matches;
 use entry_support::{reply, until, whole, World, VERSION};
-use sesamewing::{base::Digest, wire::Reply};
+use sesamewing::{
+    base::{Digest, RequestId},
+    wire::Reply,
+};
 
 /// Guards against a broken stream that restarts, repeats or skips tokens instead of continuing.
 #[tokio::test(flavor = "multi_thread")]
@@ -182,3 +185,31 @@
         [1, 1]
     );
 }
+
+/// Guards against a continued stream with a hole where a frame of another request took the place of a part.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_with_a_hole_is_not_continued() {
+    let world = World::model(2).await;
+    for agent in &world.agents {
+        agent.frames(|req| {
+            let texts = ["one ", "two ", "three ", "four"];
+            let rest = &texts[req.resume as usize..];
+            let mut frames = whole(req.id, Some(VERSION), req.resume, rest);
+            if req.resume == 0 {
+                if let Reply::Data { id, .. } = &mut frames[2] {
+                    *id = RequestId::now();
+                }
+                frames.truncate(4);
+            }
+            frames
+        });
+    }
+    let resp = world.completion(true).send().await.unwrap();
+    let text = resp.text().await.unwrap();
+    assert!(
+        text.contains("event: error") && text.contains("may_have_run"),
+        "{text}"
+    );
+    assert!(!text.contains("[DONE]"), "{text}");
+    assert_eq!(world.runs(), 1);
+}
