--- a/src/decide/limit/fair.rs
+++ b/src/decide/limit/fair.rs
@@ -219,7 +219,8 @@
         let (mean, short) = self.durations(now);
         let missing = ((ahead + 1) * 1000).saturating_sub(space.tokens);
         let rate = match space.share.rate {
-            0 => RETRY_MAX,
+            // A larger share is asked for at once.
+            0 => RETRY_UNKNOWN,
             r => Millis((missing * 1000).div_ceil(r)),
         };
         let over = |limit: u32, used: u32, place: u64| match limit {
@@ -308,6 +309,15 @@
         before != queue.len()
     }
 
+    /// Returns what keeps the requests of a workspace waiting.
+    pub fn blocked(&self, workspace: &Workspace) -> Reason {
+        match self.spaces.get(workspace) {
+            Some(s) if s.inflight >= s.share.concurrency => Reason::Concurrency,
+            Some(s) if s.tokens < 1000 => Reason::Rate,
+            _ => Reason::Saturated,
+        }
+    }
+
     /// Notes the end of a request. `duration` is `None` unless it was answered.
     pub fn release(
         &mut self,
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,391 @@
+//! Admission: fairness, deadlines, and the reserve for status checks.
+
+mod entry_support;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use assert_matches::assert_matches;
+use entry_support::{outcome, reply, until, whole, World};
+use sesamewing::{
+    base::{Millis, RequestId, Workspace},
+    decide::limit::{share::Share, Ask, Class, Limiter, Reason, Ticket, Verdict, RESERVE},
+};
+
+const WIDE: Share = Share {
+    concurrency: 10_000,
+    rate: 10_000_000,
+};
+
+fn ask(workspace: &Workspace) -> Ask<'_> {
+    Ask {
+        workspace,
+        share: WIDE,
+        weight: 1,
+        wait: Millis(500),
+        remaining: Millis(30_000),
+        class: Class::Work,
+    }
+}
+
+fn space(name: &str) -> Workspace {
+    name.parse().unwrap()
+}
+
+/// A seeded load on one limiter, in steps of 1 ms.
+struct Load {
+    limiter: Limiter,
+    random: fastrand::Rng,
+    /// End of each admitted request, with its start and workspace.
+    running: Vec<(Millis, Millis, usize)>,
+    waiting: BTreeMap<Ticket, (usize, Millis, Millis)>,
+    /// Requests answered before their deadline, for each workspace.
+    good: Vec<u32>,
+    offered: Vec<u32>,
+    refused: u32,
+}
+
+const WINDOW: u32 = 20;
+const SERVICE: u64 = 100;
+const DEADLINE: Millis = Millis(1000);
+
+impl Load {
+    /// Offers `rates` requests a second of each workspace with its weight, for `time`.
+    fn run(seed: u64, spaces: &[(u64, u32)], time: Millis) -> Self {
+        let mut load = Self {
+            limiter: Limiter::default(),
+            random: fastrand::Rng::with_seed(seed),
+            running: Vec::new(),
+            waiting: BTreeMap::new(),
+            good: vec![0; spaces.len()],
+            offered: vec![0; spaces.len()],
+            refused: 0,
+        };
+        load.limiter.set_window(Millis(1), WINDOW);
+        let names: Vec<_> = (0..spaces.len()).map(|i| space(&format!("w{i}"))).collect();
+        for ms in 1..time.0 {
+            let now = Millis(ms);
+            load.end(now, &names);
+            for (i, (rate, weight)) in spaces.iter().enumerate() {
+                // Up to four arrivals in a millisecond.
+                let arrivals = (0..4).filter(|_| load.random.u64(0..4000) < *rate).count();
+                for _ in 0..arrivals {
+                    load.offered[i] += 1;
+                    let mut a = ask(&names[i]);
+                    (a.weight, a.remaining) = (*weight, DEADLINE);
+                    match load.limiter.ask(now, &a) {
+                        Verdict::Admit(_) => load.start(now, i, now),
+                        Verdict::Wait(t, until) => drop(load.waiting.insert(t, (i, until, now))),
+                        Verdict::Refuse(..) => load.refused += 1,
+                    }
+                    load.admit(now);
+                }
+            }
+        }
+        load
+    }
+
+    fn start(&mut self, now: Millis, workspace: usize, arrived: Millis) {
+        let time = SERVICE / 2 + self.random.u64(0..=SERVICE);
+        self.running.push((now + Millis(time), arrived, workspace));
+    }
+
+    fn admit(&mut self, now: Millis) {
+        for t in self.limiter.admitted() {
+            let (i, _, arrived) = self.waiting.remove(&t).expect("only who waits is admitted");
+            self.start(now, i, arrived);
+        }
+    }
+
+    fn end(&mut self, now: Millis, names: &[Workspace]) {
+        let (over, running) = self.running.drain(..).partition(|(end, ..)| *end <= now);
+        self.running = running;
+        let over: Vec<(Millis, Millis, usize)> = over;
+        for (end, arrived, i) in over {
+            self.good[i] += u32::from(end - arrived <= DEADLINE);
+            let duration = Some(Millis(SERVICE));
+            self.limiter.release(now, &names[i], Class::Work, duration);
+            self.admit(now);
+        }
+        let late: Vec<_> = self
+            .waiting
+            .iter()
+            .filter(|(_, w)| w.1 <= now)
+            .map(|(t, w)| (*t, w.0))
+            .collect();
+        for (t, i) in late {
+            assert!(
+                self.limiter.cancel(&names[i], t),
+                "an expired request was admitted in silence"
+            );
+            self.waiting.remove(&t);
+            self.refused += 1;
+        }
+    }
+}
+
+/// Guards against a greedy workspace that takes the share of a small one.
+#[test]
+fn small_workspace_gets_its_share() {
+    let capacity = u64::from(WINDOW) * 1000 / SERVICE;
+    for (seed, weights) in [(1, [1, 1]), (2, [3, 1]), (3, [9, 1])] {
+        let sum: u32 = weights.iter().sum();
+        let entitled = capacity * u64::from(weights[1]) / u64::from(sum);
+        // Offered exactly its share, random gaps and bursts alone would lose some of it.
+        let spaces = [(capacity * 5, weights[0]), (entitled * 5 / 4, weights[1])];
+        let load = Load::run(seed, &spaces, Millis(20_000));
+        let share = f64::from(load.good[1]) / (entitled * 20) as f64;
+        println!("weights {weights:?}: small workspace gets {share:.3} of its share");
+        assert!(share >= 0.9, "seed {seed}: {share}");
+    }
+}
+
+/// Guards against a workspace that stays below its share and still loses requests to a greedy one.
+#[test]
+fn modest_workspace_is_served() {
+    let capacity = u64::from(WINDOW) * 1000 / SERVICE;
+    for (seed, weights) in [(4, [1, 1]), (5, [3, 1]), (6, [9, 1])] {
+        let sum: u32 = weights.iter().sum();
+        let offered = capacity * u64::from(weights[1]) / u64::from(sum) * 4 / 5;
+        let load = Load::run(
+            seed,
+            &[(capacity * 5, weights[0]), (offered, weights[1])],
+            Millis(20_000),
+        );
+        let share = f64::from(load.good[1]) / f64::from(load.offered[1]);
+        println!("weights {weights:?}: {share:.3} of the requests at 80% of the share are answered in time");
+        assert!(share >= 0.9, "seed {seed}: {share}");
+    }
+}
+
+/// Guards against goodput that falls when twice as much is offered as fits.
+#[test]
+fn goodput_holds_at_twice_the_capacity() {
+    let capacity = u64::from(WINDOW) * 1000 / SERVICE;
+    let at = |rate| {
+        let load = Load::run(7, &[(rate, 1)], Millis(20_000));
+        f64::from(load.good[0])
+    };
+    let ratio = at(capacity * 2) / at(capacity);
+    println!("goodput at twice the capacity: {ratio:.3} of that at capacity");
+    assert!(ratio >= 0.95, "{ratio}");
+}
+
+/// Guards against requests that wait although the known queue and speed rule out an answer in time.
+#[test]
+fn hopeless_deadline_is_refused_at_once() {
+    let lab = space("lab");
+    let mut l = Limiter::default();
+    l.set_window(Millis(1), 2);
+    for i in 0..8 {
+        assert_matches!(l.ask(Millis(i), &ask(&lab)), Verdict::Admit(_));
+        l.release(Millis(i), &lab, Class::Work, Some(Millis(2000)));
+    }
+    let hurry = Ask {
+        remaining: Millis(500),
+        ..ask(&lab)
+    };
+    assert_matches!(
+        l.ask(Millis(10), &hurry),
+        Verdict::Refuse(Reason::Deadline, _)
+    );
+    assert_matches!(l.ask(Millis(10), &ask(&lab)), Verdict::Admit(_));
+    assert_matches!(l.ask(Millis(10), &ask(&lab)), Verdict::Admit(_));
+    // A place becomes free only after about a second, and the workspace waits at most half of one.
+    assert_matches!(l.ask(Millis(10), &ask(&lab)), Verdict::Refuse(Reason::Saturated, t) if t >= Millis(500));
+    // Old measurements must not refuse for ever.
+    let later = Millis(60_000);
+    l.release(later, &lab, Class::Work, None);
+    assert_matches!(l.ask(later, &hurry), Verdict::Admit(_));
+}
+
+/// Guards against status checks that queue behind orders, and against a reserve without bound.
+#[test]
+fn status_checks_have_a_reserve() {
+    let lab = space("lab");
+    let mut l = Limiter::default();
+    l.set_window(Millis(1), 1);
+    assert_matches!(l.ask(Millis(1), &ask(&lab)), Verdict::Admit(Class::Work));
+    assert_matches!(l.ask(Millis(1), &ask(&lab)), Verdict::Wait(..));
+    let status = Ask {
+        class: Class::Status,
+        ..ask(&lab)
+    };
+    for _ in 0..RESERVE {
+        assert_matches!(l.ask(Millis(1), &status), Verdict::Admit(Class::Status));
+    }
+    assert_matches!(l.ask(Millis(1), &status), Verdict::Wait(..));
+    l.release(Millis(2), &lab, Class::Status, None);
+    assert_matches!(l.ask(Millis(2), &status), Verdict::Admit(Class::Status));
+}
+
+/// Guards against a rate limit that lets more pass, or that refuses without a useful time.
+#[test]
+fn rate_limit_names_the_time() {
+    let lab = space("lab");
+    let mut l = Limiter::default();
+    l.set_window(Millis(1), 1000);
+    let slow = Ask {
+        share: Share {
+            concurrency: 100,
+            rate: 2000,
+        },
+        wait: Millis(100),
+        ..ask(&lab)
+    };
+    assert_matches!(l.ask(Millis(1), &slow), Verdict::Admit(_));
+    assert_matches!(l.ask(Millis(1), &slow), Verdict::Admit(_));
+    assert_matches!(l.ask(Millis(1), &slow), Verdict::Refuse(Reason::Rate, t) if t == Millis(500));
+    let mut passed = 0;
+    for t in (2..10_002).step_by(10) {
+        let now = Millis(t);
+        passed += usize::from(matches!(l.ask(now, &slow), Verdict::Admit(_)));
+        passed += l.admitted().len();
+    }
+    assert!(
+        (17..=20).contains(&passed),
+        "{passed} in 10 s at 2 a second"
+    );
+}
+
+/// Guards against admissions beyond window or share, and against requests that are lost between queue and driver.
+#[test]
+fn bounds_hold_under_any_order_of_events() {
+    let names = [space("a"), space("b"), space("c")];
+    for seed in 0..200 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut l = Limiter::default();
+        let (mut now, mut window) = (Millis(1), 4);
+        l.set_window(now, window);
+        let mut waiting: BTreeMap<Ticket, (usize, Millis)> = BTreeMap::new();
+        let mut running = [0_u32; 3];
+        for _ in 0..500 {
+            now += Millis(random.u64(0..20));
+            let i = random.usize(0..3);
+            let before: u32 = running.iter().sum();
+            match random.u32(0..10) {
+                0..5 => {
+                    let share = Share {
+                        concurrency: 1 + i as u32,
+                        ..WIDE
+                    };
+                    match l.ask(
+                        now,
+                        &Ask {
+                            share,
+                            ..ask(&names[i])
+                        },
+                    ) {
+                        Verdict::Admit(_) => running[i] += 1,
+                        Verdict::Wait(t, until) => drop(waiting.insert(t, (i, until))),
+                        Verdict::Refuse(..) => {}
+                    }
+                }
+                5..8 if running[i] > 0 => {
+                    running[i] -= 1;
+                    l.release(now, &names[i], Class::Work, Some(Millis(30)));
+                }
+                8 => {
+                    window = random.u32(0..6);
+                    l.set_window(now, window);
+                }
+                _ => {
+                    let Some((t, (i, _))) = waiting.pop_first() else {
+                        continue;
+                    };
+                    l.cancel(&names[i], t);
+                }
+            }
+            for t in l.admitted() {
+                let (i, until) = waiting.remove(&t).expect("waits and was not cancelled");
+                assert!(until >= now, "seed {seed}: admitted after it was given up");
+                running[i] += 1;
+            }
+            let sum: u32 = running.iter().sum();
+            assert_eq!(l.inflight(), sum, "seed {seed}");
+            assert!(sum <= window.max(before), "seed {seed}: {sum} of {window}");
+            for (i, n) in running.iter().enumerate() {
+                assert!(*n <= 1 + i as u32, "seed {seed}: {n} of workspace {i}");
+            }
+        }
+    }
+}
+
+/// Guards against a technician's status check that waits behind orders.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_check_passes_during_overload() {
+    let world = World::plain(1).await;
+    let go = Arc::new(tokio::sync::Semaphore::new(0));
+    let wait = go.clone();
+    world.agents[0].script(move |req, mut call| {
+        let wait = wait.clone();
+        async move {
+            if req.method == "POST" {
+                let _permit = wait.acquire().await;
+            }
+            reply(&mut call, whole(req.id, None, 0, &["ok"])).await;
+        }
+    });
+    world.agents[0].set(|r| r.capacity = 1);
+    let order = || {
+        let id = RequestId::now().to_string();
+        let req = world.request("POST", "/v1/services/orders/new");
+        tokio::spawn(req.header("Idempotency-Key", id).body("dig").send())
+    };
+    // One runs and one more keeps the endpoint busy; the window has room for no other.
+    let orders = [order(), order()];
+    until("two orders at the endpoint", || world.runs() == 2).await;
+    let (status, body) = outcome(order().await.unwrap().unwrap()).await;
+    assert_eq!((status, &body["outcome"]), (503, &"not_run".into()));
+    let resp = world
+        .request("GET", "/v1/services/orders/17")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(resp.status(), 200);
+    assert_eq!(world.runs(), 3);
+    go.add_permits(2);
+    for order in orders {
+        assert_eq!(order.await.unwrap().unwrap().status(), 200);
+    }
+}
+
+/// Guards against refusals at overload that are late, without a time, or with the same time for everybody.
+#[tokio::test(flavor = "multi_thread")]
+async fn overload_is_refused_with_spread_times() {
+    let world = World::start(
+        "drafts",
+        1,
+        &[
+            (
+                "/east/drafts",
+                &[("weights.version", entry_support::VERSION)],
+            ),
+            (
+                "/east/drafts/lab",
+                &[("limit.rate", "1"), ("limit.wait", "0ms")],
+            ),
+        ],
+    )
+    .await;
+    assert_eq!(world.completion(false).send().await.unwrap().status(), 200);
+    let mut times = Vec::new();
+    for _ in 0..20 {
+        let begun = std::time::Instant::now();
+        let resp = world.completion(false).send().await.unwrap();
+        if resp.status() == 200 {
+            continue;
+        }
+        assert!(resp.headers().contains_key("Retry-After"));
+        let (status, body) = outcome(resp).await;
+        assert_eq!(
+            (status, &body["outcome"]),
+            (429, &"not_run".into()),
+            "{body}"
+        );
+        assert!(begun.elapsed().as_secs() < 5, "refused at once");
+        times.push(body["retry_after_ms"].as_u64().unwrap());
+    }
+    times.sort_unstable();
+    times.dedup();
+    assert!(times.len() >= 8, "spread: {times:?}");
+}
