feat: earlier versions answer until a rollout reaches their hosts

Cause: after a publication every new request was refused until the first agent confirmed the new version, so that a rollout stopped live traffic for as long as the copy took. Change: agents with an earlier confirmed version take new requests while weights.overlap is set (default); agents with the version in the settings come first while they have free capacity; a stream stays on the version it began on.

--- a/src/decide/route/table.rs
+++ b/src/decide/route/table.rs
@@ -15,7 +15,7 @@
 use crate::{
     base::{rendezvous, HashMap, Millis, ProcessName, VersionName},
     decide::member::{Distance, Peer},
-    settings::Route,
+    settings::{Route, Weights},
     wire::AgentReport,
 };
 
@@ -61,8 +61,8 @@
 pub struct Query<'a> {
     /// Time of the process clock.
     pub now: Millis,
-    /// Version that must answer.
-    pub version: &'a Option<VersionName>,
+    /// Version on which a stream that has begun must continue; `None` for a new request.
+    pub only: Option<&'a VersionName>,
     /// Hash of the prompt's prefix.
     pub prefix: Option<u64>,
     /// Agents that were tried before.
@@ -78,6 +78,9 @@
     targets: Vec<Target>,
     /// Version in the settings.
     version: Option<VersionName>,
+    /// Whether agents with an earlier version take new requests. Without them a rollout would refuse every request
+    /// from the publication until the first agent has the new version.
+    overlap: bool,
     choose: Chooser,
     /// Load above the mean, in percent, at which affinity gives way.
     slack: u32,
@@ -238,18 +241,33 @@
 
 impl Table {
     /// Creates a table with the policy and the version of the settings.
-    pub fn new(targets: Vec<Target>, version: Option<VersionName>, route: &Route) -> Self {
+    pub fn new(targets: Vec<Target>, weights: &Weights, route: &Route) -> Self {
         Self {
             targets,
-            version,
+            version: weights.version.clone(),
+            overlap: weights.overlap,
             choose: policy(route.policy),
             slack: route.slack,
         }
     }
 
-    /// Iterates over the agents that confirm the version in the settings.
-    pub fn current(&self) -> impl Iterator<Item = &Target> {
-        self.targets.iter().filter(|t| t.version == self.version)
+    /// Iterates over the agents that take new requests.
+    pub fn open(&self) -> impl Iterator<Item = &Target> {
+        self.targets.iter().filter(|t| self.is_open(t))
+    }
+
+    /// Returns whether an agent takes new requests: it confirms the version in the settings or, during a rollout, an
+    /// earlier one.
+    fn is_open(&self, t: &Target) -> bool {
+        let earlier = self.overlap && self.version.is_some() && t.version.is_some();
+        t.version == self.version || earlier
+    }
+
+    fn fits(&self, t: &Target, only: Option<&VersionName>) -> bool {
+        match only {
+            Some(v) => t.version.as_ref() == Some(v),
+            None => self.is_open(t),
+        }
     }
 
     /// Returns how many requests this entry may have in progress: what other entries leave of the agents' room, but
@@ -257,7 +275,7 @@
     pub fn window(&self, entries: u32) -> u32 {
         let mut free = 0_u32;
         let mut room = 0_u32;
-        for t in self.current() {
+        for t in self.open() {
             let others = t.slot.others();
             free = free.saturating_add(t.ceiling().saturating_sub(others));
             room = room.saturating_add(t.ceiling());
@@ -272,7 +290,7 @@
         let fit: Vec<&Target> = self
             .targets
             .iter()
-            .filter(|t| t.version == *q.version)
+            .filter(|t| self.fits(t, q.only))
             .collect();
         let mut pool: Vec<&Target> = fit.iter().copied().filter(fresh).filter(allowed).collect();
         if pool.is_empty() {
@@ -283,6 +301,7 @@
             pool = fit;
         }
         self.nearest(&mut pool);
+        self.newest(&mut pool);
         match pool.len() {
             0 => None,
             1 => Some(pool[0]),
@@ -290,6 +309,14 @@
         }
     }
 
+    /// Keeps the agents with the version in the settings if one of them can run the request at once.
+    fn newest(&self, pool: &mut Vec<&Target>) {
+        let newest = |t: &Target| t.version == self.version;
+        if pool.iter().any(|t| newest(t) && t.load() < t.capacity) {
+            pool.retain(|t| newest(t));
+        }
+    }
+
     /// Keeps the agents of the nearest distance at which one has room; without any room, those of the own region.
     fn nearest(&self, pool: &mut Vec<&Target>) {
         let room = pool
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -85,7 +85,7 @@
         let table = self.shared.table(&self.job.service)?;
         let query = Query {
             now: self.shared.now(),
-            version: &self.job.version,
+            only: self.job.version.as_ref().filter(|_| self.delivered > 0),
             prefix: self.job.prefix,
             tried,
             random: fastrand::u64(..),
@@ -108,6 +108,9 @@
             }
             self.tried.push(agent.name.clone());
             self.attempts += 1;
+            if self.delivered == 0 {
+                self.job.version = agent.version.clone();
+            }
             let event = if self.delivered > 0 {
                 &RESUMED
             } else {
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -24,7 +24,7 @@
     pub(super) media: String,
     /// Request body.
     pub(super) body: Bytes,
-    /// Version that must answer; `None` for plain services.
+    /// Version of the current attempt; a stream that has begun stays on it. `None` for plain services.
     pub(super) version: Option<VersionName>,
     /// Time of the process clock at which the caller stops waiting.
     pub(super) deadline: Millis,
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -144,10 +144,10 @@
         self.tables.load().get(service).cloned()
     }
 
-    /// Returns whether an agent of the service takes requests for the version in the settings.
+    /// Returns whether an agent of the service takes new requests.
     pub(super) fn serves(&self, service: &Service) -> bool {
         let table = self.table(service);
-        table.is_some_and(|t| t.current().next().is_some())
+        table.is_some_and(|t| t.open().next().is_some())
     }
 
     /// Returns the admission state of a service that is in the settings.
@@ -257,9 +257,9 @@
                     Some(Target::new(p, p.report.as_ref()?, slot))
                 })
                 .collect();
-            let table = Table::new(targets, s.weights.version.clone(), &s.route);
-            let current = table.current().count();
-            self.metrics.set_agents(service.as_str(), current);
+            let table = Table::new(targets, &s.weights, &s.route);
+            let open = table.open().count();
+            self.metrics.set_agents(service.as_str(), open);
             windows.push((self.gate(service), table.window(self.entries())));
             tables.insert(service.clone(), Arc::new(table));
         }
--- a/src/settings/weights.rs
+++ b/src/settings/weights.rs
@@ -56,6 +56,8 @@
         version: Option<VersionName> = "none", "", "", Service;
         "BLAKE3 hash of the version's manifest."
         manifest: Option<Digest> = "none", "", "", Service;
+        "Whether hosts that still run an earlier version answer until the version in the settings reaches them."
+        overlap: bool = "true", "", "", Service;
         "What a rollout saves: time or origin."
         prefer: Prefer = "time", "", "", Service;
         "Region of the weight store; none if every region has a store of its own."
