--- /dev/null
+++ b/standin/src/bin/sesamewing-load.rs
@@ -0,0 +1,7 @@
+//! Generates load on a deployment and verifies each answer.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sesamewing_standin::load::main()
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod certs;
 mod endpoint;
 mod fault;
+pub mod load;
 mod platform;
 mod server;
 mod text;
