feat: demo over three regions, and a load generator

sesamewing-load sends seeded open-loop traffic, repeats orders with their id, verifies every answer and compares orders with the runs at their endpoints. scripts/demo rolls out a second version and drains an agent during traffic.

--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -1,6 +1,13 @@
 //! Load generator.
 
+mod caller;
+mod check;
+mod client;
+mod mix;
 mod ports;
+mod record;
+mod report;
+mod run;
 
 use std::process::ExitCode;
 
@@ -8,6 +15,9 @@
 Usage: sesamewing-load COMMAND [OPTIONS]
 
 Commands:
+    run           send open-loop traffic and verify each answer; `run --help` lists the options
+    id            print a new request id, a UUID version 7
+    hash KEY      print the BLAKE3 hash of an access key, for `access.keys`
     ports N       print N loopback ports that are free for TCP and UDP";
 
 /// Runs the program from its command line.
@@ -18,6 +28,16 @@
         return ExitCode::from(2);
     };
     let done = match command.as_str() {
+        "id" => {
+            println!("{}", uuid::Uuid::now_v7());
+            return ExitCode::SUCCESS;
+        }
+        "hash" => {
+            let key = rest.first().map_or("", String::as_str);
+            println!("{}", blake3::hash(key.as_bytes()).to_hex());
+            return ExitCode::SUCCESS;
+        }
+        "run" => run::main(rest),
         "ports" => ports::main(rest),
         "-h" | "--help" | "help" => {
             println!("{USAGE}");
