--- a/standin/src/load/mix.rs
+++ b/standin/src/load/mix.rs
@@ -51,6 +51,12 @@
                 prompt: 400.0,
                 ..mix
             }),
+            // Models only, at a steady rate, for capacity.
+            "models" => Some(Self {
+                orders: 0.0,
+                bursts: false,
+                ..mix
+            }),
             // Equal costs, so that two runs differ only in the path that the requests take.
             "even" => Some(Self {
                 orders: 0.0,
--- a/standin/src/load/run.rs
+++ b/standin/src/load/run.rs
@@ -53,7 +53,7 @@
         "S",
     )
     .optopt("", "seed", "seed of the arrivals", "N")
-    .optopt("", "mix", "fibre (default), ladder or even", "NAME")
+    .optopt("", "mix", "fibre (default), ladder, models or even", "NAME")
     .optopt("", "service", "model service, default drafts", "NAME")
     .optopt(
         "",
@@ -149,7 +149,7 @@
         bail!("--entries or --direct is missing; see `sesamewing-load run --help`");
     }
     let name = get(m, "mix", "fibre".to_owned())?;
-    let mix = Mix::named(&name).ok_or_else(|| eyre!("--mix: use fibre, ladder or even"))?;
+    let mix = Mix::named(&name).ok_or_else(|| eyre!("--mix: use fibre, ladder, models or even"))?;
     let seconds: f64 = get(m, "seconds", 10.0)?;
     let warmup: f64 = get(m, "warmup", 0.0)?;
     let seed = get(m, "seed", 1)?;
