fix: leave shares of workspace limits to entries that have not reported yet

Cause: the first entry that reported its demand was granted the whole limit of the workspace. The next entry was granted nothing until the first one reported again or its grant ended (1 to 3 s), and refused requests with "cannot be answered before its deadline" although the endpoints were idle. Change: what nobody wants is split over all entries of the region.

--- a/src/decide/limit/share.rs
+++ b/src/decide/limit/share.rs
@@ -65,6 +65,8 @@
     /// Answers an entry that reports its demand.
     ///
     /// A share that others have to give up first becomes free with their own next report, or when their grant ends.
+    /// What nobody wants is split over all `entries`, also those that have not reported yet: otherwise the first one
+    /// would hold the whole limit, and the next ones would refuse requests until it reports again.
     pub fn ask(
         &mut self,
         now: Millis,
@@ -72,6 +74,7 @@
         demand: Share,
         limit: Share,
         lifetime: Millis,
+        entries: u32,
     ) -> Share {
         self.claims.retain(|_, c| c.grant.until > now);
         let held = |f: fn(&Share) -> u64| -> u64 {
@@ -83,7 +86,7 @@
             others.map(|(_, c)| f(&c.demand)).collect()
         };
         let part = |limit: u64, f: fn(&Share) -> u64| {
-            let target = max_min(limit, f(&demand), wanted(f));
+            let target = max_min(limit, f(&demand), wanted(f), entries);
             target.min(limit.saturating_sub(held(f)))
         };
         let share = Share {
@@ -104,21 +107,20 @@
     }
 }
 
-/// Returns the max-min fair part of one claimant among others, with what nobody wants split evenly.
-fn max_min(limit: u64, own: u64, mut others: Vec<u64>) -> u64 {
+/// Returns the max-min fair part of one claimant among others, with what nobody wants split evenly
+/// over all entries.
+fn max_min(limit: u64, own: u64, mut others: Vec<u64>, entries: u32) -> u64 {
     others.push(own);
     others.sort_unstable();
     let mut left = limit;
-    let mut level = 0;
     let count = others.len() as u64;
     for (i, want) in others.iter().enumerate() {
-        level = left / (count - i as u64);
+        let level = left / (count - i as u64);
         if *want >= level {
             // From here on nobody gets all that it wants.
             return own.min(level);
         }
         left -= want;
     }
-    let _ = level;
-    own + left / count
+    own + left / count.max(entries.into())
 }
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -77,7 +77,7 @@
             };
             let key = (i.service.clone(), i.workspace.clone());
             let pool = pools.entry(key).or_default();
-            let granted = pool.ask(now, sender, share(i), limit, lifetime);
+            let granted = pool.ask(now, sender, share(i), limit, lifetime, shared.entries());
             Some(item(&i.service, &i.workspace, granted))
         };
         ShareReply {
--- a/standin/src/load/report.rs
+++ b/standin/src/load/report.rs
@@ -106,11 +106,15 @@
         let models = || self.records.iter().filter(|r| !r.order);
         let good = self.records.iter().filter(|r| self.is_good(r)).count();
         let mut outcomes = BTreeMap::<String, u64>::new();
+        let mut reasons = BTreeMap::<&str, u64>::new();
         let mut workspaces = BTreeMap::<&str, (usize, usize)>::new();
         for r in &self.records {
             let kind = if r.order { "order" } else { "completion" };
             let verdict = &r.answer.verdict;
             *outcomes.entry(format!("{kind}_{verdict}")).or_default() += 1;
+            if *verdict != Verdict::Good {
+                *reasons.entry(&r.answer.text).or_default() += 1;
+            }
             let w = workspaces.entry(&r.workspace).or_default();
             w.0 += 1;
             w.1 += usize::from(self.is_good(r));
@@ -127,7 +131,7 @@
             .collect();
         json!({
             "offered": self.rate(self.records.len()), "goodput": self.rate(good),
-            "outcomes": outcomes, "workspaces": workspaces, "ttft": quantiles(&first),
+            "outcomes": outcomes, "reasons": reasons, "workspaces": workspaces, "ttft": quantiles(&first),
             "itl": quantiles(&gaps), "order": quantiles(&order),
         })
     }
--- /dev/null
+++ b/tests/share_pool.rs
@@ -0,0 +1,63 @@
+//! Shares of a workspace's limits between entries.
+
+use sesamewing::{
+    base::{Millis, ProcessName},
+    decide::limit::share::{Pool, Share},
+};
+
+const LIMIT: Share = Share {
+    concurrency: 60,
+    rate: 600_000,
+};
+
+const LIFETIME: Millis = Millis(3000);
+
+fn name(text: &str) -> ProcessName {
+    text.parse().expect("a valid name")
+}
+
+/// Guards against the first entry that reports holding the whole limit, so that the others refuse requests of an idle
+/// workspace until it reports again.
+#[test]
+fn later_entries_find_room() {
+    let mut pool = Pool::default();
+    let demand = Share {
+        concurrency: 2,
+        rate: 2000,
+    };
+    let mut sum = Share::default();
+    for entry in ["a", "b", "c"] {
+        let share = pool.ask(Millis(10), &name(entry), demand, LIMIT, LIFETIME, 3);
+        // At least the demand, and half of an equal share for growth.
+        assert!(share.concurrency >= 10, "{entry}: {share:?}");
+        assert!(share.rate >= 100_000, "{entry}: {share:?}");
+        sum.concurrency += share.concurrency;
+        sum.rate += share.rate;
+    }
+    assert!(sum.concurrency <= LIMIT.concurrency && sum.rate <= LIMIT.rate);
+}
+
+/// Guards against an overshoot when demand is beyond the limit, also when more entries report than are known.
+#[test]
+fn grants_stay_within_the_limit() {
+    for entries in [1, 2, 3, 9] {
+        let mut pool = Pool::default();
+        for round in 0..20_u64 {
+            let mut sum = Share::default();
+            for (i, entry) in ["a", "b", "c"].iter().enumerate() {
+                let demand = Share {
+                    concurrency: (round as u32 * 7 + i as u32 * 11) % 90,
+                    rate: (round * 70_000 + i as u64 * 110_000) % 900_000,
+                };
+                let now = Millis(round * 1000 + i as u64);
+                let share = pool.ask(now, &name(entry), demand, LIMIT, LIFETIME, entries);
+                sum.concurrency += share.concurrency;
+                sum.rate += share.rate;
+            }
+            assert!(
+                sum.concurrency <= LIMIT.concurrency && sum.rate <= LIMIT.rate,
+                "{entries} entries, round {round}: {sum:?}"
+            );
+        }
+    }
+}
