--- a/src/agent/claims/reader.rs
+++ b/src/agent/claims/reader.rs
@@ -20,8 +20,10 @@
 /// Passes on the records of the stream in order until the driver ends.
 pub(super) async fn follow<L: Log>(log: L, events: mpsc::Sender<Event>) {
     let mut from = Offset(1);
+    // Without a wait until the end was read once, so that the driver soon knows that it is up to date.
+    let mut wait = Millis::ZERO;
     loop {
-        let event = match log.read(Stream::Claims, from, READ_MAX, READ_WAIT).await {
+        let event = match log.read(Stream::Claims, from, READ_MAX, wait).await {
             Ok(page) if page.next < from => Event::Blocked(format!(
                 "the log ends at {}, this process has read up to {from}",
                 page.next
@@ -33,6 +35,7 @@
             Err(e) => Event::Unreachable(e.to_string()),
         };
         let failed = !matches!(event, Event::Page(_));
+        wait = if failed { Millis::ZERO } else { READ_WAIT };
         if events.send(event).await.is_err() {
             return;
         }
--- a/tests/common/agent/mod.rs
+++ b/tests/common/agent/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod daemon;
 pub(crate) mod engine;
+pub(crate) mod fake;
 pub(crate) mod http;
 pub(crate) mod log;
 pub(crate) mod platform;
