fix: reports on change, load retries and wait estimate of the agent

Change: the reporter compares states; the loader keeps a version until its command succeeds and sends none while leaving; the estimate counts the time from the first to the last part. Ends of requests are recorded in the timeline.

--- a/src/agent/board.rs
+++ b/src/agent/board.rs
@@ -57,7 +57,7 @@
     alarms: Mutex<BTreeMap<u16, String>>,
     /// Number of the next prefix, and the latest prefixes, oldest first; at most [`PREFIXES_MAX`].
     prefixes: Mutex<(u64, VecDeque<u64>)>,
-    /// Running mean of the time that a request takes, in milliseconds.
+    /// Running mean of the time from the first to the last part of an answer, in milliseconds.
     mean: Mutex<Option<f64>>,
 }
 
@@ -180,14 +180,14 @@
         lock(&self.drain).is_done(now)
     }
 
-    /// Takes note of how long a request took.
+    /// Takes note of the time from the first to the last part of an answer; excludes the wait at the endpoint.
     pub fn observe_time(&self, took: Millis) {
         let mut mean = lock(&self.mean);
         let took = took.0 as f64;
         *mean = Some(mean.map_or(took, |m| m + (took - m) / 16.0));
     }
 
-    /// Estimates how long a new request waits at the endpoint before it runs.
+    /// Estimates how long a new request waits at the endpoint before it runs, rather too short than too long.
     ///
     /// Counts the requests of this agent, because the endpoint's own report lags.
     pub fn wait_estimate(&self) -> Millis {
--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -84,11 +84,18 @@
         let mut loaded: Option<Target> = None;
         let mut guard = None;
         let mut gate = FenceGate::default();
+        // Kept while the command fails, so that a retry does not fetch the version again.
+        let mut held: Option<(Target, Complete)> = None;
         loop {
             let Some(target) = self.wanted(loaded.as_ref()).await else {
                 continue;
             };
-            let Some(complete) = self.obtain(&target).await else {
+            let kept = held.take().filter(|(t, _)| *t == target);
+            let complete = match kept {
+                Some((_, complete)) => Some(complete),
+                None => self.obtain(&target).await,
+            };
+            let Some(complete) = complete else {
                 continue;
             };
             if guard.is_none() {
@@ -103,6 +110,7 @@
                 }
                 Err(e) => {
                     self.board.raise(&LOAD_FAILED, &e.to_string());
+                    held = Some((target, complete));
                     tokio::time::sleep(RETRY_PAUSE.duration()).await;
                 }
             }
@@ -119,7 +127,7 @@
             let confirmed = now.endpoint.version.as_ref() == Some(&t.version);
             // Names are unique, unless this agent itself loaded another manifest under the name.
             let same = loaded.is_none_or(|l| l.version != t.version || l == t);
-            now.ready && !(confirmed && same)
+            now.ready && !now.leaving && !(confirmed && same)
         });
         if target.is_none() {
             tokio::select! {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -84,6 +84,7 @@
         service: settings.service,
         replica: ctx.replica.clone(),
         board: board.clone(),
+        timeline: ctx.timeline.clone(),
         clock: ctx.clock,
     };
     let server = Arc::new(serve::Server {
--- a/src/agent/report.rs
+++ b/src/agent/report.rs
@@ -39,7 +39,7 @@
         let mut changes = board.watch();
         let (mut from, _) = board.prefixes(u64::MAX);
         loop {
-            let leaving = changes.borrow_and_update().leaving;
+            let sent = changes.borrow_and_update().clone();
             let (next, prefixes) = board.prefixes(from);
             from = next;
             let report = self.report(ctx, service, board, prefixes);
@@ -48,12 +48,13 @@
             }
             let changed = async {
                 // A leaving report is not held back.
-                let urgent = changes.wait_for(|v| v.leaving && !leaving);
-                if tokio::time::timeout(SPACING.duration(), urgent)
+                let urgent = changes.wait_for(|v| v.leaving && !sent.leaving);
+                let held = tokio::time::timeout(SPACING.duration(), urgent)
                     .await
-                    .is_err()
-                {
-                    let _ = changes.changed().await;
+                    .is_err();
+                if held {
+                    // Compares states, because the wait before takes note of changes without reporting them.
+                    let _ = changes.wait_for(|v| *v != sent).await;
                 }
             };
             tokio::select! {
--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -13,6 +13,7 @@
     emit,
     endpoint::{Endpoint, EndpointError, Run},
     feed::Replica,
+    observe::Timeline,
     wire::{NotRun, Reply, RunOutcome, RunRequest},
 };
 
@@ -35,6 +36,8 @@
     pub replica: Arc<Replica>,
     /// State of the agent.
     pub board: Arc<Board>,
+    /// Recent events.
+    pub timeline: Timeline,
     /// Clock of the process.
     pub clock: SystemClock,
 }
@@ -112,14 +115,30 @@
         };
         match result {
             Ok(()) => {
-                self.board.observe_time(self.clock.now() - received);
                 emit!(REQUEST_DONE, "request {}", req.id);
+                self.timeline.record(&REQUEST_DONE, req.id, "");
             }
             Err(End::Gone) => self.endpoint.cancel(req.id).await,
-            Err(End::Failed(outcome)) => fail(req, outcome, sink).await,
+            Err(End::Failed(outcome)) => self.fail(req, outcome, sink).await,
         }
     }
 
+    /// Ends the replies to a request without a whole answer.
+    pub(super) async fn fail<K: Sink>(&self, req: &RunRequest, outcome: RunOutcome, sink: &mut K) {
+        emit!(REQUEST_FAILED, "request {}: {outcome:?}", req.id);
+        self.timeline
+            .record(&REQUEST_FAILED, req.id, format!("{outcome:?}"));
+        let retry = retry_after(&outcome);
+        // An entry that no longer reads needs no outcome.
+        let _ = sink
+            .send(Reply::Failed {
+                id: req.id,
+                outcome,
+                retry,
+            })
+            .await;
+    }
+
     /// Exchanges with the endpoint until the answer is whole.
     async fn exchange<K: Sink>(
         &self,
@@ -222,6 +241,7 @@
             sink.send(reply).await?;
         }
         let mut limit = Millis::MAX;
+        let mut begun = None;
         loop {
             let left = deadline - self.clock.now();
             let part = self
@@ -229,8 +249,10 @@
                 .await
                 .map_err(|c| self.in_time(c, deadline))?;
             limit = self.stall();
+            let begun = *begun.get_or_insert_with(|| self.clock.now());
             let next = answer.part(part).map_err(cut)?;
             if deliver(next, sink).await? {
+                self.board.observe_time(self.clock.now() - begun);
                 return Ok(());
             }
         }
@@ -280,17 +302,3 @@
     sink.send(reply).await?;
     Ok(last)
 }
-
-/// Ends the replies to a request without a whole answer.
-pub(super) async fn fail<K: Sink>(req: &RunRequest, outcome: RunOutcome, sink: &mut K) {
-    emit!(REQUEST_FAILED, "request {}: {outcome:?}", req.id);
-    let retry = retry_after(&outcome);
-    // An entry that no longer reads needs no outcome.
-    let _ = sink
-        .send(Reply::Failed {
-            id: req.id,
-            outcome,
-            retry,
-        })
-        .await;
-}
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -4,14 +4,15 @@
 
 use super::{
     claims::{self, Claims},
+    event::{REQUEST_DONE, REQUEST_FAILED},
     report::Reporter,
-    runner,
     sink::Sink,
     Runner,
 };
 use crate::{
     base::{Attempt, Clock, Millis, Offset},
     decide::claim::Verdict,
+    emit,
     endpoint::Endpoint,
     net::{Call, Incoming},
     process::Context,
@@ -58,6 +59,7 @@
                     .serve(&self.ctx, &self.runner.service, board, req, call)
                     .await;
             }
+            // The stream is reset, so that the peer asks another process.
             wire::Call::Have(_) | wire::Call::Chunk(_) => {}
             wire::Call::Feed(_) => {}
         }
@@ -65,18 +67,18 @@
 
     async fn run(&self, req: RunRequest, applied: Offset, received: Millis, mut call: Call) {
         let Some(permit) = self.runner.board.enter() else {
-            return refuse(&req, NotRun::Leaving, call).await;
+            return self.refuse(&req, NotRun::Leaving, call).await;
         };
         if !self.ctx.replica.wait_for(applied, CATCH_UP).await {
-            return refuse(&req, NotRun::Version, call).await;
+            return self.refuse(&req, NotRun::Version, call).await;
         }
         match (&self.claims, req.attempt) {
             (Some(claims), Some(attempt)) => {
                 self.claim(claims, req, attempt, received, &mut call).await;
             }
-            (None, Some(_)) => return refuse(&req, NotRun::Service, call).await,
+            (None, Some(_)) => return self.refuse(&req, NotRun::Service, call).await,
             (Some(_), None) if !self.is_repeatable(&req) => {
-                return refuse(&req, NotRun::Version, call).await;
+                return self.refuse(&req, NotRun::Version, call).await;
             }
             (_, None) => self.runner.stream(&req, received, &mut call.tx).await,
         }
@@ -84,6 +86,12 @@
         drop(permit);
     }
 
+    async fn refuse(&self, req: &RunRequest, reason: NotRun, mut call: Call) {
+        let outcome = RunOutcome::NotRun(reason);
+        self.runner.fail(req, outcome, &mut call.tx).await;
+        flush(call).await;
+    }
+
     /// Returns whether the settings in force allow the request to run more than once.
     ///
     /// The entry decides this, possibly on older settings.
@@ -109,25 +117,22 @@
         let deadline = received + req.remaining;
         let refusal = self.runner.refusal(&req, deadline);
         if refusal == Some(NotRun::Service) {
-            return runner::fail(&req, RunOutcome::NotRun(NotRun::Service), &mut call.tx).await;
+            let outcome = RunOutcome::NotRun(NotRun::Service);
+            return self.runner.fail(&req, outcome, &mut call.tx).await;
         }
         let id = req.id;
         let verdict = claims.submit(req, attempt, deadline, refusal).await;
-        if matches!(verdict, Verdict::Done { .. }) {
-            self.runner
-                .board
-                .observe_time(self.ctx.clock.now() - received);
-        }
+        let (event, text) = match &verdict {
+            Verdict::Done { status, .. } => (&REQUEST_DONE, status.to_string()),
+            Verdict::Failed(outcome) => (&REQUEST_FAILED, format!("{outcome:?}")),
+        };
+        emit!(event, "request {id}: {text}");
+        self.ctx.timeline.record(event, id, text);
         // An entry that no longer reads asks again under the same id.
         let _ = claims::answer(id, verdict, &mut call.tx).await;
     }
 }
 
-async fn refuse(req: &RunRequest, reason: NotRun, mut call: Call) {
-    runner::fail(req, RunOutcome::NotRun(reason), &mut call.tx).await;
-    flush(call).await;
-}
-
 /// Ends the stream and waits until the entry has read it, so that an exit does not cut the answer.
 async fn flush(mut call: Call) {
     call.tx.finish();
