fix: bound given-up attempts and requests in progress of an agent

Cause: an attempt that was given up stayed in its table forever if its void had no effect, and an endpoint without a reported capacity had no bound.

Change: the entry is removed when the own void is read back, the table counts towards the limit of requests in hand, and at most 4096 requests are in progress.

--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -20,6 +20,9 @@
 /// Further exchanges with the endpoint after an answer broke off.
 const RESUMES_MAX: u32 = 2;
 
+/// Requests in progress at once; bounds the memory of an agent whose endpoint reports no capacity.
+const RUNNING_MAX: u32 = 4096;
+
 /// Pause before a further exchange.
 const RESUME_PAUSE: Millis = Millis(20);
 
@@ -91,7 +94,7 @@
             Some(NotRun::Endpoint)
         } else if view.weights && (req.version.is_none() || req.version != view.endpoint.version) {
             Some(NotRun::Version)
-        } else if left <= self.board.wait_estimate() {
+        } else if view.running > RUNNING_MAX || left <= self.board.wait_estimate() {
             Some(NotRun::Busy)
         } else {
             None
--- a/src/decide/claim/runner.rs
+++ b/src/decide/claim/runner.rs
@@ -31,7 +31,7 @@
     pub(super) works: HashMap<RequestId, Work<P>>,
     /// At most [`WORKS_MAX`].
     pub(super) settles: Vec<Settle>,
-    /// Attempts that were claimed and given up, until their void is read back.
+    /// Attempts that were claimed and given up, until their void is read back; at most [`WORKS_MAX`] and those in hand.
     pub(super) given_up: HashSet<(RequestId, Attempt)>,
     pub(super) outbox: Outbox,
     pub(super) memory: Memory,
@@ -136,7 +136,7 @@
         if self.is_blocked(now) {
             return self.answer(ticket, RunOutcome::NotRun(NotRun::Log));
         }
-        let full = self.works.len() + self.outbox.backlog() >= WORKS_MAX;
+        let full = self.pending() + self.given_up.len() >= WORKS_MAX;
         if full || !self.void_prior(now, &s.id, s.attempt) {
             return self.answer(ticket, RunOutcome::NotRun(NotRun::Busy));
         }
@@ -325,6 +325,11 @@
                 self.read_back(now, record.id, claim, *first);
             }
         }
+        if let Body::Voids(voids) = &record.body {
+            for v in voids.iter().filter(|v| v.instance == self.own.instance) {
+                self.given_up.remove(&(v.request, v.attempt));
+            }
+        }
         let ids: Vec<_> = match &record.body {
             Body::Claims(b) => b.iter().map(|c| c.request).collect(),
             Body::Voids(b) => b.iter().map(|v| v.request).collect(),
