test: what the endpoint adapters know of an unanswered request

Cause: "not run" depends on the adapters telling a connection that was never opened from a request that was sent.

Change: closed ports, cut and silent answers, server errors of an engine, and a kept connection that swallows a request.

--- /dev/null
+++ b/tests/endpoint_errors.rs
@@ -0,0 +1,111 @@
+//! What the HTTP adapters know of a request that brought no answer.
+
+#[path = "common/agent/mod.rs"]
+mod common;
+
+use std::sync::{
+    atomic::{AtomicUsize, Ordering},
+    Arc,
+};
+
+use assert_matches::assert_matches;
+use common::{daemon, http, within};
+use sesamewing::{
+    base::Millis,
+    endpoint::{Endpoint, EndpointError, Engine, Part, Plain, Run},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+const LIMIT: Millis = Millis(30_000);
+
+/// Guards against "may have run" for a connection that was never opened.
+#[tokio::test]
+async fn closed_port_is_unsent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    drop(listener);
+    let base = format!("http://{addr}");
+    let plain = Plain::new(&base).expect("an adapter");
+    let engine = Engine::new(&base).expect("an adapter");
+    let req = daemon::request(None, 1);
+    assert_matches!(
+        plain.run(&req, LIMIT).await.err(),
+        Some(EndpointError::NotSent(_))
+    );
+    let error = engine.run(&req, LIMIT).await.err();
+    assert_matches!(error, Some(e) if e.is_unsent());
+}
+
+/// Guards against "not run" for a request that was sent: the answer is cut, silent, or a server error of an engine.
+#[tokio::test]
+async fn sent_request_is_never_unsent() {
+    let addr = http::serve(|req, mut out| async move {
+        match req.path.as_str() {
+            "/silent" => std::future::pending().await,
+            "/cut-body" => http::head(&mut out, 200, &[("Content-Length", "9")]).await,
+            "/v1/completions" => http::respond(&mut out, 500, b"").await,
+            _ => {}
+        }
+    })
+    .await;
+    let base = format!("http://{addr}");
+    let plain = Plain::new(&base).expect("an adapter");
+    let mut req = daemon::request(None, 1);
+    req.path = "/cut".to_owned();
+    assert_matches!(
+        plain.run(&req, LIMIT).await.err(),
+        Some(EndpointError::Lost(_))
+    );
+    req.path = "/silent".to_owned();
+    let error = plain.run(&req, Millis(100)).await.err();
+    assert_eq!(error, Some(EndpointError::Silent(Millis(100))));
+    req.path = "/cut-body".to_owned();
+    let mut run = plain.run(&req, LIMIT).await.expect("a head");
+    assert_matches!(run.next(LIMIT).await, Err(EndpointError::Lost(_)));
+    let engine = Engine::new(&base).expect("an adapter");
+    let error = engine.run(&req, LIMIT).await.err();
+    assert_matches!(error, Some(e) if !e.is_unsent());
+}
+
+/// Guards against a second send of a request that a kept connection swallowed.
+#[tokio::test]
+async fn request_on_a_kept_connection_is_sent_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    let seen = Arc::new(AtomicUsize::new(0));
+    let counter = seen.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            // Answers the first request of each connection and closes it upon the second one.
+            for answer in [true, false] {
+                let mut head = Vec::new();
+                while !head.ends_with(b"\r\n\r\n") {
+                    match stream.read_u8().await {
+                        Ok(b) => head.push(b),
+                        Err(_) => return,
+                    }
+                }
+                counter.fetch_add(1, Ordering::SeqCst);
+                if answer {
+                    let text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                    stream.write_all(text.as_bytes()).await.expect("a client");
+                }
+            }
+        }
+    });
+    let plain = Plain::new(&format!("http://{addr}")).expect("an adapter");
+    let mut req = daemon::request(None, 1);
+    req.method = "DELETE".to_owned();
+    req.body = Default::default();
+    let mut run = within("an answer", plain.run(&req, LIMIT))
+        .await
+        .expect("a head");
+    while !matches!(run.next(LIMIT).await.expect("a part"), Part::End { .. }) {}
+    drop(run);
+    let error = within("an end", plain.run(&req, LIMIT)).await.err();
+    assert_matches!(error, Some(e) if !e.is_unsent());
+    assert_eq!(seen.load(Ordering::SeqCst), 2);
+}
