test: missing tokens, and trials that remove each guard

Cause: a trial without the checks of token order and token count passed all tests.

Change: an engine that leaves out a token in the middle or at the end.

Trials on a scratch copy, one guard removed at a time; each line names tests that failed: - run without being first: same_attempt_at_two_agents_runs_once, two_agents_run_an_attempt_once, claims_hold_under_random_faults - claim with a lost append answer not given up: lost_append_answer_never_runs - refused append keeps requests waiting: log_outage_refuses_at_once_without_run - late read-back runs: late_read_back_does_not_run - settlement voids with the claiming instance: claims_hold_under_random_faults - no own void after giving up: lost_append_answer_is_not_run - no own void after an unsent run: unsent_run_is_voided_before_the_answer - digest not compared: repeats_join_or_get_the_first_outcome - sent without answer reported as not run: sent_without_answer_stays_unknown - several appends in flight: one_append_is_in_flight - no clock check: frozen_holder_renews_before_the_command - term counted from the read-back: frozen_holder_sends_no_command - expiry without margin: lease_of_a_predecessor_is_waited_out - stale tokens admitted: older_tokens_are_refused - guard address not bound: taken_guard_address_holds_back_commands - new work during a drain: drain_cuts_nothing - drain ignores work: drain_ends_after_work_and_notice - version not checked in an answer: version_change_in_an_answer_fails_it - version not checked before: other_version_is_refused_unsent - foreign parts passed on: late_part_of_another_request_is_dropped - token order or count not checked: missing_tokens_are_asked_for_again - no resumption: broken_answer_is_resumed_at_the_next_token - no cancellation: reset_by_the_entry_cancels_at_the_engine - sender's offset not awaited: agent_behind_the_sender_refuses_unsent - lost answer taken as unsent: unsent_and_unanswered_are_told_apart - unsent taken as lost: unsent_and_unanswered_are_told_apart - redirects followed: claimed_request_runs_once - methods not checked: settled_and_unclaimed_requests_do_not_run - chunk and whole hash both unchecked: corrupted_version_is_not_loaded_and_is_replaced

Two checks are redundant and no test fails without one of them alone: chunk hash and whole hash cover each other, and so do the ids of the head and of the parts of a claimed answer.

--- a/tests/agent_run.rs
+++ b/tests/agent_run.rs
@@ -175,6 +175,20 @@
     assert_eq!(daemon::text(&replies), "w2 w3 w4 ");
 }
 
+/// Guards against answers that lack a token in the middle or at the end and are presented as whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn missing_tokens_are_asked_for_again() {
+    let rig = Rig::start().await;
+    for omit in [2, 4] {
+        rig.engine.with(|s| s.omit = Some(omit));
+        let req = daemon::request(Some("v1"), 5);
+        let replies = rig.client.run(&req).await;
+        assert_eq!(daemon::text(&replies), "w0 w1 w2 w3 w4 ");
+        let resumes = rig.engine.state().resumes;
+        assert_eq!(resumes.last(), Some(&(req.id.to_string(), omit)));
+    }
+}
+
 /// Guards against endless resumption and against an end without an explicit outcome.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answer_that_keeps_breaking_fails_explicitly() {
--- a/tests/common/agent/engine.rs
+++ b/tests/common/agent/engine.rs
@@ -29,6 +29,8 @@
     pub(crate) whole: u32,
     /// Tokens after which the next answer is cut.
     pub(crate) cut_after: Option<u64>,
+    /// Token that the next answer leaves out.
+    pub(crate) omit: Option<u64>,
     /// Cuts every answer after its head.
     pub(crate) always_cut: bool,
     /// Token from which on the next answer names this version.
@@ -150,8 +152,9 @@
             Some((at, v)) if i >= *at => v.clone(),
             _ => version.clone(),
         };
+        let omit = self.with(|s| s.omit.take());
         let mut open = self.open.subscribe();
-        for i in from..to {
+        for i in (from..to).filter(|i| omit != Some(*i)) {
             if cut == Some(i) {
                 return;
             }
