fix: do not let false claims of a host hold up leaders

Cause: a host that claimed every chunk and delivered none kept all leaders from the origin; two exchange tests never ended (180 s limit). Change: a chunk counts as visible only while a neighbour that delivers, or this host, holds it; hosts that failed twice are replaced for 5 s, doubling.

--- a/src/decide/chunk/mod.rs
+++ b/src/decide/chunk/mod.rs
@@ -6,6 +6,7 @@
 mod bitmap;
 mod config;
 mod event;
+mod peer;
 mod scheduler;
 mod topology;
 mod window;
--- a/src/decide/chunk/scheduler.rs
+++ b/src/decide/chunk/scheduler.rs
@@ -3,6 +3,7 @@
 use super::{
     config::BACKOFF_MAX,
     event::{Action, Event, Fault, Source, Waste},
+    peer::{Flight, Peer},
     topology::{injection_order, CROSS_SOURCES},
     window::Window,
     Bitmap, Config, PeerId, Place, Topology,
@@ -20,29 +21,11 @@
 const AWAY: Millis = Millis(5000);
 
 /// Failures in a row after which a peer is replaced by another neighbour.
-const FAILURES_MAX: u32 = 3;
+const FAILURES_MAX: u32 = 2;
 
 /// Time until a leader of another region asks again for a chunk that the store's region does not hold yet.
 const CROSS_RETRY: Millis = Millis(100);
 
-#[derive(Debug)]
-struct Peer {
-    id: PeerId,
-    place: Place,
-    has: Bitmap,
-    flights: usize,
-    failures: u32,
-    /// Not asked before this time.
-    until: Millis,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Flight {
-    chunk: u32,
-    from: Source,
-    since: Millis,
-}
-
 /// Decides what one agent fetches for one manifest.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -190,22 +173,34 @@
         if let Some(i) = self.peers.iter().position(|p| p.id == id) {
             let peer = self.peers.swap_remove(i);
             for c in peer.has.iter() {
-                self.copies[c as usize] -= 1;
+                self.lose_copy(c);
             }
         }
     }
 
+    fn lose_copy(&mut self, chunk: u32) {
+        let copies = &mut self.copies[chunk as usize];
+        *copies -= 1;
+        if *copies == 0 && !self.held.contains(chunk) {
+            self.window.lose(chunk);
+        }
+    }
+
     fn peer(&mut self, id: PeerId) -> Option<&mut Peer> {
         self.peers.iter_mut().find(|p| p.id == id)
     }
 
     fn add_copies(&mut self, now: Millis, id: PeerId, chunks: &[u32]) {
+        // What a peer claims that failed before does not keep leaders from fetching the chunk.
+        let trusted = !self.away.contains_key(&id);
         let Some(peer) = self.peers.iter_mut().find(|p| p.id == id) else {
             return;
         };
         for &c in chunks {
             if peer.has.insert(c) {
                 self.copies[c as usize] += 1;
+            }
+            if trusted && peer.has.contains(c) {
                 self.window.see(c, now);
             }
         }
@@ -248,9 +243,13 @@
         match from {
             Source::Origin => self.origin = (0, Millis::ZERO),
             Source::Peer(id) => {
-                self.away.remove(&id);
+                let restored = self.away.remove(&id).is_some();
                 if let Some(peer) = self.peer(id) {
                     peer.failures = 0;
+                    if restored {
+                        let has: Vec<u32> = peer.has.iter().collect();
+                        self.add_copies(now, id, &has);
+                    }
                 }
             }
         }
@@ -295,7 +294,7 @@
             Fault::Busy => peer.until = now + busy,
             Fault::Missing => {
                 if peer.has.remove(chunk) {
-                    self.copies[chunk as usize] -= 1;
+                    self.lose_copy(chunk);
                 }
             }
             Fault::Corrupt => {}
--- a/src/decide/chunk/window.rs
+++ b/src/decide/chunk/window.rs
@@ -7,6 +7,8 @@
 #[derive(Debug)]
 pub(super) struct Window {
     order: Vec<u32>,
+    /// Position of each chunk in `order`.
+    places: Vec<usize>,
     seen: Bitmap,
     /// Time at which a chunk came into the window or may come, by chunk; restarted when the origin fails.
     since: Vec<Option<Millis>>,
@@ -55,8 +57,13 @@
 impl Window {
     pub(super) fn new(order: Vec<u32>, size: usize) -> Self {
         let len = order.len();
+        let mut places = vec![0; len];
+        for (place, &c) in order.iter().enumerate() {
+            places[c as usize] = place;
+        }
         Self {
             order,
+            places,
             seen: Bitmap::new(len as u32),
             since: vec![None; len],
             head: 0,
@@ -75,6 +82,25 @@
         if let Some(since) = self.since[chunk as usize] {
             self.delay = Millis((self.delay.0 * 7 + (now - since).0) / 8);
         }
+        self.advance();
+    }
+
+    /// Notes that the host that was seen with the chunk left or does not deliver.
+    pub(super) fn lose(&mut self, chunk: u32) {
+        if !self.seen.remove(chunk) {
+            return;
+        }
+        self.since[chunk as usize] = None;
+        if let Some(old) = &mut self.old {
+            old.remove(chunk);
+        }
+        if self.places[chunk as usize] < self.head {
+            (self.head, self.done) = (0, 0);
+            self.advance();
+        }
+    }
+
+    fn advance(&mut self) {
         while let Some(&c) = self
             .order
             .get(self.head)
--- a/tests/chunk_schedule/main.rs
+++ b/tests/chunk_schedule/main.rs
@@ -6,7 +6,11 @@
 mod swarm;
 
 use baseline::RandomPolicy;
-use sesamewing::{base::Rate, settings::Prefer};
+use sesamewing::{
+    base::{Millis, Rate},
+    decide::chunk::{Action, Event, Fault, Scheduler, Source},
+    settings::Prefer,
+};
 use swarm::{scheduler, Outcome, Setup, Swarm, HOST};
 
 /// Runs a setup with some seeds and returns the worst of each figure.
@@ -136,3 +140,60 @@
     println!("{out:?}");
     assert!(out.copies <= 1.05, "{out:?}");
 }
+
+/// Guards against leaders that wait for ever because a host falsely claims to hold every chunk.
+#[test]
+fn false_claims_do_not_stop_leaders() {
+    let setup = Setup::new(2, Prefer::Origin);
+    let mut node = scheduler(&setup, 0);
+    let peer = node.neighbours().next().expect("the other host");
+    let claim = |node: &mut Scheduler, now| {
+        node.handle(now, Event::Has(peer, (0..swarm::CHUNKS as u32).collect()));
+    };
+    let mut now = Millis::ZERO;
+    claim(&mut node, now);
+    while now < Millis::from_secs(60) {
+        match node.poll(now) {
+            Action::Fetch(_, Source::Origin) => return,
+            Action::Fetch(chunk, from) => {
+                now += Millis(2000);
+                node.handle(now, Event::Failed(chunk, from, Fault::Lost));
+            }
+            Action::Wait(at) => {
+                now = at;
+                claim(&mut node, now);
+            }
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+    panic!("the leader never fetched from the origin");
+}
+
+/// Guards against a fetch that goes on although its chunk came from elsewhere, and against uncounted duplicates.
+#[test]
+fn late_fetches_are_cancelled() {
+    let setup = Setup::new(3, Prefer::Origin);
+    let mut node = scheduler(&setup, 0);
+    let peers: Vec<_> = node.neighbours().collect();
+    let (from, other) = (Source::Peer(peers[0]), Source::Peer(peers[1]));
+    for c in 0..swarm::CHUNKS as u32 {
+        let event = if c == 0 {
+            Event::Has(peers[0], vec![0])
+        } else {
+            Event::Held(c)
+        };
+        node.handle(Millis(0), event);
+    }
+    assert_eq!(node.poll(Millis(0)), Action::Fetch(0, from));
+    node.handle(Millis(10), Event::Has(peers[1], vec![0]));
+    let Action::Wait(at) = node.poll(Millis(10)) else {
+        panic!("a second fetch before the stall delay");
+    };
+    assert_eq!(node.poll(at), Action::Fetch(0, other));
+    node.handle(at, Event::Arrived(0, other));
+    assert_eq!(node.poll(at), Action::Cancel(0, from));
+    assert_eq!(node.poll(at), Action::Done);
+    assert_eq!(node.waste().duplicates, 0);
+    node.handle(at, Event::Arrived(0, from));
+    assert_eq!(node.waste().duplicates, 1);
+}
