fix: leaders wait for neighbours' first reports

Cause: a restarted agent fetched the chunks that it leads from the origin before its neighbours had reported that they hold them. Change: leaders wait up to 500 ms for the first report of every neighbour; the first report may be empty.

--- a/src/decide/chunk/config.rs
+++ b/src/decide/chunk/config.rs
@@ -25,6 +25,9 @@
     /// a large window delays the first complete chunk, and a small one leaves the link idle until news has spread:
     /// simulated times to 200 replicas were 1.45 times the bound with 12, 1.11 with 24, 1.16 with 40.
     pub window: usize,
+    /// Longest time that leaders wait at the start for the first reports of all neighbours, so that a host that joins
+    /// late does not fetch from the origin what the others have.
+    pub grace: Millis,
     /// Time without progress after which the next rank takes over, and after which a request may be duplicated.
     pub stall: Millis,
     /// Time for which a busy peer is not asked again.
@@ -51,6 +54,7 @@
             flight: 8,
             origin: 2,
             window: 24,
+            grace: Millis(500),
             stall: STALL_MIN.max(chunk_ms.times(32)),
             busy: Millis((chunk_ms.0 / 2).clamp(5, 200)),
             backoff: Millis(500),
--- a/src/decide/chunk/event.rs
+++ b/src/decide/chunk/event.rs
@@ -30,7 +30,7 @@
 pub enum Event {
     /// The host list changed.
     Members(Topology),
-    /// A neighbour holds these chunks.
+    /// A neighbour holds these chunks; the first report may be empty.
     Has(PeerId, Vec<u32>),
     /// The subscription to a neighbour ended.
     Gone(PeerId),
--- a/src/decide/chunk/peer.rs
+++ b/src/decide/chunk/peer.rs
@@ -10,11 +10,27 @@
     pub(super) place: Place,
     pub(super) has: Bitmap,
     pub(super) flights: usize,
+    /// Whether it reported its chunks, even if it has none.
+    pub(super) reported: bool,
     pub(super) failures: u32,
     /// Not asked before this time.
     pub(super) until: Millis,
 }
 
+impl Peer {
+    pub(super) fn new(id: PeerId, place: Place, chunks: u32, flights: usize) -> Self {
+        Self {
+            id,
+            place,
+            has: Bitmap::new(chunks),
+            flights,
+            reported: false,
+            failures: 0,
+            until: Millis::ZERO,
+        }
+    }
+}
+
 /// A fetch in progress.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Flight {
--- a/src/decide/chunk/scheduler.rs
+++ b/src/decide/chunk/scheduler.rs
@@ -54,6 +54,8 @@
     corrupt: HashSet<PeerId>,
     /// Peers that are replaced until some time, and how often they were.
     away: HashMap<PeerId, (Millis, u32)>,
+    /// Time until which leaders wait for the first reports of neighbours; set by the first decision.
+    grace: Option<Millis>,
     /// Time at which the next of `away` may be a neighbour again.
     returns: Millis,
     waste: Waste,
@@ -84,6 +86,7 @@
             paced: false,
             corrupt: HashSet::default(),
             away: HashMap::default(),
+            grace: None,
             returns: Millis::MAX,
             waste: Waste::default(),
             rng,
@@ -157,14 +160,9 @@
             let known = self.peer(id).is_some();
             if let (false, Some(place)) = (known, self.topology.place(id)) {
                 let from = Source::Peer(id);
-                self.peers.push(Peer {
-                    id,
-                    place,
-                    has: Bitmap::new(self.chunks.len() as u32),
-                    flights: self.flights.iter().filter(|f| f.from == from).count(),
-                    failures: 0,
-                    until: Millis::ZERO,
-                });
+                let flights = self.flights.iter().filter(|f| f.from == from).count();
+                let len = self.chunks.len() as u32;
+                self.peers.push(Peer::new(id, place, len, flights));
             }
         }
     }
@@ -196,6 +194,7 @@
         let Some(peer) = self.peers.iter_mut().find(|p| p.id == id) else {
             return;
         };
+        peer.reported = true;
         for &c in chunks {
             if peer.has.insert(c) {
                 self.copies[c as usize] += 1;
@@ -360,6 +359,11 @@
             .members()
             .iter()
             .any(|m| m.place == Place::Store);
+        let grace = *self.grace.get_or_insert(now + self.config.grace);
+        if grace > now && !self.peers.iter().all(|p| p.reported) {
+            *wake = grace.min(*wake);
+            return None;
+        }
         if self.origin.1 > now {
             *wake = self.origin.1.min(*wake);
             return None;
--- a/src/weights/copy.rs
+++ b/src/weights/copy.rs
@@ -308,22 +308,25 @@
     };
     let open = shared.ctx.open(Call::Have(have));
     match shared.ctx.transport.call(addr, &open).await {
-        Ok(mut call) => loop {
-            let update = call.rx.next(UPDATE_MAX, HAVE_TIMEOUT).await;
-            let chunks: Vec<u32> = match update {
-                Ok(HaveUpdate::All(bits)) => {
-                    Bitmap::from_bytes(&bits, version.len()).iter().collect()
-                }
-                Ok(HaveUpdate::Added(chunks)) => chunks,
-                Err(e) => {
-                    log::debug!("the subscription to {addr} ended: {e}");
-                    break;
+        Ok(mut call) => {
+            for count in 0.. {
+                let update = call.rx.next(UPDATE_MAX, HAVE_TIMEOUT).await;
+                let chunks: Vec<u32> = match update {
+                    Ok(HaveUpdate::All(bits)) => {
+                        Bitmap::from_bytes(&bits, version.len()).iter().collect()
+                    }
+                    Ok(HaveUpdate::Added(chunks)) => chunks,
+                    Err(e) => {
+                        log::debug!("the subscription to {addr} ended: {e}");
+                        break;
+                    }
+                };
+                let useful = count == 0 || !chunks.is_empty();
+                if useful && updates.send(Event::Has(id, chunks)).await.is_err() {
+                    return;
                 }
-            };
-            if !chunks.is_empty() && updates.send(Event::Has(id, chunks)).await.is_err() {
-                return;
             }
-        },
+        }
         Err(e) => log::debug!("no subscription to {addr}: {e}"),
     }
     // The receiver is dropped when the copy ends.
