fix: give back the memory of abandoned copies

Cause: retain kept the version last asked for even after its copy was dropped or had completed. Change: only the copy in progress is protected; tests check the bytes in use after a replaced and a refused copy. Conclusion: retain frees everything that is neither named nor being copied.

--- a/src/weights/distribution.rs
+++ b/src/weights/distribution.rs
@@ -49,6 +49,8 @@
     pub(super) corrupt: Mutex<HashSet<PeerId>>,
     /// Held by the copy in progress.
     running: tokio::sync::Mutex<()>,
+    /// Manifest of the copy in progress.
+    active: Mutex<Option<Digest>>,
     pub(super) slots: Slots,
     pub(super) up: Pacer,
     pub(super) down: Pacer,
@@ -70,6 +72,22 @@
     }
 }
 
+/// Marks the copy in progress while it lives.
+struct Active<'a>(&'a Mutex<Option<Digest>>);
+
+impl<'a> Active<'a> {
+    fn enter(active: &'a Mutex<Option<Digest>>, manifest: Digest) -> Self {
+        *lock(active) = Some(manifest);
+        Self(active)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        *lock(self.0) = None;
+    }
+}
+
 /// Weights of one agent: chunks in memory, the copy in progress, and uploads to peers.
 #[derive(Debug)]
 pub struct Distribution<S = HttpPlatform> {
@@ -100,6 +118,7 @@
                 verified: Mutex::default(),
                 corrupt: Mutex::default(),
                 running: tokio::sync::Mutex::default(),
+                active: Mutex::default(),
                 slots: Slots::default(),
                 up: pacer(links.up),
                 down: pacer(links.down),
@@ -136,6 +155,7 @@
     async fn complete(&self, manifest: Digest) -> Result<Complete, WeightsError> {
         let shared = &self.shared;
         let _running = shared.running.lock().await;
+        let _active = Active::enter(&shared.active, manifest);
         loop {
             let version = run(shared, manifest).await?;
             // `retain` may have dropped the version meanwhile; then it is fetched again.
@@ -176,10 +196,10 @@
         Some((held, chunks.version(&wanted)?.len()))
     }
 
-    /// Gives back the memory of versions that are neither named nor last asked for.
+    /// Gives back the memory of versions that are neither named nor being copied.
     pub fn retain(&self, manifests: &[Digest]) {
-        let wanted = *self.shared.wanted.borrow();
-        let keep = |id: &Digest| manifests.contains(id) || wanted == Some(*id);
+        let active = *lock(&self.shared.active);
+        let keep = |id: &Digest| manifests.contains(id) || active == Some(*id);
         self.shared.chunks().retain(keep);
         lock(&self.shared.verified).retain(keep);
         self.shared.changes.send_replace(());
--- a/tests/weight_exchange/main.rs
+++ b/tests/weight_exchange/main.rs
@@ -159,6 +159,10 @@
     for result in first {
         assert_matches!(result, Err(WeightsError::Replaced(m)) if m == v1);
     }
+    for agent in &cluster.agents {
+        agent.weights.retain(&[v2]);
+        assert_eq!(agent.weights.used(), Size(new.len() as u64));
+    }
     assert!(
         cluster.origin.total() < 2 * CHUNKS,
         "{}",
@@ -182,6 +186,7 @@
     );
     assert_eq!(cluster.origin.total(), CHUNKS);
     weights.retain(&[]);
+    assert_eq!(weights.used(), Size(0));
     cluster.copy_all(v2, &new).await;
 }
 
