--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -31,7 +31,7 @@
                 concurrency: random.u32(0..100),
                 rate: random.u64(0..2_000_000),
             };
-            let got = pool.ask(now, &name, demand, limit, Millis(3000));
+            let got = pool.ask(now, &name, demand, limit, Millis(3000), 9);
             held.insert(name, (got, now + Millis(3000)));
             held.retain(|_, (_, until)| *until > now);
             let sum: u32 = held.values().map(|(s, _)| s.concurrency).sum();
@@ -49,7 +49,7 @@
             concurrency,
             rate: 0,
         };
-        pool.ask(Millis(1), &names[i], demand, limit, Millis(3000))
+        pool.ask(Millis(1), &names[i], demand, limit, Millis(3000), 3)
             .concurrency
     };
     assert_eq!(
--- a/tests/load_order.rs
+++ b/tests/load_order.rs
@@ -22,7 +22,7 @@
     observe::{RoleStatus, Timeline},
     platform::{Log, Page, PlatformError, Stream},
     process::Fencing,
-    weights::{Complete, Source, SourceError},
+    weights::{Complete, Source, WeightsError},
 };
 
 /// A manual clock that can jump at one of its readings, as if the process was frozen just before.
@@ -81,7 +81,9 @@
 struct Anything;
 
 impl Source for Anything {
-    async fn ensure(&self, _: Digest) -> Result<Complete, SourceError> {
+    type Error = WeightsError;
+
+    async fn ensure(&self, _: Digest) -> Result<Complete, WeightsError> {
         Ok(Complete {
             version: "v1".parse().expect("a name"),
             whole: Digest::of(b"w"),
@@ -89,6 +91,8 @@
         })
     }
 
+    fn retain(&self, _: &[Digest]) {}
+
     fn progress(&self) -> Option<(u32, u32)> {
         None
     }
--- a/tests/weight_exchange/main.rs
+++ b/tests/weight_exchange/main.rs
@@ -75,7 +75,7 @@
     assert!(corrupt.iter().all(|&c| c <= 1), "{corrupt:?}");
     let asked = *cluster.asked.borrow() as u64;
     assert!(
-        (1..=asked).contains(&corrupt.iter().sum()),
+        (1..=asked).contains(&corrupt.iter().sum::<u64>()),
         "{corrupt:?} of {asked}"
     );
 }
