fix: say not run of a repeated request id only with proof

Cause: an entry that has no room, or whose agent cannot use the log, answered a repeated id with not_run although an earlier call with the id, whose entry was lost, may have run. Ruled out: to ask the log first, because the same answer must be given at once while the log is down. Change: callers mark repeats with Sesamewing-Repeat, ids older than 1 s count as repeated; for them not_run becomes may_have_run with Retry-After unless a void attempt proves it.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 
 use super::{
-    answer,
+    answer, caller,
     events::{ADMITTED, ENDED, RECEIVED, REFUSED},
     flight::Flight,
     outcome::Problem,
@@ -97,6 +97,11 @@
             Action::Completion | Action::Plain => self.run(id, req, data).await,
         };
         Outcome::Success(done.unwrap_or_else(|p| {
+            let p = if caller::is_repeat(req) {
+                p.for_repeat()
+            } else {
+                p
+            };
             let text = format!("{}: {}", p.kind, p.error);
             self.shared.ctx.timeline.record(&REFUSED, id, text);
             p.response(id)
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -5,13 +5,16 @@
 
 use super::Problem;
 use crate::{
-    base::{Digest, Millis, RequestId, Workspace},
+    base::{wall_ms, Digest, Millis, RequestId, Workspace},
     settings::Access,
 };
 
 /// Longest deadline that a caller may name.
 const DEADLINE_MAX: Millis = Millis::from_secs(3600);
 
+/// Age up to which a request id counts as new if the caller does not say that it repeats it.
+const FRESH: Millis = Millis::from_secs(1);
+
 /// What the headers of a request say.
 pub(super) struct Caller {
     /// Workspace.
@@ -97,6 +100,21 @@
     }
 }
 
+/// Returns whether an earlier call with the same request id may exist.
+///
+/// A caller says so with a header. An id that is older than [`FRESH`] counts as repeated as well, for callers that do
+/// not send the header: to be wrong only weakens "not run" to "may have run".
+pub(super) fn is_repeat(req: &Request<'_>) -> bool {
+    let key = req.headers().get_one("Idempotency-Key");
+    let Some(id) = key.and_then(|k| k.trim().parse::<RequestId>().ok()) else {
+        return false;
+    };
+    let said = req.headers().get_one("Sesamewing-Repeat");
+    let created = id.created_ms().map(Millis);
+    said.is_some_and(|v| v.trim().eq_ignore_ascii_case("true"))
+        || created.is_some_and(|t| t + FRESH < Millis(wall_ms()))
+}
+
 fn bearer(req: &Request<'_>) -> Result<Option<Digest>, Problem> {
     let Some(text) = header(req, "Authorization")? else {
         return Ok(None);
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -301,7 +301,8 @@
             return Err(Problem::not_run(
                 "the agent was lost before it ran the request",
                 RETRY_PAUSE,
-            ));
+            )
+            .with_proof());
         }
         self.number = Number(self.number.0 + 1);
         self.note_retry(&Fail::Lost("the attempt was voided".to_owned()));
--- a/src/entry/outcome.rs
+++ b/src/entry/outcome.rs
@@ -68,6 +68,8 @@
     pub retry: Option<Millis>,
     /// Address of another entry for the next try.
     pub alternate: Option<String>,
+    /// Whether the log proves that no call with the request id ran.
+    pub proven: bool,
 }
 
 #[derive(Serialize)]
@@ -88,6 +90,7 @@
             remedy: remedy.into(),
             retry: None,
             alternate: None,
+            proven: false,
         }
     }
 
@@ -162,6 +165,28 @@
         )
     }
 
+    /// States that the log proves the outcome for every call with the request id.
+    pub(super) fn with_proof(mut self) -> Self {
+        self.proven = true;
+        self
+    }
+
+    /// Weakens "not run" for a repeated request id: this call did not run, but an earlier one may have.
+    pub(super) fn for_repeat(self) -> Self {
+        if self.kind != Kind::NotRun || self.proven {
+            return self;
+        }
+        let text = format!(
+            "this call did not run ({}), an earlier one may have",
+            self.error
+        );
+        Self {
+            retry: self.retry,
+            alternate: self.alternate,
+            ..Self::may_have_run(text)
+        }
+    }
+
     /// Names another entry for the next try.
     pub(super) fn with_alternate(mut self, address: Option<String>) -> Self {
         self.alternate = address;
--- a/tests/settle_outcomes.rs
+++ b/tests/settle_outcomes.rs
@@ -4,7 +4,7 @@
 
 use entry_support::{outcome, reply, whole, World};
 use sesamewing::{
-    base::{Digest, Millis, RequestId},
+    base::{wall_ms, Digest, Millis},
     kernel::Outcome,
     wire::{NotRun, Reply, RunOutcome, RunRequest, SettleReply},
 };
@@ -16,8 +16,14 @@
         .body("dig")
 }
 
+/// A new id whose time lies ahead, so that it counts as new however slow the machine is.
 fn fresh() -> String {
-    RequestId::now().to_string()
+    id_at(wall_ms() + 30_000)
+}
+
+fn id_at(unix_ms: u64) -> String {
+    let time = uuid::Timestamp::from_unix(uuid::NoContext, unix_ms / 1000, 0);
+    uuid::Uuid::new_v7(time).to_string()
 }
 
 /// Makes the agents lose the first request, and answer settle calls as given.
@@ -217,3 +223,28 @@
         assert_eq!(attempts, [1], "no claim was made, so the number stays");
     }
 }
+
+/// Guards against "not run" of an order that an earlier call with the same id may have placed.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_id_is_not_said_not_run() {
+    let world = World::plain(1).await;
+    world.agents[0].frames(|req| {
+        vec![Reply::Failed {
+            id: req.id,
+            outcome: RunOutcome::NotRun(NotRun::Log),
+            retry: Millis(400),
+        }]
+    });
+    let new = order(&world, &fresh());
+    let repeated = order(&world, &fresh()).header("Sesamewing-Repeat", "true");
+    let old = order(&world, &id_at(wall_ms() - 60_000));
+    for (req, status, kind) in [
+        (new, 503, "not_run"),
+        (repeated, 504, "may_have_run"),
+        (old, 504, "may_have_run"),
+    ] {
+        let (got, body) = outcome(req.send().await.unwrap()).await;
+        assert_eq!((got, &body["outcome"]), (status, &kind.into()));
+        assert!(body["retry_after_ms"].as_u64().is_some(), "{body}");
+    }
+}
