--- a/spec/src/lease.rs
+++ b/spec/src/lease.rs
@@ -1,7 +1,7 @@
 //! Leases with pauses, lapse and fencing.
 //!
 //! Two processes compete for one endpoint. Time is a global tick; a process may pause between any two steps, and the
-//! observer's clock may run ahead by up to [`DRIFT`] ticks.
+//! observer's clock may run ahead by up to one tick.
 
 use sesamewing::{
     base::{Fence, Instance, Millis, Offset},
