fix: answer "not run" while a started entry has no settings, and await the first reports

Cause: callers know the address of an entry that restarts. Before it had settings, it refused valid requests with 404 (unknown workspace), which callers take for final. Change: without settings the outcome is not_run with a time to retry and another entry; within 2 s after the start a request waits for the first agent, at most limit.wait.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -20,7 +20,7 @@
     stream,
 };
 use crate::{
-    base::{Millis, Region, RequestId, Zone},
+    base::{Millis, Offset, Region, RequestId, Zone},
     process::Phase,
     wire::{HostState, Role},
 };
@@ -154,6 +154,13 @@
             return Err(Problem::not_run("the entry is leaving", RETRY_PAUSE)
                 .with_alternate(shared.alternate()));
         }
+        if shared.settings().offset == Offset(0) {
+            // Without settings every workspace is unknown, and a caller would take that refusal for final.
+            return Err(
+                Problem::not_run("the entry has no settings yet", RETRY_PAUSE)
+                    .with_alternate(shared.alternate()),
+            );
+        }
         shared.ctx.timeline.record(&RECEIVED, id, "");
         let checked = match self.action {
             Action::Completion => request::completion(shared, id, req, data).await?,
@@ -180,8 +187,10 @@
             class,
             stream,
         } = checked;
-        let table = shared.table(&job.service);
-        if table.is_none_or(|t| t.targets().is_empty()) {
+        let wait = limit.wait.min(job.deadline - shared.now());
+        let warmed = shared.warmed(&job.service);
+        let _ = tokio::time::timeout(wait.duration(), warmed).await;
+        if !shared.has_agents(&job.service) {
             return Err(Problem::not_run(
                 "no agent of the service takes requests",
                 RETRY_PAUSE,
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -23,6 +23,12 @@
 /// Pause that callers are told to make when no better time is known.
 pub(super) const RETRY_PAUSE: Millis = Millis(1000);
 
+/// Time after the start within which the first reports of the agents arrive.
+const WARM_TIME: Millis = Millis(2000);
+
+/// Pause between two looks at the agents after the start.
+const WARM_PAUSE: Millis = Millis(20);
+
 /// Membership and what belongs to it.
 #[derive(Debug)]
 struct View {
@@ -147,6 +153,20 @@
         self.tables.load().get(service).cloned()
     }
 
+    /// Returns whether an agent of a service takes requests.
+    pub(super) fn has_agents(&self, service: &Service) -> bool {
+        let table = self.table(service);
+        table.is_some_and(|t| !t.targets().is_empty())
+    }
+
+    /// Waits shortly after the start for the first agent of a service: callers know the address of an entry that
+    /// restarts, and send requests before the reports of the agents have arrived.
+    pub(super) async fn warmed(&self, service: &Service) {
+        while self.now() < WARM_TIME && !self.has_agents(service) {
+            tokio::time::sleep(WARM_PAUSE.duration()).await;
+        }
+    }
+
     /// Returns the admission state of a service that is in the settings.
     pub(super) fn gate(&self, service: &Service) -> Arc<Gate> {
         let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -6,6 +6,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+#[allow(unused_imports, reason = "each test file uses a part")]
 pub use agent::{reply, whole, Agent};
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
 use sesamewing::{
