--- a/standin/src/load/caller.rs
+++ b/standin/src/load/caller.rs
@@ -33,15 +33,21 @@
         answer: Answer::new(Verdict::Lost, "not sent"),
         steps: Vec::new(),
     };
-    let mut last = None;
+    let (mut last, mut named) = (None, None::<String>);
     while out.steps.len() < CALLS_MAX {
-        let entry = client.pick(last.as_deref());
+        let entry = named.take().unwrap_or_else(|| client.pick(last.as_deref()));
         let answer = call(&client, start, &entry, &arrival, &mut out).await;
+        named.clone_from(&answer.alternate);
         let again = match (&answer.verdict, &arrival.work) {
             (Verdict::Lost, _) => {
                 client.failed(&entry);
                 true
             }
+            // The entry leaves and names another one.
+            (Verdict::NotRun, _) if named.is_some() => {
+                client.failed(&entry);
+                true
+            }
             (Verdict::InProgress, _) => true,
             (Verdict::NotRun, Work::Order { again, .. }) => *again && out.steps.len() < 2,
             _ => false,
@@ -51,7 +57,7 @@
         if !again {
             break;
         }
-        if out.answer.verdict != Verdict::Lost {
+        if out.answer.verdict != Verdict::Lost && named.is_none() {
             tokio::time::sleep(pause).await;
         }
         last = Some(entry);
--- a/standin/src/load/client.rs
+++ b/standin/src/load/client.rs
@@ -299,6 +299,7 @@
 async fn refusal(response: Response) -> Answer {
     let status = response.status();
     let retry = header(&response, "Retry-After");
+    let alternate = Some(header(&response, "Sesamewing-Entry")).filter(|a| !a.is_empty());
     let value: Value = match response.json().await {
         Ok(value) => value,
         Err(e) if status.as_u16() < 500 => {
@@ -308,6 +309,7 @@
     };
     let verdict = outcome(&value);
     let mut out = Answer::new(verdict.clone(), format!("{status}: {}", value["error"]));
+    out.alternate = alternate;
     out.retry = value["retry_after_ms"].as_u64().map(Duration::from_millis);
     if verdict == Verdict::NotRun && (out.retry.is_none() || retry.is_empty()) {
         out = Answer::new(Verdict::Wrong, "`not_run` without a time to retry");
--- a/standin/src/load/record.rs
+++ b/standin/src/load/record.rs
@@ -49,6 +49,8 @@
     pub(super) gaps: Vec<Duration>,
     /// Time after which the system wants a repeat.
     pub(super) retry: Option<Duration>,
+    /// Another entry that the system names for the repeat.
+    pub(super) alternate: Option<String>,
 }
 
 impl Answer {
@@ -60,6 +62,7 @@
             first: None,
             gaps: Vec::new(),
             retry: None,
+            alternate: None,
         }
     }
 }
