--- a/standin/src/load/caller.rs
+++ b/standin/src/load/caller.rs
@@ -49,7 +49,9 @@
                 true
             }
             (Verdict::InProgress, _) => true,
-            (Verdict::NotRun, Work::Order { again, .. }) => *again && out.steps.len() < 2,
+            (Verdict::NotRun | Verdict::MayHaveRun, Work::Order { again, .. }) => {
+                *again && out.steps.len() < 2
+            }
             _ => false,
         };
         let pause = answer.retry.unwrap_or(PAUSE);
--- a/standin/src/load/mix.rs
+++ b/standin/src/load/mix.rs
@@ -83,7 +83,7 @@
         body: String,
         /// Whether the caller repeats the request after its answer.
         repeat: bool,
-        /// Whether the caller repeats a request that was not run.
+        /// Whether the caller repeats a request that was not run or may have run.
         again: bool,
     },
 }
