--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -3,7 +3,8 @@
 mod append;
 mod follow;
 mod replica;
+pub mod snapshot;
 
 pub use append::{append, AppendError};
-pub use follow::follow;
-pub use replica::{Replica, Status};
+pub use follow::{follow, LogReader, Polled};
+pub use replica::{Cause, Missing, Replica, Status};
--- a/src/feed/replica.rs
+++ b/src/feed/replica.rs
@@ -1,14 +1,17 @@
 //! The agreed state as far as this process has applied it.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use arc_swap::ArcSwap;
 use tokio::sync::{broadcast, watch};
 
 use crate::{
-    base::{Millis, Offset},
+    base::{Clock, Millis, Offset, SystemClock},
     emit,
-    kernel::{Effect, Entry, Kernel, Lease, Refusal, Step},
+    kernel::{Effect, Entry, Kernel, Lease, Refusal, Snapshot, Step},
     settings::InForce,
     wire::Hosts,
 };
@@ -20,6 +23,12 @@
     /// Application of the stream stopped.
     STREAM_BLOCKED = 101, "stream-blocked", Error,
         "a log record cannot be applied; the process serves on its last settings", "update this process or check the log service";
+    /// The log, a snapshot or a peer is older than this process, or records are gone.
+    STREAM_DIVERGED = 103, "stream-diverged", Error,
+        "the log or a peer does not continue the applied state; the process serves on its last settings", "find out whether the log was reset or belongs to another deployment; see docs/operations.md";
+    /// Neither the log nor a peer can be reached.
+    FEED_ISOLATED = 104, "feed-isolated", Warn,
+        "neither the log nor a peer can be reached; the process serves on its last settings", "check the network of the host";
     /// A value of the settings tree is not known to this build.
     VALUE_IGNORED = 102, "value-ignored", Warn,
         "a settings value is unknown to or invalid for this build; the default is used", "update this process";
@@ -28,6 +37,28 @@
 /// Steps that a slow subscriber may lag behind before it has to look at the state instead.
 const STEP_BUFFER: usize = 1024;
 
+/// Records kept for subscribers; older ones are replaced by a snapshot.
+const TAIL_RECORDS: usize = 4096;
+
+/// Bytes of records kept for subscribers.
+const TAIL_BYTES: usize = 4 << 20;
+
+/// Time without contact after which the process counts as isolated.
+const ISOLATED_AFTER: Millis = Millis(2000);
+
+/// Why the state is not brought up to date; each cause is raised and cleared by what detects it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// The next record has a newer schema.
+    Schema,
+    /// The log is shorter than what was applied, or holds another record at an applied offset.
+    Reset,
+    /// Records are gone from the log and no snapshot replaces them.
+    Gap,
+    /// A peer offered an older state.
+    Peer,
+}
+
 /// How this process stands to the control stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Status {
@@ -37,12 +68,49 @@
     pub isolated: Option<Millis>,
 }
 
+/// Records after the last snapshot that was loaded, for subscribers.
+#[derive(Debug, Default)]
+struct Tail {
+    /// Consecutive offsets that end at the applied offset.
+    entries: VecDeque<Entry>,
+    /// Sum of the lengths of the records.
+    bytes: usize,
+}
+
+impl Tail {
+    fn push(&mut self, entry: Entry) {
+        self.bytes += entry.data.len();
+        self.entries.push_back(entry);
+        while self.entries.len() > TAIL_RECORDS || self.bytes > TAIL_BYTES {
+            let old = self.entries.pop_front();
+            self.bytes -= old.map_or(0, |e| e.data.len());
+        }
+    }
+}
+
+/// What a process that is behind needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Missing {
+    /// The records from the asked offset on, possibly none.
+    Records(Vec<Entry>),
+    /// The whole state, because the records are no longer kept.
+    State(Snapshot),
+}
+
 /// Agreed state of one process; readers take snapshots without a lock.
 #[derive(Debug)]
 pub struct Replica {
+    clock: SystemClock,
     kernel: Mutex<Kernel>,
+    /// Locked only while the kernel is.
+    tail: Mutex<Tail>,
+    causes: Mutex<BTreeMap<Cause, String>>,
+    /// Time of the last contact with the log or a peer.
+    contact: Mutex<Millis>,
+    /// Time at which the log last confirmed the state, directly or through peers.
+    confirmed: Mutex<Option<Millis>>,
     settings: ArcSwap<InForce>,
-    hosts: ArcSwap<Hosts>,
+    hosts: watch::Sender<Arc<Hosts>>,
     status: ArcSwap<Status>,
     applied: watch::Sender<Offset>,
     steps: broadcast::Sender<Step>,
@@ -51,19 +119,29 @@
 impl Replica {
     /// Starts from a kernel state, either empty or from a snapshot.
     pub fn new(kernel: Kernel) -> Self {
+        Self::with_clock(kernel, SystemClock::start())
+    }
+
+    /// Starts from a kernel state; times in the status are those of `clock`.
+    pub fn with_clock(kernel: Kernel, clock: SystemClock) -> Self {
         let settings = resolve(&kernel);
         Self {
             applied: watch::Sender::new(kernel.applied()),
             steps: broadcast::Sender::new(STEP_BUFFER),
             settings: ArcSwap::from_pointee(settings),
-            hosts: ArcSwap::default(),
+            hosts: watch::Sender::default(),
+            contact: Mutex::new(clock.now()),
+            confirmed: Mutex::default(),
+            causes: Mutex::default(),
+            tail: Mutex::default(),
+            clock,
             status: ArcSwap::default(),
             kernel: Mutex::new(kernel),
         }
     }
 
     fn kernel(&self) -> MutexGuard<'_, Kernel> {
-        self.kernel.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.kernel)
     }
 
     /// Returns the settings in force.
@@ -73,12 +151,23 @@
 
     /// Returns the host list as last read.
     pub fn hosts(&self) -> Arc<Hosts> {
-        self.hosts.load_full()
+        self.hosts.borrow().clone()
+    }
+
+    /// Subscribes to the host list.
+    pub fn watch_hosts(&self) -> watch::Receiver<Arc<Hosts>> {
+        self.hosts.subscribe()
     }
 
     /// Replaces the host list.
     pub fn set_hosts(&self, hosts: Hosts) {
-        self.hosts.store(Arc::new(hosts));
+        self.hosts.send_if_modified(|old| {
+            let changed = **old != hosts;
+            if changed {
+                *old = Arc::new(hosts);
+            }
+            changed
+        });
     }
 
     /// Returns how this process stands to the control stream.
@@ -86,9 +175,92 @@
         self.status.load_full()
     }
 
-    /// Replaces the status.
-    pub fn set_status(&self, status: Status) {
-        self.status.store(Arc::new(status));
+    /// Raises an alarm, or replaces its text.
+    pub fn raise(&self, cause: Cause, text: String) {
+        let old = lock(&self.causes).insert(cause, text.clone());
+        if old.as_ref() == Some(&text) {
+            return;
+        }
+        match cause {
+            Cause::Schema => emit!(STREAM_BLOCKED, "{text}"),
+            Cause::Reset | Cause::Gap | Cause::Peer => emit!(STREAM_DIVERGED, "{text}"),
+        }
+        self.publish_status();
+    }
+
+    /// Clears an alarm.
+    pub fn clear(&self, cause: Cause) {
+        if lock(&self.causes).remove(&cause).is_some() {
+            self.publish_status();
+        }
+    }
+
+    fn publish_status(&self) {
+        let blocked = lock(&self.causes).values().next().cloned();
+        self.status.rcu(|s| Status {
+            blocked: blocked.clone(),
+            isolated: s.isolated,
+        });
+    }
+
+    /// Notes that the log or a peer answered.
+    pub fn reached(&self) {
+        *lock(&self.contact) = self.clock.now();
+        if self.status.load().isolated.is_some() {
+            self.set_isolated(None);
+        }
+    }
+
+    /// Sets the time since which the process is isolated if there was no contact for 2 s.
+    pub fn check_contact(&self) {
+        let last = *lock(&self.contact);
+        let isolated = self.clock.now() > last + ISOLATED_AFTER;
+        if isolated && self.status.load().isolated.is_none() {
+            emit!(FEED_ISOLATED, "no contact for {ISOLATED_AFTER}");
+            self.set_isolated(Some(last));
+        }
+    }
+
+    fn set_isolated(&self, isolated: Option<Millis>) {
+        self.status.rcu(|s| Status {
+            blocked: s.blocked.clone(),
+            isolated,
+        });
+    }
+
+    /// Notes that the log confirmed the state `age` ago.
+    pub fn confirm(&self, age: Millis) {
+        let time = self.clock.now() - age;
+        let mut confirmed = lock(&self.confirmed);
+        *confirmed = Some(confirmed.map_or(time, |t| t.max(time)));
+    }
+
+    /// Returns the time since the log last confirmed the state, directly or through peers.
+    pub fn age(&self) -> Millis {
+        lock(&self.confirmed).map_or(Millis::MAX, |t| self.clock.now() - t)
+    }
+
+    /// Returns what a process lacks that has applied everything before `from`.
+    ///
+    /// A process that is ahead lacks nothing.
+    pub fn missing(&self, from: Offset, max: usize) -> Missing {
+        let kernel = self.kernel();
+        let tail = lock(&self.tail);
+        let applied = kernel.applied();
+        if from > applied {
+            return Missing::Records(Vec::new());
+        }
+        let first = Offset(applied.next().0 - tail.entries.len() as u64);
+        if from < first {
+            return Missing::State(Snapshot::of(&kernel));
+        }
+        let skip = (from.0 - first.0) as usize;
+        Missing::Records(tail.entries.iter().skip(skip).take(max).cloned().collect())
+    }
+
+    /// Returns the last applied record, or `None` if a snapshot was loaded since.
+    pub fn last(&self) -> Option<Entry> {
+        lock(&self.tail).entries.back().cloned()
     }
 
     /// Returns the offset of the last applied record.
@@ -138,13 +310,25 @@
         if let Effect::Skipped(err) = &step.effect {
             emit!(RECORD_SKIPPED, "offset {}: {err}", step.offset);
         }
+        lock(&self.tail).push(entry.clone());
         drop(kernel);
         // Without subscribers there is nobody to tell.
         let _ = self.steps.send(step.clone());
-        self.applied.send_replace(step.offset);
+        self.advance(step.offset);
         Ok(step)
     }
 
+    /// Publishes an applied offset; another thread may have published a later one.
+    fn advance(&self, to: Offset) {
+        self.applied.send_if_modified(|applied| {
+            let later = to > *applied;
+            if later {
+                *applied = to;
+            }
+            later
+        });
+    }
+
     /// Replaces the state by a later one; returns whether it was later.
     pub fn restore(&self, later: Kernel) -> bool {
         let mut kernel = self.kernel();
@@ -153,13 +337,18 @@
         }
         *kernel = later;
         self.settings.store(Arc::new(resolve(&kernel)));
+        *lock(&self.tail) = Tail::default();
         let applied = kernel.applied();
         drop(kernel);
-        self.applied.send_replace(applied);
+        self.advance(applied);
         true
     }
 }
 
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn resolve(kernel: &Kernel) -> InForce {
     InForce::resolve(kernel.applied(), kernel.config(), |path, err| {
         emit!(VALUE_IGNORED, "{path}: {err}");
--- a/src/kernel/snapshot.rs
+++ b/src/kernel/snapshot.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::Kernel;
+use super::{Kernel, SCHEMA};
 use crate::base::{Digest, Offset};
 
 /// Largest encoded state, in bytes.
@@ -37,26 +37,28 @@
 pub struct Snapshot {
     /// Offset of the last record in the state.
     pub applied: Offset,
-    /// Encoded state.
+    /// Schema (big-endian) and encoded state.
     pub data: Bytes,
 }
 
 impl Snapshot {
     /// Encodes a kernel state.
     pub fn of(kernel: &Kernel) -> Self {
-        let data = postcard::to_stdvec(kernel).unwrap_or_default().into();
+        let mut data = SCHEMA.to_be_bytes().to_vec();
+        data.extend(postcard::to_stdvec(kernel).unwrap_or_default());
         Self {
             applied: kernel.applied(),
-            data,
+            data: data.into(),
         }
     }
 
-    /// Decodes the state; `None` if the bytes are not a state with the stated offset.
+    /// Decodes the state; `None` if the bytes are not a state of this schema with the stated offset.
     pub fn kernel(&self) -> Option<Kernel> {
         if self.data.len() > SNAPSHOT_MAX {
             return None;
         }
-        match postcard::take_from_bytes::<Kernel>(&self.data) {
+        let state = self.data.strip_prefix(&SCHEMA.to_be_bytes())?;
+        match postcard::take_from_bytes::<Kernel>(state) {
             Ok((kernel, [])) if kernel.applied() == self.applied => Some(kernel),
             _ => None,
         }
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -66,12 +66,13 @@
     pub fn start(settings: ProcessSettings) -> eyre::Result<Self> {
         let transport = Transport::bind(settings.peer, settings.tls.clone())?;
         let platform = HttpPlatform::new(&settings.platform)?;
+        let clock = SystemClock::start();
         Ok(Self {
             timeline: Timeline::new(settings.name.clone()),
             settings: Arc::new(settings),
             instance: Instance::random(),
-            clock: SystemClock::start(),
-            replica: Arc::new(Replica::new(Kernel::new(CLAIM_WINDOW))),
+            clock,
+            replica: Arc::new(Replica::with_clock(Kernel::new(CLAIM_WINDOW), clock)),
             transport,
             platform,
             phase: Arc::new(watch::Sender::new(Phase::Serving)),
