feat: claim window as a setting and safe claims streams

Cause: the window for request ids was a constant as long as the retention of the log, so that a log without the oldest claims could let a request run a second time. Change: root options `log.retention` (24h) and `claim.window` (12h) with a check between them. The kernel takes the window from a record in the claims stream, which agents append when their settings differ and which names the control offset it is from; older ones are refused. A longer window does not revive removed ids. An agent that starts without the beginning of the stream refuses ids that lost records may belong to; a gap or a reset log blocks claims.

--- a/src/agent/claims/driver.rs
+++ b/src/agent/claims/driver.rs
@@ -20,13 +20,16 @@
     emit,
     endpoint::Endpoint,
     feed::Replica,
-    kernel::{Entry, Kernel, Record},
+    kernel::{Body, Entry, Kernel, Record, Window},
     platform::{Log, Page, PlatformError, Stream},
     process::CLAIM_WINDOW,
     settings::ClaimConfig,
     wire::{RunRequest, SettleReply},
 };
 
+/// Time between two appends of the window.
+const WINDOW_INTERVAL: Millis = Millis(5000);
+
 /// Results that wait for the driver.
 const EVENTS_MAX: usize = 256;
 
@@ -55,6 +58,8 @@
     base: Option<Offset>,
     /// Why no further record can be applied, if so; final.
     stuck: Option<String>,
+    /// Time before which the window is not appended again.
+    window_due: Millis,
     ticket: u64,
     verdicts: HashMap<Ticket, oneshot::Sender<Verdict>>,
     fates: HashMap<Ticket, oneshot::Sender<SettleReply>>,
@@ -106,6 +111,7 @@
             service,
             base: None,
             stuck: None,
+            window_due: Millis::ZERO,
             ticket: 0,
             verdicts: HashMap::default(),
             fates: HashMap::default(),
@@ -126,6 +132,7 @@
             let now = self.clock.now();
             self.runner
                 .set_rules(rules(&self.replica, &self.region, &self.service));
+            self.update_window(now);
             for action in self.runner.poll(now) {
                 self.perform(action);
             }
@@ -189,13 +196,25 @@
 
     /// Applies the records of a page.
     ///
-    /// The log keeps records for longer than ids are kept, so that the state can be built from the first kept record.
+    /// The state is built from the first kept record; ids that lost records may belong to are refused.
     fn page(&mut self, now: Millis, page: &Page) {
         if let Some(reason) = self.stuck.clone() {
             return self.block(&reason);
         }
         let first = page.first.0.max(1);
+        if self.base.is_none() && first > 1 {
+            self.runner.set_truncated();
+        }
         let base = *self.base.get_or_insert(Offset(first - 1));
+        let next = self.runner.kernel().applied().0 + base.0 + 1;
+        if first > next {
+            let reason = format!(
+                "records from {next} up to {first} are gone from the log; restart this process"
+            );
+            self.block(&reason);
+            self.stuck = Some(reason);
+            return;
+        }
         for e in &page.records {
             let entry = Entry {
                 offset: Offset(e.offset.0.saturating_sub(base.0)),
@@ -215,6 +234,32 @@
         }
     }
 
+    /// Appends the window of the settings if the claims stream has an older one.
+    ///
+    /// Several agents may do so at once; all but the first record have no effect.
+    fn update_window(&mut self, now: Millis) {
+        let (window, revision) = self.runner.kernel().claims().window();
+        let settings = self.replica.settings();
+        let wanted = settings.service(&self.region, &self.service);
+        let wanted = wanted.map_or(window, |s| s.claim.window);
+        if wanted == window || settings.offset <= revision || now < self.window_due {
+            return;
+        }
+        if !self.runner.is_reachable() {
+            return;
+        }
+        self.window_due = now + WINDOW_INTERVAL;
+        let record = Record::new(Body::Window(Window {
+            window: wanted,
+            revision: settings.offset,
+        }));
+        let log = self.log.clone();
+        tokio::spawn(async move {
+            // A lost record is appended again after the interval.
+            append(&log, &record).await;
+        });
+    }
+
     fn perform(&mut self, action: Action<RunRequest>) {
         let events = self.events.0.clone();
         match action {
--- a/src/agent/claims/reader.rs
+++ b/src/agent/claims/reader.rs
@@ -5,7 +5,8 @@
 use super::driver::Event;
 use crate::{
     base::{Millis, Offset},
-    platform::{Log, Stream},
+    kernel::Entry,
+    platform::{Log, Page, PlatformError, Stream},
 };
 
 /// Longest time that one read waits at the log.
@@ -18,26 +19,55 @@
 const RETRY_PAUSE: Millis = Millis(300);
 
 /// Passes on the records of the stream in order until the driver ends.
+///
+/// After each loss of contact the last record is compared with the log: one that was reset and has grown since would
+/// look like the old one.
 pub(super) async fn follow<L: Log>(log: L, events: mpsc::Sender<Event>) {
     let mut from = Offset(1);
+    let mut last: Option<Entry> = None;
+    let mut verified = true;
     loop {
-        let event = match log.read(Stream::Claims, from, READ_MAX, READ_WAIT).await {
-            Ok(page) if page.next < from => Event::Blocked(format!(
-                "the log ends at {}, this process has read up to {from}",
-                page.next
-            )),
+        let event = match read(&log, from, last.as_ref().filter(|_| !verified)).await {
             Ok(page) => {
-                from = page.records.last().map_or(from, |e| e.offset.next());
+                if let Some(entry) = page.records.last() {
+                    from = entry.offset.next();
+                    last = Some(entry.clone());
+                }
                 Event::Page(page)
             }
-            Err(e) => Event::Unreachable(e.to_string()),
+            Err(event) => event,
         };
-        let failed = !matches!(event, Event::Page(_));
+        verified = matches!(event, Event::Page(_));
         if events.send(event).await.is_err() {
             return;
         }
-        if failed {
+        if !verified {
             tokio::time::sleep(RETRY_PAUSE.duration()).await;
         }
     }
 }
+
+/// Reads a page after checking that the log still holds `last`.
+async fn read<L: Log>(log: &L, from: Offset, last: Option<&Entry>) -> Result<Page, Event> {
+    let unreachable = |e: PlatformError| Event::Unreachable(e.to_string());
+    if let Some(last) = last {
+        let page = log.read(Stream::Claims, last.offset, 1, Millis::ZERO);
+        let page = page.await.map_err(unreachable)?;
+        let differs = |e: &Entry| e.offset == last.offset && e != last;
+        if page.records.iter().any(differs) {
+            return Err(Event::Blocked(format!(
+                "the log holds another record at offset {}, which this process has read",
+                last.offset
+            )));
+        }
+    }
+    let page = log.read(Stream::Claims, from, READ_MAX, READ_WAIT);
+    let page = page.await.map_err(unreachable)?;
+    if page.next < from {
+        return Err(Event::Blocked(format!(
+            "the log ends at {}, this process has read up to {from}",
+            page.next
+        )));
+    }
+    Ok(page)
+}
--- a/src/decide/claim/runner.rs
+++ b/src/decide/claim/runner.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Notes that the stream lost its beginning before this process read it.
+    pub fn set_truncated(&mut self) {
+        self.kernel.set_truncated();
+    }
+
     /// Takes over changed settings.
     pub fn set_rules(&mut self, rules: Rules) {
         self.rules = rules;
@@ -310,6 +315,11 @@
         self.reachable = reachable;
     }
 
+    /// Returns whether the stream can be read and has been read to its end once.
+    pub fn is_reachable(&self) -> bool {
+        self.reachable
+    }
+
     /// Applies a record that was read.
     ///
     /// # Errors
@@ -329,7 +339,7 @@
             Body::Claims(b) => b.iter().map(|c| c.request).collect(),
             Body::Voids(b) => b.iter().map(|v| v.request).collect(),
             Body::Done(b) => b.iter().map(|d| d.request).collect(),
-            Body::Publish(_) | Body::Lease(_) => Vec::new(),
+            Body::Publish(_) | Body::Lease(_) | Body::Window(_) => Vec::new(),
         };
         for id in &ids {
             self.refresh(id);
--- a/src/kernel/claim.rs
+++ b/src/kernel/claim.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::record::{Claim, Done, Void};
-use crate::base::{Attempt, Digest, Instance, Millis, ProcessName, RequestId};
+use super::record::{Claim, Done, Void, Window};
+use crate::base::{Attempt, Digest, Instance, Millis, Offset, ProcessName, RequestId};
 
 /// Largest number of request ids kept at once; further claims are refused.
 pub const CLAIMS_MAX: usize = 1 << 18;
@@ -61,6 +61,12 @@
 pub struct Claims {
     /// Time for which ids are kept; shorter than the log's retention.
     window: Millis,
+    /// Offset of the control stream that `window` is from.
+    revision: Offset,
+    /// Ids that were created before this time are outside the window, whatever its length; never goes back.
+    floor: Millis,
+    /// Whether records before the first applied one are unknown, until that one sets `floor`.
+    truncated: bool,
     /// Slots by id; at most [`CLAIMS_MAX`].
     slots: BTreeMap<RequestId, Slot>,
     /// Ids in the order of their first record, with the log time of that record.
@@ -72,6 +78,9 @@
     pub fn new(window: Millis) -> Self {
         Self {
             window,
+            revision: Offset(0),
+            floor: Millis::ZERO,
+            truncated: false,
             slots: BTreeMap::new(),
             order: VecDeque::new(),
         }
@@ -92,6 +101,39 @@
         self.slots.is_empty()
     }
 
+    /// Returns the time for which ids are kept, and the offset of the control stream that it is from.
+    pub fn window(&self) -> (Millis, Offset) {
+        (self.window, self.revision)
+    }
+
+    /// Notes that the stream lost its beginning.
+    pub(super) fn set_truncated(&mut self) {
+        self.truncated = true;
+    }
+
+    /// Refuses ids whose records may be among the lost ones, once the time of the first kept record is known.
+    ///
+    /// The records of an id are at most [`AHEAD_MAX`] older than the id. If the log keeps records for longer than the
+    /// window, the ids concerned are outside it anyway.
+    pub(super) fn begin(&mut self, now: Millis) {
+        if std::mem::take(&mut self.truncated) {
+            self.floor = self.floor.max(now + AHEAD_MAX);
+        }
+    }
+
+    /// Changes the window; returns whether that took effect.
+    ///
+    /// A longer window does not bring back the ids that left the shorter one, because their claims were removed.
+    pub(super) fn set_window(&mut self, now: Millis, w: &Window) -> bool {
+        if w.revision <= self.revision {
+            return false;
+        }
+        self.floor = self.floor.max(now - self.window);
+        self.window = w.window;
+        self.revision = w.revision;
+        true
+    }
+
     /// Returns whether an id lies outside the window at log time `now`.
     ///
     /// Ids without a time are always outside, because a repeat could not be recognised after the window.
@@ -99,7 +141,8 @@
         let Some(created) = id.created_ms() else {
             return true;
         };
-        created > (now + AHEAD_MAX).0 || Millis(created) + self.window < now
+        let created = Millis(created);
+        created > now + AHEAD_MAX || created + self.window < now || created < self.floor
     }
 
     /// Removes ids whose first record is older than the window plus the allowed clock skew.
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -18,7 +18,7 @@
 pub use lease::{Lease, Leases, LEASES_MAX};
 pub use record::{
     Body, BodyKind, Claim, Done, Entry, Expire, LeaseOp, Publish, Record, RecordError, Void,
-    RECORD_MAX, SCHEMA,
+    Window, RECORD_MAX, SCHEMA,
 };
 pub use snapshot::{Assembler, Snapshot, SnapshotChunk, SNAPSHOT_MAX};
 pub use state::{Effect, Kernel, Refusal, Step};
--- a/src/kernel/record.rs
+++ b/src/kernel/record.rs
@@ -53,6 +53,8 @@
     Voids(Vec<Void>),
     /// Stores outcomes of claimed attempts.
     Done(Vec<Done>),
+    /// Changes the time for which request ids are kept.
+    Window(Window),
 }
 
 /// The kind of a [`Body`], for statistics and logs.
@@ -72,7 +74,7 @@
         match self {
             Self::Publish(_) => BodyKind::Publish,
             Self::Lease(_) => BodyKind::Lease,
-            Self::Claims(_) | Self::Voids(_) | Self::Done(_) => BodyKind::Claim,
+            Self::Claims(_) | Self::Voids(_) | Self::Done(_) | Self::Window(_) => BodyKind::Claim,
         }
     }
 }
@@ -157,6 +159,15 @@
     pub instance: Instance,
 }
 
+/// Sets the time for which request ids are kept; written to the claims stream when the setting changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Window {
+    /// Time for which ids are kept.
+    pub window: Millis,
+    /// Offset of the control stream that the setting is from; an older one than in force has no effect.
+    pub revision: Offset,
+}
+
 /// Stores the outcome of a claimed attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Done {
--- a/src/kernel/state.rs
+++ b/src/kernel/state.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Notes that the stream lost its beginning, so that request ids whose claims may be lost are refused.
+    ///
+    /// Only for a state that has applied nothing yet.
+    pub fn set_truncated(&mut self) {
+        self.claims.set_truncated();
+    }
+
     /// Returns the offset of the last applied record.
     pub fn applied(&self) -> Offset {
         self.applied
@@ -141,6 +148,7 @@
         }
         self.applied = found;
         self.time = self.time.max(e.time);
+        self.claims.begin(self.time);
         self.claims.prune(self.time);
         let step = match decoded {
             Ok(r) => Step {
@@ -176,6 +184,7 @@
             Body::Voids(batch) => {
                 Effect::Batch(batch.iter().map(|v| self.claims.void(now, v)).collect())
             }
+            Body::Window(w) => Effect::Batch(vec![self.claims.set_window(now, w)]),
             Body::Done(batch) => Effect::Batch(batch.iter().map(|d| self.claims.done(d)).collect()),
         }
     }
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -54,8 +54,10 @@
     pub timeline: Timeline,
 }
 
-/// Time for which request ids are kept; shorter than the retention of the log.
-pub const CLAIM_WINDOW: Millis = Millis::from_secs(24 * 3600);
+/// Time for which request ids are kept until a record in the claims stream says otherwise.
+///
+/// Equal in all processes and to the default of `claim.window`: part of the state before the first record.
+pub const CLAIM_WINDOW: Millis = Millis::from_secs(12 * 3600);
 
 impl Context {
     /// Binds the peer address and creates the parts; must be called within a `tokio` runtime.
--- a/src/settings/claim.rs
+++ b/src/settings/claim.rs
@@ -12,6 +12,8 @@
         linger: Millis = "5ms", "0ms", "1s", Service;
         "Longest time from the append of a claim to its read-back before the attempt is given up."
         readback: Millis = "2s", "10ms", "60s", Service;
+        "Time for which request ids are kept."
+        window: Millis = "12h", "10s", "30d", Root;
     }
 }
 
@@ -30,6 +32,22 @@
     },
 };
 
+/// A claim whose record is gone while its id is still accepted could run a second time.
+#[distributed_slice(CHECKS)]
+static WINDOW: Check = Check {
+    rule: "`claim.window` is below `log.retention`",
+    options: &["claim.window", "log.retention"],
+    run: |subject| {
+        let Subject::Service(s) = subject else {
+            return None;
+        };
+        let (window, retention) = (s.claim.window, s.log.retention);
+        (window >= retention).then(|| {
+            format!("`claim.window` {window} is not below `log.retention` {retention}, so claims are lost while their ids are accepted; shorten the former")
+        })
+    },
+};
+
 #[distributed_slice(CHECKS)]
 static LINGER: Check = Check {
     rule: "`claim.linger` is below `claim.readback`",
--- a/src/settings/resolve.rs
+++ b/src/settings/resolve.rs
@@ -1,7 +1,8 @@
 //! Values in force: the tree flattened for each service and workspace.
 
 use super::{
-    section::Section, Access, Burst, ClaimConfig, Limit, Request, Retry, Route, ValueError, Weights,
+    section::Section, Access, Burst, ClaimConfig, Limit, LogConfig, Request, Retry, Route,
+    ValueError, Weights,
 };
 use crate::{
     base::{HashMap, Offset, Region, Service, Workspace},
@@ -23,6 +24,8 @@
     pub route: Route,
     /// Claims.
     pub claim: ClaimConfig,
+    /// Log service; equal for all services.
+    pub log: LogConfig,
     /// Workspaces that may use the service.
     pub workspaces: HashMap<Workspace, WorkspaceSettings>,
 }
@@ -43,6 +46,8 @@
 pub struct InForce {
     /// Applied offset of the control stream that these settings belong to.
     pub offset: Offset,
+    /// Log service.
+    pub log: LogConfig,
     /// Settings by region and service.
     services: HashMap<Region, HashMap<Service, ServiceSettings>>,
 }
@@ -66,6 +71,7 @@
             .or_else(|| set(&mut self.retry, key, text))
             .or_else(|| set(&mut self.route, key, text))
             .or_else(|| set(&mut self.claim, key, text))
+            .or_else(|| set(&mut self.log, key, text))
             .unwrap_or(Ok(()))
     }
 }
@@ -98,6 +104,9 @@
             offset,
             ..Self::default()
         };
+        fold(config, &NodePath::Root, &mut ignored, |k, v| {
+            set(&mut out.log, k, v).unwrap_or(Ok(()))
+        });
         for (path, node) in config.nodes() {
             match path {
                 NodePath::Service(r, s) if node.live => {
--- a/tests/settings_tree.rs
+++ b/tests/settings_tree.rs
@@ -203,6 +203,24 @@
     );
 }
 
+/// Guards against a log that drops claims whose ids are still accepted.
+#[test]
+fn claims_stay_in_the_log() {
+    for (root, wanted) in [
+        ("{claim.window: 24h}", vec!["1 / claim.window"]),
+        ("{claim.window: 23h}", vec![]),
+        ("{log.retention: 12h}", vec!["1 / log.retention"]),
+        ("{log.retention: 1h, claim.window: 30min}", vec![]),
+        ("{log.retention: 59s}", vec!["1 / log.retention"]),
+    ] {
+        let text = format!("defaults: {root}\nregions: {{east: {{services: {{s: {{}}}}}}}}\n");
+        match Tree::parse(&text) {
+            Ok(_) => assert!(wanted.is_empty(), "{root}"),
+            Err(_) => assert_eq!(problems(&text), wanted, "{root}"),
+        }
+    }
+}
+
 /// A rule that reads a faulty option would report a second problem that does not exist.
 #[test]
 fn faulty_options_silence_their_cross_checks() {
