--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -66,7 +66,7 @@
     let weights = settings.kind == EndpointKind::Engine;
     let board = Arc::new(Board::new(ctx.status.clone(), weights));
     let mut tasks = tokio::task::JoinSet::new();
-    tasks.spawn(feed::follow(ctx.replica.clone(), ctx.platform.clone()));
+    tasks.spawn(feed::run(ctx.clone()));
     tasks.spawn(poll::poll(endpoint.clone(), board.clone()));
     let (end, ended) = oneshot::channel();
     let announcer = tokio::spawn(host::announce(ctx.clone(), ended));
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -1,6 +1,6 @@
 //! Handles the exchanges that other processes open.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use super::{
     claims::{self, Claims},
@@ -13,6 +13,7 @@
     base::{Attempt, Clock, Millis, Offset},
     decide::claim::Verdict,
     endpoint::Endpoint,
+    feed,
     net::{Call, Incoming},
     process::Context,
     settings::Request,
@@ -20,9 +21,6 @@
     wire::{self, NotRun, RunOutcome, RunRequest, SettleReply},
 };
 
-/// Time to catch up with the sender's applied offset.
-const CATCH_UP: Millis = Millis(500);
-
 /// Time for the entry to confirm that it has the whole answer.
 const FLUSH_TIMEOUT: Millis = Millis(5000);
 
@@ -51,9 +49,17 @@
             }
             return;
         }
-        let Incoming { open, mut call, .. } = incoming;
+        let Incoming {
+            open,
+            mut call,
+            peer,
+        } = incoming;
         match open.call {
-            wire::Call::Run(req) => self.run(req, open.applied, received, call).await,
+            wire::Call::Run(req) => {
+                let ahead = (peer, open.applied);
+                self.run(req, ahead, received, call).await;
+            }
+            wire::Call::Feed(req) => feed::serve(&self.ctx, peer, open.applied, &req, call).await,
             wire::Call::Settle(req) => {
                 let deadline = received + req.remaining;
                 let fate = match &self.claims {
@@ -75,11 +81,17 @@
         }
     }
 
-    async fn run(&self, req: RunRequest, applied: Offset, received: Millis, mut call: Call) {
+    async fn run(
+        &self,
+        req: RunRequest,
+        (peer, applied): (SocketAddr, Offset),
+        received: Millis,
+        mut call: Call,
+    ) {
         let Some(permit) = self.runner.board.enter() else {
             return refuse(&req, NotRun::Leaving, call).await;
         };
-        if !self.ctx.replica.wait_for(applied, CATCH_UP).await {
+        if !feed::catch_up(&self.ctx, peer, applied).await {
             return refuse(&req, NotRun::Version, call).await;
         }
         match (&self.claims, req.attempt) {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod chunk;
 pub mod claim;
 pub mod drain;
+pub mod feed;
 pub mod lease;
 pub mod limit;
 pub mod member;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -39,7 +39,7 @@
     let server = callers(&shared).await?;
     let stop = server.shutdown();
     let mut tasks = tokio::task::JoinSet::new();
-    tasks.spawn(feed::follow(ctx.replica.clone(), ctx.platform.clone()));
+    tasks.spawn(feed::run(ctx.clone()));
     tasks.spawn(announce(ctx.clone()));
     let coordinator = Arc::new(Coordinator::default());
     tasks.spawn(peers(shared.clone(), coordinator.clone()));
@@ -120,15 +120,21 @@
     let handle = move |incoming: Incoming| {
         let (shared, coordinator) = (shared.clone(), coordinator.clone());
         async move {
-            let Open { sender, call, .. } = incoming.open;
+            let Open {
+                sender,
+                applied,
+                call,
+            } = incoming.open;
+            let (ctx, peer) = (&shared.ctx, incoming.peer);
             match call {
                 Call::Share(req) => {
+                    // Shares on older limits are better than none, so the result does not matter.
+                    feed::catch_up(ctx, peer, applied).await;
                     coordinator
                         .answer(&shared, &sender, &req, incoming.call)
                         .await;
                 }
-                // The feed tree is answered here once this process may be a parent.
-                Call::Feed(_) => {}
+                Call::Feed(req) => feed::serve(ctx, peer, applied, &req, incoming.call).await,
                 _ => log::debug!("{sender} asked for what an entry does not serve"),
             }
         }
--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -85,6 +85,8 @@
     /// Whether the log is known to hold what was applied. A reset is possible whenever contact was lost, and a log
     /// that has grown since would look like the old one.
     verified: bool,
+    /// Offset of the log's next append when it was last read.
+    next: Offset,
 }
 
 impl<'a, P: Log> LogReader<'a, P> {
@@ -94,6 +96,19 @@
             replica,
             log,
             verified: false,
+            next: Offset(1),
+        }
+    }
+
+    /// Returns whether the log holds records that are not applied.
+    pub fn is_behind(&self) -> bool {
+        self.replica.applied().next() < self.next
+    }
+
+    /// Starts from the newest snapshot, which saves reading the records before it.
+    pub async fn start(&self) {
+        if let Ok(Some(kernel)) = snapshot::newest(self.log, Offset(1)).await {
+            self.replica.restore(kernel);
         }
     }
 
@@ -120,6 +135,7 @@
         }
         let from = self.replica.applied().next();
         let page = self.log.read(Stream::Control, from, READ_MAX, wait).await?;
+        self.next = page.next;
         if page.next < from {
             self.verified = false;
             self.shorter(&page);
--- a/src/feed/replica.rs
+++ b/src/feed/replica.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
 };
 
 use arc_swap::ArcSwap;
@@ -46,6 +49,9 @@
 /// Time without contact after which the process counts as isolated.
 const ISOLATED_AFTER: Millis = Millis(2000);
 
+/// Time by which a confirmation must be later than a detection: the age in an item does not contain its time on the way.
+const AGE_MARGIN: Millis = Millis(500);
+
 /// Why the state is not brought up to date; each cause is raised and cleared by what detects it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Cause {
@@ -88,6 +94,16 @@
     }
 }
 
+/// A place of a subscriber.
+#[derive(Debug)]
+pub(super) struct Place<'a>(&'a AtomicUsize);
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// What a process that is behind needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Missing {
@@ -104,11 +120,16 @@
     kernel: Mutex<Kernel>,
     /// Locked only while the kernel is.
     tail: Mutex<Tail>,
-    causes: Mutex<BTreeMap<Cause, String>>,
+    /// Causes with the time at which each was last detected.
+    causes: Mutex<BTreeMap<Cause, (Millis, String)>>,
     /// Time of the last contact with the log or a peer.
     contact: Mutex<Millis>,
     /// Time at which the log last confirmed the state, directly or through peers.
     confirmed: Mutex<Option<Millis>>,
+    /// Subscriptions that this process serves.
+    subscribers: AtomicUsize,
+    /// Held by the task that catches up from a sender that is ahead.
+    catching: tokio::sync::Mutex<()>,
     settings: ArcSwap<InForce>,
     hosts: watch::Sender<Arc<Hosts>>,
     status: ArcSwap<Status>,
@@ -133,6 +154,8 @@
             contact: Mutex::new(clock.now()),
             confirmed: Mutex::default(),
             causes: Mutex::default(),
+            subscribers: AtomicUsize::new(0),
+            catching: tokio::sync::Mutex::default(),
             tail: Mutex::default(),
             clock,
             status: ArcSwap::default(),
@@ -159,10 +182,12 @@
         self.hosts.subscribe()
     }
 
-    /// Replaces the host list.
+    /// Replaces the host list; an empty one is ignored.
+    ///
+    /// A list without any process was reset, and each process would take itself for a reader.
     pub fn set_hosts(&self, hosts: Hosts) {
         self.hosts.send_if_modified(|old| {
-            let changed = **old != hosts;
+            let changed = **old != hosts && !hosts.hosts.is_empty();
             if changed {
                 *old = Arc::new(hosts);
             }
@@ -177,8 +202,9 @@
 
     /// Raises an alarm, or replaces its text.
     pub fn raise(&self, cause: Cause, text: String) {
-        let old = lock(&self.causes).insert(cause, text.clone());
-        if old.as_ref() == Some(&text) {
+        let now = self.clock.now();
+        let old = lock(&self.causes).insert(cause, (now, text.clone()));
+        if old.is_some_and(|(_, old)| old == text) {
             return;
         }
         match cause {
@@ -195,8 +221,28 @@
         }
     }
 
+    /// Clears what the log itself has refuted: `age` ago it confirmed exactly the applied state to a peer.
+    ///
+    /// A confirmation from before the last detection, for example from before the log was reset, refutes nothing.
+    pub(super) fn clear_refuted(&self, age: Millis) {
+        let time = self.clock.now() - age;
+        let refuted = |cause| {
+            let causes = lock(&self.causes);
+            let detected = causes.get(&cause).map(|(detected, _)| *detected);
+            detected.is_some_and(|t| time > t + AGE_MARGIN)
+        };
+        for cause in [Cause::Reset, Cause::Gap] {
+            if refuted(cause) {
+                self.clear(cause);
+            }
+        }
+    }
+
     fn publish_status(&self) {
-        let blocked = lock(&self.causes).values().next().cloned();
+        let blocked = lock(&self.causes)
+            .values()
+            .next()
+            .map(|(_, text)| text.clone());
         self.status.rcu(|s| Status {
             blocked: blocked.clone(),
             isolated: s.isolated,
@@ -258,6 +304,23 @@
         Missing::Records(tail.entries.iter().skip(skip).take(max).cloned().collect())
     }
 
+    /// Takes one of `max` places for a subscriber; it is given back on drop.
+    pub(super) fn place(&self, max: usize) -> Option<Place<'_>> {
+        let taken = self.subscribers.fetch_add(1, Ordering::Relaxed);
+        let place = Place(&self.subscribers);
+        (taken < max).then_some(place)
+    }
+
+    /// Returns the number of subscriptions that this process serves.
+    pub fn subscribers(&self) -> usize {
+        self.subscribers.load(Ordering::Relaxed)
+    }
+
+    /// Returns the right to catch up from a sender, or `None` while another task does.
+    pub(super) fn catching(&self) -> Option<tokio::sync::MutexGuard<'_, ()>> {
+        self.catching.try_lock().ok()
+    }
+
     /// Returns the last applied record, or `None` if a snapshot was loaded since.
     pub fn last(&self) -> Option<Entry> {
         lock(&self.tail).entries.back().cloned()
--- a/src/net/transport.rs
+++ b/src/net/transport.rs
@@ -190,6 +190,15 @@
         lock(&self.pool).remove(&peer);
     }
 
+    /// Returns the bytes sent and received in UDP datagrams on the pooled connections, which this process opened.
+    pub fn traffic(&self) -> (u64, u64) {
+        let pool = lock(&self.pool);
+        pool.values().fold((0, 0), |(sent, received), c| {
+            let s = c.stats();
+            (sent + s.udp_tx.bytes, received + s.udp_rx.bytes)
+        })
+    }
+
     async fn connection(&self, peer: SocketAddr) -> Result<Connection, NetError> {
         if let Some(conn) = lock(&self.pool)
             .get(&peer)
--- a/src/process/load.rs
+++ b/src/process/load.rs
@@ -17,6 +17,9 @@
 /// Share of the links that weights may use if the file does not say.
 const WEIGHTS_SHARE: Percent = Percent(80);
 
+/// Most seeds; each is tried for up to a second.
+const SEEDS_MAX: usize = 16;
+
 /// Links of a process that exchanges no weights.
 const NO_LINKS: Links = Links {
     down: Rate(0),
@@ -65,6 +68,27 @@
     }
 }
 
+/// Addresses of other processes.
+struct Seeds(Vec<SocketAddr>);
+
+impl FromStr for Seeds {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        let seeds: Vec<SocketAddr> = s
+            .split(',')
+            .map(|a| a.trim().parse().map(|b: Bound| b.0))
+            .collect::<Result<_, _>>()?;
+        if seeds.len() > SEEDS_MAX {
+            return Err(format!(
+                "{} addresses are listed; list at most {SEEDS_MAX} of long-lived processes",
+                seeds.len()
+            ));
+        }
+        Ok(Self(seeds))
+    }
+}
+
 impl FromStr for EndpointKind {
     type Err = String;
 
@@ -141,6 +165,7 @@
     let peer = f.required::<Bound>("peer", "127.0.0.1:7000", problems);
     let operator = f.required::<Bound>("operator", "127.0.0.1:7001", problems);
     let platform = f.required::<HttpUrl>("platform", "http://127.0.0.1:7100", problems);
+    let seeds = f.optional::<Seeds>("seeds", problems);
     let tls = read_tls(&mut f, folder, problems);
     let (mut callers, mut guard, mut endpoint, mut links) = (None, None, None, Some(NO_LINKS));
     match role {
@@ -182,6 +207,7 @@
         operator: operator?.0,
         callers: callers.map(|b| b.0),
         guard: guard.map(|b| b.0),
+        seeds: seeds.map_or_else(Vec::new, |s| s.0),
         platform: platform?.0,
         tls: tls?,
         endpoint,
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -27,6 +27,8 @@
     pub callers: Option<SocketAddr>,
     /// Address that is bound exclusively while this process may command its endpoint; set on agents only.
     pub guard: Option<SocketAddr>,
+    /// Peer addresses that a new process asks while the platform cannot be reached.
+    pub seeds: Vec<SocketAddr>,
     /// Base URL of the platform.
     pub platform: String,
     /// Certificates and key.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,7 +12,7 @@
 
 pub use chunk::{ChunkReply, ChunkRequest, Have, HaveUpdate, PART_MAX};
 pub use codec::{decode, encode, CodecError, FRAME_MAX, FRAME_PREFIX};
-pub use feed::{FeedItem, FeedRecord, FeedRequest, HostEntry, HostState, Hosts, Role};
+pub use feed::{FeedItem, FeedRecord, FeedRequest, HostEntry, HostState, Hosts, HostsUpdate, Role};
 pub use report::{AgentReport, AgentState, WatchRequest};
 pub use run::{NotRun, Reply, RunOutcome, RunRequest, SettleReply, SettleRequest};
 pub use share::{ShareItem, ShareReply, ShareRequest};
--- a/tests/common/agent/daemon.rs
+++ b/tests/common/agent/daemon.rs
@@ -53,6 +53,7 @@
         operator: ANY,
         callers: None,
         guard: Some(ANY),
+        seeds: Vec::new(),
         platform: format!("http://{platform}"),
         tls,
         endpoint: Some(EndpointSettings {
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -111,6 +111,7 @@
             callers: Some(callers),
             guard: None,
             // Nothing listens there: settings and hosts are set directly.
+            seeds: Vec::new(),
             platform: format!("http://{}", free_port()),
             tls: certs.files(),
             endpoint: None,
--- a/tests/feed_support/log.rs
+++ b/tests/feed_support/log.rs
@@ -18,6 +18,7 @@
     /// First offset still kept.
     first: HashMap<Stream, u64>,
     down: bool,
+    reads: usize,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -98,6 +99,26 @@
         self.0.lock().unwrap().streams.insert(stream, entries);
     }
 
+    /// Appends `n` records that are dropped before anybody reads them.
+    pub(crate) fn lose(&self, stream: Stream, n: usize) {
+        let mut state = self.0.lock().unwrap();
+        let records = state.streams.entry(stream).or_default();
+        for _ in 0..n {
+            records.push(Entry {
+                offset: Offset(records.len() as u64 + 1),
+                time: Millis(wall_ms()),
+                data: Bytes::new(),
+            });
+        }
+        let first = records.len() as u64 + 1;
+        state.first.insert(stream, first);
+    }
+
+    /// Returns the number of reads that were answered.
+    pub(crate) fn reads(&self) -> usize {
+        self.0.lock().unwrap().reads
+    }
+
     pub(crate) fn set_down(&self, down: bool) {
         self.0.lock().unwrap().down = down;
     }
@@ -118,7 +139,18 @@
         max: usize,
         wait: Millis,
     ) -> Result<Page, PlatformError> {
-        assert_eq!(wait, Millis::ZERO, "this log does not wait");
+        let end = tokio::time::Instant::now() + wait.duration();
+        while self.page(stream, from, max)?.records.is_empty() && tokio::time::Instant::now() < end
+        {
+            tokio::time::sleep(Millis(2).duration()).await;
+        }
+        self.0.lock().unwrap().reads += 1;
+        self.page(stream, from, max)
+    }
+}
+
+impl MemLog {
+    fn page(&self, stream: Stream, from: Offset, max: usize) -> Result<Page, PlatformError> {
         let state = self.0.lock().unwrap();
         if state.down {
             return Err(PlatformError::Refused("down".to_owned()));
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -30,6 +30,7 @@
             operator: ANY,
             callers: Some(ANY),
             guard: None,
+            seeds: Vec::new(),
             platform: p.url.clone(),
             tls: TlsFiles {
                 authority: dir.join("ca.pem"),
