--- a/tests/weight_exchange/cluster.rs
+++ b/tests/weight_exchange/cluster.rs
@@ -169,6 +169,7 @@
 fn settings(dir: &Path, name: &str, region: &str, zone: &str, memory: Size) -> ProcessSettings {
     let addr: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     ProcessSettings {
+        seeds: vec![],
         name: name.parse().expect("a valid name"),
         role: Role::Agent,
         region: region.parse().expect("a valid name"),
