fix: name the rate limit when a request waited only for it

Cause: after a wait for a rate token the refusal said that the service has no room (503), if a token had come just before the wait ended, because only the count of tokens was looked at. Change: while the service has room, the rate is the reason (429).

--- a/src/decide/limit/fair.rs
+++ b/src/decide/limit/fair.rs
@@ -313,7 +313,8 @@
     pub fn blocked(&self, workspace: &Workspace) -> Reason {
         match self.spaces.get(workspace) {
             Some(s) if s.inflight >= s.share.concurrency => Reason::Concurrency,
-            Some(s) if s.tokens < 1000 => Reason::Rate,
+            // With room in the service only the rate holds requests back, also while a token has just come.
+            Some(s) if s.tokens < 1000 || self.inflight < self.window => Reason::Rate,
             _ => Reason::Saturated,
         }
     }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -247,6 +247,31 @@
     );
 }
 
+/// Guards against "the service has no room" for a request that waited for its workspace's rate only.
+#[test]
+fn rate_is_named_when_the_wait_ends() {
+    let lab = space("lab");
+    let mut l = Limiter::default();
+    l.set_window(Millis(1), 1000);
+    let slow = Ask {
+        share: Share {
+            concurrency: 100,
+            rate: 2000,
+        },
+        wait: Millis(600),
+        ..ask(&lab)
+    };
+    assert_matches!(l.ask(Millis(1), &slow), Verdict::Admit(_));
+    assert_matches!(l.ask(Millis(1), &slow), Verdict::Admit(_));
+    let Verdict::Wait(ticket, _) = l.ask(Millis(1), &slow) else {
+        panic!("a token comes within the wait");
+    };
+    l.cancel(&lab, ticket);
+    // The next token has come by now.
+    l.dispatch(Millis(700));
+    assert_eq!(l.blocked(&lab), Reason::Rate);
+}
+
 /// Guards against admissions beyond window or share, and against requests that are lost between queue and driver.
 #[test]
 fn bounds_hold_under_any_order_of_events() {
