feat: show in status when the log last confirmed a process's state

Cause: processes of a region that is cut off still reach each other, so that status showed neither isolated nor blocked. Change: /status has confirmed_ms; sesamewing status remarks on it beyond 6 s.

--- a/src/observe/api.rs
+++ b/src/observe/api.rs
@@ -92,6 +92,7 @@
             applied_ms: now - Millis(self.changed.load(Ordering::Relaxed)),
             blocked: feed.blocked.clone(),
             isolated_ms: feed.isolated.map(|since| now - since),
+            confirmed_ms: Some(ctx.replica.age()).filter(|age| *age != Millis::MAX),
             uptime_ms: now,
             status: ctx.status.load().as_ref().clone(),
         }
--- a/src/observe/status.rs
+++ b/src/observe/status.rs
@@ -63,6 +63,9 @@
     pub blocked: Option<String>,
     /// Time since which neither the log nor a peer could be reached; absent while connected.
     pub isolated_ms: Option<Millis>,
+    /// Time since the log last confirmed the state, directly or through peers; absent before the first time. In a
+    /// region that is cut off it grows although the processes of the region still reach each other.
+    pub confirmed_ms: Option<Millis>,
     /// Time since the process started.
     pub uptime_ms: Millis,
     /// State of the daemon.
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -101,6 +101,9 @@
     }
 }
 
+/// Age of the log's last confirmation that is reported; an accepted change is in force everywhere within 6 s.
+const CONFIRMED_WITHIN: Millis = Millis::from_secs(6);
+
 /// Describes what an operator has to look at, one entry a fact.
 fn remarks(answer: &Answer, offset: Offset) -> Vec<String> {
     let s = match &answer.status {
@@ -118,6 +121,10 @@
     if let Some(since) = s.isolated_ms {
         out.push(format!("isolated for {}", seconds(since)));
     }
+    let unconfirmed = s.confirmed_ms.filter(|age| *age > CONFIRMED_WITHIN);
+    if let (Some(age), None) = (unconfirmed, s.isolated_ms) {
+        out.push(format!("log last confirmed {} ago", seconds(age)));
+    }
     out.extend(s.status.alarms.iter().map(|a| format!("alarm: {a}")));
     out
 }
