feat: let the burst section decide who loads and keeps a version

Cause: the section burst existed and nothing used it. Change: live agents are ranked by rendezvous hash; ranks below replicas (now all by default) load, further ones below ceiling start after 2 s of load at the two ranks before; hosts that are no seeds drop the copy; agents drain by themselves before burst.ends. net::follow_reports follows the reports of one agent. A past end is refused at publish. Speed of growth and memory saved were not measured. Conclusion: settings that leave the section alone keep the version on every host.

--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -45,4 +45,23 @@
     /// Nothing is known of a claimed attempt that was sent.
     CLAIM_UNKNOWN = 513, "claim-unknown", Warn,
         "a non-repeatable request was sent to the endpoint and brought no answer", "check at the endpoint whether it ran";
+    /// The credits end soon.
+    CREDITS_END = 520, "credits-end", Warn,
+        "the credits of the region end soon; its hosts drain by themselves",
+        "nothing, or set `burst.ends` to the new end if the credits were extended";
+    /// The host drains because the credits end.
+    CREDITS_DRAIN = 521, "credits-drain", Warn,
+        "the host began to drain because the credits of its region end", "none";
+    /// Load made this host load the version.
+    BURST_GREW = 522, "burst-grew", Info,
+        "the hosts ranked before this one are loaded; this one loads the version too", "none";
+    /// The copy in memory was given back.
+    COPY_RELEASED = 523, "copy-released", Info,
+        "the endpoint confirmed the version and this host is not a seed; the copy was dropped from memory", "none";
+    /// The copy is fetched again.
+    COPY_RESTORED = 524, "copy-restored", Info,
+        "the host became a seed after it had dropped its copy and fetches it again", "none";
+    /// Another agent answered a subscription.
+    BURST_FOREIGN = 525, "burst-foreign", Warn,
+        "another agent answers at the address of a watched one", "correct the settings file of one of them";
 }
--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -4,7 +4,8 @@
 
 use super::{
     board::Board,
-    event::{LOADED, LOAD_FAILED, WEIGHTS_MISSING},
+    burst::Standing,
+    event::{COPY_RELEASED, COPY_RESTORED, LOADED, LOAD_FAILED, WEIGHTS_MISSING},
     guard,
     lessee::Lessee,
 };
@@ -62,6 +63,8 @@
     pub guard: Option<SocketAddr>,
     /// Who rejects stale tokens.
     pub fencing: Fencing,
+    /// Whether this host loads and keeps versions.
+    pub burst: Standing,
 }
 
 /// Why a load was given up.
@@ -89,7 +92,12 @@
         let mut gate = FenceGate::default();
         // Kept while the command fails, so that a retry does not fetch the version again.
         let mut held: Option<(Target, Complete)> = None;
+        // Whether the copy of `loaded` was dropped from memory.
+        let mut released = false;
         loop {
+            if !self.settle(loaded.as_ref(), &mut released).await {
+                continue;
+            }
             let Some(target) = self.wanted(loaded.as_ref()).await else {
                 continue;
             };
@@ -110,7 +118,7 @@
                     emit!(LOADED, "version {}", target.version);
                     self.timeline.record(&LOADED, target.version.clone(), "");
                     self.source.retain(&[target.manifest]);
-                    loaded = Some(target);
+                    (loaded, released) = (Some(target), false);
                 }
                 Err(e) => {
                     self.board.raise(&LOAD_FAILED, &e.to_string());
@@ -121,22 +129,53 @@
         }
     }
 
+    /// Drops the copy of the loaded version, or fetches it again if this host became a seed; returns whether it has what
+    /// it should.
+    async fn settle(&mut self, loaded: Option<&Target>, released: &mut bool) -> bool {
+        let (Some(target), keep) = (loaded, self.burst.get().keep) else {
+            return true;
+        };
+        let leaving = self.board.view().leaving;
+        if keep != *released || leaving || self.target().as_ref() != loaded {
+            return true;
+        }
+        if !keep {
+            emit!(COPY_RELEASED, "version {}", target.version);
+            let scope = target.version.clone();
+            self.timeline.record(&COPY_RELEASED, scope, "");
+            self.source.retain(&[]);
+            self.board.set_chunks(self.source.progress());
+            *released = true;
+            return true;
+        }
+        emit!(COPY_RESTORED, "version {}", target.version);
+        let scope = target.version.clone();
+        self.timeline.record(&COPY_RESTORED, scope, "");
+        *released = self.obtain(target).await.is_none();
+        !*released
+    }
+
     /// Returns the version to load; waits for news if the endpoint has it already.
-    async fn wanted(&self, loaded: Option<&Target>) -> Option<Target> {
+    async fn wanted(&mut self, loaded: Option<&Target>) -> Option<Target> {
         let mut applied = self.replica.watch();
         applied.mark_unchanged();
         let mut view = self.board.watch();
+        // `settle` marks the share as seen, so that a change since then ends the wait below.
+        let share = self.burst.peek();
         let (target, now) = (self.target(), view.borrow_and_update().clone());
+        // A share that was decided under older settings does not admit a newer version.
+        let admitted = share.load && share.offset >= self.replica.settings().offset;
         let target = target.filter(|t| {
             let confirmed = now.endpoint.version.as_ref() == Some(&t.version);
             // Names are unique, unless this agent itself loaded another manifest under the name.
             let same = loaded.is_none_or(|l| l.version != t.version || l == t);
-            now.ready && !now.leaving && !(confirmed && same)
+            admitted && now.ready && !now.leaving && !(confirmed && same)
         });
         if target.is_none() {
             tokio::select! {
                 _ = applied.changed() => {}
                 _ = view.changed() => {}
+                () = self.burst.changed() => {}
             }
         }
         target
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod board;
+mod burst;
 mod claims;
 mod event;
 mod guard;
@@ -15,6 +16,7 @@
 mod sink;
 
 pub use board::{Board, Permit, View};
+pub use burst::Standing;
 pub use claims::{Claims, Driver, Identity};
 pub use lessee::Lessee;
 pub use load::Loader;
@@ -26,6 +28,7 @@
 use eyre::WrapErr;
 use tokio::sync::oneshot;
 
+use self::burst::Sizer;
 use crate::{
     base::SystemClock,
     decide::lease::LeaseHolder,
@@ -70,6 +73,8 @@
     tasks.spawn(poll::poll(endpoint.clone(), board.clone()));
     let (end, ended) = oneshot::channel();
     let announcer = tokio::spawn(host::announce(ctx.clone(), ended));
+    let (sizer, standing) = Sizer::new(ctx.clone(), board.clone(), settings.service.clone());
+    tasks.spawn(sizer.run());
     let distribution = weights.then(|| Distribution::start(ctx.clone()));
     if let Some(source) = &distribution {
         let loader = loader(
@@ -78,6 +83,7 @@
             endpoint.clone(),
             board.clone(),
             source.clone(),
+            standing,
         );
         tasks.spawn(loader.run());
     }
@@ -139,6 +145,7 @@
     endpoint: E,
     board: Arc<Board>,
     source: Arc<Distribution>,
+    burst: Standing,
 ) -> HttpLoader<E> {
     let s = &ctx.settings;
     let resource = format!("endpoint/{}", s.name);
@@ -161,5 +168,6 @@
         service: settings.service.clone(),
         guard: s.guard,
         fencing: settings.fencing,
+        burst,
     }
 }
--- a/src/base/clock.rs
+++ b/src/base/clock.rs
@@ -155,7 +155,8 @@
     }
 }
 
-/// Returns the wall-clock time in milliseconds since the Unix epoch; used only for display and request ids.
+/// Returns the wall-clock time in milliseconds since the Unix epoch; used only for display, request ids and the
+/// end of credits.
 pub fn wall_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions as state machines without I/O.
 
+pub mod burst;
 pub mod chunk;
 pub mod claim;
 pub mod drain;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,8 +4,10 @@
 mod pace;
 mod tls;
 mod transport;
+mod watch;
 
 pub use frame::{FrameReceiver, FrameSender};
 pub use pace::{Bucket, Pacer};
 pub use tls::{TlsError, TlsFiles, SERVER_NAME};
 pub use transport::{Call, Incoming, NetError, Transport};
+pub(crate) use watch::{follow_reports, Followed};
--- a/src/settings/burst.rs
+++ b/src/settings/burst.rs
@@ -3,17 +3,19 @@
 use linkme::distributed_slice;
 
 use super::{section::section, Check, Subject, CHECKS};
-use crate::base::{Millis, Percent};
+use crate::base::{wall_ms, Millis, Percent};
 
 section! {
     /// Size of the burst.
     Burst = "burst" {
-        "Smallest number of hosts that hold the version."
-        replicas: u32 = "1", "1", "100000", Service;
-        "Largest number of hosts that hold the version."
+        "Hosts of a region that always load the version; 100000: all."
+        replicas: u32 = "100000", "1", "100000", Service;
+        "Largest number of hosts of a region that load the version; 100000: all."
         ceiling: u32 = "100000", "1", "100000", Service;
-        "Load of the replicas above which a further host fetches the version."
+        "Load of the two hosts before it, in requests over capacity, from which a further host loads the version."
         threshold: Percent = "70%", "1%", "100%", Service;
+        "Hosts of a region that keep the copy in memory to seed later hosts; 100000: all. A smaller number saves memory, but then later versions cannot reuse unchanged chunks on the other hosts."
+        seeds: u32 = "100000", "1", "100000", Service;
         "Unix time in seconds at which the credits end; 0: never."
         ends: u32 = "0", "", "", Region;
         "Time before the end of the credits at which hosts start to drain."
@@ -35,3 +37,18 @@
         })
     },
 };
+
+#[distributed_slice(CHECKS)]
+static ENDS: Check = Check {
+    rule: "`burst.ends` is 0 or in the future",
+    options: &["burst.ends"],
+    run: |subject| {
+        let Subject::Service(s) = subject else {
+            return None;
+        };
+        let (ends, now) = (u64::from(s.burst.ends), wall_ms() / 1000);
+        (ends != 0 && ends <= now).then(|| {
+            format!("`burst.ends` {ends} is in the past, it is {now} now; name a later time, or 0 for no end")
+        })
+    },
+};
--- /dev/null
+++ b/tests/burst_size.rs
@@ -0,0 +1,464 @@
+//! How many hosts hold a version, who keeps the copy, and the drain before the credits end.
+
+#[path = "common/agent/mod.rs"]
+mod common;
+
+use std::{
+    net::UdpSocket,
+    time::{Duration, Instant as Clock},
+};
+
+use common::{
+    daemon::{request, settings, tls, Client},
+    engine::Engine,
+    platform::Platform,
+    until, within,
+};
+use sesamewing::{
+    agent,
+    base::{Instance, Millis, Offset, Percent, ProcessName, Service, VersionName},
+    decide::burst::{Credits, Growth, Place, Rule, Stage, Verdict, ALL, SUSTAIN},
+    net::TlsFiles,
+    process::{Context, EndpointKind, Phase},
+    settings::{Burst, Tree},
+    wire::{AgentReport, AgentState, Call},
+};
+
+fn name(i: usize) -> ProcessName {
+    format!("a{i}").parse().expect("a name")
+}
+
+fn service() -> Service {
+    "drafts".parse().expect("a name")
+}
+
+fn v1() -> VersionName {
+    "v1".parse().expect("a name")
+}
+
+/// Names of `n` agents in rank order.
+fn ranked(n: usize) -> Vec<ProcessName> {
+    let mut all: Vec<_> = (0..n).map(name).collect();
+    let every = all.clone();
+    all.sort_by_key(|a| place(a, &every).rank);
+    all
+}
+
+fn place(own: &ProcessName, view: &[ProcessName]) -> Place {
+    Place::new(&service(), own, view.iter().cloned())
+}
+
+fn rule(replicas: u32, ceiling: u32, seeds: u32) -> Rule {
+    Rule {
+        replicas,
+        ceiling,
+        seeds,
+        threshold: Percent(70),
+        version: Some(v1()),
+    }
+}
+
+/// A report of an agent that serves `version` with `load` of 10 requests.
+fn report(
+    agent: &ProcessName,
+    sequence: u64,
+    load: u32,
+    version: Option<VersionName>,
+) -> AgentReport {
+    AgentReport {
+        name: agent.clone(),
+        instance: Instance(1),
+        sequence,
+        service: service(),
+        state: match version {
+            Some(_) => AgentState::Serving,
+            None => AgentState::Starting,
+        },
+        version,
+        applied: Offset(0),
+        running: load / 2,
+        waiting: load - load / 2,
+        capacity: 10,
+        speed: 0,
+        prefixes: Vec::new(),
+    }
+}
+
+/// Reports of all agents ahead at `now`, then a decision of an agent without a version.
+fn step(g: &mut Growth, p: &Place, r: &Rule, now: u64, loads: &[u32]) -> Verdict {
+    for (agent, load) in p.ahead.iter().zip(loads) {
+        g.report(Millis(now), report(agent, now, *load, Some(v1())));
+    }
+    g.tick(Millis(now), Some(p), r, None)
+}
+
+/// Guards against defaults that take the version from hosts of a deployment that sets nothing.
+#[test]
+fn defaults_load_and_keep_everywhere() {
+    let b = Burst::default();
+    assert_eq!((b.replicas, b.ceiling, b.seeds), (ALL, ALL, ALL));
+    let r = rule(b.replicas, b.ceiling, b.seeds);
+    let all = ranked(200);
+    let last = place(&all[199], &all);
+    for p in [None, Some(&last)] {
+        for held in [None, Some(&v1())] {
+            let got = Growth::default().tick(Millis(0), p, &r, held);
+            assert!(got.load && got.keep && got.watch.is_empty(), "{got:?}");
+        }
+    }
+}
+
+/// Guards against a host that loads because it does not know its rank yet.
+#[test]
+fn unlisted_agent_waits_for_its_rank() {
+    let got = Growth::default().tick(Millis(0), None, &rule(1, 3, ALL), None);
+    assert_eq!((got.load, got.watch.len()), (false, 0));
+}
+
+/// Guards against growth that skips ranks, passes the ceiling, or watches more than two agents.
+#[test]
+fn growth_is_a_chain_up_to_the_ceiling() {
+    let (all, r) = (ranked(8), rule(2, 5, ALL));
+    let mut agents: Vec<_> = all
+        .iter()
+        .map(|a| (place(a, &all), Growth::default()))
+        .collect();
+    let mut held = [false; 8];
+    let mut order = Vec::new();
+    for now in (0..60_000).step_by(200) {
+        for i in 0..8 {
+            let (p, g) = &mut agents[i];
+            for ahead in &p.ahead {
+                let rank = all.iter().position(|a| a == ahead).expect("listed");
+                let version = held[rank].then(v1);
+                g.report(Millis(now), report(ahead, now, 10, version));
+            }
+            let own = held[i].then(v1);
+            let got = g.tick(Millis(now), Some(p), &r, own.as_ref());
+            assert!(got.watch.len() <= 2);
+            if got.load && !held[i] {
+                held[i] = true;
+                order.push((now, i));
+            }
+        }
+    }
+    let ranks: Vec<_> = order.iter().map(|(_, i)| *i).collect();
+    assert_eq!(ranks, [0, 1, 2, 3, 4]);
+    for pair in order[1..].windows(2) {
+        assert!(pair[1].0 - pair[0].0 >= SUSTAIN.0, "{order:?}");
+    }
+}
+
+/// Guards against copies for short peaks, for one loaded agent of two, and for late or missing reports.
+#[test]
+fn only_sustained_load_of_both_starts_a_copy() {
+    let (all, r) = (ranked(4), rule(2, 4, ALL));
+    let p = place(&all[2], &all);
+    assert_eq!(p.ahead, [all[1].clone(), all[0].clone()]);
+    let mut dip = Growth::default();
+    let mut one = Growth::default();
+    let mut steady = Growth::default();
+    for now in (0..=SUSTAIN.0).step_by(200) {
+        let loads = if now == 1000 { [7, 6] } else { [7, 7] };
+        assert!(!step(&mut dip, &p, &r, now, &loads).load, "{now}");
+        assert!(!step(&mut one, &p, &r, now, &[10, 0]).load, "{now}");
+        let got = step(&mut steady, &p, &r, now, &[7, 7]);
+        assert_eq!(got.load, now == SUSTAIN.0, "{now}");
+        assert_eq!(got.grew, got.load);
+    }
+    // A dip between two decisions counts as well.
+    let mut between = Growth::default();
+    for now in (0..=SUSTAIN.0).step_by(200) {
+        assert!(!step(&mut between, &p, &r, now, &[7, 7]).load || now == SUSTAIN.0);
+        if now == 1800 {
+            between.report(Millis(1900), report(&all[0], 1900, 0, Some(v1())));
+        }
+    }
+    assert!(!between.tick(Millis(2100), Some(&p), &r, None).load);
+    let mut silent = Growth::default();
+    step(&mut silent, &p, &r, 0, &[7, 7]);
+    step(&mut silent, &p, &r, 200, &[7, 7]);
+    assert!(!silent.tick(Millis(4000), Some(&p), &r, None).load);
+}
+
+/// Guards against a started copy that is abandoned at the next dip, and a serving host that keeps an old version.
+#[test]
+fn started_host_goes_on_without_load() {
+    let (all, r) = (ranked(4), rule(1, 3, ALL));
+    let p = place(&all[1], &all);
+    let mut g = Growth::default();
+    for now in (0..=SUSTAIN.0).step_by(200) {
+        step(&mut g, &p, &r, now, &[7]);
+    }
+    let got = step(&mut g, &p, &r, 2200, &[0]);
+    assert!(got.load && !got.grew, "{got:?}");
+    let next = Rule {
+        version: Some("v2".parse().expect("a name")),
+        ..r.clone()
+    };
+    assert!(g.tick(Millis(9000), Some(&p), &next, Some(&v1())).load);
+    let restarted = Growth::default().tick(Millis(0), Some(&p), &next, Some(&v1()));
+    assert!(restarted.load, "the endpoint outlived the agent");
+    let above = place(&all[3], &all);
+    assert!(
+        !Growth::default()
+            .tick(Millis(0), Some(&above), &next, Some(&v1()))
+            .load
+    );
+}
+
+/// Guards against an agent that counts predecessors that serve another version or whose load is unknown.
+#[test]
+fn other_versions_and_unknown_capacity_do_not_count() {
+    let (all, r) = (ranked(3), rule(1, 3, ALL));
+    let p = place(&all[1], &all);
+    let (mut old, mut blind) = (Growth::default(), Growth::default());
+    for now in (0..10_000).step_by(200) {
+        let other = "v0".parse().expect("a name");
+        old.report(Millis(now), report(&all[0], now, 10, Some(other)));
+        assert!(!old.tick(Millis(now), Some(&p), &r, None).load);
+        let unknown = AgentReport {
+            capacity: 0,
+            ..report(&all[0], now, 10, Some(v1()))
+        };
+        blind.report(Millis(now), unknown);
+        assert!(!blind.tick(Millis(now), Some(&p), &r, None).load);
+    }
+}
+
+/// Guards against views that differ by one host and cost more than one extra copy, or a missing one.
+#[test]
+fn views_that_differ_by_one_host_cost_one_copy() {
+    let all = ranked(12);
+    for replicas in 1..=6 {
+        for missing in &all {
+            let without: Vec<_> = all.iter().filter(|a| *a != missing).cloned().collect();
+            let loads = |a: &ProcessName, view: &[ProcessName]| place(a, view).rank < replicas;
+            // Each agent may have either view: the fewest load if only those do that would in both, the most if all do
+            // that would in one.
+            let fewest = all.iter().filter(|a| loads(a, &all) && loads(a, &without));
+            let most = all.iter().filter(|a| loads(a, &all) || loads(a, &without));
+            assert_eq!(fewest.count(), replicas, "{missing}");
+            assert!(most.count() <= replicas + 1, "{replicas} {missing}");
+        }
+    }
+}
+
+/// Guards against copies given back while the hosts ahead lack the version, and seeds that do not take over.
+#[test]
+fn only_seeds_keep_the_copy() {
+    let (all, r) = (ranked(5), rule(ALL, ALL, 2));
+    let held = v1();
+    let seed = place(&all[1], &all);
+    assert!(
+        Growth::default()
+            .tick(Millis(0), Some(&seed), &r, Some(&held))
+            .keep
+    );
+    let p = place(&all[2], &all);
+    let mut g = Growth::default();
+    let tick = |g: &mut Growth, now, p: &Place, held| g.tick(Millis(now), Some(p), &r, held);
+    assert!(tick(&mut g, 0, &p, None).keep, "not confirmed");
+    let got = tick(&mut g, 200, &p, Some(&held));
+    assert!(got.keep && got.watch == p.ahead, "{got:?}");
+    g.report(Millis(300), report(&all[1], 1, 0, Some(v1())));
+    g.report(Millis(300), report(&all[0], 1, 0, None));
+    assert!(tick(&mut g, 400, &p, Some(&held)).keep, "one seed lacks it");
+    g.report(Millis(500), report(&all[0], 2, 0, Some(v1())));
+    let got = tick(&mut g, 600, &p, Some(&held));
+    assert!(!got.keep && got.watch.is_empty(), "{got:?}");
+    assert!(
+        !tick(&mut g, 60_000, &p, Some(&held)).keep,
+        "final while ranks stay"
+    );
+    let fewer = place(&all[2], &all[1..]);
+    assert!(
+        tick(&mut g, 60_200, &fewer, Some(&held)).keep,
+        "became a seed"
+    );
+}
+
+/// Guards against hosts that leave at once, after half the lead, or follow each other as ranks shift.
+#[test]
+fn credit_end_spreads_the_drains() {
+    let (ends, lead) = (Millis(10_000_000), Millis(600_000));
+    let mut live = ranked(20);
+    let mut agents: Vec<_> = live
+        .iter()
+        .map(|a| (a.clone(), Credits::default()))
+        .collect();
+    let mut left = Vec::new();
+    for now in (8_700_000..ends.0).step_by(1000) {
+        let view = live.clone();
+        agents.retain_mut(|(a, c)| {
+            let stage = c.tick(Millis(now), ends, lead, Some(&place(a, &view)));
+            let wanted = now >= ends.0 - 2 * lead.0;
+            assert_eq!(stage != Stage::Far, wanted, "{now}");
+            if stage == Stage::Drain {
+                left.push(now);
+                live.retain(|l| l != a);
+            }
+            stage != Stage::Drain
+        });
+    }
+    let want: Vec<_> = (0..20).map(|i| 9_400_000 + i * 15_000).collect();
+    assert_eq!(left, want);
+}
+
+/// Guards against a drain without an end, and against hosts that stay because the list lacks them or the end moved.
+#[test]
+fn credit_end_follows_the_settings() {
+    let (ends, lead) = (Millis(10_000_000), Millis(600_000));
+    let mut c = Credits::default();
+    assert_eq!(c.tick(Millis::MAX, Millis::ZERO, lead, None), Stage::Far);
+    assert_eq!(
+        c.tick(Millis(9_699_999), ends, lead, None),
+        Stage::Announced
+    );
+    assert_eq!(c.tick(Millis(9_700_000), ends, lead, None), Stage::Drain);
+    let later = ends + lead.times(4);
+    assert_eq!(c.tick(Millis(9_700_000), later, lead, None), Stage::Far);
+}
+
+/// Guards against settings under which every host would leave at once.
+#[test]
+fn past_end_is_refused() {
+    let text = |ends: u32| {
+        format!("regions:\n  east:\n    settings:\n      burst.ends: {ends}\n    services:\n      drafts: {{}}\n")
+    };
+    let found = Tree::parse(&text(1_700_000_000)).expect_err("refused");
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].reason.contains("in the past"), "{found:?}");
+    for ends in [0, u32::MAX] {
+        Tree::parse(&text(ends)).expect("accepted");
+    }
+}
+
+/// Starts an agent whose peer address is known before, because the host list announces it.
+fn start(
+    agent: &ProcessName,
+    platform: std::net::SocketAddr,
+    engine: std::net::SocketAddr,
+    files: &TlsFiles,
+) -> Context {
+    // Another process may take the port between the two binds.
+    for _ in 0..16 {
+        let probe = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+        let mut s = settings(
+            agent.as_str(),
+            EndpointKind::Engine,
+            platform,
+            engine,
+            files.clone(),
+        );
+        s.peer = probe.local_addr().expect("a bound address");
+        drop(probe);
+        if let Ok(ctx) = Context::start(s) {
+            return ctx;
+        }
+    }
+    panic!("no free port");
+}
+
+/// Guards against a host above the replica count that loads without load, or never, and against a copy that is kept by a
+/// host that is no seed or stays lost when that host becomes one.
+#[tokio::test]
+async fn further_agent_loads_under_load_only() {
+    let platform = Platform::default();
+    let at = platform.serve().await;
+    let dir = tempfile::tempdir().expect("a directory");
+    let files = tls(&dir);
+    let all = ranked(2);
+    let engines = [Engine::default(), Engine::default()];
+    let mut agents = Vec::new();
+    for (agent, engine) in all.iter().zip(&engines) {
+        let ctx = start(agent, at, engine.serve().await, &files);
+        tokio::spawn(agent::run(ctx.clone()));
+        agents.push(ctx);
+    }
+    until("both in the lists", || {
+        agents.iter().all(|c| c.replica.hosts().hosts.len() == 2)
+    })
+    .await;
+    let manifest = platform.store("v1", &[7; 5000]).to_string();
+    let values = [
+        ("weights.version", "v1"),
+        ("weights.manifest", &manifest),
+        ("burst.replicas", "1"),
+        ("burst.ceiling", "2"),
+        ("burst.threshold", "10%"),
+        ("burst.seeds", "1"),
+    ];
+    platform.publish("/east/drafts", Offset(0), &values);
+    until("the first load", || engines[0].state().loads.len() == 1).await;
+    until("the second agent's settings", || {
+        agents[1].replica.applied() >= Offset(1)
+    })
+    .await;
+    assert!(engines[1].state().loads.is_empty());
+    // One of eight slots is in use while the answer is held back.
+    engines[0].open.send_replace(0);
+    let client = Client::new(&agents[0]);
+    let began = Clock::now();
+    let call = client.call(Call::Run(request(Some("v1"), 3))).await;
+    until("the second load", || engines[1].state().loads.len() == 1).await;
+    assert!(
+        began.elapsed() >= Duration::from_millis(SUSTAIN.0),
+        "{:?}",
+        began.elapsed()
+    );
+    drop(call);
+    engines[0].open.send_replace(u64::MAX);
+    assert_eq!(engines[0].state().loads.len(), 1);
+    // The second agent is no seed until the first one leaves.
+    until("the release", || agents[1].status.load().chunks.is_none()).await;
+    assert_eq!(agents[0].status.load().chunks, Some((5, 5)));
+    agents[0].advance(Phase::Draining);
+    until("the restored copy", || {
+        agents[1].status.load().chunks == Some((5, 5))
+    })
+    .await;
+    assert_eq!(
+        engines[1].state().loads.len(),
+        1,
+        "the endpoint kept the version"
+    );
+}
+
+/// Guards against an agent that stays when the credits of its region end.
+#[tokio::test]
+async fn agent_drains_by_itself() {
+    let platform = Platform::default();
+    let at = platform.serve().await;
+    let dir = tempfile::tempdir().expect("a directory");
+    let files = tls(&dir);
+    let engine = Engine::default();
+    let ctx = start(&name(0), at, engine.serve().await, &files);
+    let run = tokio::spawn(agent::run(ctx.clone()));
+    until("the list", || ctx.replica.hosts().hosts.len() == 1).await;
+    let soon = sesamewing::base::wall_ms() / 1000 + 90;
+    platform.publish(
+        "/east",
+        Offset(0),
+        &[("burst.ends", &soon.to_string()), ("burst.lead", "1min")],
+    );
+    let service = platform.publish("/east/drafts", Offset(0), &[]);
+    until("the settings", || ctx.replica.applied() >= service).await;
+    until("the alarm", || {
+        let alarms = &ctx.status.load().alarms;
+        alarms.iter().any(|a| a.contains("SW520"))
+    })
+    .await;
+    assert_eq!(ctx.phase(), Phase::Serving);
+    let over = (sesamewing::base::wall_ms() / 1000 + 30).to_string();
+    platform.publish(
+        "/east",
+        Offset(1),
+        &[("burst.ends", &over), ("burst.lead", "1min")],
+    );
+    within("the end", run)
+        .await
+        .expect("no panic")
+        .expect("no error");
+    assert_eq!(ctx.phase(), Phase::Stopped);
+}
--- a/tests/load_order.rs
+++ b/tests/load_order.rs
@@ -143,6 +143,7 @@
             service: "drafts".parse().expect("a name"),
             guard,
             fencing: Fencing::Unchecked,
+            burst: Default::default(),
         };
         let mut tasks = tokio::task::JoinSet::new();
         tasks.spawn(loader.run());
