--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -9,7 +9,8 @@
     base::{HashMap, Millis, ProcessName},
     decide::member::{Action, SUSPECT_AFTER},
     emit,
-    wire::{AgentReport, Call, WatchRequest},
+    net::follow_reports,
+    wire::{Call, WatchRequest},
 };
 
 /// Time between two looks at host list, settings and clocks.
@@ -18,9 +19,6 @@
 /// Heartbeat interval that agents are asked for.
 const INTERVAL: Millis = Millis(1000);
 
-/// Largest report in bytes.
-const REPORT_MAX: usize = 64 << 10;
-
 /// First and longest pause before a subscription is opened again.
 const PAUSE: (Millis, Millis) = (Millis(50), Millis(2000));
 
@@ -71,22 +69,11 @@
     let open = shared
         .ctx
         .open(Call::Watch(WatchRequest { interval: INTERVAL }));
-    let call = shared.ctx.transport.call(peer, &open);
-    let Ok(Ok(mut call)) = tokio::time::timeout(SUSPECT_AFTER.duration(), call).await else {
-        return false;
-    };
-    let mut any = false;
-    while let Ok(report) = call.rx.next::<AgentReport>(REPORT_MAX, SUSPECT_AFTER).await {
-        if report.name != *name {
-            emit!(
-                REPORT_FOREIGN,
-                "{} answers at the address of {name}",
-                report.name
-            );
-            return any;
-        }
-        any = true;
-        shared.report(report);
+    let transport = &shared.ctx.transport;
+    let take = |report| shared.report(report);
+    let end = follow_reports(transport, peer, &open, name, SUSPECT_AFTER, take).await;
+    if let Some(other) = end.foreign {
+        emit!(REPORT_FOREIGN, "{other} answers at the address of {name}");
     }
-    any
+    end.any
 }
--- a/tests/operator_api.rs
+++ b/tests/operator_api.rs
@@ -35,6 +35,8 @@
         assert_eq!(status.phase, Phase::Serving);
         assert_eq!(status.status.state, RoleState::Starting);
         assert_eq!(status.service.is_some(), role == Role::Agent);
+        // The platform is down, so nothing was ever confirmed.
+        assert_eq!(status.confirmed_ms, None);
         let (code, body) = get(&format!("{base}/metrics")).await;
         assert_eq!(code, 200);
         assert!(body.contains("sesamewing_applied_offset 0"), "{body}");
