--- a/standin/src/bin/sesamewing-standin.rs
+++ b/standin/src/bin/sesamewing-standin.rs
@@ -1,18 +1,29 @@
 //! Runs the stand-ins and prepares their files and content.
 
-use std::{path::Path, str::FromStr};
+use std::{
+    path::{Path, PathBuf},
+    str::FromStr,
+};
 
 use eyre::{bail, ensure, eyre, Result, WrapErr};
 use futures_util::future::join_all;
 use getopts::{Matches, Options};
-use sesamewing::base::Millis;
+use sesamewing::{
+    base::{Millis, Size},
+    process::ProcessSettings,
+    wire::Role,
+};
 use sesamewing_standin::{
     certs::write_certs,
+    corrupt,
     weights::{put_weights, Recipe},
     Endpoint, EndpointOptions, Platform, PlatformOptions, Server,
 };
 use tokio::signal::unix::{signal, SignalKind};
 
+/// Default chunk size.
+const CHUNK: Size = Size(64 << 10);
+
 const USAGE: &str = "\
 Usage: sesamewing-standin COMMAND [OPTIONS]
 
@@ -20,6 +31,7 @@
     platform      run log streams, weight store and host list
     endpoint      run a model engine or a plain service
     certs         write an authority and certificates: certs DIR [NAME...]
+    bad-agent     run an agent that claims to hold every chunk and sends wrong bytes
     put-weights   generate a version and upload it to a weight store
 
 `sesamewing-standin COMMAND --help` lists the options of a command.";
@@ -177,6 +189,25 @@
     serve(servers).await
 }
 
+async fn bad_agent(args: &[String]) -> Result<()> {
+    let mut opts = Options::new();
+    opts.optopt(
+        "",
+        "config",
+        "process settings of an agent, required",
+        "FILE",
+    )
+    .optopt("", "chunks", "number of chunks, required", "N")
+    .optopt("", "chunk", "chunk size, default 64KiB", "SIZE");
+    let Some(m) = parse(&mut opts, "bad-agent", args)? else {
+        return Ok(());
+    };
+    let file: PathBuf = required(&m, "config")?;
+    let settings = ProcessSettings::load(&file, Role::Agent)?;
+    let size = option(&m, "chunk")?.unwrap_or(CHUNK);
+    corrupt::serve(settings, required(&m, "chunks")?, size).await
+}
+
 fn certs(args: &[String]) -> Result<()> {
     let Some(m) = parse(&mut Options::new(), "certs DIR [NAME...]", args)? else {
         return Ok(());
@@ -218,7 +249,7 @@
     let recipe = Recipe {
         version: required(&m, "version")?,
         size: required(&m, "size")?,
-        chunk: option(&m, "chunk")?.unwrap_or(sesamewing::base::Size(64 << 10)),
+        chunk: option(&m, "chunk")?.unwrap_or(CHUNK),
         seed: required(&m, "seed")?,
         base,
     };
@@ -243,6 +274,7 @@
         "platform" => platform(rest).await,
         "endpoint" => endpoint(rest).await,
         "certs" => certs(rest),
+        "bad-agent" => bad_agent(rest).await,
         "put-weights" => weights(rest).await,
         "-h" | "--help" | "help" => {
             println!("{USAGE}");
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! has a runtime of its own, so that it can be killed like a process.
 
 pub mod certs;
+pub mod corrupt;
 mod endpoint;
 mod fault;
 pub mod load;
--- a/standin/src/rollout/figures.rs
+++ b/standin/src/rollout/figures.rs
@@ -141,12 +141,20 @@
         let (copied, served) = (self.time(|s| s.copies), self.time(|s| s.serving));
         let seconds = served.unwrap_or(plan.elapsed()).max(1) as f64 / 1000.0;
         let clear = missing.is_empty() && wrong.is_empty() && unknown.is_empty();
+        let uploads = || {
+            self.counters
+                .iter()
+                .flatten()
+                .filter_map(|c| c.get("upload_bytes"))
+        };
         let rate = self.sum("report_bytes") as f64 / seconds / plan.hosts.len().max(1) as f64;
         let summary = json!({
             "hosts": plan.hosts.len(), "bound_ms": plan.bound, "copied_ms": copied, "served_ms": served,
             "copied_ratio": ratio(copied), "time_ratio": ratio(served),
             "origin_copies": round(self.origin as f64 / plan.size as f64),
             "region_copies": self.region_copies(),
+            "upload_bytes_per_s_mean": (self.sum("upload_bytes") as f64 / seconds / plan.hosts.len().max(1) as f64).round(),
+            "upload_bytes_per_s_max": (uploads().max().copied().unwrap_or(0) as f64 / seconds).round(),
             "duplicates": self.sum("duplicate_chunks"), "corrupt": self.sum("corrupt_chunks"),
             "busy": self.sum("busy_replies"), "failed": self.sum("failed_fetches"),
             "control_bytes_per_s": rate.round(), "usage": self.usage(),
