--- a/standin/src/bin/sesamewing-standin.rs
+++ b/standin/src/bin/sesamewing-standin.rs
@@ -1,17 +1,29 @@
 //! Runs the stand-ins and prepares their files and content.
 
-use std::{path::Path, str::FromStr};
+use std::{
+    path::{Path, PathBuf},
+    str::FromStr,
+};
 
-use eyre::{bail, eyre, Result, WrapErr};
+use eyre::{bail, ensure, eyre, Result, WrapErr};
+use futures_util::future::join_all;
 use getopts::{Matches, Options};
-use sesamewing::base::Millis;
+use sesamewing::{
+    base::{Millis, Size},
+    process::ProcessSettings,
+    wire::Role,
+};
 use sesamewing_standin::{
     certs::write_certs,
+    corrupt,
     weights::{put_weights, Recipe},
     Endpoint, EndpointOptions, Platform, PlatformOptions, Server,
 };
 use tokio::signal::unix::{signal, SignalKind};
 
+/// Default chunk size.
+const CHUNK: Size = Size(64 << 10);
+
 const USAGE: &str = "\
 Usage: sesamewing-standin COMMAND [OPTIONS]
 
@@ -19,6 +31,7 @@
     platform      run log streams, weight store and host list
     endpoint      run a model engine or a plain service
     certs         write an authority and certificates: certs DIR [NAME...]
+    bad-agent     run an agent that claims to hold every chunk and sends wrong bytes
     put-weights   generate a version and upload it to a weight store
 
 `sesamewing-standin COMMAND --help` lists the options of a command.";
@@ -60,15 +73,17 @@
 }
 
 /// Serves until SIGTERM or SIGINT; requests in progress end first.
-async fn serve(server: Server) -> Result<()> {
+async fn serve(servers: Vec<Server>) -> Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
-    println!("listening {}", server.addr());
+    for server in &servers {
+        println!("listening {}", server.addr());
+    }
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    server.stop().await;
+    join_all(servers.into_iter().map(Server::stop)).await;
     Ok(())
 }
 
@@ -100,7 +115,7 @@
         rate: option(&m, "origin-rate")?.unwrap_or(defaults.rate),
         lag: millis(&m, "hosts-lag", defaults.lag)?,
     };
-    serve(Platform::start(options).await?).await
+    serve(vec![Platform::start(options).await?]).await
 }
 
 async fn endpoint(args: &[String]) -> Result<()> {
@@ -112,6 +127,12 @@
         "ADDR",
     )
     .optopt("", "kind", "engine or plain, required", "KIND")
+    .optopt(
+        "",
+        "count",
+        "endpoints with an address each, default 1",
+        "N",
+    )
     .optflag(
         "",
         "checked",
@@ -156,7 +177,35 @@
         work: millis(&m, "work-ms", defaults.work)?,
         version,
     };
-    serve(Endpoint::start(options).await?).await
+    let count = option(&m, "count")?.unwrap_or(1);
+    ensure!(
+        count == 1 || options.listen.port() == 0,
+        "--count needs a free port for each endpoint; use `--listen` with port 0"
+    );
+    let mut servers = Vec::new();
+    for _ in 0..count {
+        servers.push(Endpoint::start(options.clone()).await?);
+    }
+    serve(servers).await
+}
+
+async fn bad_agent(args: &[String]) -> Result<()> {
+    let mut opts = Options::new();
+    opts.optopt(
+        "",
+        "config",
+        "process settings of an agent, required",
+        "FILE",
+    )
+    .optopt("", "chunks", "number of chunks, required", "N")
+    .optopt("", "chunk", "chunk size, default 64KiB", "SIZE");
+    let Some(m) = parse(&mut opts, "bad-agent", args)? else {
+        return Ok(());
+    };
+    let file: PathBuf = required(&m, "config")?;
+    let settings = ProcessSettings::load(&file, Role::Agent)?;
+    let size = option(&m, "chunk")?.unwrap_or(CHUNK);
+    corrupt::serve(settings, required(&m, "chunks")?, size).await
 }
 
 fn certs(args: &[String]) -> Result<()> {
@@ -200,7 +249,7 @@
     let recipe = Recipe {
         version: required(&m, "version")?,
         size: required(&m, "size")?,
-        chunk: option(&m, "chunk")?.unwrap_or(sesamewing::base::Size(64 << 10)),
+        chunk: option(&m, "chunk")?.unwrap_or(CHUNK),
         seed: required(&m, "seed")?,
         base,
     };
@@ -225,6 +274,7 @@
         "platform" => platform(rest).await,
         "endpoint" => endpoint(rest).await,
         "certs" => certs(rest),
+        "bad-agent" => bad_agent(rest).await,
         "put-weights" => weights(rest).await,
         "-h" | "--help" | "help" => {
             println!("{USAGE}");
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,10 +4,12 @@
 //! has a runtime of its own, so that it can be killed like a process.
 
 pub mod certs;
+pub mod corrupt;
 mod endpoint;
 mod fault;
 pub mod load;
 mod platform;
+pub mod rollout;
 mod server;
 mod text;
 pub mod weights;
