--- a/src/decide/claim/runner.rs
+++ b/src/decide/claim/runner.rs
@@ -11,14 +11,12 @@
 use crate::{
     base::{Attempt, Digest, HashMap, HashSet, Instance, Millis, ProcessName, RecordId, RequestId},
     kernel::{
-        Body, Claim, Done, Effect, Entry, Kernel, Outcome, Record, Refusal, Void, OUTCOME_MAX,
+        Body, Claim, Done, Effect, Entry, Kernel, Outcome, Record, Refusal, Void, MEDIA_MAX,
+        OUTCOME_MAX,
     },
     wire::{NotRun, RunOutcome, SettleReply},
 };
 
-/// Longest media type that is kept in an outcome, in bytes.
-const MEDIA_MAX: usize = 128;
-
 /// Claims attempts, runs them once and records their outcomes; `P` is what is needed to run a request.
 #[derive(Debug)]
 pub struct ClaimRunner<P> {
--- a/src/kernel/claim.rs
+++ b/src/kernel/claim.rs
@@ -13,6 +13,9 @@
 /// Largest outcome body that is kept in the log, in bytes.
 pub const OUTCOME_MAX: usize = 4096;
 
+/// Longest media type of an outcome, in bytes; without it an outcome could be as large as a record.
+pub const MEDIA_MAX: usize = 128;
+
 /// Time by which a request id may lie ahead of the log's time; allows for clock skew of callers.
 const AHEAD_MAX: Millis = Millis::from_secs(60);
 
@@ -21,7 +24,7 @@
 pub struct Outcome {
     /// HTTP status.
     pub status: u16,
-    /// Media type of the body.
+    /// Media type of the body; at most [`MEDIA_MAX`] bytes.
     pub media: String,
     /// Hash of the body.
     pub digest: Digest,
@@ -192,7 +195,7 @@
         };
         let own =
             matches!(&slot.state, ClaimState::Claimed { instance, .. } if *instance == d.instance);
-        if !own || !small {
+        if !own || !small || d.outcome.media.len() > MEDIA_MAX {
             return false;
         }
         slot.state = ClaimState::Done(d.outcome.clone());
--- a/src/kernel/config.rs
+++ b/src/kernel/config.rs
@@ -206,21 +206,21 @@
         })
     }
 
-    /// Returns whether a change fits the bounds of the tree and names a base for each changed node.
+    /// Returns whether a change fits the bounds of the tree, and names each changed node once and with a base.
     fn well_formed(&self, p: &Publish) -> bool {
         let sizes = p.nodes.iter().filter_map(|(_, v)| v.as_ref()).all(|v| {
             v.len() <= VALUES_MAX && v.iter().all(|(k, v)| k.len() <= 64 && v.len() <= VALUE_MAX)
         });
-        let based = p
-            .nodes
-            .iter()
-            .all(|(path, _)| p.base.iter().any(|(b, _)| b == path));
+        let based: BTreeSet<&NodePath> = p.base.iter().map(|(path, _)| path).collect();
+        let named: BTreeSet<&NodePath> = p.nodes.iter().map(|(path, _)| path).collect();
+        // Each removal looks at the whole tree: 100,000 of one node in a record would block every process.
+        let once = named.len() == p.nodes.len() && named.is_subset(&based);
         let room = p
             .nodes
             .iter()
             .filter(|(path, _)| !self.nodes.contains_key(path))
             .count();
-        sizes && based && p.author.len() <= 64 && self.nodes.len() + room <= NODES_MAX
+        sizes && once && p.author.len() <= 64 && self.nodes.len() + room <= NODES_MAX
     }
 
     /// Applies a change at `offset`; `Ok(false)` if it is out of bounds.
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -12,7 +12,7 @@
 mod snapshot;
 mod state;
 
-pub use claim::{ClaimState, Claims, Outcome, CLAIMS_MAX, OUTCOME_MAX};
+pub use claim::{ClaimState, Claims, Outcome, CLAIMS_MAX, MEDIA_MAX, OUTCOME_MAX};
 pub use config::{Config, Conflict, Node, NodePath, PathError, Values, NODES_MAX};
 pub use dedupe::{Dedupe, RECENT_MAX};
 pub use lease::{Lease, Leases, LEASES_MAX};
