feat: counters of the traffic between processes

Cause: the control traffic of a daemon could not be measured.

Change: metrics sesamewing_net_* count messages and bytes of control, requests and weights in both directions, and bytes of UDP payload.

--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -4,7 +4,7 @@
 use quinn::{RecvStream, SendStream, VarInt};
 use serde::{de::DeserializeOwned, Serialize};
 
-use super::NetError;
+use super::{traffic::Flow, NetError};
 use crate::{
     base::Millis,
     wire::{self, CodecError, FRAME_PREFIX},
@@ -18,16 +18,23 @@
 pub struct FrameSender {
     stream: SendStream,
     finished: bool,
+    flow: Flow,
 }
 
 impl FrameSender {
-    pub(super) fn new(stream: SendStream) -> Self {
+    pub(super) fn new(stream: SendStream, flow: Flow) -> Self {
         Self {
             stream,
             finished: false,
+            flow,
         }
     }
 
+    /// Counts the following messages elsewhere.
+    pub(super) fn count_as(&mut self, flow: Flow) {
+        self.flow = flow;
+    }
+
     /// Sends one message.
     ///
     /// # Errors
@@ -54,10 +61,13 @@
     }
 
     async fn send_bytes(&mut self, frame: Bytes) -> Result<(), NetError> {
+        let size = frame.len();
         self.stream
             .write_chunk(frame)
             .await
-            .map_err(|e| NetError::Lost(e.to_string()))
+            .map_err(|e| NetError::Lost(e.to_string()))?;
+        self.flow.message(size);
+        Ok(())
     }
 
     /// Ends the stream after all sent frames.
@@ -83,11 +93,17 @@
 #[derive(Debug)]
 pub struct FrameReceiver {
     stream: RecvStream,
+    flow: Flow,
 }
 
 impl FrameReceiver {
-    pub(super) fn new(stream: RecvStream) -> Self {
-        Self { stream }
+    pub(super) fn new(stream: RecvStream, flow: Flow) -> Self {
+        Self { stream, flow }
+    }
+
+    /// Counts the following messages elsewhere.
+    pub(super) fn count_as(&mut self, flow: Flow) {
+        self.flow = flow;
     }
 
     /// Receives one message of at most `limit` bytes.
@@ -119,6 +135,7 @@
         }
         let mut data = vec![0; size];
         self.stream.read_exact(&mut data).await.map_err(lost)?;
+        self.flow.message(FRAME_PREFIX + size);
         Ok(data)
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod frame;
 mod pace;
 mod tls;
+mod traffic;
 mod transport;
 
 pub use frame::{FrameReceiver, FrameSender};
--- a/src/net/transport.rs
+++ b/src/net/transport.rs
@@ -5,14 +5,16 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
-use quinn::{Connection, Endpoint, EndpointConfig, IdleTimeout, TransportConfig, VarInt};
+use quinn::{Connection, Endpoint, EndpointConfig, IdleTimeout, Runtime, TransportConfig, VarInt};
 
 use super::{
     frame::{FrameReceiver, FrameSender},
     tls::{TlsError, TlsFiles, SERVER_NAME},
+    traffic::{CountedSocket, Flow, Traffic},
 };
 use crate::{
     base::{HashMap, Millis},
+    observe::Metrics,
     wire::{CodecError, Open},
 };
 
@@ -89,6 +91,7 @@
     client: Arc<Mutex<quinn::ClientConfig>>,
     /// Holds only connections that no exchange has found silent or closed.
     pool: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+    traffic: Traffic,
 }
 
 fn transport_config() -> Arc<TransportConfig> {
@@ -130,16 +133,28 @@
         let client = client_config(&files)?;
         let socket = std::net::UdpSocket::bind(addr).map_err(bind)?;
         let runtime = Arc::new(quinn::TokioRuntime);
-        let endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)
+        let traffic = Traffic::default();
+        let socket = Arc::new(CountedSocket {
+            inner: runtime.wrap_udp_socket(socket).map_err(bind)?,
+            traffic: traffic.clone(),
+        });
+        let config = EndpointConfig::default();
+        let endpoint = Endpoint::new_with_abstract_socket(config, Some(server), socket, runtime)
             .map_err(bind)?;
         Ok(Self {
             endpoint,
             files: Arc::new(files),
             client: Arc::new(Mutex::new(client)),
             pool: Arc::default(),
+            traffic,
         })
     }
 
+    /// Adds the counters of messages and bytes to the metrics of the process.
+    pub fn register(&self, metrics: &Metrics) {
+        self.traffic.register(metrics);
+    }
+
     /// Returns the bound address.
     ///
     /// # Errors
@@ -175,9 +190,10 @@
                 reason: e.to_string(),
             }
         })?;
+        let class = self.traffic.class(&open.call);
         let mut call = Call {
-            tx: FrameSender::new(tx),
-            rx: FrameReceiver::new(rx),
+            tx: FrameSender::new(tx, class.sent.clone()),
+            rx: FrameReceiver::new(rx, class.received.clone()),
         };
         call.tx.send(open).await?;
         Ok(call)
@@ -228,10 +244,10 @@
         F: std::future::Future<Output = ()> + Send + 'static,
     {
         while let Some(incoming) = self.endpoint.accept().await {
-            let handle = handle.clone();
+            let (handle, traffic) = (handle.clone(), self.traffic.clone());
             tokio::spawn(async move {
                 match incoming.await {
-                    Ok(conn) => serve_connection(conn, handle).await,
+                    Ok(conn) => serve_connection(conn, handle, traffic).await,
                     Err(e) => log::debug!("a connection was refused: {e}"),
                 }
             });
@@ -249,19 +265,28 @@
 async fn serve_connection<F>(
     conn: Connection,
     handle: impl Fn(Incoming) -> F + Clone + Send + 'static,
+    traffic: Traffic,
 ) where
     F: std::future::Future<Output = ()> + Send + 'static,
 {
     let peer = conn.remote_address();
     while let Ok((tx, rx)) = conn.accept_bi().await {
-        let handle = handle.clone();
+        let (handle, traffic) = (handle.clone(), traffic.clone());
         tokio::spawn(async move {
+            // The first frame tells which counters the exchange belongs to.
+            let first = Flow::default();
             let mut call = Call {
-                tx: FrameSender::new(tx),
-                rx: FrameReceiver::new(rx),
+                tx: FrameSender::new(tx, Flow::default()),
+                rx: FrameReceiver::new(rx, first.clone()),
             };
-            match call.rx.next(OPEN_MAX, OPEN_TIMEOUT).await {
-                Ok(open) => handle(Incoming { open, peer, call }).await,
+            match call.rx.next::<Open>(OPEN_MAX, OPEN_TIMEOUT).await {
+                Ok(open) => {
+                    let class = traffic.class(&open.call);
+                    class.received.absorb(&first);
+                    call.rx.count_as(class.received.clone());
+                    call.tx.count_as(class.sent.clone());
+                    handle(Incoming { open, peer, call }).await;
+                }
                 Err(e) => log::debug!("a stream of {peer} was dropped: {e}"),
             }
         });
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -66,6 +66,8 @@
     pub fn start(settings: ProcessSettings) -> eyre::Result<Self> {
         let transport = Transport::bind(settings.peer, settings.tls.clone())?;
         let platform = HttpPlatform::new(&settings.platform)?;
+        let metrics = Metrics::default();
+        transport.register(&metrics);
         Ok(Self {
             timeline: Timeline::new(settings.name.clone()),
             settings: Arc::new(settings),
@@ -76,7 +78,7 @@
             platform,
             phase: Arc::new(watch::Sender::new(Phase::Serving)),
             status: Arc::default(),
-            metrics: Metrics::default(),
+            metrics,
         })
     }
 
