fix: announce applied offsets in the order of the log

Cause: Replica::apply released the kernel before it announced the offset, so that with two tasks that apply records (the log and a peer) the announced offset and the order of the steps could go back.

Change: steps and offset are announced under the lock, and so in restore.

Conclusion: an announced offset never goes back.

--- a/src/feed/replica.rs
+++ b/src/feed/replica.rs
@@ -138,10 +138,11 @@
         if let Effect::Skipped(err) = &step.effect {
             emit!(RECORD_SKIPPED, "offset {}: {err}", step.offset);
         }
-        drop(kernel);
-        // Without subscribers there is nobody to tell.
+        // Under the lock, so that two tasks that apply records announce them in the order of the log. Without
+        // subscribers there is nobody to tell.
         let _ = self.steps.send(step.clone());
         self.applied.send_replace(step.offset);
+        drop(kernel);
         Ok(step)
     }
 
@@ -154,8 +155,8 @@
         *kernel = later;
         self.settings.store(Arc::new(resolve(&kernel)));
         let applied = kernel.applied();
-        drop(kernel);
         self.applied.send_replace(applied);
+        drop(kernel);
         true
     }
 }
