--- a/src/agent/board.rs
+++ b/src/agent/board.rs
@@ -2,14 +2,14 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
 };
 
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
 
 use crate::{
-    base::{event::Event, Millis},
+    base::{event::Event, lock, Millis},
     decide::drain::Drain,
     emit,
     endpoint::EndpointStatus,
@@ -67,10 +67,6 @@
     board: Arc<Board>,
 }
 
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Board {
     /// Creates the state of an agent whose endpoint has not answered yet.
     pub fn new(status: Arc<ArcSwap<RoleStatus>>, weights: bool) -> Self {
--- a/src/agent/burst.rs
+++ b/src/agent/burst.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -13,7 +13,7 @@
     event::{BURST_FOREIGN, BURST_GREW, CREDITS_DRAIN, CREDITS_END},
 };
 use crate::{
-    base::{wall_ms, Clock, HashMap, Millis, Offset, ProcessName, Service},
+    base::{lock, wall_ms, Clock, HashMap, Millis, Offset, ProcessName, Service},
     decide::{
         burst::{Credits, Growth, Place, Rule, Stage},
         member::SUSPECT_AFTER,
@@ -93,10 +93,6 @@
     watches: HashMap<ProcessName, (SocketAddr, AbortHandle)>,
 }
 
-fn lock(m: &Mutex<Growth>) -> MutexGuard<'_, Growth> {
-    m.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Sizer {
     /// Creates the driver and the loader's side of it, which admits nothing until the first decision.
     pub(super) fn new(ctx: Context, board: Arc<Board>, service: Service) -> (Self, Standing) {
--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -4,6 +4,8 @@
 pub mod event;
 mod hash;
 mod id;
+mod jitter;
+mod lock;
 mod unit;
 
 pub use clock::{wall_ms, Clock, ManualClock, Millis, SystemClock};
@@ -12,4 +14,6 @@
     Attempt, Fence, IdError, Instance, Offset, ProcessName, RecordId, Region, RequestId, Service,
     VersionName, Workspace, Zone,
 };
+pub use jitter::jitter;
+pub use lock::lock;
 pub use unit::{Percent, Rate, Size, UnitError};
--- a/src/decide/route/table.rs
+++ b/src/decide/route/table.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU32, Ordering},
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
     },
 };
 
@@ -13,7 +13,7 @@
     policy::{policy, Chooser},
 };
 use crate::{
-    base::{rendezvous, HashMap, Millis, ProcessName, VersionName},
+    base::{lock, rendezvous, HashMap, Millis, ProcessName, VersionName},
     decide::member::{Distance, Peer},
     settings::{Route, Weights},
     wire::AgentReport,
@@ -93,10 +93,6 @@
     probe: bool,
 }
 
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Slot {
     /// Returns the number of requests of this entry in progress at the agent.
     pub fn inflight(&self) -> u32 {
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -7,11 +7,11 @@
     events::{RESUMED, RETRIED, ROUTED, SETTLED},
     gate::Gate,
     job::Job,
-    outcome::{jitter, Problem},
+    outcome::Problem,
     shared::{Shared, RETRY_PAUSE},
 };
 use crate::{
-    base::{event::Event, Attempt as Number, Millis, ProcessName},
+    base::{event::Event, jitter, Attempt as Number, Millis, ProcessName},
     decide::{
         retry::{self, Loss, Next, Progress},
         route::{Query, Target},
--- a/src/entry/gate.rs
+++ b/src/entry/gate.rs
@@ -1,12 +1,12 @@
 //! Admission of requests, driven by the limiter of each service.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::sync::oneshot;
 
 use super::{outcome::Problem, shared::Shared};
 use crate::{
-    base::{Clock, HashMap, Millis, SystemClock, Workspace},
+    base::{lock, Clock, HashMap, Millis, SystemClock, Workspace},
     decide::{
         limit::{
             share::{Holder, Share},
@@ -42,10 +42,6 @@
     answered: bool,
 }
 
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn whole(limit: &Limit) -> Share {
     Share {
         concurrency: limit.concurrency,
--- a/src/entry/outcome.rs
+++ b/src/entry/outcome.rs
@@ -8,7 +8,7 @@
 };
 use serde::Serialize;
 
-use crate::base::{Millis, RequestId};
+use crate::base::{jitter, Millis, RequestId};
 
 /// Header that names the request.
 pub(super) const REQUEST: &str = "Sesamewing-Request";
@@ -223,8 +223,3 @@
         out.finalize()
     }
 }
-
-/// Spreads a time over 50 to 150 percent.
-pub(super) fn jitter(time: Millis) -> Millis {
-    Millis(time.0 / 2 + fastrand::u64(0..=time.0))
-}
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -2,12 +2,12 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
 };
 
 use super::shared::Shared;
 use crate::{
-    base::{rendezvous, Clock, HashMap, Millis, ProcessName, Service, Workspace},
+    base::{lock, rendezvous, Clock, HashMap, Millis, ProcessName, Service, Workspace},
     decide::limit::share::{Pool, Share},
     net,
     wire::{Call, HostEntry, ShareItem, ShareReply, ShareRequest},
@@ -66,7 +66,7 @@
         let lifetime = req.lifetime.min(LIFETIME_MAX);
         let settings = shared.settings();
         let region = &shared.ctx.settings.region;
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut pools = lock(&self.pools);
         pools.retain(|_, p| !p.is_idle(now));
         let grant = |i: &ShareItem| {
             let service = settings.service(region, &i.service)?;
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     atomic::{AtomicU32, AtomicU64, Ordering},
-    Arc, Mutex, MutexGuard, PoisonError,
+    Arc, Mutex, MutexGuard,
 };
 
 use arc_swap::ArcSwap;
@@ -10,7 +10,7 @@
 
 use super::{gate::Gate, metrics::EntryMetrics};
 use crate::{
-    base::{Clock, HashMap, Millis, ProcessName, Service},
+    base::{lock, Clock, HashMap, Millis, ProcessName, Service},
     decide::{
         member::{Action, Members, Wish},
         route::{Slot, Table, Target},
@@ -127,7 +127,7 @@
     }
 
     fn view(&self) -> MutexGuard<'_, View> {
-        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.view)
     }
 
     /// Returns the settings in force.
@@ -166,7 +166,7 @@
 
     /// Returns the admission state of a service that is in the settings.
     pub(super) fn gate(&self, service: &Service) -> Arc<Gate> {
-        let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut gates = lock(&self.gates);
         if let Some(gate) = gates.get(service) {
             return gate.clone();
         }
@@ -177,7 +177,7 @@
 
     /// Returns the admission states of all services.
     pub(super) fn gates(&self) -> Vec<(Service, Arc<Gate>)> {
-        let gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
+        let gates = lock(&self.gates);
         gates.iter().map(|(s, g)| (s.clone(), g.clone())).collect()
     }
 
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -4,9 +4,9 @@
 
 use tokio::task::{AbortHandle, JoinSet};
 
-use super::{events::REPORT_FOREIGN, outcome::jitter, shared::Shared};
+use super::{events::REPORT_FOREIGN, shared::Shared};
 use crate::{
-    base::{HashMap, Millis, ProcessName},
+    base::{jitter, HashMap, Millis, ProcessName},
     decide::member::{Action, SUSPECT_AFTER},
     emit,
     net::follow_reports,
--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -1,13 +1,13 @@
 //! Reads the control stream and the host list from the platform.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use super::{
     replica::{Cause, Replica},
     snapshot,
 };
 use crate::{
-    base::{Millis, Offset},
+    base::{jitter, Millis, Offset},
     kernel::{Entry, Refusal},
     platform::{HostList, Log, Page, PlatformError, Stream},
 };
@@ -58,12 +58,7 @@
 
 /// Waits between half and one and a half times `mean`, so that processes that fail together do not retry together.
 pub(super) async fn pause(mean: Millis) {
-    tokio::time::sleep(jitter(mean)).await;
-}
-
-/// Returns a time between half and one and a half times `mean`.
-pub(super) fn jitter(mean: Millis) -> Duration {
-    Millis(mean.0 / 2 + fastrand::u64(..=mean.0)).duration()
+    tokio::time::sleep(jitter(mean).duration()).await;
 }
 
 /// Result of one read.
--- a/src/feed/replica.rs
+++ b/src/feed/replica.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, VecDeque},
     sync::{
         atomic::{AtomicUsize, Ordering},
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard,
     },
 };
 
@@ -12,7 +12,7 @@
 use tokio::sync::{broadcast, watch};
 
 use crate::{
-    base::{Clock, Millis, Offset, SystemClock},
+    base::{lock, Clock, Millis, Offset, SystemClock},
     emit,
     kernel::{Effect, Entry, Kernel, Lease, Refusal, Snapshot, Step},
     settings::InForce,
@@ -377,22 +377,11 @@
         // Under the lock, so that two tasks that apply records announce them in the order of the log. Without
         // subscribers there is nobody to tell.
         let _ = self.steps.send(step.clone());
-        self.advance(step.offset);
+        self.applied.send_replace(step.offset);
         drop(kernel);
         Ok(step)
     }
 
-    /// Publishes an applied offset; another thread may have published a later one.
-    fn advance(&self, to: Offset) {
-        self.applied.send_if_modified(|applied| {
-            let later = to > *applied;
-            if later {
-                *applied = to;
-            }
-            later
-        });
-    }
-
     /// Replaces the state by a later one; returns whether it was later.
     pub fn restore(&self, later: Kernel) -> bool {
         let mut kernel = self.kernel();
@@ -403,16 +392,12 @@
         self.settings.store(Arc::new(resolve(&kernel)));
         *lock(&self.tail) = Tail::default();
         let applied = kernel.applied();
-        self.advance(applied);
+        self.applied.send_replace(applied);
         drop(kernel);
         true
     }
 }
 
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn resolve(kernel: &Kernel) -> InForce {
     InForce::resolve(kernel.applied(), kernel.config(), |path, err| {
         emit!(VALUE_IGNORED, "{path}: {err}");
--- a/src/net/pace.rs
+++ b/src/net/pace.rs
@@ -1,8 +1,8 @@
 //! Token buckets that keep transfers within a share of a link.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 
-use crate::base::{Clock, Millis, Rate, Size, SystemClock};
+use crate::base::{lock, Clock, Millis, Rate, Size, SystemClock};
 
 /// A token bucket with debt: a transfer of any size is admitted at once and delays those after it.
 #[derive(Clone, Debug)]
@@ -63,7 +63,7 @@
     /// Waits until a transfer may start; concurrent transfers are served in the order of their calls.
     pub async fn acquire(&self, bytes: usize) {
         let wait = {
-            let mut bucket = self.bucket.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut bucket = lock(&self.bucket);
             bucket.take(bytes, self.clock.now())
         };
         if wait > Millis::ZERO {
--- a/src/net/transport.rs
+++ b/src/net/transport.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
 };
 
 use quinn::{Connection, Endpoint, EndpointConfig, IdleTimeout, Runtime, TransportConfig, VarInt};
@@ -13,7 +13,7 @@
     traffic::{CountedSocket, Flow, Traffic},
 };
 use crate::{
-    base::{HashMap, Millis},
+    base::{lock, HashMap, Millis},
     observe::Metrics,
     wire::{CodecError, Open},
 };
@@ -117,10 +117,6 @@
     Ok(config)
 }
 
-fn lock<T>(m: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Transport {
     /// Binds the endpoint; must be called within a `tokio` runtime.
     ///
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -2,11 +2,13 @@
 
 use std::{
     fmt,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
 };
 
 use prometheus_client::{encoding::text::encode, registry::Registry};
 
+use crate::base::lock;
+
 /// Registry that the parts of a process add their metrics to at start; cheap to clone.
 #[derive(Clone)]
 pub struct Metrics {
@@ -30,13 +32,13 @@
 impl Metrics {
     /// Registers metrics; they are counted with atomics, so that the registry is not locked by requests.
     pub fn register(&self, f: impl FnOnce(&mut Registry)) {
-        f(&mut self.registry.lock().unwrap_or_else(PoisonError::into_inner));
+        f(&mut lock(&self.registry));
     }
 
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut out = String::new();
-        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let registry = lock(&self.registry);
         // Writing to a `String` does not fail.
         let _ = encode(&mut out, &registry);
         out
--- a/src/observe/timeline.rs
+++ b/src/observe/timeline.rs
@@ -2,12 +2,12 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
 };
 
 use serde::{Deserialize, Serialize};
 
-use crate::base::{event::Event, wall_ms, ProcessName, RequestId, VersionName};
+use crate::base::{event::Event, lock, wall_ms, ProcessName, RequestId, VersionName};
 
 /// Moments kept by a process; at 100 requests a second with 5 moments each this covers 30 s.
 const MOMENTS_MAX: usize = 16_384;
@@ -78,7 +78,7 @@
     pub fn record(&self, event: &Event, scope: impl Into<Scope>, text: impl Into<String>) {
         let (event, scope, text) = (event.to_string(), scope.into(), text.into());
         let (time_ms, process) = (wall_ms(), self.process.clone());
-        let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut ring = lock(&self.ring);
         let sequence = ring.0;
         ring.0 += 1;
         if ring.1.len() == MOMENTS_MAX {
@@ -96,7 +96,7 @@
 
     /// Returns the moments that a filter accepts, oldest first.
     pub fn select(&self, accept: impl Fn(&Moment) -> bool) -> Vec<Moment> {
-        let ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
+        let ring = lock(&self.ring);
         ring.1.iter().filter(|m| accept(m)).cloned().collect()
     }
 }
--- a/src/weights/copy.rs
+++ b/src/weights/copy.rs
@@ -9,13 +9,13 @@
 };
 
 use super::{
-    distribution::{lock, Shared},
+    distribution::Shared,
     fetch::Content,
     hosts::{crossing, settings, Peers},
     Version, WeightsError,
 };
 use crate::{
-    base::{Clock, Digest, HashMap, Millis, Rate},
+    base::{lock, Clock, Digest, HashMap, Millis, Rate},
     decide::chunk::{Action, Bitmap, Config, Event, Fault, PeerId, Scheduler, Source},
     platform::WeightStore,
     wire::{Call, Have, HaveUpdate},
--- a/src/weights/distribution.rs
+++ b/src/weights/distribution.rs
@@ -1,6 +1,6 @@
 //! The part of an agent that holds, fetches and passes on weights.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use bytes::Bytes;
 use tokio::sync::watch;
@@ -10,7 +10,7 @@
     COPY_REPLACED,
 };
 use crate::{
-    base::{Digest, HashSet, Rate, Size, VersionName},
+    base::{lock, Digest, HashSet, Rate, Size, VersionName},
     decide::chunk::PeerId,
     emit,
     net::{Incoming, Pacer},
@@ -57,10 +57,6 @@
     pub(super) counters: Counters,
 }
 
-pub(super) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl<S> Shared<S> {
     pub(super) fn chunks(&self) -> MutexGuard<'_, ChunkStore> {
         lock(&self.chunks)
--- a/standin/src/endpoint/engine.rs
+++ b/standin/src/endpoint/engine.rs
@@ -6,12 +6,12 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, VecDeque},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
-use sesamewing::base::{Digest, HashMap, Millis, VersionName};
+use sesamewing::base::{lock, Digest, HashMap, Millis, VersionName};
 use tokio::{sync::watch, time::Instant};
 
 use super::{
@@ -163,7 +163,7 @@
     }
 
     fn table(&self) -> MutexGuard<'_, Table> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.table)
     }
 
     /// Returns the version in service and the hash of its bytes.
--- a/standin/src/endpoint/load.rs
+++ b/standin/src/endpoint/load.rs
@@ -1,6 +1,6 @@
 //! Load commands of the engine.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use rocket::{
     data::ToByteUnit,
@@ -12,7 +12,7 @@
 };
 use serde::Serialize;
 use serde_json::{json, Value};
-use sesamewing::base::{Digest, Fence, Millis, VersionName};
+use sesamewing::base::{lock, Digest, Fence, Millis, VersionName};
 
 use super::{engine::Engine, EndpointOptions};
 
@@ -66,7 +66,7 @@
     }
 
     fn table(&self) -> MutexGuard<'_, Table> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.table)
     }
 
     pub(super) fn is_loading(&self) -> bool {
--- a/standin/src/endpoint/plain.rs
+++ b/standin/src/endpoint/plain.rs
@@ -1,9 +1,6 @@
 //! A plain service that counts runs.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Mutex, PoisonError},
-};
+use std::{collections::BTreeMap, sync::Mutex};
 
 use rocket::{
     data::ToByteUnit,
@@ -14,7 +11,7 @@
     Data, Request, Route, State,
 };
 use serde_json::{json, Value};
-use sesamewing::base::Millis;
+use sesamewing::base::{lock, Millis};
 
 /// Largest request body.
 const BODY_MAX: u64 = 64 << 20;
@@ -46,7 +43,7 @@
         };
         let id = req.headers().get_one("Request-Id");
         let runs = id.zip(req.rocket().state::<Runs>()).map(|(id, runs)| {
-            let mut runs = runs.0.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut runs = lock(&runs.0);
             let count = runs.entry(id.to_owned()).or_default();
             *count += 1;
             *count
@@ -65,7 +62,7 @@
 
 #[rocket::get("/runs")]
 fn runs(runs: &State<Runs>) -> Json<Value> {
-    let runs = runs.0.lock().unwrap_or_else(PoisonError::into_inner);
+    let runs = lock(&runs.0);
     Json(json!({ "runs": *runs }))
 }
 
--- a/standin/src/endpoint/routes.rs
+++ b/standin/src/endpoint/routes.rs
@@ -1,6 +1,6 @@
 //! HTTP API of the engine, except for load commands.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use rocket::{
     http::{Header, Status},
@@ -23,6 +23,8 @@
     text::{answer_text, token_text},
 };
 
+use sesamewing::base::lock;
+
 /// The last status, which the fault `freeze-reports` repeats.
 pub(super) struct Reports {
     faults: Arc<Faults>,
@@ -174,7 +176,7 @@
 
 #[rocket::get("/status")]
 fn status(engine: &State<Engine>, loader: &State<Loader>, reports: &State<Reports>) -> Json<Value> {
-    let mut last = reports.last.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut last = lock(&reports.last);
     if let (true, Some(last)) = (reports.is_frozen("/status"), &*last) {
         return Json(last.clone());
     }
--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     panic,
     str::FromStr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
 
@@ -16,7 +16,7 @@
     Data, Request, Response, Route, State,
 };
 use serde::Deserialize;
-use sesamewing::base::{HashMap, HashSet};
+use sesamewing::base::{lock, HashMap, HashSet};
 use tokio::sync::{watch, Notify};
 
 /// Time after which a connection without requests counts as closed; the idle time of common client pools.
@@ -135,7 +135,7 @@
     }
 
     fn table(&self) -> MutexGuard<'_, Table> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.table)
     }
 
     /// Injects a fault; the same fault on the same target gets the new value.
--- a/standin/src/load/client.rs
+++ b/standin/src/load/client.rs
@@ -1,7 +1,7 @@
 //! Calls of the callers' API, and of an engine for comparison.
 
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::Mutex,
     time::{Duration, Instant},
 };
 
@@ -17,6 +17,8 @@
 };
 use crate::answer_text;
 
+use sesamewing::base::lock;
+
 /// Time after which an address that failed is used again.
 const AVOID: Duration = Duration::from_secs(1);
 
@@ -81,7 +83,7 @@
     }
 
     fn entries(&self) -> std::sync::MutexGuard<'_, Entries> {
-        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.entries)
     }
 
     /// Keeps the list of entries up to date until the task is dropped.
--- a/standin/src/platform/hosts.rs
+++ b/standin/src/platform/hosts.rs
@@ -2,12 +2,12 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use rocket::{http::Status, serde::json::Json, Route, State};
 use sesamewing::{
-    base::{Millis, ProcessName},
+    base::{lock, Millis, ProcessName},
     wire::{HostEntry, Hosts},
 };
 use tokio::time::Instant;
@@ -38,7 +38,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Table> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.table)
     }
 
     fn change(&self, name: ProcessName, entry: Option<HostEntry>) {
--- a/standin/src/platform/log.rs
+++ b/standin/src/platform/log.rs
@@ -2,14 +2,14 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
     time::Duration,
 };
 
 use rocket::{data::ToByteUnit, http::Status, serde::json::Json, Data, Route, State};
 use serde::Serialize;
 use sesamewing::{
-    base::{wall_ms, Millis},
+    base::{lock, wall_ms, Millis},
     kernel::RECORD_MAX,
 };
 use tokio::{sync::watch, time::Instant};
@@ -54,7 +54,7 @@
 
 impl LogStream {
     fn lock(&self) -> MutexGuard<'_, Records> {
-        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.records)
     }
 
     fn append(&self, data: &[u8]) -> u64 {
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -15,7 +15,7 @@
     Data, Request, Route, State,
 };
 use serde::Serialize;
-use sesamewing::base::{Digest, HashMap, Rate};
+use sesamewing::base::{lock, Digest, HashMap, Rate};
 use tokio::time::Instant;
 
 use crate::fault::{Fault, Faults, Gate};
@@ -56,10 +56,6 @@
     link: Arc<Mutex<Link>>,
 }
 
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Store {
     pub(super) fn new(rate: Rate, faults: Arc<Faults>) -> Self {
         Self {
