--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -22,24 +22,33 @@
 
 /// Bounds retries to a share of requests: each request adds a share of a token, each retry takes one.
 ///
-/// After `n` requests there were at most `n * share + BURST` retries.
+/// After `n` requests there were at most `n * share + burst` retries.
 #[derive(Clone, Debug)]
 pub struct Budget {
     parts: u32,
+    /// Most parts that are held.
+    limit: u32,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self {
-            parts: BURST * TOKEN,
-        }
+        Self::with_burst(BURST)
     }
 }
 
 impl Budget {
+    /// Creates a budget that holds at most `burst` tokens, and begins with them.
+    pub fn with_burst(burst: u32) -> Self {
+        let limit = burst.saturating_mul(TOKEN);
+        Self {
+            parts: limit,
+            limit,
+        }
+    }
+
     /// Notes a request.
     pub fn request(&mut self, share: Percent) {
-        self.parts = (self.parts + u32::from(share.0)).min(BURST * TOKEN);
+        self.parts = (self.parts + u32::from(share.0)).min(self.limit);
     }
 
     /// Takes a token; returns whether there was one.
--- /dev/null
+++ b/src/gateway/context.rs
@@ -0,0 +1,195 @@
+//! State that all requests of an entry share.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use super::{
+    balance::{Balance, Outcome},
+    catalog::{Catalog, CatalogVersion},
+    fleet::{EndpointId, Fleet},
+    members::Members,
+    record::WeightVersion,
+    GatewaySettings, Headers,
+};
+use crate::{
+    base::{Clock, HashMap, Millis, Service, SystemClock},
+    decide::retry::Budget,
+    http::Pool,
+};
+
+/// Share of the version bound after which only endpoints with the new version are used. The rest covers the time that
+/// the record needed to arrive and a request needs to begin.
+const VERSION_SHARE: (u64, u64) = (3, 4);
+
+/// Entries among which the deployment's burst of retries is divided at least.
+const BUDGET_SHARES: u32 = 8;
+
+/// A named version of weights and when this process heard of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Named {
+    pub(super) version: WeightVersion,
+    pub(super) since: Millis,
+}
+
+/// State of an entry.
+#[derive(Debug)]
+pub(super) struct Context {
+    pub(super) clock: SystemClock,
+    pub(super) settings: GatewaySettings,
+    pub(super) headers: Headers,
+    pub(super) pool: Pool,
+    pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
+    pub(super) fleet: RefCell<Fleet>,
+    pub(super) balance: RefCell<Balance>,
+    pub(super) members: RefCell<Members>,
+    named: RefCell<HashMap<Rc<str>, Named>>,
+    budgets: RefCell<HashMap<Service, Budget>>,
+    /// Whether the endpoints were read once.
+    pub(super) fleet_known: Cell<bool>,
+    pub(super) draining: Cell<bool>,
+    /// Requests in progress.
+    pub(super) running: Cell<u32>,
+}
+
+impl Context {
+    pub(super) fn new(settings: GatewaySettings, headers: Headers, members: Members) -> Rc<Self> {
+        Rc::new(Self {
+            clock: SystemClock::start(),
+            settings,
+            headers,
+            pool: Pool::default(),
+            catalog: RefCell::default(),
+            fleet: RefCell::default(),
+            balance: RefCell::default(),
+            members: RefCell::new(members),
+            named: RefCell::default(),
+            budgets: RefCell::default(),
+            fleet_known: Cell::default(),
+            draining: Cell::default(),
+            running: Cell::default(),
+        })
+    }
+
+    pub(super) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Returns whether callers should be sent here.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.draining.get() && self.fleet_known.get() && self.catalog.borrow().is_some()
+    }
+
+    /// Puts a catalog in force unless a newer one is; returns whether it did.
+    pub(super) fn set_catalog(&self, catalog: Catalog) -> bool {
+        let mut current = self.catalog.borrow_mut();
+        let known = current.as_ref().map(|c| c.version);
+        if known.is_some_and(|v: CatalogVersion| v >= catalog.version) {
+            return false;
+        }
+        *current = Some(Rc::new(catalog));
+        true
+    }
+
+    /// Notes a named version; returns whether it is newer than the known one.
+    pub(super) fn name_version(&self, model: Rc<str>, version: WeightVersion) -> bool {
+        let since = self.now();
+        let mut named = self.named.borrow_mut();
+        match named.get(&model) {
+            Some(n) if n.version >= version => return false,
+            _ => {}
+        }
+        named.insert(model, Named { version, since });
+        true
+    }
+
+    /// Returns the oldest version of a model that a request may begin on.
+    pub(super) fn oldest_version(&self, model: &str) -> WeightVersion {
+        let named = self.named.borrow();
+        let Some(n) = named.get(model) else {
+            return WeightVersion::default();
+        };
+        let (part, whole) = VERSION_SHARE;
+        let binding = n.since + Millis(self.settings.bounds.version.0 * part / whole);
+        if self.now() < binding {
+            return WeightVersion::default();
+        }
+        n.version
+    }
+
+    fn budget<T>(&self, service: &Service, f: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let bounds = &self.settings.bounds;
+        let shares = BUDGET_SHARES.max(self.members.borrow().len() as u32 * 3 / 2);
+        let burst = (bounds.retry_burst / shares).max(1);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::with_burst(burst));
+        f(budget)
+    }
+
+    /// Notes a caller's request in the budget of its service.
+    pub(super) fn count_request(&self, service: &Service) {
+        self.budget(service, |b| b.request(self.settings.bounds.retries));
+    }
+
+    /// Takes a further attempt from the budget of a service; returns whether there was one.
+    pub(super) fn take_retry(&self, service: &Service) -> bool {
+        self.budget(service, |b| b.take(self.settings.bounds.retries))
+    }
+
+    /// Notes the end of a request at an endpoint.
+    pub(super) fn end(&self, id: &EndpointId, outcome: Outcome) {
+        self.balance.borrow_mut().end(id, outcome, self.now());
+    }
+}
+
+/// Counts a request at an endpoint; without a verdict it ends as abandoned.
+#[derive(Debug)]
+pub(super) struct InFlight {
+    ctx: Rc<Context>,
+    id: Option<EndpointId>,
+}
+
+impl InFlight {
+    pub(super) fn begin(ctx: &Rc<Context>, id: EndpointId) -> Self {
+        ctx.balance.borrow_mut().begin(&id, ctx.now());
+        Self {
+            ctx: ctx.clone(),
+            id: Some(id),
+        }
+    }
+
+    /// Ends the request with a verdict on the endpoint.
+    pub(super) fn end(mut self, outcome: Outcome) {
+        if let Some(id) = self.id.take() {
+            self.ctx.end(&id, outcome);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            self.ctx.end(&id, Outcome::Abandoned);
+        }
+    }
+}
+
+/// Counts a request of a caller.
+#[derive(Debug)]
+pub(super) struct Running(Rc<Context>);
+
+impl Running {
+    pub(super) fn begin(ctx: &Rc<Context>) -> Self {
+        ctx.running.set(ctx.running.get() + 1);
+        Self(ctx.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,203 @@
+//! Endpoints that an entry knows, from their records in the store.
+
+use std::rc::Rc;
+
+use super::record::{EndpointRecord, Revision, WeightVersion};
+use crate::base::{HashMap, HashSet, Millis, Service};
+
+/// Time that endpoints need to renew records that expired during an outage of the store.
+pub const RENEWAL: Millis = Millis(2300);
+
+/// Time for which the revision of a removed endpoint is remembered, so that a delayed older record does not restore it.
+const MEMORY: Millis = Millis(60_000);
+
+/// Id of one run of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct EndpointId(pub Rc<str>);
+
+impl std::fmt::Display for EndpointId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::str::FromStr for EndpointId {
+    type Err = std::convert::Infallible;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        Ok(Self(s.into()))
+    }
+}
+
+/// An endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Id.
+    pub id: EndpointId,
+    /// What it last said of itself.
+    pub record: EndpointRecord,
+    /// Time at which the endpoint leaves the table, if its record was removed in doubt.
+    removal: Option<Millis>,
+}
+
+/// What a record changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A new endpoint.
+    Added,
+    /// The record changed in more than its revision.
+    Updated,
+    /// The endpoint is gone.
+    Removed,
+    /// The endpoint is removed unless it renews its record.
+    Doubted,
+    /// Nothing but the revision changed.
+    Renewed,
+    /// An older record than the known one, or one of a removed endpoint.
+    Stale,
+}
+
+/// Endpoints by id.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    endpoints: HashMap<EndpointId, Endpoint>,
+    removed: HashMap<EndpointId, (Revision, Millis)>,
+    /// Removals before this time are in doubt, because the store was away.
+    doubt: Millis,
+}
+
+impl Fleet {
+    /// Takes a record, or its removal.
+    pub fn apply(
+        &mut self,
+        id: &EndpointId,
+        record: Option<EndpointRecord>,
+        now: Millis,
+    ) -> Change {
+        match record {
+            Some(record) => self.insert(id, record),
+            None => self.remove(id, now),
+        }
+    }
+
+    fn insert(&mut self, id: &EndpointId, record: EndpointRecord) -> Change {
+        if self
+            .removed
+            .get(id)
+            .is_some_and(|(r, _)| record.revision <= *r)
+        {
+            return Change::Stale;
+        }
+        let Some(known) = self.endpoints.get_mut(id) else {
+            self.removed.remove(id);
+            let endpoint = Endpoint {
+                id: id.clone(),
+                record,
+                removal: None,
+            };
+            self.endpoints.insert(id.clone(), endpoint);
+            return Change::Added;
+        };
+        if record.revision < known.record.revision {
+            return Change::Stale;
+        }
+        known.removal = None;
+        let revision = record.revision;
+        let same = EndpointRecord {
+            revision,
+            ..known.record.clone()
+        } == record;
+        known.record = record;
+        if same {
+            Change::Renewed
+        } else {
+            Change::Updated
+        }
+    }
+
+    fn remove(&mut self, id: &EndpointId, now: Millis) -> Change {
+        let Some(known) = self.endpoints.get_mut(id) else {
+            return Change::Stale;
+        };
+        if now < self.doubt {
+            known.removal = Some(self.doubt);
+            return Change::Doubted;
+        }
+        self.drop_endpoint(id, now);
+        Change::Removed
+    }
+
+    fn drop_endpoint(&mut self, id: &EndpointId, now: Millis) {
+        if let Some(e) = self.endpoints.remove(id) {
+            let memory = (e.record.revision, now + MEMORY);
+            self.removed.insert(e.id, memory);
+        }
+    }
+
+    /// Notes that the store answers again after an outage: endpoints get [`RENEWAL`] to renew their records.
+    pub fn regained(&mut self, now: Millis) {
+        self.doubt = now + RENEWAL;
+    }
+
+    /// Replaces the table by all records of the store; returns the ids that were missing.
+    pub fn retain(&mut self, present: &HashSet<EndpointId>, now: Millis) -> Vec<EndpointId> {
+        let missing: Vec<_> = self
+            .endpoints
+            .keys()
+            .filter(|id| !present.contains(*id))
+            .cloned()
+            .collect();
+        for id in &missing {
+            self.remove(id, now);
+        }
+        missing
+    }
+
+    /// Removes endpoints whose time to renew is over; returns them.
+    pub fn expire(&mut self, now: Millis) -> Vec<EndpointId> {
+        self.removed.retain(|_, (_, until)| *until > now);
+        let over: Vec<_> = self
+            .endpoints
+            .values()
+            .filter(|e| e.removal.is_some_and(|at| at <= now))
+            .map(|e| e.id.clone())
+            .collect();
+        for id in &over {
+            self.drop_endpoint(id, now);
+        }
+        over
+    }
+
+    /// Returns the endpoints of a service.
+    pub fn of<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Endpoint> {
+        self.endpoints
+            .values()
+            .filter(move |e| e.record.service == *service)
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
+        self.endpoints.get(id)
+    }
+
+    /// Returns all endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+}
+
+impl Endpoint {
+    /// Returns the version of a model that the endpoint has loaded.
+    pub fn weights(&self, model: &str) -> Option<WeightVersion> {
+        self.record
+            .models
+            .iter()
+            .find(|(name, _)| &**name == model)
+            .map(|(_, v)| *v)
+    }
+
+    /// Returns the versions of all models that the endpoint has loaded.
+    pub fn loaded(&self) -> impl Iterator<Item = &(Rc<str>, WeightVersion)> {
+        self.record.models.iter()
+    }
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,113 @@
+//! Follows a compacted topic of the store.
+
+use std::rc::Rc;
+
+use super::{
+    log_event,
+    record::{Record, RecordStore, StoreError, Topic},
+};
+use crate::{
+    base::{jitter, Clock, Millis, SystemClock},
+    emit,
+};
+
+/// Time after a failed read; short, because a bound on configuration runs on.
+const RETRY: Millis = Millis(300);
+
+/// Time without an answer after which the store counts as lost.
+const LOST: Millis = Millis(1500);
+
+/// Takes what a topic says.
+pub trait Follower {
+    /// Takes a record.
+    fn take(&self, record: Record);
+
+    /// Takes all records of the topic; keys that are missing were removed.
+    fn replace(&self, records: Vec<Record>);
+
+    /// Notes that the store answers again after an outage; called before the records are taken.
+    fn regained(&self);
+}
+
+/// Follows a topic for ever: reads with a wait of `wait`, and pauses for `pause` between two reads.
+pub async fn follow<S: RecordStore>(
+    store: S,
+    topic: Topic,
+    wait: Millis,
+    pause: Millis,
+    follower: Rc<impl Follower>,
+) {
+    let clock = SystemClock::start();
+    let mut state = State {
+        offset: None,
+        answered: clock.now(),
+        usual: wait + pause,
+        lost: false,
+    };
+    loop {
+        let result = match state.offset {
+            None => store.newest(topic).await.map(|r| (r, true)),
+            Some(from) => store.read(topic, from, wait).await.map(|r| (r, false)),
+        };
+        match result {
+            Ok((records, all)) => {
+                state.answer(topic, clock.now(), &*follower);
+                state.offset = Some(records.next);
+                if all {
+                    follower.replace(records.records);
+                } else {
+                    for record in records.records {
+                        follower.take(record);
+                    }
+                }
+                tokio::time::sleep(pause.duration()).await;
+            }
+            Err(StoreError::Trimmed) => {
+                emit!(
+                    log_event::STORE,
+                    "topic={topic:?} outcome=trimmed offset={:?}",
+                    state.offset
+                );
+                state.offset = None;
+            }
+            Err(e) => {
+                state.fail(topic, clock.now(), &e);
+                tokio::time::sleep(jitter(RETRY).duration()).await;
+            }
+        }
+    }
+}
+
+struct State {
+    offset: Option<u64>,
+    answered: Millis,
+    /// Longest time between two answers when all is well.
+    usual: Millis,
+    lost: bool,
+}
+
+impl State {
+    fn answer(&mut self, topic: Topic, now: Millis, follower: &impl Follower) {
+        if self.lost || now > self.answered + self.usual + LOST {
+            let away = now - self.answered;
+            emit!(
+                log_event::STORE,
+                "topic={topic:?} outcome=regained away={}",
+                away.0
+            );
+            follower.regained();
+        }
+        self.lost = false;
+        self.answered = now;
+    }
+
+    fn fail(&mut self, topic: Topic, now: Millis, error: &StoreError) {
+        if !self.lost && now > self.answered + self.usual + LOST {
+            self.lost = true;
+            emit!(
+                log_event::STORE,
+                "topic={topic:?} outcome=lost reason=\"{error}\""
+            );
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,43 @@
+//! Entry that forwards HTTP requests directly to endpoints.
+//!
+//! Requests are routed by host and path prefix. The catalog, the endpoints and the named weight versions are records of
+//! the platform's store, which every entry follows by itself; nothing is agreed between entries. Everything here runs
+//! on one thread, because an entry host has one small core; state is shared without locks.
+
+mod accept;
+mod balance;
+mod catalog;
+mod context;
+mod directory;
+mod events;
+mod fleet;
+mod follow;
+mod forward;
+mod headers;
+mod log_event;
+mod members;
+mod record;
+mod reply;
+mod run;
+mod serve;
+mod settings;
+mod stream;
+
+pub use balance::{Ask, Balance, Load, Outcome, Refusal};
+pub use catalog::{
+    CallerLimits, Catalog, CatalogVersion, EngineSpeed, Repeat, Route, ServiceSpec, ServiceWeights,
+    WorkspaceSpec,
+};
+pub use directory::Directory;
+pub use events::{EventError, EventId, Events};
+pub use fleet::{Change, Endpoint, EndpointId, Fleet, RENEWAL};
+pub use follow::{follow, Follower};
+pub use headers::Headers;
+pub use members::{Beat, Member, Members};
+pub use record::{
+    EndpointRecord, Intent, Record, RecordStore, Records, Revision, StoreError, Topic,
+    WeightVersion,
+};
+pub use reply::Reject;
+pub use run::{run, Decode};
+pub use settings::{Bounds, GatewaySettings, Listen};
--- /dev/null
+++ b/src/gateway/run.rs
@@ -0,0 +1,408 @@
+//! The entry process: sockets, followers of the store, beats and shutdown.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use tokio::{
+    net::UdpSocket,
+    signal::unix::{signal, SignalKind},
+    sync::watch,
+    task::spawn_local,
+};
+
+use super::{
+    context::Context,
+    fleet::{Change, EndpointId},
+    follow::{follow, Follower},
+    log_event,
+    members::{Beat, Members, BEAT},
+    record::{EndpointRecord, Intent, Record, RecordStore, Topic},
+    serve, GatewaySettings, Headers,
+};
+use crate::{
+    base::{wall_ms, HashSet, Millis},
+    emit,
+    http::{listen, ServeOptions},
+};
+
+/// Longest wait of one read of a topic that seldom changes.
+const WAIT: Millis = Millis(5000);
+
+/// Pause between reads of the endpoints, whose records change all the time.
+const ENDPOINTS_PAUSE: Millis = Millis(500);
+
+/// Time between two looks at what expired.
+const UPKEEP: Millis = Millis(250);
+
+/// Time between two tries to announce this entry.
+const ANNOUNCE_RETRY: Millis = Millis(700);
+
+/// Time for which a draining entry still accepts connections: three times the time for which callers keep an answer of
+/// the directory.
+const LINGER: Millis = Millis(3200);
+
+/// Time before the end of the grace period at which the process exits in any case.
+const EXIT_MARGIN: Millis = Millis(400);
+
+/// Largest datagram, in bytes.
+const DATAGRAM_MAX: usize = 8 << 10;
+
+/// Decodes the platform's records.
+pub trait Decode: 'static {
+    /// Decodes a record of [`Topic::Operator`]; `None` if it says nothing that concerns an entry or agent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the value cannot be decoded.
+    fn intent(key: &[u8], value: &[u8]) -> Result<Option<Intent>, String>;
+
+    /// Decodes a record of [`Topic::Endpoints`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why the value cannot be decoded.
+    fn endpoint(value: &[u8]) -> Result<EndpointRecord, String>;
+}
+
+/// Follows the operator's records.
+struct Intents<D>(Rc<Context>, std::marker::PhantomData<D>);
+
+impl<D: Decode> Follower for Intents<D> {
+    fn take(&self, record: Record) {
+        let Some(value) = &record.value else {
+            return;
+        };
+        let key = String::from_utf8_lossy(&record.key);
+        match D::intent(&record.key, value) {
+            Ok(Some(Intent::Catalog(catalog))) => {
+                let version = catalog.version;
+                let routes: usize = catalog.routes.values().map(Vec::len).sum();
+                let keys = catalog.keys.as_ref().map_or(0, |k| k.len());
+                let applied = self.0.set_catalog(*catalog);
+                emit!(
+                    log_event::CATALOG,
+                    "version={version} routes={routes} keys={keys} applied={applied}"
+                );
+            }
+            Ok(Some(Intent::Weights(model, version))) => {
+                let newer = self.0.name_version(model, version);
+                emit!(
+                    log_event::NAMED,
+                    "key={key} version={version} newer={newer}"
+                );
+            }
+            Ok(None) => {}
+            Err(e) => emit!(log_event::RECORD, "key={key} reason=\"{e}\""),
+        }
+    }
+
+    fn replace(&self, records: Vec<Record>) {
+        for record in records {
+            self.take(record);
+        }
+    }
+
+    fn regained(&self) {}
+}
+
+/// Follows the endpoints' records.
+struct Endpoints<D>(Rc<Context>, std::marker::PhantomData<D>);
+
+impl<D: Decode> Endpoints<D> {
+    fn apply(&self, record: &Record) -> Option<EndpointId> {
+        let id = EndpointId(String::from_utf8_lossy(&record.key).into());
+        let decoded = match record.value.as_ref().map(|v| D::endpoint(v)) {
+            None => None,
+            Some(Ok(e)) => Some(e),
+            Some(Err(e)) => {
+                emit!(log_event::RECORD, "key={id} reason=\"{e}\"");
+                return Some(id);
+            }
+        };
+        let now = self.0.now();
+        let change = self.0.fleet.borrow_mut().apply(&id, decoded, now);
+        if !matches!(change, Change::Renewed | Change::Stale) {
+            let fleet = self.0.fleet.borrow();
+            let record = fleet.get(&id).map(|e| &e.record);
+            let text = record.map_or_else(String::new, |r| {
+                let versions: Vec<_> = r.models.iter().map(|m| m.1.to_string()).collect();
+                format!(
+                    " service={} addr={} draining={} sequence={} weights={}",
+                    r.service,
+                    r.addr,
+                    r.draining,
+                    r.revision.sequence,
+                    versions.join(",")
+                )
+            });
+            emit!(log_event::ENDPOINT, "endpoint={id} change={change:?}{text}");
+        }
+        Some(id)
+    }
+}
+
+impl<D: Decode> Follower for Endpoints<D> {
+    fn take(&self, record: Record) {
+        self.apply(&record);
+    }
+
+    fn replace(&self, records: Vec<Record>) {
+        let present: HashSet<_> = records.iter().filter_map(|r| self.apply(r)).collect();
+        let missing = self.0.fleet.borrow_mut().retain(&present, self.0.now());
+        for id in missing {
+            emit!(log_event::ENDPOINT, "endpoint={id} change=missing");
+        }
+        self.0.fleet_known.set(true);
+    }
+
+    fn regained(&self) {
+        self.0.fleet.borrow_mut().regained(self.0.now());
+    }
+}
+
+/// Follows the announcements of entries.
+struct Entries(Rc<Context>);
+
+impl Follower for Entries {
+    fn take(&self, record: Record) {
+        let Some(value) = &record.value else {
+            return;
+        };
+        match postcard::from_bytes::<Beat>(value) {
+            Ok(beat) => self.0.members.borrow_mut().announce(beat, self.0.now()),
+            Err(e) => emit!(log_event::RECORD, "topic=entries reason=\"{e}\""),
+        }
+    }
+
+    fn replace(&self, records: Vec<Record>) {
+        for record in records {
+            self.take(record);
+        }
+    }
+
+    fn regained(&self) {}
+}
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error if a socket cannot be bound.
+pub async fn run<S: RecordStore, D: Decode>(
+    settings: GatewaySettings,
+    headers: Headers,
+    store: S,
+) -> eyre::Result<()> {
+    let me = Beat {
+        peer: settings.listen.peers,
+        callers: settings.listen.callers,
+        zone: settings.zone.clone(),
+        boot: wall_ms(),
+        count: 0,
+        ready: false,
+    };
+    emit!(
+        log_event::PROCESS,
+        "state=start name={} zone={} callers={}",
+        settings.name,
+        settings.zone,
+        settings.listen.callers
+    );
+    let ctx = Context::new(settings, headers, Members::new(me));
+    let (closing, closed) = watch::channel(false);
+    let callers = serve_all(&ctx, &closed)?;
+    let intents = Rc::new(Intents::<D>(ctx.clone(), std::marker::PhantomData));
+    let endpoints = Rc::new(Endpoints::<D>(ctx.clone(), std::marker::PhantomData));
+    let entries = Rc::new(Entries(ctx.clone()));
+    spawn_local(follow(
+        store.clone(),
+        Topic::Operator,
+        WAIT,
+        Millis::ZERO,
+        intents,
+    ));
+    spawn_local(follow(
+        store.clone(),
+        Topic::Endpoints,
+        Millis::ZERO,
+        ENDPOINTS_PAUSE,
+        endpoints,
+    ));
+    spawn_local(follow(
+        store.clone(),
+        Topic::Entries,
+        WAIT,
+        Millis::ZERO,
+        entries,
+    ));
+    spawn_local(announce(ctx.clone(), store));
+    spawn_local(upkeep(ctx.clone()));
+    let socket = UdpSocket::bind(ctx.settings.listen.peers)
+        .await
+        .wrap_err("cannot bind the socket between entries; check the settings")?;
+    let socket = Rc::new(socket);
+    spawn_local(hear(ctx.clone(), socket.clone()));
+    spawn_local(beat(ctx.clone(), socket.clone()));
+    let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
+    term.recv().await;
+    drain(&ctx, &socket, &closing, callers).await;
+    Ok(())
+}
+
+/// Binds the sockets; returns the task that ends when the callers' connections have ended.
+fn serve_all(
+    ctx: &Rc<Context>,
+    closed: &watch::Receiver<bool>,
+) -> eyre::Result<tokio::task::JoinHandle<()>> {
+    let listen_on = |addr: SocketAddr| {
+        listen(addr).wrap_err_with(|| format!("cannot listen on {addr}; check the settings"))
+    };
+    let sockets = ctx.settings.listen;
+    let callers = listen_on(sockets.callers)?;
+    let context = ctx.clone();
+    let options = move || {
+        let limits = context.catalog.borrow().as_ref().map(|c| c.limits);
+        ServeOptions {
+            header_max: limits.unwrap_or_default().header_max,
+            ..ServeOptions::default()
+        }
+    };
+    let context = ctx.clone();
+    let handler = move |req| serve::respond(context.clone(), req);
+    let task = spawn_local(callers.serve(options, handler, closed.clone()));
+    if let Some(addr) = sockets.readiness {
+        let context = ctx.clone();
+        let handler = move |req: hyper::Request<_>| {
+            std::future::ready(serve::readiness(&context, req.uri().path()))
+        };
+        let serving = listen_on(addr)?.serve(ServeOptions::default, handler, closed.clone());
+        spawn_local(serving);
+    }
+    if let Some(addr) = sockets.directory {
+        let context = ctx.clone();
+        let handler = move |req: hyper::Request<_>| {
+            let uri = req.uri();
+            let query = uri.query().unwrap_or_default();
+            std::future::ready(serve::directory(&context, uri.path(), query))
+        };
+        let serving = listen_on(addr)?.serve(ServeOptions::default, handler, closed.clone());
+        spawn_local(serving);
+    }
+    Ok(task)
+}
+
+/// Announces this entry in the store once.
+async fn announce<S: RecordStore>(ctx: Rc<Context>, store: S) {
+    loop {
+        let beat = ctx.members.borrow().me().clone();
+        let record = Record {
+            key: Bytes::from(beat.peer.to_string()),
+            value: postcard::to_stdvec(&beat).ok().map(Bytes::from),
+        };
+        match store.append(Topic::Entries, &record).await {
+            Ok(()) => return,
+            Err(e) => {
+                emit!(
+                    log_event::STORE,
+                    "topic=Entries outcome=not-announced reason=\"{e}\""
+                );
+                tokio::time::sleep(ANNOUNCE_RETRY.duration()).await;
+            }
+        }
+    }
+}
+
+/// Drops what expired.
+async fn upkeep(ctx: Rc<Context>) {
+    loop {
+        tokio::time::sleep(UPKEEP.duration()).await;
+        let now = ctx.now();
+        let over = ctx.fleet.borrow_mut().expire(now);
+        for id in over {
+            emit!(log_event::ENDPOINT, "endpoint={id} change=expired");
+        }
+        ctx.pool.sweep(now);
+        let fleet = ctx.fleet.borrow();
+        ctx.balance
+            .borrow_mut()
+            .retain(|id| fleet.get(id).is_some());
+    }
+}
+
+/// Takes the beats of other entries.
+async fn hear(ctx: Rc<Context>, socket: Rc<UdpSocket>) {
+    let buffer = RefCell::new(vec![0; DATAGRAM_MAX]);
+    loop {
+        let mut data = buffer.borrow_mut();
+        let len = match socket.recv_from(&mut data).await {
+            Ok((len, _)) => len,
+            Err(e) => {
+                log::debug!("no datagram: {e}");
+                continue;
+            }
+        };
+        let Ok(beats) = postcard::from_bytes::<Vec<Beat>>(&data[..len]) else {
+            emit!(log_event::RECORD, "topic=beats reason=malformed");
+            continue;
+        };
+        let now = ctx.now();
+        let mut members = ctx.members.borrow_mut();
+        for beat in beats {
+            let (peer, ready) = (beat.peer, beat.ready);
+            if members.hear(beat, now) {
+                emit!(log_event::MEMBER, "entry={peer} ready={ready}");
+            }
+        }
+    }
+}
+
+async fn send_beat(ctx: &Context, socket: &UdpSocket, targets: &[SocketAddr]) {
+    let beats = ctx.members.borrow_mut().beat(ctx.is_ready(), ctx.now());
+    let Ok(data) = postcard::to_stdvec(&beats) else {
+        return;
+    };
+    for target in targets {
+        if let Err(e) = socket.send_to(&data, target).await {
+            log::debug!("no beat to {target}: {e}");
+        }
+    }
+}
+
+async fn beat(ctx: Rc<Context>, socket: Rc<UdpSocket>) {
+    send_beat(&ctx, &socket, &ctx.settings.seeds).await;
+    loop {
+        tokio::time::sleep(BEAT.duration()).await;
+        let targets = ctx.members.borrow().targets(ctx.now());
+        send_beat(&ctx, &socket, &targets).await;
+    }
+}
+
+/// Ends the process gracefully: callers are sent elsewhere, then connections end after their responses.
+async fn drain(
+    ctx: &Rc<Context>,
+    socket: &UdpSocket,
+    closing: &watch::Sender<bool>,
+    mut callers: tokio::task::JoinHandle<()>,
+) {
+    let start = ctx.now();
+    ctx.draining.set(true);
+    emit!(
+        log_event::PROCESS,
+        "state=draining running={}",
+        ctx.running.get()
+    );
+    let targets = ctx.members.borrow().targets(ctx.now());
+    send_beat(ctx, socket, &targets).await;
+    tokio::time::sleep(LINGER.duration()).await;
+    closing.send_replace(true);
+    let end = start + ctx.settings.bounds.grace - EXIT_MARGIN;
+    let left = end - ctx.now();
+    let ended = tokio::time::timeout(left.duration(), &mut callers).await;
+    emit!(
+        log_event::PROCESS,
+        "state=stopped running={} whole={}",
+        ctx.running.get(),
+        ended.is_ok()
+    );
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,144 @@
+//! Answers callers, readiness checks and questions to the directory.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http_body_util::{Either, Full, StreamBody};
+use hyper::{
+    body::{Frame, Incoming},
+    header::{HeaderValue, CONNECTION, CONTENT_TYPE},
+    Request, Response, StatusCode,
+};
+
+use super::{
+    accept::{accept, Job},
+    context::{Context, Running},
+    directory::Directory,
+    forward::{forward, response_headers, Attempt, Attempts},
+    log_event,
+    reply::Reject,
+    stream::{Cut, Relay},
+};
+use crate::emit;
+
+type Whole = Response<Full<Bytes>>;
+
+/// Answers a caller.
+pub(super) async fn respond(
+    ctx: Rc<Context>,
+    req: Request<Incoming>,
+) -> Response<Either<Full<Bytes>, StreamBody<impl Stream<Item = Result<Frame<Bytes>, Cut>>>>> {
+    let running = Running::begin(&ctx);
+    let draining = ctx.draining.get();
+    let mut res = match accept(&ctx, req).await {
+        Ok(job) => run(&ctx, job, running).await,
+        Err(reject) => {
+            log_rejected(&ctx, reject);
+            Ok(reject.response())
+        }
+    }
+    .map_or_else(
+        |r| r.map(|s| Either::Right(StreamBody::new(s))),
+        |r| r.map(Either::Left),
+    );
+    if draining {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(CONNECTION, close);
+    }
+    res
+}
+
+fn log_rejected(ctx: &Context, reject: Reject) {
+    let version = ctx.catalog.borrow().as_ref().map(|c| c.version);
+    let version = version.unwrap_or_default();
+    emit!(
+        log_event::ENDED,
+        "id=- outcome=rejected status={} reason=\"{reject}\" catalog={version}",
+        reject.status().as_u16()
+    );
+}
+
+/// Runs a request; returns a whole response, or a stream as the error.
+async fn run(
+    ctx: &Rc<Context>,
+    job: Job,
+    running: Running,
+) -> Result<Whole, Response<impl Stream<Item = Result<Frame<Bytes>, Cut>>>> {
+    ctx.count_request(&job.service);
+    let mut attempts = Attempts::new();
+    match forward(ctx, &job, &mut attempts).await {
+        Ok(Attempt::Begun(begun)) => {
+            let mut res = Response::new(());
+            *res.status_mut() = begun.head.status;
+            *res.headers_mut() = response_headers(&begun.head.headers);
+            let relay = Relay::new(ctx, job, attempts, *begun, running);
+            Err(res.map(|()| relay.into_stream()))
+        }
+        Ok(Attempt::Whole(res) | Attempt::Failed(res)) => {
+            log_ended(ctx, &job, &attempts, res.status(), "answered");
+            Ok(res)
+        }
+        Ok(_) => Ok(Reject::Lost.response()),
+        Err(reject) => {
+            log_ended(ctx, &job, &attempts, reject.status(), &reject.to_string());
+            Ok(reject.response())
+        }
+    }
+}
+
+fn log_ended(ctx: &Context, job: &Job, attempts: &Attempts, status: StatusCode, reason: &str) {
+    let version = ctx.catalog.borrow().as_ref().map(|c| c.version);
+    let endpoint = attempts.tried.last().map_or("-", |id| &*id.0);
+    emit!(
+        log_event::ENDED,
+        "id={} route={} service={} status={} reason=\"{reason}\" endpoint={endpoint} attempts={} late={} ms={} catalog={}",
+        job.id(),
+        job.route.name,
+        job.service,
+        status.as_u16(),
+        attempts.sent,
+        job.late,
+        (ctx.now() - job.start).0,
+        version.unwrap_or_default()
+    );
+}
+
+fn plain(status: StatusCode) -> Whole {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = status;
+    res
+}
+
+/// Answers a readiness check.
+pub(super) fn readiness(ctx: &Context, path: &str) -> Whole {
+    if path != ctx.settings.ready_path {
+        return plain(StatusCode::NOT_FOUND);
+    }
+    plain(if ctx.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
+}
+
+/// Answers a caller that asks where to connect.
+pub(super) fn directory(ctx: &Context, path: &str, query: &str) -> Whole {
+    if path != ctx.settings.directory_path {
+        return plain(StatusCode::NOT_FOUND);
+    }
+    let zone = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("zone="))
+        .unwrap_or_default();
+    let longest = ctx.settings.bounds.directory_ttl;
+    let answer = Directory::answer(&ctx.members.borrow(), zone, longest, ctx.now());
+    let body = answer.and_then(|a| serde_json::to_vec(&a).ok());
+    let Some(body) = body else {
+        return plain(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let mut res = Response::new(Full::from(body));
+    let json = HeaderValue::from_static("application/json");
+    res.headers_mut().insert(CONTENT_TYPE, json);
+    res
+}
--- /dev/null
+++ b/src/gateway/stream.rs
@@ -0,0 +1,225 @@
+//! Passes a stream of events on, and continues it at another endpoint if its own is lost.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::{stream, Stream};
+use http_body_util::BodyExt;
+use hyper::{
+    body::{Frame, Incoming},
+    header::HeaderMap,
+};
+
+use super::{
+    accept::Job,
+    balance::Outcome,
+    catalog::Repeat,
+    context::{Context, Running},
+    events::Events,
+    forward::{attempt, keep, may_repeat, Attempt, Attempts, Begun, Target},
+    log_event,
+};
+use crate::{base::Millis, emit};
+
+/// Longest pause between events before another endpoint continues the stream. Endpoints pause for a few hundred
+/// milliseconds when they read long prompts; callers give up after about two seconds.
+const PAUSE: Millis = Millis(1200);
+
+/// Time between attempts to continue a stream while no endpoint has room.
+const RESUME_RETRY: Millis = Millis(60);
+
+/// A stream that ended before its last event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the stream was cut; resume after its last event")]
+pub(super) struct Cut;
+
+/// One source of the stream.
+#[derive(Debug)]
+struct Source {
+    target: Target,
+    headers: HeaderMap,
+    body: Incoming,
+}
+
+/// State of a stream that is passed on.
+#[derive(Debug)]
+pub(super) struct Relay {
+    ctx: Rc<Context>,
+    job: Job,
+    attempts: Attempts,
+    events: Events,
+    source: Option<Source>,
+    /// Whether any event was passed on.
+    begun: bool,
+    cut: bool,
+    _running: Running,
+}
+
+/// What a source brought.
+enum Step {
+    Events(Bytes),
+    End,
+    Broken(&'static str),
+    Late,
+}
+
+impl Relay {
+    pub(super) fn new(
+        ctx: &Rc<Context>,
+        job: Job,
+        attempts: Attempts,
+        begun: Begun,
+        running: Running,
+    ) -> Self {
+        Self {
+            ctx: ctx.clone(),
+            events: Events::after(job.last),
+            job,
+            attempts,
+            source: Some(Source {
+                target: begun.target,
+                headers: begun.head.headers,
+                body: begun.body,
+            }),
+            begun: false,
+            cut: false,
+            _running: running,
+        }
+    }
+
+    /// Returns the body of the response.
+    pub(super) fn into_stream(self) -> impl Stream<Item = Result<Frame<Bytes>, Cut>> {
+        stream::unfold(self, |mut relay| async move {
+            let item = relay.next().await?;
+            Some((item.map(Frame::data), relay))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+        if self.cut {
+            return None;
+        }
+        loop {
+            match self.step().await {
+                Step::Events(data) => {
+                    if !self.begun {
+                        self.begun = true;
+                        self.log("first-event", "-");
+                    }
+                    return Some(Ok(data));
+                }
+                Step::End => {
+                    self.close(Outcome::Served);
+                    self.log("served", "-");
+                    return None;
+                }
+                Step::Late => {
+                    self.close(Outcome::Abandoned);
+                    return self.fail("deadline");
+                }
+                Step::Broken(reason) => {
+                    self.log("broken", reason);
+                    self.close(Outcome::Failed);
+                    self.events.restart();
+                    if let Err(reason) = self.resume().await {
+                        return self.fail(reason);
+                    }
+                }
+            }
+        }
+    }
+
+    fn fail(&mut self, reason: &str) -> Option<Result<Bytes, Cut>> {
+        self.cut = true;
+        self.log("cut", reason);
+        Some(Err(Cut))
+    }
+
+    fn log(&self, outcome: &str, reason: &str) {
+        let ms = self.ctx.now() - self.job.start;
+        let last = self.events.last().unwrap_or_default();
+        let endpoint = self.attempts.tried.last();
+        let endpoint = endpoint.map_or("-", |id| &*id.0);
+        emit!(
+            log_event::STREAM,
+            "id={} route={} endpoint={endpoint} event={last} attempts={} ms={} outcome={outcome} reason={reason}",
+            self.job.id(),
+            self.job.route.name,
+            self.attempts.sent,
+            ms.0
+        );
+    }
+
+    /// Ends the present source; a whole response lets its connection be used again.
+    fn close(&mut self, outcome: Outcome) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let target = source.target;
+        target.flight.end(outcome);
+        if outcome == Outcome::Served {
+            keep(&self.ctx, target.addr, target.connection, &source.headers);
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let Some(source) = &mut self.source else {
+            return Step::Broken("no endpoint");
+        };
+        let left = self.job.deadline - self.ctx.now();
+        if left == Millis::ZERO {
+            return Step::Late;
+        }
+        let pause = if self.job.route.repeat == Repeat::Resume {
+            PAUSE
+        } else {
+            left
+        };
+        loop {
+            let frame = tokio::time::timeout(pause.min(left).duration(), source.body.frame()).await;
+            let data = match frame {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(Some(Err(_))) => return Step::Broken("connection lost"),
+                Ok(None) if self.events.is_partial() => return Step::Broken("partial event"),
+                Ok(None) => return Step::End,
+                Err(_) if pause < left => return Step::Broken("silent"),
+                Err(_) => return Step::Late,
+            };
+            match self.events.push(&data) {
+                Ok(events) if events.is_empty() => {}
+                Ok(events) => return Step::Events(events),
+                Err(_) => return Step::Broken("event missing"),
+            }
+        }
+    }
+
+    /// Continues the stream at another endpoint.
+    async fn resume(&mut self) -> Result<(), &'static str> {
+        if self.job.route.repeat != Repeat::Resume {
+            return Err("not resumable");
+        }
+        loop {
+            if !may_repeat(&self.ctx, &self.job, &self.attempts, true) {
+                return Err("no attempt left");
+            }
+            let last = self.events.last();
+            let result = attempt(&self.ctx, &self.job, &mut self.attempts, last).await;
+            match result {
+                Ok(Attempt::Begun(begun)) => {
+                    self.source = Some(Source {
+                        target: begun.target,
+                        headers: begun.head.headers,
+                        body: begun.body,
+                    });
+                    self.log("resumed", "-");
+                    return Ok(());
+                }
+                Ok(_) => {}
+                Err(_) if self.ctx.now() + RESUME_RETRY >= self.job.deadline => {
+                    return Err("no endpoint has room");
+                }
+                Err(_) => tokio::time::sleep(RESUME_RETRY.duration()).await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/http/call.rs
@@ -0,0 +1,67 @@
+//! Calls with a small request and a small response.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, Response};
+
+use super::pool::Pool;
+use crate::base::Millis;
+
+/// Largest response body of a call, in bytes.
+pub const BODY_MAX: usize = 8 << 20;
+
+/// Longest time to open a connection.
+const CONNECT: Millis = Millis(600);
+
+/// Why a call brought no response.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// No connection; the request was not sent.
+    #[error("cannot connect to {0}: {1}; check the address and the peer")]
+    Connect(SocketAddr, String),
+    /// The request may have had an effect.
+    #[error("no whole response from {0}: {1}; the call may have taken effect")]
+    Lost(SocketAddr, String),
+}
+
+/// Sends a request and reads its whole response within `limit`.
+///
+/// # Errors
+///
+/// Returns [`CallError::Lost`] if the connection ends early or the time is over.
+pub async fn call(
+    pool: &Pool,
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
+    now: Millis,
+    limit: Millis,
+) -> Result<Response<Bytes>, CallError> {
+    let mut conn = pool
+        .checkout(addr, now, CONNECT.min(limit))
+        .await
+        .map_err(|e| CallError::Connect(addr, e.to_string()))?
+        .connection;
+    let lost = |text: String| CallError::Lost(addr, text);
+    let exchange = async {
+        let res = conn
+            .send_request(req)
+            .await
+            .map_err(|e| lost(e.to_string()))?;
+        let (head, body) = res.into_parts();
+        let body = Limited::new(body, BODY_MAX)
+            .collect()
+            .await
+            .map_err(|e| lost(e.to_string()))?;
+        Ok(Response::from_parts(head, body.to_bytes()))
+    };
+    let res = tokio::time::timeout(limit.duration(), exchange)
+        .await
+        .map_err(|_| lost(format!("no response within {limit}")))??;
+    pool.put(addr, conn, now + limit + IDLE);
+    Ok(res)
+}
+
+/// Time for which an idle connection is kept after a call.
+const IDLE: Millis = Millis(4000);
--- /dev/null
+++ b/src/http/connect.rs
@@ -0,0 +1,64 @@
+//! Opens connections that notice a silent peer.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+use crate::base::Millis;
+
+/// Time without an acknowledgement after which the kernel ends a connection. A round trip between regions takes a few
+/// milliseconds; one lost packet is sent again within this time.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// Time without traffic after which the kernel probes the peer, and time between its probes.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// Largest response head, and smallest buffer that hyper accepts, in bytes.
+const BUFFER: usize = 16 << 10;
+
+/// A connection on which one request at a time is sent.
+pub type Connection = SendRequest<Full<Bytes>>;
+
+/// Sets the options that make a silent peer visible.
+///
+/// # Errors
+///
+/// Returns the error of the system call.
+pub fn harden(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENCE))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)
+}
+
+/// Connects within a time limit. The connection is driven by a local task, which ends with it.
+///
+/// # Errors
+///
+/// Returns an error if the peer refuses the connection or does not accept it in time.
+pub async fn connect(addr: SocketAddr, limit: Millis) -> io::Result<Connection> {
+    let stream = tokio::time::timeout(limit.duration(), TcpStream::connect(addr))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    harden(&stream)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(BUFFER)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    tokio::task::spawn_local(async move {
+        if let Err(e) = connection.await {
+            log::trace!("connection to {addr} ended: {e}");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,11 @@
+//! HTTP/1.1 connections to endpoints, to the platform and between processes, for a single-threaded runtime.
+
+mod call;
+mod connect;
+mod pool;
+mod server;
+
+pub use call::{call, CallError, BODY_MAX};
+pub use connect::{connect, harden, Connection};
+pub use pool::{Checkout, Pool};
+pub use server::{listen, Listener, ServeOptions};
--- /dev/null
+++ b/src/http/pool.rs
@@ -0,0 +1,94 @@
+//! Idle connections, kept for the next request to the same address.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc};
+
+use super::connect::{connect, Connection};
+use crate::base::{HashMap, Millis};
+
+/// Idle connections kept for one address.
+const IDLE_MAX: usize = 24;
+
+/// A connection that is ready for a request.
+#[derive(Debug)]
+pub struct Checkout {
+    /// The connection.
+    pub connection: Connection,
+    /// Whether it carried a request before.
+    pub reused: bool,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    expires: Millis,
+}
+
+/// Idle connections by address.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>,
+}
+
+impl Pool {
+    /// Takes the most recently used idle connection, or opens one within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no connection can be opened.
+    pub async fn checkout(
+        &self,
+        addr: SocketAddr,
+        now: Millis,
+        limit: Millis,
+    ) -> io::Result<Checkout> {
+        if let Some(connection) = self.take(addr, now) {
+            return Ok(Checkout {
+                connection,
+                reused: true,
+            });
+        }
+        Ok(Checkout {
+            connection: connect(addr, limit).await?,
+            reused: false,
+        })
+    }
+
+    fn take(&self, addr: SocketAddr, now: Millis) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&addr)?;
+        while let Some(entry) = list.pop() {
+            if entry.expires > now && entry.connection.is_ready() {
+                return Some(entry.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last response was read completely until `expires`.
+    pub fn put(&self, addr: SocketAddr, connection: Connection, expires: Millis) {
+        if connection.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(addr).or_default();
+        if list.len() < IDLE_MAX {
+            list.push(Idle {
+                connection,
+                expires,
+            });
+        }
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
+    /// Closes connections that expired or that the peer closed.
+    pub fn sweep(&self, now: Millis) {
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|e| e.expires > now && !e.connection.is_closed());
+            !list.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,139 @@
+//! Accepts connections and serves them until the process drains.
+
+use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+    Request, Response,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net::TcpListener, sync::watch};
+
+use super::connect::harden;
+use crate::base::Millis;
+
+/// Time to wait after the system refused to accept a connection, for example for lack of descriptors.
+const ACCEPT_RETRY: Millis = Millis(20);
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Limits of the connections that are accepted.
+#[derive(Clone, Copy, Debug)]
+pub struct ServeOptions {
+    /// Longest time for the head of a request, and for the pause before it.
+    pub header_timeout: Millis,
+    /// Largest head of a request, in bytes.
+    pub header_max: usize,
+}
+
+impl Default for ServeOptions {
+    fn default() -> Self {
+        Self {
+            header_timeout: Millis::from_secs(60),
+            header_max: 16 << 10,
+        }
+    }
+}
+
+/// A bound socket.
+#[derive(Debug)]
+pub struct Listener {
+    listener: TcpListener,
+}
+
+/// Binds a socket.
+///
+/// # Errors
+///
+/// Returns an error if the address is in use or not of this host.
+pub fn listen(addr: SocketAddr) -> io::Result<Listener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    Ok(Listener {
+        listener: socket.listen(BACKLOG)?,
+    })
+}
+
+impl Listener {
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system call.
+    pub fn addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves connections until `closing` becomes `true`: then no connection is accepted, each open one ends after its
+    /// response, and the call returns once all have ended.
+    pub async fn serve<H, F, B>(
+        self,
+        options: impl Fn() -> ServeOptions,
+        handler: H,
+        mut closing: watch::Receiver<bool>,
+    ) where
+        H: Fn(Request<Incoming>) -> F + 'static,
+        F: Future<Output = Response<B>> + 'static,
+        B: Body<Data = Bytes> + 'static,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let handler = Rc::new(handler);
+        let (alive, mut ended) = tokio::sync::mpsc::channel::<Infallible>(1);
+        loop {
+            let stream = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                _ = closing.wait_for(|c| *c) => break,
+            };
+            let stream = match stream {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::warn!("cannot accept a connection: {e}; raise the descriptor limit");
+                    tokio::time::sleep(ACCEPT_RETRY.duration()).await;
+                    continue;
+                }
+            };
+            if let Err(e) = harden(&stream) {
+                log::debug!("the peer is gone before it was served: {e}");
+                continue;
+            }
+            let handler = handler.clone();
+            let service = service_fn(move |req| {
+                let response = handler(req);
+                async move { Ok::<_, Infallible>(response.await) }
+            });
+            let options = options();
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(options.header_timeout.duration())
+                .max_buf_size(options.header_max.max(8192))
+                .serve_connection(TokioIo::new(stream), service);
+            let (alive, mut closing) = (alive.clone(), closing.clone());
+            tokio::task::spawn_local(async move {
+                let _alive = alive;
+                tokio::pin!(connection);
+                let ended = tokio::select! {
+                    ended = connection.as_mut() => Some(ended),
+                    _ = closing.wait_for(|c| *c) => None,
+                };
+                let ended = match ended {
+                    Some(ended) => ended,
+                    None => {
+                        connection.as_mut().graceful_shutdown();
+                        connection.await
+                    }
+                };
+                if let Err(e) = ended {
+                    log::trace!("a connection ended: {e}");
+                }
+            });
+        }
+        drop(self.listener);
+        drop(alive);
+        let _ = ended.recv().await;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod endpoint;
 pub mod entry;
 pub mod feed;
+pub mod gateway;
+pub mod http;
 pub mod kernel;
 pub mod net;
 pub mod observe;
