--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::base::{HashMap, Millis, Service, Workspace};
+use crate::base::{HashMap, Millis, Service, Workspace, Zone};
 
 /// Version of a catalog; a later one has a higher number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -119,8 +119,17 @@
     pub engine: Option<EngineSpeed>,
     /// Weights of its engines; `None` for plain services.
     pub weights: Option<ServiceWeights>,
-    /// Address of the weight store, if the service is one.
-    pub origin: Option<SocketAddr>,
+    /// The weight store, if the service is one.
+    pub origin: Option<OriginSpec>,
+}
+
+/// Where the weight store is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OriginSpec {
+    /// Address.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: Option<Zone>,
 }
 
 /// A workspace with keys.
@@ -192,8 +201,8 @@
         list.iter().find(|r| path.starts_with(&*r.prefix))
     }
 
-    /// Returns the address of the weight store, if the catalog names one.
-    pub fn origin(&self) -> Option<SocketAddr> {
-        self.services.values().find_map(|s| s.origin)
+    /// Returns the weight store, if the catalog names one.
+    pub fn origin(&self) -> Option<&OriginSpec> {
+        self.services.values().find_map(|s| s.origin.as_ref())
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,8 +25,8 @@
 
 pub use balance::{Ask, Balance, Load, Outcome, Refusal};
 pub use catalog::{
-    CallerLimits, Catalog, CatalogVersion, EngineSpeed, Repeat, Route, ServiceSpec, ServiceWeights,
-    WorkspaceSpec,
+    CallerLimits, Catalog, CatalogVersion, EngineSpeed, OriginSpec, Repeat, Route, ServiceSpec,
+    ServiceWeights, WorkspaceSpec,
 };
 pub use directory::Directory;
 pub use events::{EventError, EventId, Events};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod platform;
 pub mod process;
 pub mod settings;
+pub mod staging;
 pub mod weights;
 pub mod wire;
--- /dev/null
+++ b/src/staging/copy.rs
@@ -0,0 +1,286 @@
+//! The copy of one version: drives the scheduler of chunks.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use tokio::{
+    sync::mpsc,
+    task::{AbortHandle, JoinSet},
+};
+
+use super::{
+    exchange::Client,
+    holdings::{is_intact, Holdings},
+    log_event,
+    peers::Peers,
+    EndpointHost, Manifest, Origin,
+};
+use crate::{
+    base::{Clock, Digest, HashMap, Millis, Rate, SystemClock},
+    decide::chunk::{Action, Config, Event, Fault, PeerId, Scheduler, Source},
+    emit,
+    settings::Prefer,
+};
+
+/// Time between two looks at the list of hosts.
+const REFRESH: Millis = Millis(300);
+
+/// Time without progress after which another host takes over a chunk; links carry one in a few tens of milliseconds.
+const STALL: Millis = Millis(900);
+
+/// Longest time that leaders wait at the start for reports of their neighbours.
+const GRACE: Millis = Millis(150);
+
+/// News that waits for the scheduler.
+const NEWS: usize = 64;
+
+/// What a copy needs.
+#[derive(Clone, Debug)]
+pub(super) struct CopyContext<H, O> {
+    pub(super) host: H,
+    pub(super) origin: O,
+    pub(super) origin_addr: Option<SocketAddr>,
+    pub(super) client: Client,
+    pub(super) holdings: Rc<Holdings>,
+    pub(super) peers: Rc<RefCell<Rc<Peers>>>,
+    pub(super) down: Rate,
+    pub(super) clock: SystemClock,
+    pub(super) model: Rc<str>,
+    pub(super) manifest: Rc<Manifest>,
+}
+
+struct Fetched {
+    chunk: u32,
+    from: Source,
+    result: Result<(), Fault>,
+}
+
+/// State of a copy; dropping it ends all its tasks.
+struct Copy<H, O> {
+    ctx: CopyContext<H, O>,
+    peers: Rc<Peers>,
+    scheduler: Scheduler,
+    fetches: JoinSet<Fetched>,
+    running: HashMap<(u32, Source), AbortHandle>,
+    subscriptions: JoinSet<()>,
+    following: HashMap<PeerId, AbortHandle>,
+    news: (mpsc::Sender<Event>, mpsc::Receiver<Event>),
+}
+
+/// Copies all chunks of a version that are not held.
+pub(super) async fn copy<H: EndpointHost, O: Origin>(ctx: CopyContext<H, O>) {
+    let manifest = ctx.manifest.clone();
+    let peers = ctx.peers.borrow().clone();
+    let mut config = Config::new(Prefer::Origin, manifest.chunk, ctx.down);
+    config.stall = STALL;
+    config.grace = GRACE;
+    let mut id = Digest::of(ctx.model.as_bytes());
+    id.0[..8].copy_from_slice(&manifest.version.0.to_le_bytes());
+    let mut scheduler = Scheduler::new(
+        config,
+        id,
+        manifest.digests.clone(),
+        peers.topology.clone(),
+        fastrand::u64(..),
+    );
+    for chunk in ctx.holdings.held(&ctx.model, manifest.version) {
+        scheduler.handle(ctx.clock.now(), Event::Held(chunk));
+    }
+    let copy = Copy {
+        ctx,
+        peers,
+        scheduler,
+        fetches: JoinSet::new(),
+        running: HashMap::default(),
+        subscriptions: JoinSet::new(),
+        following: HashMap::default(),
+        news: mpsc::channel(NEWS),
+    };
+    copy.run().await;
+}
+
+impl<H: EndpointHost, O: Origin> Copy<H, O> {
+    fn now(&self) -> Millis {
+        self.ctx.clock.now()
+    }
+
+    async fn run(mut self) {
+        while let Some(wake) = self.act() {
+            self.subscribe();
+            let wait = (wake - self.now()).min(REFRESH);
+            tokio::select! {
+                Some(event) = self.news.1.recv() => {
+                    self.take(event);
+                    while let Ok(event) = self.news.1.try_recv() {
+                        self.take(event);
+                    }
+                }
+                Some(done) = self.fetches.join_next() => {
+                    // Aborted tasks were cancelled by the scheduler, which expects no event for them.
+                    if let Ok(done) = done {
+                        self.finish(done);
+                    }
+                }
+                () = tokio::time::sleep(wait.duration()) => {}
+            }
+            self.refresh();
+        }
+    }
+
+    /// Takes over a changed list of hosts.
+    fn refresh(&mut self) {
+        let peers = self.ctx.peers.borrow().clone();
+        if Rc::ptr_eq(&peers, &self.peers) {
+            return;
+        }
+        let topology = peers.topology.clone();
+        self.peers = peers;
+        self.take(Event::Members(topology));
+    }
+
+    fn take(&mut self, event: Event) {
+        if let Event::Gone(peer) = event {
+            self.following.remove(&peer);
+        }
+        self.scheduler.handle(self.now(), event);
+    }
+
+    /// Does what the scheduler decides; returns the time of its next decision, or `None` when all chunks are held.
+    fn act(&mut self) -> Option<Millis> {
+        loop {
+            match self.scheduler.poll(self.now()) {
+                Action::Fetch(chunk, from) => self.fetch(chunk, from),
+                Action::Cancel(chunk, from) => {
+                    if let Some(task) = self.running.remove(&(chunk, from)) {
+                        task.abort();
+                    }
+                }
+                Action::Wait(at) => return Some(at),
+                Action::Done => return None,
+            }
+        }
+    }
+
+    fn fetch(&mut self, chunk: u32, from: Source) {
+        let addr = match from {
+            Source::Origin => self.ctx.origin_addr,
+            Source::Peer(id) => self.peers.addr(id),
+        };
+        let ctx = self.ctx.clone();
+        let task = self.fetches.spawn_local(async move {
+            let result = fetch(&ctx, chunk, from, addr).await;
+            Fetched {
+                chunk,
+                from,
+                result,
+            }
+        });
+        self.running.insert((chunk, from), task);
+    }
+
+    fn finish(&mut self, done: Fetched) {
+        if self.running.remove(&(done.chunk, done.from)).is_none() {
+            return;
+        }
+        let event = match done.result {
+            Ok(()) => {
+                let version = self.ctx.manifest.version;
+                self.ctx
+                    .holdings
+                    .insert(&self.ctx.model, version, done.chunk);
+                Event::Arrived(done.chunk, done.from)
+            }
+            Err(fault) => {
+                emit!(
+                    log_event::CHUNK,
+                    "model={} version={} chunk={} source={:?} outcome={fault:?}",
+                    self.ctx.model,
+                    self.ctx.manifest.version,
+                    done.chunk,
+                    done.from
+                );
+                Event::Failed(done.chunk, done.from, fault)
+            }
+        };
+        self.scheduler.handle(self.now(), event);
+    }
+
+    /// Keeps asking each neighbour for news.
+    fn subscribe(&mut self) {
+        let wanted: Vec<_> = self.scheduler.neighbours().collect();
+        self.following.retain(|id, task| {
+            let keep = wanted.contains(id);
+            if !keep {
+                task.abort();
+            }
+            keep
+        });
+        while self.subscriptions.try_join_next().is_some() {}
+        for id in wanted {
+            let Some(addr) = self.peers.addr(id) else {
+                continue;
+            };
+            if self.following.contains_key(&id) {
+                continue;
+            }
+            let task = follow(self.ctx.clone(), id, addr, self.news.0.clone());
+            let task = self.subscriptions.spawn_local(task);
+            self.following.insert(id, task);
+        }
+    }
+}
+
+/// Fetches a chunk, checks it and stages it.
+async fn fetch<H: EndpointHost, O: Origin>(
+    ctx: &CopyContext<H, O>,
+    chunk: u32,
+    from: Source,
+    addr: Option<SocketAddr>,
+) -> Result<(), Fault> {
+    let addr = addr.ok_or(Fault::Lost)?;
+    let version = ctx.manifest.version;
+    let digest = &ctx.manifest.digests[chunk as usize];
+    let data: Bytes = match from {
+        Source::Peer(_) => {
+            let client = &ctx.client;
+            client
+                .chunk(addr, &ctx.model, version, chunk, digest)
+                .await?
+        }
+        Source::Origin => {
+            let data = ctx.origin.chunk(addr, &ctx.model, version, chunk).await;
+            let data = data.map_err(|e| {
+                emit!(log_event::ORIGIN, "chunk={chunk} reason=\"{e}\"");
+                Fault::Lost
+            })?;
+            if !is_intact(&data, digest) {
+                return Err(Fault::Corrupt);
+            }
+            data
+        }
+    };
+    ctx.host.stage(&ctx.model, chunk, data).await.map_err(|e| {
+        log::debug!("chunk {chunk} cannot be staged: {e}");
+        Fault::Lost
+    })
+}
+
+/// Passes a neighbour's news to the scheduler until it does not answer.
+async fn follow<H: EndpointHost, O: Origin>(
+    ctx: CopyContext<H, O>,
+    id: PeerId,
+    addr: SocketAddr,
+    news: mpsc::Sender<Event>,
+) {
+    let mut from = 0;
+    let version = ctx.manifest.version;
+    while let Some(chunks) = ctx.client.have(addr, &ctx.model, version, from).await {
+        let first = from == 0;
+        from += chunks.len();
+        if (first || !chunks.is_empty()) && news.send(Event::Has(id, chunks)).await.is_err() {
+            return;
+        }
+    }
+    // The receiver is dropped when the copy ends.
+    let _ = news.send(Event::Gone(id)).await;
+}
--- /dev/null
+++ b/src/staging/exchange.rs
@@ -0,0 +1,222 @@
+//! Serves the endpoint's staged chunks to other hosts, and fetches theirs.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{body::Incoming, Method, Request, Response, StatusCode};
+
+use super::{holdings::is_intact, holdings::Holdings, log_event, EndpointHost};
+use crate::{
+    base::{Clock, Digest, Millis, SystemClock},
+    decide::chunk::Fault,
+    emit,
+    gateway::WeightVersion,
+    http::{call, CallError, Pool},
+};
+
+/// Chunks sent at once; more would only slow each other on the host's link.
+const UPLOADS_MAX: u32 = 4;
+
+/// Longest time for which a question for news waits.
+const NEWS_WAIT: Millis = Millis(500);
+
+/// Time in which further news is collected before an answer.
+const NEWS_DELAY: Millis = Millis(15);
+
+/// Longest time of a chunk's transfer.
+const TRANSFER: Millis = Millis(2500);
+
+/// Serves other hosts.
+#[derive(Clone, Debug)]
+pub(super) struct Exchange<H> {
+    pub(super) host: H,
+    pub(super) holdings: Rc<Holdings>,
+    pub(super) uploads: Rc<Cell<u32>>,
+}
+
+/// What another host asks for.
+enum Question<'a> {
+    /// Chunks after a position of the arrival order.
+    Have(&'a str, WeightVersion, usize),
+    /// A chunk.
+    Chunk(&'a str, WeightVersion, u32),
+}
+
+fn parse(path: &str) -> Option<Question<'_>> {
+    let mut parts = path.strip_prefix('/')?.split('/');
+    let kind = parts.next()?;
+    let model = parts.next()?;
+    let version = WeightVersion(parts.next()?.parse().ok()?);
+    let number = parts.next()?;
+    match kind {
+        "have" => Some(Question::Have(model, version, number.parse().ok()?)),
+        "chunk" => Some(Question::Chunk(model, version, number.parse().ok()?)),
+        _ => None,
+    }
+}
+
+fn respond(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::new(body));
+    *res.status_mut() = status;
+    res
+}
+
+impl<H: EndpointHost> Exchange<H> {
+    /// Answers another host.
+    pub(super) async fn answer(self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        match parse(req.uri().path()) {
+            Some(Question::Have(model, version, from)) => self.have(model, version, from).await,
+            Some(Question::Chunk(model, version, chunk)) => self.chunk(model, version, chunk).await,
+            None => respond(StatusCode::NOT_FOUND, Bytes::new()),
+        }
+    }
+
+    async fn have(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        from: usize,
+    ) -> Response<Full<Bytes>> {
+        let news = || {
+            self.holdings
+                .since(model, version, from)
+                .unwrap_or_default()
+        };
+        if news().is_empty() {
+            let wait = NEWS_WAIT.duration();
+            if tokio::time::timeout(wait, self.holdings.changed())
+                .await
+                .is_ok()
+            {
+                tokio::time::sleep(NEWS_DELAY.duration()).await;
+            }
+        }
+        match postcard::to_stdvec(&news()) {
+            Ok(data) => respond(StatusCode::OK, data.into()),
+            Err(e) => {
+                log::warn!("cannot encode the list of chunks: {e}");
+                respond(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+            }
+        }
+    }
+
+    async fn chunk(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        chunk: u32,
+    ) -> Response<Full<Bytes>> {
+        let Some(digest) = self.holdings.digest(model, version, chunk) else {
+            return respond(StatusCode::NOT_FOUND, Bytes::new());
+        };
+        if self.uploads.get() >= UPLOADS_MAX {
+            return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        }
+        let _upload = Upload::begin(&self.uploads);
+        match self.host.read(model, chunk).await {
+            Ok(Some(data)) if is_intact(&data, &digest) => respond(StatusCode::OK, data),
+            Ok(_) => {
+                emit!(
+                    log_event::CHUNK,
+                    "model={model} version={version} chunk={chunk} outcome=spoilt"
+                );
+                self.holdings.remove(model, version, chunk);
+                respond(StatusCode::NOT_FOUND, Bytes::new())
+            }
+            Err(e) => {
+                log::debug!("chunk {chunk} cannot be read from the endpoint: {e}");
+                respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
+            }
+        }
+    }
+}
+
+/// Counts an upload.
+struct Upload(Rc<Cell<u32>>);
+
+impl Upload {
+    fn begin(count: &Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Client of other hosts' exchanges.
+#[derive(Clone, Debug)]
+pub(super) struct Client {
+    pool: Pool,
+    clock: SystemClock,
+}
+
+impl Client {
+    pub(super) fn new() -> Self {
+        Self {
+            pool: Pool::default(),
+            clock: SystemClock::start(),
+        }
+    }
+
+    async fn get(
+        &self,
+        addr: SocketAddr,
+        path: String,
+        limit: Millis,
+    ) -> Result<Response<Bytes>, CallError> {
+        let mut req = Request::new(Full::default());
+        *req.method_mut() = Method::GET;
+        *req.uri_mut() = path.parse().unwrap_or_default();
+        call(&self.pool, addr, req, self.clock.now(), limit).await
+    }
+
+    /// Asks which chunks arrived after a position; waits for news.
+    pub(super) async fn have(
+        &self,
+        addr: SocketAddr,
+        model: &str,
+        version: WeightVersion,
+        from: usize,
+    ) -> Option<Vec<u32>> {
+        let path = format!("/have/{model}/{version}/{from}");
+        let limit = NEWS_WAIT + NEWS_DELAY + Millis(700);
+        match self.get(addr, path, limit).await {
+            Ok(res) if res.status() == StatusCode::OK => postcard::from_bytes(res.body()).ok(),
+            Ok(res) => {
+                log::debug!("{addr} answers a question for news with {}", res.status());
+                None
+            }
+            Err(e) => {
+                log::debug!("no news from {addr}: {e}");
+                None
+            }
+        }
+    }
+
+    /// Fetches a chunk and checks it.
+    pub(super) async fn chunk(
+        &self,
+        addr: SocketAddr,
+        model: &str,
+        version: WeightVersion,
+        chunk: u32,
+        digest: &Digest,
+    ) -> Result<Bytes, Fault> {
+        let path = format!("/chunk/{model}/{version}/{chunk}");
+        match self.get(addr, path, TRANSFER).await {
+            Ok(res) if res.status() == StatusCode::SERVICE_UNAVAILABLE => Err(Fault::Busy),
+            Ok(res) if res.status() != StatusCode::OK => Err(Fault::Missing),
+            Ok(res) if is_intact(res.body(), digest) => Ok(res.into_body()),
+            Ok(_) => Err(Fault::Corrupt),
+            Err(e) => {
+                log::debug!("chunk {chunk} did not arrive from {addr}: {e}");
+                Err(Fault::Lost)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/staging/mod.rs
@@ -0,0 +1,18 @@
+//! Weights of the endpoint on the same host: copied as chunks from the origin and from other hosts, staged at the
+//! endpoint, checked, and loaded host after host.
+//!
+//! The endpoint holds the staged chunks, so an agent keeps no content: what it serves to other hosts it reads from the
+//! endpoint. Which chunk comes from where is decided by [`crate::decide::chunk`].
+
+mod copy;
+mod exchange;
+mod holdings;
+mod host;
+mod log_event;
+mod peers;
+mod rollout;
+mod run;
+
+pub use host::{EndpointHost, HostError, HostReport, LoadAnswer, Manifest, Origin};
+pub use rollout::{Named, Rollout};
+pub use run::{run, AgentSettings};
--- /dev/null
+++ b/src/staging/peers.rs
@@ -0,0 +1,87 @@
+//! Hosts that copy the same weights, from the records of their endpoints.
+
+use std::{collections::HashMap as RegionMap, net::SocketAddr};
+
+use crate::{
+    base::{HashMap, Region, Service, Zone},
+    decide::chunk::{Member, PeerId, Place, Topology},
+    gateway::EndpointRecord,
+};
+
+/// Other hosts of a service.
+#[derive(Clone, Debug)]
+pub(super) struct Peers {
+    pub(super) topology: Topology,
+    addrs: HashMap<PeerId, SocketAddr>,
+}
+
+/// Where this host and the origin are.
+#[derive(Clone, Debug)]
+pub(super) struct Location {
+    /// Address of this host's exchange; its port is the same on all hosts.
+    pub(super) me: SocketAddr,
+    pub(super) zone: Zone,
+    /// Region of each zone.
+    pub(super) regions: RegionMap<Zone, Region>,
+    /// Zone of the origin.
+    pub(super) origin: Option<Zone>,
+}
+
+fn id(addr: SocketAddr) -> PeerId {
+    let text = addr.ip().to_string();
+    PeerId(crate::base::rendezvous(b"weights", text.as_bytes()))
+}
+
+impl Location {
+    fn place(&self, zone: &Zone) -> Place {
+        let region = |z: &Zone| self.regions.get(z);
+        if *zone == self.zone {
+            return Place::Zone;
+        }
+        if region(zone) == region(&self.zone) {
+            return Place::Region;
+        }
+        let origin = self.origin.as_ref().and_then(region);
+        if origin.is_some() && region(zone) == origin {
+            Place::Store
+        } else {
+            Place::Remote
+        }
+    }
+}
+
+impl Peers {
+    /// Finds the hosts of a service.
+    pub(super) fn new<'e>(
+        location: &Location,
+        service: &Service,
+        endpoints: impl Iterator<Item = &'e EndpointRecord>,
+    ) -> Self {
+        let me = id(location.me);
+        let mut members = Vec::new();
+        let mut addrs = HashMap::default();
+        for e in endpoints.filter(|e| e.service == *service) {
+            let addr = SocketAddr::new(e.addr.ip(), location.me.port());
+            let id = id(addr);
+            members.push(Member {
+                id,
+                place: location.place(&e.zone),
+            });
+            addrs.insert(id, addr);
+        }
+        Self {
+            topology: Topology::new(me, members),
+            addrs,
+        }
+    }
+
+    /// Returns the address of a host's exchange.
+    pub(super) fn addr(&self, id: PeerId) -> Option<SocketAddr> {
+        self.addrs.get(&id).copied()
+    }
+
+    /// Returns this host's position among all, for turns.
+    pub(super) fn turn(&self, key: u64) -> (usize, usize) {
+        self.topology.turn(key)
+    }
+}
--- /dev/null
+++ b/src/staging/run.rs
@@ -0,0 +1,532 @@
+//! The agent process: brings the endpoint on its host to the version that the operator named.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap as RegionMap,
+    marker::PhantomData,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use eyre::WrapErr;
+use tokio::{
+    signal::unix::{signal, SignalKind},
+    sync::{watch, Notify},
+    task::spawn_local,
+};
+
+use super::{
+    copy::{copy, CopyContext},
+    exchange::{Client, Exchange},
+    holdings::{is_intact, Holdings},
+    log_event,
+    peers::{Location, Peers},
+    rollout::{Named, Rollout},
+    EndpointHost, HostReport, LoadAnswer, Manifest, Origin,
+};
+use crate::{
+    base::{Clock, HashMap, Millis, ProcessName, Rate, Region, Service, SystemClock, Zone},
+    decide::chunk::Topology,
+    emit,
+    gateway::{
+        follow, Catalog, Decode, Follower, Intent, OriginSpec, Record, RecordStore, Topic,
+        WeightVersion,
+    },
+    http::{listen, ServeOptions},
+};
+
+/// Longest wait of one read of the operator's records.
+const WAIT: Millis = Millis(5000);
+
+/// Time between two looks at the endpoint, which answers its own host for free.
+const REPORT: Millis = Millis(150);
+
+/// Time between two reads of the list of hosts while a copy is in progress.
+const PEERS_REFRESH: Millis = Millis(1000);
+
+/// Time after a failed call.
+const RETRY: Millis = Millis(200);
+
+/// Time after which an order without an effect is given again.
+const ORDER_RETRY: Millis = Millis(1000);
+
+/// Time that a stopping agent gives to transfers in progress.
+const STOP: Millis = Millis(1500);
+
+/// Settings of an agent process.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// Name of the process.
+    pub name: ProcessName,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Region of each zone.
+    pub regions: RegionMap<Zone, Region>,
+    /// Service of the endpoint.
+    pub service: Service,
+    /// Address for other agents; its port is the same on all hosts.
+    pub exchange: SocketAddr,
+    /// Time within which requests begin on a newly named version.
+    pub bound: Millis,
+    /// Rate of the host's link.
+    pub link: Rate,
+}
+
+/// A version of a model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Target {
+    model: Rc<str>,
+    /// `None` before the operator named one: the newest of the origin.
+    version: Option<WeightVersion>,
+}
+
+struct Agent<S, D, H, O> {
+    settings: AgentSettings,
+    store: S,
+    host: H,
+    origin: O,
+    clock: SystemClock,
+    holdings: Rc<Holdings>,
+    client: Client,
+    peers: Rc<RefCell<Rc<Peers>>>,
+    /// Own model and the origin, from the catalog.
+    model: RefCell<Option<Rc<str>>>,
+    origin_spec: RefCell<Option<OriginSpec>>,
+    named: RefCell<HashMap<Rc<str>, Named>>,
+    report: RefCell<Option<HostReport>>,
+    copying: Cell<bool>,
+    /// Wakes the main loop when the target or the endpoint changed.
+    changed: Notify,
+    _decode: PhantomData<D>,
+}
+
+/// Runs an agent until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error if the socket cannot be bound.
+pub async fn run<S, D, H, O>(
+    settings: AgentSettings,
+    store: S,
+    host: H,
+    origin: O,
+) -> eyre::Result<()>
+where
+    S: RecordStore,
+    D: Decode,
+    H: EndpointHost,
+    O: Origin,
+{
+    let location = Location {
+        me: settings.exchange,
+        zone: settings.zone.clone(),
+        regions: settings.regions.clone(),
+        origin: None,
+    };
+    let peers = Peers::new(&location, &settings.service, std::iter::empty());
+    let holdings = Rc::new(Holdings::default());
+    let exchange = Exchange {
+        host: host.clone(),
+        holdings: holdings.clone(),
+        uploads: Rc::default(),
+    };
+    emit!(
+        log_event::COPY,
+        "state=start name={} service={}",
+        settings.name,
+        settings.service
+    );
+    let addr = settings.exchange;
+    let listener = listen(addr)
+        .wrap_err_with(|| format!("cannot listen on {addr} for agents; check the settings"))?;
+    let (closing, closed) = watch::channel(false);
+    let handler = move |req| exchange.clone().answer(req);
+    let serving = spawn_local(listener.serve(ServeOptions::default, handler, closed));
+    let agent = Rc::new(Agent::<S, D, H, O> {
+        store: store.clone(),
+        host,
+        origin,
+        clock: SystemClock::start(),
+        holdings,
+        client: Client::new(),
+        peers: Rc::new(RefCell::new(Rc::new(peers))),
+        model: RefCell::default(),
+        origin_spec: RefCell::default(),
+        named: RefCell::default(),
+        report: RefCell::default(),
+        copying: Cell::default(),
+        changed: Notify::new(),
+        settings,
+        _decode: PhantomData,
+    });
+    spawn_local(follow(
+        store,
+        Topic::Operator,
+        WAIT,
+        Millis::ZERO,
+        Rc::new(Intents(agent.clone())),
+    ));
+    spawn_local(watch_endpoint(agent.clone()));
+    spawn_local(refresh_peers(agent.clone()));
+    let main = spawn_local(async move {
+        loop {
+            agent.step().await;
+        }
+    });
+    let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
+    term.recv().await;
+    emit!(log_event::COPY, "state=stopping");
+    main.abort();
+    closing.send_replace(true);
+    // The other hosts fetch elsewhere what is not sent in time.
+    let _ = tokio::time::timeout(STOP.duration(), serving).await;
+    Ok(())
+}
+
+/// Follows the operator's records.
+struct Intents<S, D, H, O>(Rc<Agent<S, D, H, O>>);
+
+impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Follower for Intents<S, D, H, O> {
+    fn take(&self, record: Record) {
+        let Some(value) = &record.value else {
+            return;
+        };
+        let key = String::from_utf8_lossy(&record.key);
+        match D::intent(&record.key, value) {
+            Ok(Some(Intent::Catalog(catalog))) => self.0.set_catalog(&catalog),
+            Ok(Some(Intent::Weights(model, version))) => self.0.name_version(model, version),
+            Ok(None) => {}
+            Err(e) => emit!(log_event::RECORD, "key={key} reason=\"{e}\""),
+        }
+    }
+
+    fn replace(&self, records: Vec<Record>) {
+        for record in records {
+            self.take(record);
+        }
+    }
+
+    fn regained(&self) {}
+}
+
+/// Looks at the endpoint for ever.
+async fn watch_endpoint<S, D, H, O>(agent: Rc<Agent<S, D, H, O>>)
+where
+    S: RecordStore,
+    D: Decode,
+    H: EndpointHost,
+    O: Origin,
+{
+    loop {
+        agent.look().await;
+        tokio::time::sleep(REPORT.duration()).await;
+    }
+}
+
+/// Reads the list of hosts while a copy is in progress.
+async fn refresh_peers<S, D, H, O>(agent: Rc<Agent<S, D, H, O>>)
+where
+    S: RecordStore,
+    D: Decode,
+    H: EndpointHost,
+    O: Origin,
+{
+    loop {
+        tokio::time::sleep(PEERS_REFRESH.duration()).await;
+        if agent.copying.get() {
+            agent.read_peers().await;
+        }
+    }
+}
+
+impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
+    fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    fn set_catalog(&self, catalog: &Catalog) {
+        let spec = catalog.services.get(&self.settings.service);
+        let model = spec.and_then(|s| s.weights.as_ref()?.models.first().cloned());
+        *self.origin_spec.borrow_mut() = catalog.origin().cloned();
+        let before = self.model.replace(model.clone());
+        if before != model {
+            self.changed.notify_one();
+        }
+    }
+
+    fn name_version(&self, model: Rc<str>, version: WeightVersion) {
+        let now = self.now();
+        let newer = {
+            let mut named = self.named.borrow_mut();
+            named.entry(model.clone()).or_default().name(version, now)
+        };
+        emit!(
+            log_event::NAMED,
+            "model={model} version={version} newer={newer}"
+        );
+        if newer {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Reads the endpoint's report.
+    async fn look(&self) {
+        let report = match self.host.report().await {
+            Ok(report) => Some(report),
+            Err(e) => {
+                log::debug!("no report of the endpoint: {e}");
+                None
+            }
+        };
+        let before = self.report.replace(report.clone());
+        if before == report {
+            return;
+        }
+        let born = |r: &Option<HostReport>| r.as_ref().map(|r| r.born);
+        emit!(
+            log_event::ENDPOINT,
+            "answers={} born={} busy={} loaded={}",
+            report.is_some(),
+            born(&report).unwrap_or_default(),
+            report.as_ref().is_some_and(|r| r.busy),
+            self.loaded().unwrap_or_default()
+        );
+        let restarted = report.is_some() && born(&before).is_some_and(|b| Some(b) != born(&report));
+        if restarted || before.is_none() {
+            self.holdings.clear();
+        }
+        self.changed.notify_one();
+    }
+
+    /// Returns the loaded version of the own model.
+    fn loaded(&self) -> Option<WeightVersion> {
+        let model = self.model.borrow();
+        let report = self.report.borrow();
+        let models = &report.as_ref()?.models;
+        let loaded = models.iter().find(|m| Some(&m.0) == model.as_ref())?;
+        Some(loaded.1)
+    }
+
+    fn target(&self) -> Option<Target> {
+        let model = self.model.borrow().clone()?;
+        let named = self.named.borrow();
+        let version = named.get(&model).and_then(Named::newest);
+        Some(Target { model, version })
+    }
+
+    /// Waits until the target is another one, or the endpoint restarts.
+    async fn superseded(&self, target: &Target) {
+        let born = self.born();
+        loop {
+            self.changed.notified().await;
+            if self.target().as_ref() != Some(target) || self.born() != born {
+                // The next step looks at the change too.
+                self.changed.notify_one();
+                return;
+            }
+        }
+    }
+
+    fn born(&self) -> Option<u64> {
+        self.report.borrow().as_ref().map(|r| r.born)
+    }
+
+    /// Reads the hosts of the service.
+    async fn read_peers(&self) {
+        let records = match self.store.newest(Topic::Endpoints).await {
+            Ok(records) => records.records,
+            Err(e) => {
+                log::debug!("the list of hosts cannot be read: {e}");
+                return;
+            }
+        };
+        let values = records.iter().filter_map(|r| r.value.as_ref());
+        let endpoints: Vec<_> = values.filter_map(|v| D::endpoint(v).ok()).collect();
+        let origin = self
+            .origin_spec
+            .borrow()
+            .as_ref()
+            .and_then(|o| o.zone.clone());
+        let location = Location {
+            me: self.settings.exchange,
+            zone: self.settings.zone.clone(),
+            regions: self.settings.regions.clone(),
+            origin,
+        };
+        let peers = Peers::new(&location, &self.settings.service, endpoints.iter());
+        let same = |a: &Topology, b: &Topology| a.members() == b.members();
+        let changed = !same(&peers.topology, &self.peers.borrow().topology);
+        if changed {
+            *self.peers.borrow_mut() = Rc::new(peers);
+        }
+    }
+
+    /// Brings the endpoint to the target, or waits for a change.
+    async fn step(&self) {
+        let target = self.target().filter(|_| self.report.borrow().is_some());
+        let Some(target) = target else {
+            self.changed.notified().await;
+            return;
+        };
+        tokio::select! {
+            () = self.bring(&target) => {}
+            () = self.superseded(&target) => {
+                emit!(log_event::COPY, "model={} state=superseded", target.model);
+            }
+        }
+        self.copying.set(false);
+    }
+
+    async fn bring(&self, target: &Target) {
+        self.copying.set(true);
+        let Some(manifest) = self.manifest(target).await else {
+            tokio::time::sleep(RETRY.duration()).await;
+            return;
+        };
+        let manifest = Rc::new(manifest);
+        self.holdings.begin(&target.model, &manifest);
+        let begun = self.now();
+        let kept = self.check(&target.model, &manifest).await;
+        emit!(
+            log_event::COPY,
+            "model={} version={} state=begun kept={kept} of={}",
+            target.model,
+            manifest.version,
+            manifest.digests.len()
+        );
+        if kept < manifest.digests.len() {
+            self.read_peers().await;
+            copy(self.copy_context(target, &manifest)).await;
+            emit!(
+                log_event::COPY,
+                "model={} version={} state=complete ms={}",
+                target.model,
+                manifest.version,
+                (self.now() - begun).0
+            );
+        }
+        self.copying.set(false);
+        if self.loaded().is_some_and(|v| v >= manifest.version) {
+            // Complete: nothing to do before the next change.
+            std::future::pending::<()>().await;
+        }
+        self.wait_turn(target, &manifest).await;
+        if self.check(&target.model, &manifest).await == manifest.digests.len() {
+            self.load(target, manifest.version).await;
+        }
+    }
+
+    fn copy_context(&self, target: &Target, manifest: &Rc<Manifest>) -> CopyContext<H, O> {
+        CopyContext {
+            host: self.host.clone(),
+            origin: self.origin.clone(),
+            origin_addr: self.origin_spec.borrow().as_ref().map(|o| o.addr),
+            client: self.client.clone(),
+            holdings: self.holdings.clone(),
+            peers: self.peers.clone(),
+            down: self.settings.link,
+            clock: self.clock,
+            model: target.model.clone(),
+            manifest: manifest.clone(),
+        }
+    }
+
+    async fn manifest(&self, target: &Target) -> Option<Manifest> {
+        let addr = self.origin_spec.borrow().as_ref().map(|o| o.addr)?;
+        match self
+            .origin
+            .manifest(addr, &target.model, target.version)
+            .await
+        {
+            Ok(manifest) => Some(manifest),
+            Err(e) => {
+                emit!(log_event::ORIGIN, "model={} reason=\"{e}\"", target.model);
+                None
+            }
+        }
+    }
+
+    /// Reads the staged chunks and checks them; returns how many are held.
+    async fn check(&self, model: &str, manifest: &Manifest) -> usize {
+        let staged = self.host.staged(model).await.unwrap_or_else(|e| {
+            log::debug!("the staged chunks cannot be listed: {e}");
+            Vec::new()
+        });
+        for (i, digest) in manifest.digests.iter().enumerate() {
+            let chunk = i as u32;
+            let intact = staged.contains(&chunk)
+                && match self.host.read(model, chunk).await {
+                    Ok(data) => data.is_some_and(|d| is_intact(&d, digest)),
+                    Err(e) => {
+                        log::debug!("chunk {chunk} cannot be read: {e}");
+                        false
+                    }
+                };
+            if intact {
+                self.holdings.insert(model, manifest.version, chunk);
+            } else {
+                self.holdings.remove(model, manifest.version, chunk);
+            }
+        }
+        self.holdings.held(model, manifest.version).len()
+    }
+
+    /// Waits for this host's turn to load.
+    async fn wait_turn(&self, target: &Target, manifest: &Manifest) {
+        let (rank, hosts) = self.peers.borrow().turn(manifest.version.0);
+        let turn = Rollout {
+            bound: self.settings.bound,
+            rank,
+            hosts,
+        };
+        let outdated = self.loaded().and_then(|loaded| {
+            let named = self.named.borrow();
+            named.get(&target.model)?.outdated(loaded)
+        });
+        let wait = turn.start(outdated) - self.now();
+        emit!(
+            log_event::LOAD,
+            "model={} version={} state=waiting rank={rank} hosts={hosts} ms={}",
+            target.model,
+            manifest.version,
+            wait.0
+        );
+        tokio::time::sleep(wait.duration()).await;
+    }
+
+    /// Orders the load and waits for it.
+    async fn load(&self, target: &Target, version: WeightVersion) {
+        let answer = self.host.load(&target.model, version).await;
+        let text = match &answer {
+            Ok(answer) => format!("{answer:?}"),
+            Err(e) => e.to_string(),
+        };
+        emit!(
+            log_event::LOAD,
+            "model={} version={version} state=ordered answer=\"{text}\"",
+            target.model
+        );
+        if !matches!(answer, Ok(LoadAnswer::Begun | LoadAnswer::Done)) {
+            tokio::time::sleep(RETRY.duration()).await;
+            return;
+        }
+        let mut idle = self.now();
+        loop {
+            tokio::time::sleep(REPORT.duration()).await;
+            if self.loaded().is_some_and(|v| v >= version) {
+                emit!(
+                    log_event::LOAD,
+                    "model={} version={version} state=loaded",
+                    target.model
+                );
+                return;
+            }
+            if self.report.borrow().as_ref().is_some_and(|r| r.busy) {
+                idle = self.now();
+            }
+            if self.now() > idle + ORDER_RETRY {
+                return;
+            }
+        }
+    }
+}
