--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -9,13 +9,16 @@
     balance::{Balance, Outcome},
     catalog::{Catalog, CatalogVersion},
     fleet::{EndpointId, Fleet},
+    log_event,
     members::Members,
+    named::Named,
     record::WeightVersion,
-    GatewaySettings, Headers,
+    Bounds, GatewaySettings, Headers,
 };
 use crate::{
     base::{Clock, HashMap, Millis, Service, SystemClock},
     decide::retry::Budget,
+    emit,
     http::Pool,
 };
 
@@ -26,18 +29,13 @@
 /// Entries among which the deployment's burst of retries is divided at least.
 const BUDGET_SHARES: u32 = 8;
 
-/// A named version of weights and when this process heard of it.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Named {
-    pub(super) version: WeightVersion,
-    pub(super) since: Millis,
-}
-
 /// State of an entry.
 #[derive(Debug)]
 pub(super) struct Context {
     pub(super) clock: SystemClock,
     pub(super) settings: GatewaySettings,
+    /// Promises in force; a reload of the settings changes them.
+    pub(super) bounds: Cell<Bounds>,
     pub(super) headers: Headers,
     pub(super) pool: Pool,
     pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
@@ -57,6 +55,7 @@
     pub(super) fn new(settings: GatewaySettings, headers: Headers, members: Members) -> Rc<Self> {
         Rc::new(Self {
             clock: SystemClock::start(),
+            bounds: Cell::new(settings.bounds),
             settings,
             headers,
             pool: Pool::default(),
@@ -76,6 +75,17 @@
         self.clock.now()
     }
 
+    /// Takes over the promises and seeds of changed settings; sockets and names stay until a restart.
+    pub(super) fn reload(&self, load: &mut impl FnMut() -> eyre::Result<GatewaySettings>) {
+        match load() {
+            Ok(new) => {
+                self.bounds.set(new.bounds);
+                emit!(log_event::PROCESS, "state=reloaded");
+            }
+            Err(e) => emit!(log_event::PROCESS, "state=reload-failed reason=\"{e}\""),
+        }
+    }
+
     /// Returns whether callers should be sent here.
     pub(super) fn is_ready(&self) -> bool {
         !self.draining.get() && self.fleet_known.get() && self.catalog.borrow().is_some()
@@ -94,33 +104,25 @@
 
     /// Notes a named version; returns whether it is newer than the known one.
     pub(super) fn name_version(&self, model: Rc<str>, version: WeightVersion) -> bool {
-        let since = self.now();
+        let now = self.now();
         let mut named = self.named.borrow_mut();
-        match named.get(&model) {
-            Some(n) if n.version >= version => return false,
-            _ => {}
-        }
-        named.insert(model, Named { version, since });
-        true
+        named.entry(model).or_default().name(version, now)
     }
 
     /// Returns the oldest version of a model that a request may begin on.
     pub(super) fn oldest_version(&self, model: &str) -> WeightVersion {
-        let named = self.named.borrow();
-        let Some(n) = named.get(model) else {
-            return WeightVersion::default();
-        };
         let (part, whole) = VERSION_SHARE;
-        let binding = n.since + Millis(self.settings.bounds.version.0 * part / whole);
-        if self.now() < binding {
-            return WeightVersion::default();
-        }
-        n.version
+        let age = Millis(self.bounds.get().version.0 * part / whole);
+        let named = self.named.borrow();
+        let named = named.get(model);
+        named
+            .and_then(|n| n.binding(age, self.now()))
+            .unwrap_or_default()
     }
 
     fn budget<T>(&self, service: &Service, f: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds.get();
         let shares = BUDGET_SHARES.max(self.members.borrow().len() as u32 * 3 / 2);
         let burst = (bounds.retry_burst / shares).max(1);
         let budget = budgets
@@ -131,12 +133,12 @@
 
     /// Notes a caller's request in the budget of its service.
     pub(super) fn count_request(&self, service: &Service) {
-        self.budget(service, |b| b.request(self.settings.bounds.retries));
+        self.budget(service, |b| b.request(self.bounds.get().retries));
     }
 
     /// Takes a further attempt from the budget of a service; returns whether there was one.
     pub(super) fn take_retry(&self, service: &Service) -> bool {
-        self.budget(service, |b| b.take(self.settings.bounds.retries))
+        self.budget(service, |b| b.take(self.bounds.get().retries))
     }
 
     /// Notes the end of a request at an endpoint.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod headers;
 mod log_event;
 mod members;
+mod named;
 mod record;
 mod reply;
 mod run;
@@ -34,6 +35,7 @@
 pub use follow::{follow, Follower};
 pub use headers::Headers;
 pub use members::{Beat, Member, Members};
+pub use named::Named;
 pub use record::{
     EndpointRecord, Intent, Record, RecordStore, Records, Revision, StoreError, Topic,
     WeightVersion,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -184,16 +184,17 @@
     fn regained(&self) {}
 }
 
-/// Runs an entry until it is told to stop.
+/// Runs an entry until it is told to stop; `load` reads the settings, at the start and when SIGHUP asks for it.
 ///
 /// # Errors
 ///
-/// Returns an error if a socket cannot be bound.
+/// Returns an error if the settings cannot be read or a socket cannot be bound.
 pub async fn run<S: RecordStore, D: Decode>(
-    settings: GatewaySettings,
+    mut load: impl FnMut() -> eyre::Result<GatewaySettings>,
     headers: Headers,
     store: S,
 ) -> eyre::Result<()> {
+    let settings = load()?;
     let me = Beat {
         peer: settings.listen.peers,
         callers: settings.listen.callers,
@@ -245,7 +246,13 @@
     spawn_local(hear(ctx.clone(), socket.clone()));
     spawn_local(beat(ctx.clone(), socket.clone()));
     let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
-    term.recv().await;
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hangup.recv() => ctx.reload(&mut load),
+        }
+    }
     drain(&ctx, &socket, &closing, callers).await;
     Ok(())
 }
@@ -396,7 +403,7 @@
     send_beat(ctx, socket, &targets).await;
     tokio::time::sleep(LINGER.duration()).await;
     closing.send_replace(true);
-    let end = start + ctx.settings.bounds.grace - EXIT_MARGIN;
+    let end = start + ctx.bounds.get().grace - EXIT_MARGIN;
     let left = end - ctx.now();
     let ended = tokio::time::timeout(left.duration(), &mut callers).await;
     emit!(
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -131,7 +131,7 @@
         .split('&')
         .find_map(|pair| pair.strip_prefix("zone="))
         .unwrap_or_default();
-    let longest = ctx.settings.bounds.directory_ttl;
+    let longest = ctx.bounds.get().directory_ttl;
     let answer = Directory::answer(&ctx.members.borrow(), zone, longest, ctx.now());
     let body = answer.and_then(|a| serde_json::to_vec(&a).ok());
     let Some(body) = body else {
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -14,5 +14,5 @@
 mod run;
 
 pub use host::{EndpointHost, HostError, HostReport, LoadAnswer, Manifest, Origin};
-pub use rollout::{Named, Rollout};
+pub use rollout::Rollout;
 pub use run::{run, AgentSettings};
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -21,7 +21,7 @@
     holdings::{is_intact, Holdings},
     log_event,
     peers::{Location, Peers},
-    rollout::{Named, Rollout},
+    rollout::Rollout,
     EndpointHost, HostReport, LoadAnswer, Manifest, Origin,
 };
 use crate::{
@@ -29,7 +29,7 @@
     decide::chunk::Topology,
     emit,
     gateway::{
-        follow, Catalog, Decode, Follower, Intent, OriginSpec, Record, RecordStore, Topic,
+        follow, Catalog, Decode, Follower, Intent, Named, OriginSpec, Record, RecordStore, Topic,
         WeightVersion,
     },
     http::{listen, ServeOptions},
@@ -174,7 +174,14 @@
         }
     });
     let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
-    term.recv().await;
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            // Everything that an agent is told holds for the life of its host.
+            _ = hangup.recv() => emit!(log_event::COPY, "state=reloaded changed=nothing"),
+        }
+    }
     emit!(log_event::COPY, "state=stopping");
     main.abort();
     closing.send_replace(true);
