feat: entries tell each other catalogs, named versions and loads

Change: datagrams carry catalog version, ages of named versions and requests in progress; entries fetch a newer catalog from each other; reads after a failed one do not wait; requests begin on old versions until 0.7 s before the bound.

--- a/src/decide/chunk/config.rs
+++ b/src/decide/chunk/config.rs
@@ -34,13 +34,15 @@
     pub busy: Millis,
     /// Time for which a peer that failed once is not asked again; doubles with each further failure.
     pub backoff: Millis,
+    /// Longest time for which a failed source is not asked again.
+    pub backoff_max: Millis,
 }
 
 /// Shortest stall delay; connections are replaced within about one second.
 const STALL_MIN: Millis = Millis(2000);
 
 /// Longest back-off after failures.
-pub(super) const BACKOFF_MAX: Millis = Millis(4000);
+const BACKOFF_MAX: Millis = Millis(4000);
 
 impl Config {
     /// Chooses limits for a chunk size and the host's download rate.
@@ -58,6 +60,7 @@
             stall: STALL_MIN.max(chunk_ms.times(32)),
             busy: Millis((chunk_ms.0 / 2).clamp(5, 200)),
             backoff: Millis(500),
+            backoff_max: BACKOFF_MAX,
         }
     }
 }
--- a/src/decide/chunk/scheduler.rs
+++ b/src/decide/chunk/scheduler.rs
@@ -1,7 +1,6 @@
 //! State of the exchange of one manifest.
 
 use super::{
-    config::BACKOFF_MAX,
     event::{Action, Event, Fault, Source, Waste},
     peer::{Flight, Peer},
     topology::{injection_order, CROSS_SOURCES},
@@ -257,7 +256,7 @@
 
     fn backoff(&self, failures: u32) -> Millis {
         let delay = self.config.backoff.times(1 << failures.min(6));
-        delay.min(BACKOFF_MAX)
+        delay.min(self.config.backoff_max)
     }
 
     fn fail(&mut self, now: Millis, chunk: u32, from: Source, fault: Fault) {
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -9,8 +9,11 @@
 //! | an endpoint fails part of its requests | used only when the others are loaded |
 //! | an endpoint is lost | its breaker opens |
 
+use std::net::SocketAddr;
+
 use super::{
     fleet::{Endpoint, EndpointId},
+    members::EndpointHash,
     record::WeightVersion,
 };
 use crate::{
@@ -37,9 +40,15 @@
 /// Age at which the load that an endpoint reported is no longer used.
 const REPORT_LIFETIME: Millis = Millis(2000);
 
+/// Age at which the requests that another entry told are no longer counted.
+const TOLD_LIFETIME: Millis = Millis(1200);
+
 /// Requests that may wait at an engine beyond its slots.
 const ENGINE_QUEUE: u32 = 3;
 
+/// Part of an engine's slots, as a divisor, that stays free where a request has to begin at once.
+const BEGIN_SHARE: u32 = 5;
+
 /// Requests that may wait at a plain endpoint, for each slot.
 const PLAIN_QUEUE: u32 = 2;
 
@@ -101,6 +110,8 @@
     /// Requests of others when the endpoint last reported, and when that was.
     others: u32,
     reported: Option<Millis>,
+    /// Requests of each other entry that told them, and when it did.
+    told: Vec<(SocketAddr, u16, Millis)>,
     /// Recent share of failures, 0 to 1.
     failures: f64,
     /// End of the time for which the endpoint is passed over, and the length of that time.
@@ -110,13 +121,24 @@
     version: WeightVersion,
 }
 
+/// Weights that may serve a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wanted<'a> {
+    /// Model.
+    pub model: &'a str,
+    /// Oldest version on which the request may begin now.
+    pub oldest: WeightVersion,
+    /// Oldest version on which it may begin after it has waited at the endpoint.
+    pub waiting: WeightVersion,
+}
+
 /// What a request needs.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
     /// Zone of the entry.
     pub zone: &'a Zone,
-    /// Model, and the oldest version of its weights that may serve; `None` for plain services.
-    pub weights: Option<(&'a str, WeightVersion)>,
+    /// What the weights must be; `None` for plain services.
+    pub weights: Option<Wanted<'a>>,
     /// The only version that may continue a stream.
     pub exact: Option<WeightVersion>,
     /// Endpoints that had the request already.
@@ -147,20 +169,24 @@
 #[derive(Debug, Default)]
 pub struct Balance {
     views: HashMap<EndpointId, View>,
+    /// Whether every other entry tells its requests, so that reports of endpoints add nothing.
+    all_told: bool,
 }
 
 impl View {
-    fn load(&self, now: Millis) -> u32 {
+    /// Returns the requests at the endpoint: those of this entry, and those of others as far as they are known.
+    fn load(&self, now: Millis, all_told: bool) -> u32 {
+        let told: u32 = self
+            .told
+            .iter()
+            .filter(|t| now < t.2 + TOLD_LIFETIME)
+            .map(|t| u32::from(t.1))
+            .sum();
         let fresh = self.reported.is_some_and(|at| now < at + REPORT_LIFETIME);
-        self.own + if fresh { self.others } else { 0 }
-    }
-}
-
-fn limit(slots: u32, ask: &Ask<'_>) -> u32 {
-    match (ask.weights.is_some(), ask.late) {
-        (true, false) => slots + ENGINE_QUEUE,
-        (true, true) => slots,
-        (false, _) => slots + slots * PLAIN_QUEUE,
+        if all_told || !fresh {
+            return self.own + told;
+        }
+        self.own + told.max(self.others)
     }
 }
 
@@ -183,12 +209,13 @@
                 continue;
             }
             able += 1;
+            let limit = self.limit(e, ask);
             let view = self.views.entry(e.id.clone()).or_default();
             if view.refusing.0 > now || !view.breaker.allows(now) {
                 continue;
             }
-            let (load, slots) = (view.load(now), e.record.slots.max(1));
-            if load >= limit(slots, ask) {
+            let (load, slots) = (view.load(now, self.all_told), e.record.slots.max(1));
+            if load >= limit {
                 continue;
             }
             let far = f64::from(u8::from(e.record.zone != *ask.zone)) * ZONE_COST;
@@ -213,17 +240,34 @@
         if e.record.draining || ask.tried.contains(&e.id) {
             return false;
         }
-        let Some((model, oldest)) = ask.weights else {
+        let Some(wanted) = ask.weights else {
             return true;
         };
-        let Some(loaded) = e.weights(model) else {
+        let Some(version) = self.version(e, wanted.model) else {
             return false;
         };
-        let seen = self
-            .views
-            .get(&e.id)
-            .map_or(loaded, |v| v.version.max(loaded));
-        seen >= oldest && ask.exact.is_none_or(|v| v == seen)
+        version >= wanted.oldest && ask.exact.is_none_or(|v| v == version)
+    }
+
+    /// Returns the version that an endpoint has loaded, from its record or its newest response.
+    fn version(&self, e: &Endpoint, model: &str) -> Option<WeightVersion> {
+        let loaded = e.weights(model)?;
+        let seen = self.views.get(&e.id).map(|v| v.version);
+        Some(loaded.max(seen.unwrap_or_default()))
+    }
+
+    /// Returns how many requests an endpoint may have for one more to be sent.
+    fn limit(&self, e: &Endpoint, ask: &Ask<'_>) -> u32 {
+        let slots = e.record.slots.max(1);
+        let Some(wanted) = ask.weights else {
+            return slots + slots * PLAIN_QUEUE;
+        };
+        let waits = self.version(e, wanted.model) >= Some(wanted.waiting);
+        match (waits, ask.late) {
+            (false, _) => slots - slots / BEGIN_SHARE,
+            (true, true) => slots,
+            (true, false) => slots + ENGINE_QUEUE,
+        }
     }
 
     /// Notes that a request is sent.
@@ -253,6 +297,28 @@
         }
     }
 
+    /// Takes the requests in progress that another entry told; those that it does not name it does not have.
+    pub fn tell(&mut self, from: SocketAddr, loads: &[(EndpointHash, u16)], now: Millis) {
+        for (id, view) in &mut self.views {
+            view.told.retain(|t| t.0 != from);
+            let hash = id.hash();
+            if let Some((_, count)) = loads.iter().find(|l| l.0 == hash) {
+                view.told.push((from, *count, now));
+            }
+        }
+    }
+
+    /// Notes whether every other entry tells its requests.
+    pub fn set_all_told(&mut self, all: bool) {
+        self.all_told = all;
+    }
+
+    /// Returns this entry's requests in progress.
+    pub fn loads(&self) -> Vec<(EndpointHash, u16)> {
+        let used = self.views.iter().filter(|(_, v)| v.own > 0);
+        used.map(|(id, v)| (id.hash(), v.own as u16)).collect()
+    }
+
     /// Notes the end of a request.
     pub fn end(&mut self, id: &EndpointId, outcome: Outcome, now: Millis) {
         let Some(view) = self.views.get_mut(id) else {
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -3,11 +3,12 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::base::{HashMap, Millis, Service, Workspace, Zone};
 
 /// Version of a catalog; a later one has a higher number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CatalogVersion(pub u64);
 
 impl std::fmt::Display for CatalogVersion {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -5,12 +5,15 @@
     rc::Rc,
 };
 
+use bytes::Bytes;
+use tokio::sync::Notify;
+
 use super::{
     balance::{Balance, Outcome},
     catalog::{Catalog, CatalogVersion},
     fleet::{EndpointId, Fleet},
     log_event,
-    members::Members,
+    members::{Members, NamedAge},
     named::Named,
     record::WeightVersion,
     Bounds, GatewaySettings, Headers,
@@ -22,9 +25,10 @@
     http::Pool,
 };
 
-/// Share of the version bound after which only endpoints with the new version are used. The rest covers the time that
-/// the record needed to arrive and a request needs to begin.
-const VERSION_SHARE: (u64, u64) = (3, 4);
+/// Time before the bound of a version from which requests no longer go to endpoints with an older one, and from which
+/// they go there only if they begin at once. The rest covers the ways of the record and of the request.
+const BEGIN_MARGIN: Millis = Millis(700);
+const WAIT_MARGIN: Millis = Millis(2200);
 
 /// Entries among which the deployment's burst of retries is divided at least.
 const BUDGET_SHARES: u32 = 8;
@@ -39,6 +43,10 @@
     pub(super) headers: Headers,
     pub(super) pool: Pool,
     pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
+    /// Encoded form of the catalog.
+    pub(super) raw_catalog: RefCell<Bytes>,
+    /// Wakes the follower of the operator's records.
+    pub(super) news: Notify,
     pub(super) fleet: RefCell<Fleet>,
     pub(super) balance: RefCell<Balance>,
     pub(super) members: RefCell<Members>,
@@ -60,6 +68,8 @@
             headers,
             pool: Pool::default(),
             catalog: RefCell::default(),
+            raw_catalog: RefCell::default(),
+            news: Notify::new(),
             fleet: RefCell::default(),
             balance: RefCell::default(),
             members: RefCell::new(members),
@@ -91,14 +101,21 @@
         !self.draining.get() && self.fleet_known.get() && self.catalog.borrow().is_some()
     }
 
-    /// Puts a catalog in force unless a newer one is; returns whether it did.
-    pub(super) fn set_catalog(&self, catalog: Catalog) -> bool {
+    /// Returns the version of the catalog in force.
+    pub(super) fn catalog_version(&self) -> CatalogVersion {
+        let catalog = self.catalog.borrow();
+        catalog.as_ref().map(|c| c.version).unwrap_or_default()
+    }
+
+    /// Puts a catalog in force unless a newer one is; returns whether it did. `raw` is passed on to other entries.
+    pub(super) fn set_catalog(&self, catalog: Catalog, raw: Bytes) -> bool {
         let mut current = self.catalog.borrow_mut();
         let known = current.as_ref().map(|c| c.version);
         if known.is_some_and(|v: CatalogVersion| v >= catalog.version) {
             return false;
         }
         *current = Some(Rc::new(catalog));
+        *self.raw_catalog.borrow_mut() = raw;
         true
     }
 
@@ -109,15 +126,51 @@
         named.entry(model).or_default().name(version, now)
     }
 
-    /// Returns the oldest version of a model that a request may begin on.
-    pub(super) fn oldest_version(&self, model: &str) -> WeightVersion {
-        let (part, whole) = VERSION_SHARE;
-        let age = Millis(self.bounds.get().version.0 * part / whole);
+    /// Takes over named versions that another entry told.
+    pub(super) fn learn_versions(&self, told: Vec<NamedAge>) {
+        let now = self.now();
+        let mut named = self.named.borrow_mut();
+        for n in told {
+            let versions = named.entry(n.model.as_str().into()).or_default();
+            if versions.learn(n.version, now - n.age) {
+                let (model, version, age) = (n.model, n.version, n.age);
+                emit!(
+                    log_event::NAMED,
+                    "model={model} version={version} age={age} source=entry"
+                );
+            }
+        }
+    }
+
+    /// Returns the named versions that may not bind yet at every entry.
+    pub(super) fn told_versions(&self) -> Vec<NamedAge> {
+        let now = self.now();
+        let limit = self.bounds.get().version.times(2);
+        let named = self.named.borrow();
+        let all = named.iter().flat_map(|(model, versions)| {
+            versions.iter().map(move |(version, at)| NamedAge {
+                model: model.to_string(),
+                version,
+                age: now - at,
+            })
+        });
+        all.filter(|n| n.age < limit).collect()
+    }
+
+    /// Returns the oldest version of a model that a request may begin on now, and the oldest one that may still begin
+    /// when it has waited at an endpoint.
+    pub(super) fn oldest_versions(&self, model: &str) -> (WeightVersion, WeightVersion) {
+        let bound = self.bounds.get().version;
         let named = self.named.borrow();
-        let named = named.get(model);
-        named
-            .and_then(|n| n.binding(age, self.now()))
-            .unwrap_or_default()
+        let Some(named) = named.get(model) else {
+            return Default::default();
+        };
+        let binding = |margin| {
+            named
+                .binding(bound - margin, self.now())
+                .unwrap_or_default()
+        };
+        (binding(BEGIN_MARGIN), binding(WAIT_MARGIN))
     }
 
     fn budget<T>(&self, service: &Service, f: impl FnOnce(&mut Budget) -> T) -> T {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -2,8 +2,11 @@
 
 use std::rc::Rc;
 
-use super::record::{EndpointRecord, Revision, WeightVersion};
-use crate::base::{HashMap, HashSet, Millis, Service};
+use super::{
+    members::EndpointHash,
+    record::{EndpointRecord, Revision, WeightVersion},
+};
+use crate::base::{rendezvous, HashMap, HashSet, Millis, Service};
 
 /// Time that endpoints need to renew records that expired during an outage of the store.
 pub const RENEWAL: Millis = Millis(2300);
@@ -15,6 +18,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EndpointId(pub Rc<str>);
 
+impl EndpointId {
+    /// Returns the short form for datagrams.
+    pub fn hash(&self) -> EndpointHash {
+        EndpointHash(rendezvous(b"endpoint", self.0.as_bytes()) as u32)
+    }
+}
+
 impl std::fmt::Display for EndpointId {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(&self.0)
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,6 +1,6 @@
 //! Follows a compacted topic of the store.
 
-use std::rc::Rc;
+use std::{future::Future, rc::Rc};
 
 use super::{
     log_event,
@@ -27,6 +27,11 @@
 
     /// Notes that the store answers again after an outage; called before the records are taken.
     fn regained(&self);
+
+    /// Returns when a waiting read should be given up and made again, because there is news of which it says nothing.
+    fn interrupted(&self) -> impl Future<Output = ()> {
+        std::future::pending()
+    }
 }
 
 /// Follows a topic for ever: reads with a wait of `wait`, and pauses for `pause` between two reads.
@@ -43,11 +48,20 @@
         answered: clock.now(),
         usual: wait + pause,
         lost: false,
+        failing: false,
     };
     loop {
         let result = match state.offset {
             None => store.newest(topic).await.map(|r| (r, true)),
-            Some(from) => store.read(topic, from, wait).await.map(|r| (r, false)),
+            Some(from) => {
+                // A read that waits would notice the end of an outage late.
+                let wait = if state.failing { Millis::ZERO } else { wait };
+                let read = store.read(topic, from, wait);
+                tokio::select! {
+                    result = read => result.map(|r| (r, false)),
+                    () = follower.interrupted() => continue,
+                }
+            }
         };
         match result {
             Ok((records, all)) => {
@@ -84,6 +98,8 @@
     /// Longest time between two answers when all is well.
     usual: Millis,
     lost: bool,
+    /// Whether the last call failed.
+    failing: bool,
 }
 
 impl State {
@@ -98,10 +114,12 @@
             follower.regained();
         }
         self.lost = false;
+        self.failing = false;
         self.answered = now;
     }
 
     fn fail(&mut self, topic: Topic, now: Millis, error: &StoreError) {
+        self.failing = true;
         if !self.lost && now > self.answered + self.usual + LOST {
             self.lost = true;
             emit!(
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 
 use super::{
     accept::Job,
-    balance::{Ask, Load, Outcome, Refusal},
+    balance::{Ask, Load, Outcome, Refusal, Wanted},
     catalog::Repeat,
     context::{Context, InFlight},
     events::EventId,
@@ -110,7 +110,14 @@
     last: Option<EventId>,
 ) -> Result<Attempt, Refusal> {
     let now = ctx.now();
-    let oldest = job.model.as_deref().map(|m| (m, ctx.oldest_version(m)));
+    let wanted = job.model.as_deref().map(|model| {
+        let (oldest, waiting) = ctx.oldest_versions(model);
+        Wanted {
+            model,
+            oldest,
+            waiting,
+        }
+    });
     let engine = {
         let catalog = ctx.catalog.borrow();
         let spec = catalog.as_ref().and_then(|c| c.services.get(&job.service));
@@ -120,7 +127,7 @@
         let fleet = ctx.fleet.borrow();
         let ask = Ask {
             zone: &ctx.settings.zone,
-            weights: oldest.filter(|_| engine),
+            weights: wanted.filter(|_| engine),
             exact: attempts.version,
             tried: &attempts.tried,
             late: job.late || attempts.sent > 0,
@@ -152,7 +159,7 @@
         flight,
         connection,
     };
-    Ok(send(ctx, job, attempts, target, last, oldest.map(|o| o.1)).await)
+    Ok(send(ctx, job, attempts, target, last, wanted.map(|w| w.oldest)).await)
 }
 
 async fn open(
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -1,23 +1,28 @@
 //! Entries that callers may connect to, by datagrams between them.
 //!
-//! Each entry announces itself in the store once and then sends its beat to a few random entries several times a
-//! second, with the newest beats that it has of others. An entry whose beat does not increase is left out of the
-//! directory.
+//! Each entry announces itself in the store once and then sends its beat several times a second: to all entries while
+//! they are few, otherwise to those of its zone and a few random ones, with the newest beats that it has of others. An
+//! entry whose beat does not increase is left out of the directory.
 
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use super::{CatalogVersion, WeightVersion};
 use crate::base::{HashMap, Millis, Zone};
 
-/// Time between two datagrams to the same number of entries.
-pub(super) const BEAT: Millis = Millis(300);
+/// Time between two datagrams to the same entries.
+pub(super) const BEAT: Millis = Millis(250);
 
-/// Entries that get each beat.
+/// Entries up to which each one sends its beat to all others.
+const ALL_MAX: usize = 16;
+
+/// Entries of the own zone, and of all zones, that get each beat when there are more than [`ALL_MAX`].
+const ZONE_FANOUT: usize = 12;
 const FANOUT: usize = 3;
 
-/// Beats of others in a datagram; it stays below the smallest usual packet size.
-const BEATS_MAX: usize = 24;
+/// Beats of others in a datagram when entries do not send to all; it stays below the smallest usual packet size.
+const BEATS_MAX: usize = 16;
 
 /// Time without a newer beat after which an entry counts as gone.
 const SILENCE: Millis = Millis(1800);
@@ -43,6 +48,34 @@
     pub count: u64,
     /// Whether it takes callers.
     pub ready: bool,
+    /// Version of its catalog.
+    pub catalog: CatalogVersion,
+}
+
+/// A version of weights and the time since it was named.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedAge {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: WeightVersion,
+    /// Time since the sender, or the one that told it, heard of it.
+    pub age: Millis,
+}
+
+/// Hash of an endpoint's id; short, because each datagram names every endpoint in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EndpointHash(pub u32);
+
+/// What entries tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The sender's beat, then those of others.
+    pub beats: Vec<Beat>,
+    /// Named versions of weights that still matter.
+    pub named: Vec<NamedAge>,
+    /// The sender's requests in progress at each endpoint.
+    pub loads: Vec<(EndpointHash, u16)>,
 }
 
 impl Beat {
@@ -139,11 +172,15 @@
         changed
     }
 
-    /// Prepares the next datagram: this entry's beat first, then the beats heard last.
-    pub fn beat(&mut self, ready: bool, now: Millis) -> Vec<Beat> {
+    /// Prepares the beats of the next datagram: this entry's first, then the ones heard last.
+    pub fn beat(&mut self, ready: bool, catalog: CatalogVersion, now: Millis) -> Vec<Beat> {
         self.me.count += 1;
         self.me.ready = ready;
+        self.me.catalog = catalog;
         self.others.retain(|_, m| now < m.heard + FORGET);
+        if self.sends_to_all() {
+            return vec![self.me.clone()];
+        }
         let mut newest: Vec<_> = self.others.values().filter(|m| m.beating).collect();
         newest.sort_unstable_by_key(|m| std::cmp::Reverse(m.heard));
         let others = newest.into_iter().filter(|m| m.is_live(now));
@@ -151,19 +188,38 @@
         std::iter::once(self.me.clone()).chain(beats).collect()
     }
 
-    /// Chooses the entries that get a datagram; one of the silent ones is among them now and then, so that entries on
-    /// both sides of a healed cut find each other.
+    /// Returns whether each entry sends to all others.
+    pub fn sends_to_all(&self) -> bool {
+        self.others.len() < ALL_MAX
+    }
+
+    /// Chooses the entries that get a datagram. Of many entries, a silent one is among them, so that the two sides of a
+    /// healed cut find each other.
     pub fn targets(&self, now: Millis) -> Vec<SocketAddr> {
+        let peer = |m: &&Member| m.beat.peer;
+        if self.sends_to_all() {
+            return self.others.values().map(|m| m.beat.peer).collect();
+        }
         let (mut live, silent): (Vec<_>, Vec<_>) =
             self.others.values().partition(|m| m.is_live(now));
         fastrand::shuffle(&mut live);
-        let mut out: Vec<_> = live.iter().take(FANOUT).map(|m| m.beat.peer).collect();
+        let near = live.iter().filter(|m| m.beat.zone == self.me.zone);
+        let mut out: Vec<_> = near.take(ZONE_FANOUT).map(peer).collect();
+        let far = live.iter().filter(|m| m.beat.zone != self.me.zone);
+        out.extend(far.take(FANOUT).map(peer));
         if !silent.is_empty() {
             out.push(silent[fastrand::usize(..silent.len())].beat.peer);
         }
         out
     }
 
+    /// Returns a live entry with a newer catalog than a version.
+    pub fn newer_catalog(&self, than: CatalogVersion, now: Millis) -> Option<SocketAddr> {
+        let newer = |m: &&Member| m.is_live(now) && m.beat.catalog > than;
+        let newest = self.others.values().filter(newer);
+        newest.max_by_key(|m| m.beat.catalog).map(|m| m.beat.peer)
+    }
+
     /// Returns the addresses for a caller of a zone: those of the zone first if there are at least two, then all.
     pub fn addresses(&self, zone: &str, max: usize, now: Millis) -> Vec<SocketAddr> {
         let others = self.others.values().filter(|m| m.is_live(now));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,7 +24,7 @@
 mod settings;
 mod stream;
 
-pub use balance::{Ask, Balance, Load, Outcome, Refusal};
+pub use balance::{Ask, Balance, Load, Outcome, Refusal, Wanted};
 pub use catalog::{
     CallerLimits, Catalog, CatalogVersion, EngineSpeed, OriginSpec, Repeat, Route, ServiceSpec,
     ServiceWeights, WorkspaceSpec,
@@ -34,7 +34,7 @@
 pub use fleet::{Change, Endpoint, EndpointId, Fleet, RENEWAL};
 pub use follow::{follow, Follower};
 pub use headers::Headers;
-pub use members::{Beat, Member, Members};
+pub use members::{Beat, Datagram, EndpointHash, Member, Members, NamedAge};
 pub use named::Named;
 pub use record::{
     EndpointRecord, Intent, Record, RecordStore, Records, Revision, StoreError, Topic,
--- a/src/gateway/named.rs
+++ b/src/gateway/named.rs
@@ -6,6 +6,9 @@
 /// Versions that are remembered; older ones are all outdated.
 const NAMED_MAX: usize = 16;
 
+/// Difference of times below which another process says nothing new; covers the way of its datagram.
+const TOLERANCE: Millis = Millis(20);
+
 /// Versions of one model with the times at which this process heard of them.
 #[derive(Clone, Debug, Default)]
 pub struct Named {
@@ -26,6 +29,29 @@
         true
     }
 
+    /// Takes over that a version was named at a time, from another process; returns whether that changes anything.
+    pub fn learn(&mut self, version: WeightVersion, at: Millis) -> bool {
+        match self.versions.binary_search_by_key(&version, |v| v.0) {
+            Ok(i) if self.versions[i].1 <= at + TOLERANCE => false,
+            Ok(i) => {
+                self.versions[i].1 = at;
+                true
+            }
+            Err(i) => {
+                self.versions.insert(i, (version, at));
+                if self.versions.len() > NAMED_MAX {
+                    self.versions.remove(0);
+                }
+                true
+            }
+        }
+    }
+
+    /// Returns the versions with the times at which they were named.
+    pub fn iter(&self) -> impl Iterator<Item = (WeightVersion, Millis)> + '_ {
+        self.versions.iter().copied()
+    }
+
     /// Returns the newest version.
     pub fn newest(&self) -> Option<WeightVersion> {
         self.versions.last().map(|v| v.0)
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use super::Catalog;
 use crate::base::{Millis, Service, Zone};
@@ -85,7 +86,9 @@
 }
 
 /// Version of a model's weights.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct WeightVersion(pub u64);
 
 impl std::fmt::Display for WeightVersion {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,18 +12,19 @@
 };
 
 use super::{
+    catalog::{Catalog, CatalogVersion},
     context::Context,
     fleet::{Change, EndpointId},
     follow::{follow, Follower},
     log_event,
-    members::{Beat, Members, BEAT},
+    members::{Beat, Datagram, Members, BEAT},
     record::{EndpointRecord, Intent, Record, RecordStore, Topic},
     serve, GatewaySettings, Headers,
 };
 use crate::{
     base::{wall_ms, HashSet, Millis},
     emit,
-    http::{listen, ServeOptions},
+    http::{call, listen, ServeOptions},
 };
 
 /// Longest wait of one read of a topic that seldom changes.
@@ -57,6 +58,13 @@
     /// Returns why the value cannot be decoded.
     fn intent(key: &[u8], value: &[u8]) -> Result<Option<Intent>, String>;
 
+    /// Decodes the value of a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the value cannot be decoded.
+    fn catalog(value: &[u8]) -> Result<Catalog, String>;
+
     /// Decodes a record of [`Topic::Endpoints`].
     ///
     /// # Errors
@@ -68,6 +76,17 @@
 /// Follows the operator's records.
 struct Intents<D>(Rc<Context>, std::marker::PhantomData<D>);
 
+fn apply_catalog(ctx: &Context, catalog: Catalog, raw: Bytes, source: &str) {
+    let version = catalog.version;
+    let routes: usize = catalog.routes.values().map(Vec::len).sum();
+    let keys = catalog.keys.as_ref().map_or(0, |k| k.len());
+    let applied = ctx.set_catalog(catalog, raw);
+    emit!(
+        log_event::CATALOG,
+        "version={version} routes={routes} keys={keys} applied={applied} source={source}"
+    );
+}
+
 impl<D: Decode> Follower for Intents<D> {
     fn take(&self, record: Record) {
         let Some(value) = &record.value else {
@@ -76,14 +95,7 @@
         let key = String::from_utf8_lossy(&record.key);
         match D::intent(&record.key, value) {
             Ok(Some(Intent::Catalog(catalog))) => {
-                let version = catalog.version;
-                let routes: usize = catalog.routes.values().map(Vec::len).sum();
-                let keys = catalog.keys.as_ref().map_or(0, |k| k.len());
-                let applied = self.0.set_catalog(*catalog);
-                emit!(
-                    log_event::CATALOG,
-                    "version={version} routes={routes} keys={keys} applied={applied}"
-                );
+                apply_catalog(&self.0, *catalog, value.clone(), "store");
             }
             Ok(Some(Intent::Weights(model, version))) => {
                 let newer = self.0.name_version(model, version);
@@ -104,6 +116,10 @@
     }
 
     fn regained(&self) {}
+
+    async fn interrupted(&self) {
+        self.0.news.notified().await;
+    }
 }
 
 /// Follows the endpoints' records.
@@ -158,6 +174,7 @@
 
     fn regained(&self) {
         self.0.fleet.borrow_mut().regained(self.0.now());
+        self.0.news.notify_waiters();
     }
 }
 
@@ -202,6 +219,7 @@
         boot: wall_ms(),
         count: 0,
         ready: false,
+        catalog: CatalogVersion::default(),
     };
     emit!(
         log_event::PROCESS,
@@ -245,6 +263,7 @@
     let socket = Rc::new(socket);
     spawn_local(hear(ctx.clone(), socket.clone()));
     spawn_local(beat(ctx.clone(), socket.clone()));
+    spawn_local(follow_peers::<D>(ctx.clone()));
     let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
     let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
     loop {
@@ -278,6 +297,11 @@
     let context = ctx.clone();
     let handler = move |req| serve::respond(context.clone(), req);
     let task = spawn_local(callers.serve(options, handler, closed.clone()));
+    let context = ctx.clone();
+    let handler =
+        move |req: hyper::Request<_>| std::future::ready(serve::peer(&context, req.uri().path()));
+    let peers = listen_on(sockets.peers)?;
+    spawn_local(peers.serve(ServeOptions::default, handler, closed.clone()));
     if let Some(addr) = sockets.readiness {
         let context = ctx.clone();
         let handler = move |req: hyper::Request<_>| {
@@ -349,13 +373,18 @@
                 continue;
             }
         };
-        let Ok(beats) = postcard::from_bytes::<Vec<Beat>>(&data[..len]) else {
+        let Ok(datagram) = postcard::from_bytes::<Datagram>(&data[..len]) else {
             emit!(log_event::RECORD, "topic=beats reason=malformed");
             continue;
         };
         let now = ctx.now();
+        ctx.learn_versions(datagram.named);
+        if let Some(sender) = datagram.beats.first() {
+            let mut balance = ctx.balance.borrow_mut();
+            balance.tell(sender.peer, &datagram.loads, now);
+        }
         let mut members = ctx.members.borrow_mut();
-        for beat in beats {
+        for beat in datagram.beats {
             let (peer, ready) = (beat.peer, beat.ready);
             if members.hear(beat, now) {
                 emit!(log_event::MEMBER, "entry={peer} ready={ready}");
@@ -365,9 +394,19 @@
 }
 
 async fn send_beat(ctx: &Context, socket: &UdpSocket, targets: &[SocketAddr]) {
-    let beats = ctx.members.borrow_mut().beat(ctx.is_ready(), ctx.now());
-    let Ok(data) = postcard::to_stdvec(&beats) else {
-        return;
+    let (ready, catalog) = (ctx.is_ready(), ctx.catalog_version());
+    let beats = ctx.members.borrow_mut().beat(ready, catalog, ctx.now());
+    let datagram = Datagram {
+        beats,
+        named: ctx.told_versions(),
+        loads: ctx.balance.borrow().loads(),
+    };
+    let data = match postcard::to_stdvec(&datagram) {
+        Ok(data) => data,
+        Err(e) => {
+            log::warn!("cannot encode a beat: {e}");
+            return;
+        }
     };
     for target in targets {
         if let Err(e) = socket.send_to(&data, target).await {
@@ -380,11 +419,50 @@
     send_beat(&ctx, &socket, &ctx.settings.seeds).await;
     loop {
         tokio::time::sleep(BEAT.duration()).await;
-        let targets = ctx.members.borrow().targets(ctx.now());
+        let (targets, all) = {
+            let members = ctx.members.borrow();
+            (members.targets(ctx.now()), members.sends_to_all())
+        };
+        ctx.balance.borrow_mut().set_all_told(all);
         send_beat(&ctx, &socket, &targets).await;
     }
 }
 
+/// Gets the catalog from another entry that has a newer one, for example while the store turns this host away.
+async fn follow_peers<D: Decode>(ctx: Rc<Context>) {
+    loop {
+        tokio::time::sleep(BEAT.duration()).await;
+        let newer = {
+            let members = ctx.members.borrow();
+            members.newer_catalog(ctx.catalog_version(), ctx.now())
+        };
+        let Some(peer) = newer else {
+            continue;
+        };
+        let mut req = hyper::Request::new(http_body_util::Full::default());
+        *req.uri_mut() = hyper::Uri::from_static(serve::CATALOG_PATH);
+        let res = call(&ctx.pool, peer, req, ctx.now(), PEER_ANSWER).await;
+        let raw = match res {
+            Ok(res) if res.status() == hyper::StatusCode::OK => res.into_body(),
+            Ok(res) => {
+                log::debug!("{peer} does not pass on its catalog: {}", res.status());
+                continue;
+            }
+            Err(e) => {
+                log::debug!("no catalog from {peer}: {e}");
+                continue;
+            }
+        };
+        match D::catalog(&raw) {
+            Ok(catalog) => apply_catalog(&ctx, catalog, raw, &peer.to_string()),
+            Err(e) => emit!(log_event::RECORD, "source={peer} reason=\"{e}\""),
+        }
+    }
+}
+
+/// Longest time for another entry's answer.
+const PEER_ANSWER: Millis = Millis(600);
+
 /// Ends the process gracefully: callers are sent elsewhere, then connections end after their responses.
 async fn drain(
     ctx: &Rc<Context>,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -22,6 +22,9 @@
 };
 use crate::emit;
 
+/// Path at which entries pass on their catalog.
+pub(super) const CATALOG_PATH: &str = "/catalog";
+
 type Whole = Response<Full<Bytes>>;
 
 /// Answers a caller.
@@ -50,8 +53,7 @@
 }
 
 fn log_rejected(ctx: &Context, reject: Reject) {
-    let version = ctx.catalog.borrow().as_ref().map(|c| c.version);
-    let version = version.unwrap_or_default();
+    let version = ctx.catalog_version();
     emit!(
         log_event::ENDED,
         "id=- outcome=rejected status={} reason=\"{reject}\" catalog={version}",
@@ -88,7 +90,6 @@
 }
 
 fn log_ended(ctx: &Context, job: &Job, attempts: &Attempts, status: StatusCode, reason: &str) {
-    let version = ctx.catalog.borrow().as_ref().map(|c| c.version);
     let endpoint = attempts.tried.last().map_or("-", |id| &*id.0);
     emit!(
         log_event::ENDED,
@@ -100,7 +101,7 @@
         attempts.sent,
         job.late,
         (ctx.now() - job.start).0,
-        version.unwrap_or_default()
+        ctx.catalog_version()
     );
 }
 
@@ -110,6 +111,15 @@
     res
 }
 
+/// Answers another entry that asks for the catalog in its encoded form.
+pub(super) fn peer(ctx: &Context, path: &str) -> Whole {
+    let raw = ctx.raw_catalog.borrow().clone();
+    if path != CATALOG_PATH || raw.is_empty() {
+        return plain(StatusCode::NOT_FOUND);
+    }
+    Response::new(Full::new(raw))
+}
+
 /// Answers a readiness check.
 pub(super) fn readiness(ctx: &Context, path: &str) -> Whole {
     if path != ctx.settings.ready_path {
--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -31,6 +31,11 @@
 /// Longest time that leaders wait at the start for reports of their neighbours.
 const GRACE: Millis = Millis(150);
 
+/// Time for which a failed source is not asked again; doubles up to the longest. Short, because the bound on old versions
+/// runs on while the origin is away.
+const BACKOFF: Millis = Millis(150);
+const BACKOFF_MAX: Millis = Millis(600);
+
 /// News that waits for the scheduler.
 const NEWS: usize = 64;
 
@@ -74,6 +79,8 @@
     let mut config = Config::new(Prefer::Origin, manifest.chunk, ctx.down);
     config.stall = STALL;
     config.grace = GRACE;
+    config.backoff = BACKOFF;
+    config.backoff_max = BACKOFF_MAX;
     let mut id = Digest::of(ctx.model.as_bytes());
     id.0[..8].copy_from_slice(&manifest.version.0.to_le_bytes());
     let mut scheduler = Scheduler::new(
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -36,7 +36,7 @@
 };
 
 /// Longest wait of one read of the operator's records.
-const WAIT: Millis = Millis(5000);
+const WAIT: Millis = Millis(2500);
 
 /// Time between two looks at the endpoint, which answers its own host for free.
 const REPORT: Millis = Millis(150);
