perf: keep weight copies within 88% of a host's link; spread loads over what is left of the bound

Hosts whose turn was past all loaded at the end of the copy, and a second version named 4 s later made all hosts load at once. Change: pacers for uploads and downloads; turns divide the time between the end of the copy and the bound; a version that is three quarters complete is loaded although a newer one was named; requests that have not begun on an old version are taken back 150 ms before the bound.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -250,7 +250,7 @@
     }
 
     /// Returns the version that an endpoint has loaded, from its record or its newest response.
-    fn version(&self, e: &Endpoint, model: &str) -> Option<WeightVersion> {
+    pub fn version(&self, e: &Endpoint, model: &str) -> Option<WeightVersion> {
         let loaded = e.weights(model)?;
         let seen = self.views.get(&e.id).map(|v| v.version);
         Some(loaded.max(seen.unwrap_or_default()))
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -27,8 +27,11 @@
 
 /// Time before the bound of a version from which requests no longer go to endpoints with an older one, and from which
 /// they go there only if they begin at once. The rest covers the ways of the record and of the request.
-const BEGIN_MARGIN: Millis = Millis(700);
-const WAIT_MARGIN: Millis = Millis(2200);
+const BEGIN_MARGIN: Millis = Millis(900);
+const WAIT_MARGIN: Millis = Millis(2000);
+
+/// Time before the bound of a version at which requests that have not begun on an older one are taken back.
+const RECALL_MARGIN: Millis = Millis(150);
 
 /// Entries among which the deployment's burst of retries is divided at least.
 const BUDGET_SHARES: u32 = 8;
@@ -173,6 +176,13 @@
         (binding(BEGIN_MARGIN), binding(WAIT_MARGIN))
     }
 
+    /// Returns when a request that was sent to an endpoint with a version has to have begun.
+    pub(super) fn begin_by(&self, model: &str, version: WeightVersion) -> Option<Millis> {
+        let named = self.named.borrow();
+        let outdated = named.get(model)?.outdated(version)?;
+        Some(outdated + self.bounds.get().version - RECALL_MARGIN)
+    }
+
     fn budget<T>(&self, service: &Service, f: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let bounds = self.bounds.get();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -53,6 +53,8 @@
     pub(super) addr: SocketAddr,
     pub(super) flight: InFlight,
     pub(super) connection: Connection,
+    /// When the response has to have begun, because a newer version of the weights binds then.
+    pub(super) begin_by: Option<Millis>,
 }
 
 /// A response whose body is still to come.
@@ -123,7 +125,7 @@
         let spec = catalog.as_ref().and_then(|c| c.services.get(&job.service));
         spec.is_some_and(|s| s.engine.is_some())
     };
-    let (id, addr) = {
+    let (id, addr, begin_by) = {
         let fleet = ctx.fleet.borrow();
         let ask = Ask {
             zone: &ctx.settings.zone,
@@ -134,7 +136,9 @@
         };
         let mut balance = ctx.balance.borrow_mut();
         let e = balance.pick(fleet.of(&job.service), &ask, now)?;
-        (e.id.clone(), e.record.addr)
+        let version = job.model.as_deref().and_then(|m| balance.version(e, m));
+        let begin_by = version.and_then(|v| ctx.begin_by(job.model.as_deref()?, v));
+        (e.id.clone(), e.record.addr, begin_by)
     };
     attempts.tried.push(id.clone());
     let flight = InFlight::begin(ctx, id.clone());
@@ -158,6 +162,7 @@
         addr,
         flight,
         connection,
+        begin_by,
     };
     Ok(send(ctx, job, attempts, target, last, wanted.map(|w| w.oldest)).await)
 }
@@ -227,7 +232,9 @@
     oldest: Option<WeightVersion>,
 ) -> Attempt {
     let req = request(ctx, job, &target, last, oldest);
-    let limit = patience(ctx, job, attempts);
+    let now = ctx.now();
+    let recall = target.begin_by.map_or(Millis::MAX, |at| at - now);
+    let limit = patience(ctx, job, attempts).min(recall);
     let sent =
         tokio::time::timeout(limit.duration(), target.connection.try_send_request(req)).await;
     let res = match sent {
--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -19,6 +19,7 @@
     base::{Clock, Digest, HashMap, Millis, Rate, SystemClock},
     decide::chunk::{Action, Config, Event, Fault, PeerId, Scheduler, Source},
     emit,
+    net::Pacer,
     settings::Prefer,
 };
 
@@ -49,6 +50,7 @@
     pub(super) holdings: Rc<Holdings>,
     pub(super) peers: Rc<RefCell<Rc<Peers>>>,
     pub(super) down: Rate,
+    pub(super) pacer: Rc<Pacer>,
     pub(super) clock: SystemClock,
     pub(super) model: Rc<str>,
     pub(super) manifest: Rc<Manifest>,
@@ -245,6 +247,7 @@
     addr: Option<SocketAddr>,
 ) -> Result<(), Fault> {
     let addr = addr.ok_or(Fault::Lost)?;
+    ctx.pacer.acquire(ctx.manifest.chunk.0 as usize).await;
     let version = ctx.manifest.version;
     let digest = &ctx.manifest.digests[chunk as usize];
     let data: Bytes = match from {
--- a/src/staging/exchange.rs
+++ b/src/staging/exchange.rs
@@ -8,15 +8,20 @@
 
 use super::{holdings::is_intact, holdings::Holdings, log_event, EndpointHost};
 use crate::{
-    base::{Clock, Digest, Millis, SystemClock},
+    base::{Clock, Digest, Millis, Percent, SystemClock},
     decide::chunk::Fault,
     emit,
     gateway::WeightVersion,
     http::{call, CallError, Pool},
+    net::Pacer,
 };
 
-/// Chunks sent at once; more would only slow each other on the host's link.
-const UPLOADS_MAX: u32 = 4;
+/// Uploads that wait for the link or are sent; further ones are refused, so that the peer asks elsewhere.
+const UPLOADS_MAX: u32 = 3;
+
+/// Share of the host's link that chunks may take. The endpoint's live responses use the same link, and a chunk that is
+/// being sent delays them.
+pub(super) const LINK_SHARE: Percent = Percent(88);
 
 /// Longest time for which a question for news waits.
 const NEWS_WAIT: Millis = Millis(500);
@@ -33,6 +38,8 @@
     pub(super) host: H,
     pub(super) holdings: Rc<Holdings>,
     pub(super) uploads: Rc<Cell<u32>>,
+    /// Keeps uploads within their share of the link.
+    pub(super) pacer: Rc<Pacer>,
 }
 
 /// What another host asks for.
@@ -114,6 +121,7 @@
             return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
         }
         let _upload = Upload::begin(&self.uploads);
+        self.pacer.acquire(self.holdings.chunk_size()).await;
         match self.host.read(model, chunk).await {
             Ok(Some(data)) if is_intact(&data, &digest) => respond(StatusCode::OK, data),
             Ok(_) => {
--- a/src/staging/holdings.rs
+++ b/src/staging/holdings.rs
@@ -92,6 +92,19 @@
         })?
     }
 
+    /// Returns the number of held chunks and of all.
+    pub(super) fn progress(&self) -> (u32, u32) {
+        let current = self.current.borrow();
+        let c = current.as_ref();
+        c.map_or((0, 0), |c| (c.held.count(), c.manifest.digests.len() as u32))
+    }
+
+    /// Returns the size of a chunk, in bytes.
+    pub(super) fn chunk_size(&self) -> usize {
+        let current = self.current.borrow();
+        current.as_ref().map_or(0, |c| c.manifest.chunk.0 as usize)
+    }
+
     /// Returns the held chunks.
     pub(super) fn held(&self, model: &str, version: WeightVersion) -> Vec<u32> {
         self.with(model, version, |c| c.held.iter().collect())
--- a/src/staging/rollout.rs
+++ b/src/staging/rollout.rs
@@ -6,11 +6,9 @@
 
 use crate::base::Millis;
 
-/// Share of the bound after which the first host loads; the copy takes about as long.
-const FIRST: (u64, u64) = (28, 100);
-
-/// Share of the bound after which the last host has begun to load.
-const LAST: (u64, u64) = (72, 100);
+/// Share of the bound after which the last host has begun to load. The rest covers a load that begins late, because the
+/// endpoint answered late or a chunk was spoilt.
+const LAST: (u64, u64) = (82, 100);
 
 fn share(t: Millis, (part, whole): (u64, u64)) -> Millis {
     Millis(t.0 * part / whole)
@@ -28,14 +26,14 @@
 }
 
 impl Rollout {
-    /// Returns when the host begins to load; `outdated` is the time at which a version newer than the loaded one was
-    /// named, or `None` if the endpoint serves nothing.
-    pub fn start(&self, outdated: Option<Millis>) -> Millis {
+    /// Returns when the host begins to load a version that is complete `now`; `outdated` is the time at which a version
+    /// newer than the loaded one was named, or `None` if the endpoint serves nothing. Hosts complete a version at about
+    /// the same time, so the turns divide what is left of the bound.
+    pub fn start(&self, outdated: Option<Millis>, now: Millis) -> Millis {
         let Some(outdated) = outdated else {
-            return Millis::ZERO;
+            return now;
         };
-        let (first, last) = (share(self.bound, FIRST), share(self.bound, LAST));
-        let step = (last - first).0 * self.rank as u64 / self.hosts.max(1) as u64;
-        outdated + first + Millis(step)
+        let left = outdated + share(self.bound, LAST) - now;
+        now + Millis(left.0 * self.rank as u64 / self.hosts.max(1) as u64)
     }
 }
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -17,7 +17,7 @@
 
 use super::{
     copy::{copy, CopyContext},
-    exchange::{Client, Exchange},
+    exchange::{Client, Exchange, LINK_SHARE},
     holdings::{is_intact, Holdings},
     log_event,
     peers::{Location, Peers},
@@ -25,7 +25,7 @@
     EndpointHost, HostReport, LoadAnswer, Manifest, Origin,
 };
 use crate::{
-    base::{Clock, HashMap, Millis, ProcessName, Rate, Region, Service, SystemClock, Zone},
+    base::{Clock, HashMap, Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
     decide::chunk::Topology,
     emit,
     gateway::{
@@ -33,6 +33,7 @@
         WeightVersion,
     },
     http::{listen, ServeOptions},
+    net::Pacer,
 };
 
 /// Longest wait of one read of the operator's records.
@@ -50,6 +51,9 @@
 /// Time after which an order without an effect is given again.
 const ORDER_RETRY: Millis = Millis(1000);
 
+/// Share of the chunks from which a copy is completed although a newer version was named.
+const NEARLY: (u32, u32) = (3, 4);
+
 /// Time that a stopping agent gives to transfers in progress.
 const STOP: Millis = Millis(1500);
 
@@ -86,6 +90,8 @@
     host: H,
     origin: O,
     clock: SystemClock,
+    /// Keeps downloads within their share of the link.
+    down_pacer: Rc<Pacer>,
     holdings: Rc<Holdings>,
     client: Client,
     peers: Rc<RefCell<Rc<Peers>>>,
@@ -95,6 +101,8 @@
     named: RefCell<HashMap<Rc<str>, Named>>,
     report: RefCell<Option<HostReport>>,
     copying: Cell<bool>,
+    /// Whether a complete version waits for its turn or loads.
+    loading: Cell<bool>,
     /// Wakes the main loop when the target or the endpoint changed.
     changed: Notify,
     _decode: PhantomData<D>,
@@ -125,7 +133,11 @@
     };
     let peers = Peers::new(&location, &settings.service, std::iter::empty());
     let holdings = Rc::new(Holdings::default());
+    let clock = SystemClock::start();
+    let rate = settings.link.share(LINK_SHARE);
+    let pacer = || Rc::new(Pacer::new(rate, Size(0), clock));
     let exchange = Exchange {
+        pacer: pacer(),
         host: host.clone(),
         holdings: holdings.clone(),
         uploads: Rc::default(),
@@ -146,7 +158,8 @@
         store: store.clone(),
         host,
         origin,
-        clock: SystemClock::start(),
+        clock,
+        down_pacer: pacer(),
         holdings,
         client: Client::new(),
         peers: Rc::new(RefCell::new(Rc::new(peers))),
@@ -155,6 +168,7 @@
         named: RefCell::default(),
         report: RefCell::default(),
         copying: Cell::default(),
+        loading: Cell::default(),
         changed: Notify::new(),
         settings,
         _decode: PhantomData,
@@ -321,12 +335,14 @@
         Some(Target { model, version })
     }
 
-    /// Waits until the target is another one, or the endpoint restarts.
+    /// Waits until the target is another one, or the endpoint restarts. A newer version waits until a complete one is
+    /// loaded: the staged chunks would be lost, and all hosts would have to load the newer one at the same time.
     async fn superseded(&self, target: &Target) {
         let born = self.born();
         loop {
             self.changed.notified().await;
-            if self.target().as_ref() != Some(target) || self.born() != born {
+            let newer = self.target().as_ref() != Some(target) && !self.is_nearly_loaded();
+            if newer || self.born() != born {
                 // The next step looks at the change too.
                 self.changed.notify_one();
                 return;
@@ -334,6 +350,12 @@
         }
     }
 
+    /// Returns whether the present version is loaded sooner than a newer one could be copied.
+    fn is_nearly_loaded(&self) -> bool {
+        let (held, chunks) = self.holdings.progress();
+        self.loading.get() || (self.copying.get() && held * NEARLY.1 >= chunks * NEARLY.0)
+    }
+
     fn born(&self) -> Option<u64> {
         self.report.borrow().as_ref().map(|r| r.born)
     }
@@ -382,6 +404,7 @@
             }
         }
         self.copying.set(false);
+        self.loading.set(false);
     }
 
     async fn bring(&self, target: &Target) {
@@ -412,8 +435,10 @@
                 (self.now() - begun).0
             );
         }
+        self.loading.set(true);
         self.copying.set(false);
         if self.loaded().is_some_and(|v| v >= manifest.version) {
+            self.loading.set(false);
             // Complete: nothing to do before the next change.
             std::future::pending::<()>().await;
         }
@@ -432,6 +457,7 @@
             holdings: self.holdings.clone(),
             peers: self.peers.clone(),
             down: self.settings.link,
+            pacer: self.down_pacer.clone(),
             clock: self.clock,
             model: target.model.clone(),
             manifest: manifest.clone(),
@@ -490,7 +516,8 @@
             let named = self.named.borrow();
             named.get(&target.model)?.outdated(loaded)
         });
-        let wait = turn.start(outdated) - self.now();
+        let now = self.now();
+        let wait = turn.start(outdated, now) - now;
         emit!(
             log_event::LOAD,
             "model={} version={} state=waiting rank={rank} hosts={hosts} ms={}",
