perf: entries foresee the turns of loads and keep long requests away from them

Cause: 12 of 19 endpoints drained at once (each for 1.9 s) in the 3 s between the end of the copy and the bound. Change: turns follow from the list of hosts, so that entries know them; the window of turns ends at 91% of the bound; a newer version may be copied once the endpoint has accepted the order.

--- a/src/decide/chunk/topology.rs
+++ b/src/decide/chunk/topology.rs
@@ -113,13 +113,6 @@
         self.local().filter(|&p| score(p, key) < mine).count()
     }
 
-    /// Returns this host's position for a key among the hosts of all regions, and their number.
-    pub fn turn(&self, key: u64) -> (usize, usize) {
-        let mine = score(self.me, key);
-        let ahead = self.members.iter().filter(|m| score(m.id, key) < mine);
-        (ahead.count(), self.members.len() + 1)
-    }
-
     /// Returns hosts of the store's region by rank; empty in the store's region.
     pub fn sources(&self, id: &Digest, count: usize) -> Vec<PeerId> {
         let key = key(id);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,4 +9,5 @@
 pub mod limit;
 pub mod member;
 pub mod retry;
+pub mod rollout;
 pub mod route;
--- /dev/null
+++ b/src/decide/rollout.rs
@@ -0,0 +1,47 @@
+//! When a host loads a version that it holds completely.
+//!
+//! A host that loads takes no requests while its running ones end, so the hosts of a service take turns over the time
+//! that the deployment allows. Two limits are kept apart: every host has begun before the bound on old versions, and
+//! as few as possible load at once. Turns follow from the list of hosts alone, so that entries know them too and keep
+//! long requests away from a host whose turn is near.
+
+use std::net::IpAddr;
+
+use crate::base::{rendezvous, Millis};
+
+/// Share of the bound after which the first host loads: about the time that the copy takes.
+const FIRST: (u64, u64) = (42, 100);
+
+/// Share of the bound after which the last host has begun to load. The rest covers a load that begins late, because the
+/// copy took longer or a chunk was spoilt.
+const LAST: (u64, u64) = (91, 100);
+
+fn share(t: Millis, (part, whole): (u64, u64)) -> Millis {
+    Millis(t.0 * part / whole)
+}
+
+/// Returns the order of a host in the turns of a version; lower is earlier.
+pub fn order(host: IpAddr, version: u64) -> u64 {
+    rendezvous(&version.to_le_bytes(), host.to_string().as_bytes())
+}
+
+/// Turn of one host among those of its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rollout {
+    /// Bound on the time for which requests may begin on the old version.
+    pub bound: Millis,
+    /// Position of this host, from 0.
+    pub rank: usize,
+    /// Hosts of the service.
+    pub hosts: usize,
+}
+
+impl Rollout {
+    /// Returns when the host begins to load, if it holds the version then; `outdated` is the time at which a version
+    /// newer than the loaded one was named.
+    pub fn start(&self, outdated: Millis) -> Millis {
+        let (first, last) = (share(self.bound, FIRST), share(self.bound, LAST));
+        let step = (last - first).0 * self.rank as u64 / self.hosts.max(1) as u64;
+        outdated + first + Millis(step)
+    }
+}
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -44,6 +44,9 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) model: Option<Rc<str>>,
+    /// Tokens of the prompt, and of the output at most.
+    pub(super) prompt: u32,
+    pub(super) output: u32,
     pub(super) start: Millis,
     /// End of the caller's and the route's patience.
     pub(super) deadline: Millis,
@@ -169,6 +172,11 @@
         .ok_or(Reject::Malformed)?;
     let patience = number(&headers, &names.deadline).map_or(DEADLINE, Millis);
     let model = text(&headers, &names.model).map(Rc::from);
+    let mut tokens = text(&headers, &names.tokens)
+        .unwrap_or_default()
+        .split(',')
+        .map(|n| n.trim().parse().unwrap_or(0));
+    let (prompt, output) = (tokens.next().unwrap_or(0), tokens.next().unwrap_or(0));
     let last = text(&headers, &names.last_event).and_then(|v| v.trim().parse().ok());
     strip(&mut headers, names);
     if let Some(w) = &workspace {
@@ -188,6 +196,8 @@
         headers,
         body,
         model,
+        prompt,
+        output,
         start,
         last,
         priority,
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | steady | the least loaded of a few random endpoints, nearer ones first |
 //! | more than the endpoints can serve in time | refused at once, with a spread time to return |
+//! | a new version is named | long requests avoid an endpoint whose turn to load is near |
 //! | callers return after a refusal | they take only free slots; new requests may also wait in an endpoint's short queue |
 //! | an endpoint turns requests away | passed over for a short time that doubles |
 //! | an endpoint fails part of its requests | used only when the others are loaded |
@@ -14,14 +15,16 @@
 use super::{
     fleet::{Endpoint, EndpointId},
     members::EndpointHash,
+    named::Named,
     record::WeightVersion,
+    turns::Turns,
 };
 use crate::{
     base::{HashMap, Millis, Zone},
     decide::route::Breaker,
 };
 
-/// Random endpoints among which the least loaded is chosen.
+/// Random endpoints among which the best is chosen, so that entries with the same view do not choose the same endpoint.
 const CHOICES: usize = 4;
 
 /// Cost of another zone, as a share of an endpoint's slots.
@@ -30,12 +33,20 @@
 /// Cost of an endpoint whose recent requests all failed, as a share of its slots.
 const FAILURE_COST: f64 = 3.0;
 
+/// Cost of an endpoint whose load of a newer version is delayed by [`DRAIN_TIME`], as a share of its slots; less for a
+/// shorter delay.
+const DRAIN_COST: f64 = 0.8;
+const DRAIN_TIME: Millis = Millis(800);
+
+/// Cost of an endpoint whose turn to load has come.
+const LOADING_COST: f64 = 1.5;
+
 /// Weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
 /// Time for which an endpoint that turned a request away is passed over; doubles up to the longest.
 const REFUSAL: Millis = Millis(120);
-const REFUSAL_MAX: Millis = Millis(1000);
+const REFUSAL_MAX: Millis = Millis(480);
 
 /// Age at which the load that an endpoint reported is no longer used.
 const REPORT_LIFETIME: Millis = Millis(2000);
@@ -121,11 +132,24 @@
     version: WeightVersion,
 }
 
+/// Loads of a newer version that are to come.
+#[derive(Clone, Copy, Debug)]
+pub struct Loads<'a> {
+    /// Turns of the hosts.
+    pub turns: &'a Turns,
+    /// Versions that were named.
+    pub named: &'a Named,
+    /// Bound on the time for which requests may begin on an old version.
+    pub bound: Millis,
+}
+
 /// Weights that may serve a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
     /// Model.
     pub model: &'a str,
+    /// Foreseen loads of a newer version; `None` if none is named.
+    pub loads: Option<Loads<'a>>,
     /// Oldest version on which the request may begin now.
     pub oldest: WeightVersion,
     /// Oldest version on which it may begin after it has waited at the endpoint.
@@ -143,6 +167,8 @@
     pub exact: Option<WeightVersion>,
     /// Endpoints that had the request already.
     pub tried: &'a [EndpointId],
+    /// Time for which the request keeps a slot, as far as it can be foreseen.
+    pub duration: Millis,
     /// Whether the request returns after a refusal or is a further attempt, so that it cannot be in time any more.
     pub late: bool,
 }
@@ -210,6 +236,7 @@
             }
             able += 1;
             let limit = self.limit(e, ask);
+            let drain = self.drain_cost(e, ask, now);
             let view = self.views.entry(e.id.clone()).or_default();
             if view.refusing.0 > now || !view.breaker.allows(now) {
                 continue;
@@ -219,7 +246,8 @@
                 continue;
             }
             let far = f64::from(u8::from(e.record.zone != *ask.zone)) * ZONE_COST;
-            let score = f64::from(load) / f64::from(slots) + far + view.failures * FAILURE_COST;
+            let share = f64::from(load) / f64::from(slots);
+            let score = share + far + drain + view.failures * FAILURE_COST;
             usable.push((e, score));
         }
         if usable.is_empty() && able == 0 {
@@ -256,6 +284,24 @@
         Some(loaded.max(seen.unwrap_or_default()))
     }
 
+    /// Returns what it costs that a request delays the endpoint's load of a newer version: while it runs, the other
+    /// slots stay empty.
+    fn drain_cost(&self, e: &Endpoint, ask: &Ask<'_>, now: Millis) -> f64 {
+        let turn = ask.weights.and_then(|wanted| {
+            let loads = wanted.loads?;
+            let loaded = self.version(e, wanted.model)?;
+            loads.turns.turn(e, loaded, loads.named, loads.bound)
+        });
+        let Some(turn) = turn else {
+            return 0.0;
+        };
+        if now >= turn {
+            return LOADING_COST;
+        }
+        let delay = now + ask.duration - turn;
+        (delay.0 as f64 / DRAIN_TIME.0 as f64).min(1.0) * DRAIN_COST
+    }
+
     /// Returns how many requests an endpoint may have for one more to be sent.
     fn limit(&self, e: &Endpoint, ask: &Ask<'_>) -> u32 {
         let slots = e.record.slots.max(1);
@@ -351,6 +397,13 @@
         }
     }
 
+    /// Notes that an endpoint says that it takes requests again.
+    pub fn recover(&mut self, id: &EndpointId) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.refusing = Default::default();
+        }
+    }
+
     /// Forgets endpoints that left.
     pub fn retain(&mut self, keep: impl Fn(&EndpointId) -> bool) {
         self.views.retain(|id, v| v.own > 0 || keep(id));
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -92,6 +92,13 @@
 }
 
 impl EngineSpeed {
+    /// Estimates how long a request keeps its slot when the batch is full.
+    pub fn duration(&self, prompt: u32, output: u32) -> Millis {
+        let step = self.step_ms + self.sequence_ms * f64::from(self.slots);
+        let ms = f64::from(prompt) / self.prompt_rate.max(0.001) + f64::from(output) * step;
+        Millis(ms as u64)
+    }
+
     /// Estimates the engine's time for the tokens of one request, when its batch is full.
     pub fn cost_ms(&self, prompt: u32, output: u32) -> f64 {
         let slots = f64::from(self.slots.max(1));
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -16,6 +16,7 @@
     members::{Members, NamedAge},
     named::Named,
     record::WeightVersion,
+    turns::Turns,
     Bounds, GatewaySettings, Headers,
 };
 use crate::{
@@ -53,7 +54,9 @@
     pub(super) fleet: RefCell<Fleet>,
     pub(super) balance: RefCell<Balance>,
     pub(super) members: RefCell<Members>,
-    named: RefCell<HashMap<Rc<str>, Named>>,
+    pub(super) named: RefCell<HashMap<Rc<str>, Named>>,
+    /// Turns of each service, for the newest named version and the endpoints at the last change.
+    turns: RefCell<HashMap<Service, Rc<Turns>>>,
     budgets: RefCell<HashMap<Service, Budget>>,
     /// Whether the endpoints were read once.
     pub(super) fleet_known: Cell<bool>,
@@ -77,6 +80,7 @@
             balance: RefCell::default(),
             members: RefCell::new(members),
             named: RefCell::default(),
+            turns: RefCell::default(),
             budgets: RefCell::default(),
             fleet_known: Cell::default(),
             draining: Cell::default(),
@@ -160,14 +164,10 @@
         all.filter(|n| n.age < limit).collect()
     }
 
-    /// Returns the oldest version of a model that a request may begin on now, and the oldest one that may still begin
-    /// when it has waited at an endpoint.
-    pub(super) fn oldest_versions(&self, model: &str) -> (WeightVersion, WeightVersion) {
+    /// Returns the oldest version that a request may begin on now, and the oldest one that may still begin when it has
+    /// waited at an endpoint.
+    pub(super) fn oldest_versions(&self, named: &Named) -> (WeightVersion, WeightVersion) {
         let bound = self.bounds.get().version;
-        let named = self.named.borrow();
-        let Some(named) = named.get(model) else {
-            return Default::default();
-        };
         let binding = |margin| {
             named
                 .binding(bound - margin, self.now())
@@ -176,6 +176,43 @@
         (binding(BEGIN_MARGIN), binding(WAIT_MARGIN))
     }
 
+    /// Returns whether an endpoint has yet to load the weights of its service.
+    pub(super) fn awaits_weights(&self) -> bool {
+        let catalog = self.catalog.borrow();
+        let Some(catalog) = &*catalog else {
+            return false;
+        };
+        let named = self.named.borrow();
+        self.fleet.borrow().iter().any(|e| {
+            let spec = catalog.services.get(&e.record.service);
+            let weights = spec.and_then(|s| s.weights.as_ref());
+            let models = weights.into_iter().flat_map(|w| &w.models);
+            models.into_iter().any(|model| {
+                let newest = named.get(model).and_then(Named::newest);
+                e.weights(model)
+                    .is_none_or(|v| newest.is_some_and(|n| v < n))
+            })
+        })
+    }
+
+    /// Forgets the turns, because endpoints came or left.
+    pub(super) fn reset_turns(&self) {
+        self.turns.borrow_mut().clear();
+    }
+
+    /// Returns the turns of a service for a version.
+    pub(super) fn turns(&self, service: &Service, version: WeightVersion) -> Rc<Turns> {
+        let mut all = self.turns.borrow_mut();
+        match all.get(service) {
+            Some(turns) if turns.version() == version => turns.clone(),
+            _ => {
+                let turns = Rc::new(Turns::new(&self.fleet.borrow(), service, version));
+                all.insert(service.clone(), turns.clone());
+                turns
+            }
+        }
+    }
+
     /// Returns when a request that was sent to an endpoint with a version has to have begun.
     pub(super) fn begin_by(&self, model: &str, version: WeightVersion) -> Option<Millis> {
         let named = self.named.borrow();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -28,25 +28,29 @@
     /// Notes that the store answers again after an outage; called before the records are taken.
     fn regained(&self);
 
+    /// Returns the pause after a read; topics that change all the time are read at intervals.
+    fn pause(&self) -> Millis {
+        Millis::ZERO
+    }
+
     /// Returns when a waiting read should be given up and made again, because there is news of which it says nothing.
     fn interrupted(&self) -> impl Future<Output = ()> {
         std::future::pending()
     }
 }
 
-/// Follows a topic for ever: reads with a wait of `wait`, and pauses for `pause` between two reads.
+/// Follows a topic for ever: reads with a wait of `wait`, with the follower's pause between two reads.
 pub async fn follow<S: RecordStore>(
     store: S,
     topic: Topic,
     wait: Millis,
-    pause: Millis,
     follower: Rc<impl Follower>,
 ) {
     let clock = SystemClock::start();
     let mut state = State {
         offset: None,
         answered: clock.now(),
-        usual: wait + pause,
+        usual: wait + follower.pause(),
         lost: false,
         failing: false,
     };
@@ -74,7 +78,7 @@
                         follower.take(record);
                     }
                 }
-                tokio::time::sleep(pause.duration()).await;
+                tokio::time::sleep(follower.pause().duration()).await;
             }
             Err(StoreError::Trimmed) => {
                 emit!(
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,12 +13,13 @@
 
 use super::{
     accept::Job,
-    balance::{Ask, Load, Outcome, Refusal, Wanted},
+    balance::{Ask, Load, Loads, Outcome, Refusal, Wanted},
     catalog::Repeat,
     context::{Context, InFlight},
     events::EventId,
     fleet::EndpointId,
     log_event,
+    named::Named,
     record::WeightVersion,
     reply::Reject,
 };
@@ -104,6 +105,57 @@
     }
 }
 
+/// Endpoint of an attempt: its id and address, when the request has to have begun, and the oldest version for it.
+type Choice = (
+    EndpointId,
+    SocketAddr,
+    Option<Millis>,
+    Option<WeightVersion>,
+);
+
+fn choose(ctx: &Context, job: &Job, attempts: &Attempts, now: Millis) -> Result<Choice, Refusal> {
+    let engine = {
+        let catalog = ctx.catalog.borrow();
+        let spec = catalog.as_ref().and_then(|c| c.services.get(&job.service));
+        spec.and_then(|s| s.engine)
+    };
+    let all = ctx.named.borrow();
+    let model = job.model.as_deref().filter(|_| engine.is_some());
+    let named = model.and_then(|m| all.get(m));
+    let newest = named.and_then(Named::newest);
+    let turns = newest.map(|v| ctx.turns(&job.service, v));
+    let weights = model.map(|model| {
+        let (oldest, waiting) = named.map(|n| ctx.oldest_versions(n)).unwrap_or_default();
+        let bound = ctx.bounds.get().version;
+        let loads = turns.as_deref().zip(named).map(|(turns, named)| Loads {
+            turns,
+            named,
+            bound,
+        });
+        Wanted {
+            model,
+            loads,
+            oldest,
+            waiting,
+        }
+    });
+    let ask = Ask {
+        zone: &ctx.settings.zone,
+        weights,
+        exact: attempts.version,
+        tried: &attempts.tried,
+        duration: engine.map_or(Millis::ZERO, |e| e.duration(job.prompt, job.output)),
+        late: job.late || attempts.sent > 0,
+    };
+    let fleet = ctx.fleet.borrow();
+    let mut balance = ctx.balance.borrow_mut();
+    let e = balance.pick(fleet.of(&job.service), &ask, now)?;
+    let version = model.and_then(|m| balance.version(e, m));
+    let begin_by = version.and_then(|v| ctx.begin_by(model?, v));
+    let oldest = weights.map(|w| w.oldest);
+    Ok((e.id.clone(), e.record.addr, begin_by, oldest))
+}
+
 /// Sends a request once.
 pub(super) async fn attempt(
     ctx: &Rc<Context>,
@@ -112,34 +164,7 @@
     last: Option<EventId>,
 ) -> Result<Attempt, Refusal> {
     let now = ctx.now();
-    let wanted = job.model.as_deref().map(|model| {
-        let (oldest, waiting) = ctx.oldest_versions(model);
-        Wanted {
-            model,
-            oldest,
-            waiting,
-        }
-    });
-    let engine = {
-        let catalog = ctx.catalog.borrow();
-        let spec = catalog.as_ref().and_then(|c| c.services.get(&job.service));
-        spec.is_some_and(|s| s.engine.is_some())
-    };
-    let (id, addr, begin_by) = {
-        let fleet = ctx.fleet.borrow();
-        let ask = Ask {
-            zone: &ctx.settings.zone,
-            weights: wanted.filter(|_| engine),
-            exact: attempts.version,
-            tried: &attempts.tried,
-            late: job.late || attempts.sent > 0,
-        };
-        let mut balance = ctx.balance.borrow_mut();
-        let e = balance.pick(fleet.of(&job.service), &ask, now)?;
-        let version = job.model.as_deref().and_then(|m| balance.version(e, m));
-        let begin_by = version.and_then(|v| ctx.begin_by(job.model.as_deref()?, v));
-        (e.id.clone(), e.record.addr, begin_by)
-    };
+    let (id, addr, begin_by, oldest) = choose(ctx, job, attempts, now)?;
     attempts.tried.push(id.clone());
     let flight = InFlight::begin(ctx, id.clone());
     let limit = CONNECT.min(job.deadline - now);
@@ -164,7 +189,7 @@
         connection,
         begin_by,
     };
-    Ok(send(ctx, job, attempts, target, last, wanted.map(|w| w.oldest)).await)
+    Ok(send(ctx, job, attempts, target, last, oldest).await)
 }
 
 async fn open(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,8 +23,9 @@
 mod serve;
 mod settings;
 mod stream;
+mod turns;
 
-pub use balance::{Ask, Balance, Load, Outcome, Refusal, Wanted};
+pub use balance::{Ask, Balance, Load, Loads, Outcome, Refusal, Wanted};
 pub use catalog::{
     CallerLimits, Catalog, CatalogVersion, EngineSpeed, OriginSpec, Repeat, Route, ServiceSpec,
     ServiceWeights, WorkspaceSpec,
@@ -43,3 +44,4 @@
 pub use reply::Reject;
 pub use run::{run, Decode};
 pub use settings::{Bounds, GatewaySettings, Listen};
+pub use turns::Turns;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -33,6 +33,9 @@
 /// Pause between reads of the endpoints, whose records change all the time.
 const ENDPOINTS_PAUSE: Millis = Millis(500);
 
+/// Pause while endpoints load weights: each of these milliseconds an endpoint stands idle after its load.
+const ENDPOINTS_PAUSE_LOADING: Millis = Millis(300);
+
 /// Time between two looks at what expired.
 const UPKEEP: Millis = Millis(250);
 
@@ -138,6 +141,12 @@
         };
         let now = self.0.now();
         let change = self.0.fleet.borrow_mut().apply(&id, decoded, now);
+        if matches!(change, Change::Added | Change::Removed) {
+            self.0.reset_turns();
+        }
+        if change == Change::Updated {
+            self.0.balance.borrow_mut().recover(&id);
+        }
         if !matches!(change, Change::Renewed | Change::Stale) {
             let fleet = self.0.fleet.borrow();
             let record = fleet.get(&id).map(|e| &e.record);
@@ -172,6 +181,14 @@
         self.0.fleet_known.set(true);
     }
 
+    fn pause(&self) -> Millis {
+        if self.0.awaits_weights() {
+            ENDPOINTS_PAUSE_LOADING
+        } else {
+            ENDPOINTS_PAUSE
+        }
+    }
+
     fn regained(&self) {
         self.0.fleet.borrow_mut().regained(self.0.now());
         self.0.news.notify_waiters();
@@ -234,27 +251,14 @@
     let intents = Rc::new(Intents::<D>(ctx.clone(), std::marker::PhantomData));
     let endpoints = Rc::new(Endpoints::<D>(ctx.clone(), std::marker::PhantomData));
     let entries = Rc::new(Entries(ctx.clone()));
-    spawn_local(follow(
-        store.clone(),
-        Topic::Operator,
-        WAIT,
-        Millis::ZERO,
-        intents,
-    ));
+    spawn_local(follow(store.clone(), Topic::Operator, WAIT, intents));
     spawn_local(follow(
         store.clone(),
         Topic::Endpoints,
         Millis::ZERO,
-        ENDPOINTS_PAUSE,
         endpoints,
     ));
-    spawn_local(follow(
-        store.clone(),
-        Topic::Entries,
-        WAIT,
-        Millis::ZERO,
-        entries,
-    ));
+    spawn_local(follow(store.clone(), Topic::Entries, WAIT, entries));
     spawn_local(announce(ctx.clone(), store));
     spawn_local(upkeep(ctx.clone()));
     let socket = UdpSocket::bind(ctx.settings.listen.peers)
--- a/src/staging/holdings.rs
+++ b/src/staging/holdings.rs
@@ -96,7 +96,9 @@
     pub(super) fn progress(&self) -> (u32, u32) {
         let current = self.current.borrow();
         let c = current.as_ref();
-        c.map_or((0, 0), |c| (c.held.count(), c.manifest.digests.len() as u32))
+        c.map_or((0, 0), |c| {
+            (c.held.count(), c.manifest.digests.len() as u32)
+        })
     }
 
     /// Returns the size of a chunk, in bytes.
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -10,9 +10,7 @@
 mod host;
 mod log_event;
 mod peers;
-mod rollout;
 mod run;
 
 pub use host::{EndpointHost, HostError, HostReport, LoadAnswer, Manifest, Origin};
-pub use rollout::Rollout;
 pub use run::{run, AgentSettings};
--- a/src/staging/peers.rs
+++ b/src/staging/peers.rs
@@ -4,14 +4,18 @@
 
 use crate::{
     base::{HashMap, Region, Service, Zone},
-    decide::chunk::{Member, PeerId, Place, Topology},
-    gateway::EndpointRecord,
+    decide::{
+        chunk::{Member, PeerId, Place, Topology},
+        rollout::order,
+    },
+    gateway::{EndpointRecord, WeightVersion},
 };
 
 /// Other hosts of a service.
 #[derive(Clone, Debug)]
 pub(super) struct Peers {
     pub(super) topology: Topology,
+    me: SocketAddr,
     addrs: HashMap<PeerId, SocketAddr>,
 }
 
@@ -71,6 +75,7 @@
         }
         Self {
             topology: Topology::new(me, members),
+            me: location.me,
             addrs,
         }
     }
@@ -80,8 +85,11 @@
         self.addrs.get(&id).copied()
     }
 
-    /// Returns this host's position among all, for turns.
-    pub(super) fn turn(&self, key: u64) -> (usize, usize) {
-        self.topology.turn(key)
+    /// Returns this host's position among all in the turns of a version, and their number.
+    pub(super) fn turn(&self, version: WeightVersion) -> (usize, usize) {
+        let mine = order(self.me.ip(), version.0);
+        let others = self.addrs.values().filter(|a| a.ip() != self.me.ip());
+        let ahead = others.clone().filter(|a| order(a.ip(), version.0) < mine);
+        (ahead.count(), others.count() + 1)
     }
 }
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -21,12 +21,11 @@
     holdings::{is_intact, Holdings},
     log_event,
     peers::{Location, Peers},
-    rollout::Rollout,
     EndpointHost, HostReport, LoadAnswer, Manifest, Origin,
 };
 use crate::{
     base::{Clock, HashMap, Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
-    decide::chunk::Topology,
+    decide::{chunk::Topology, rollout::Rollout},
     emit,
     gateway::{
         follow, Catalog, Decode, Follower, Intent, Named, OriginSpec, Record, RecordStore, Topic,
@@ -177,7 +176,6 @@
         store,
         Topic::Operator,
         WAIT,
-        Millis::ZERO,
         Rc::new(Intents(agent.clone())),
     ));
     spawn_local(watch_endpoint(agent.clone()));
@@ -506,7 +504,7 @@
 
     /// Waits for this host's turn to load.
     async fn wait_turn(&self, target: &Target, manifest: &Manifest) {
-        let (rank, hosts) = self.peers.borrow().turn(manifest.version.0);
+        let (rank, hosts) = self.peers.borrow().turn(manifest.version);
         let turn = Rollout {
             bound: self.settings.bound,
             rank,
@@ -517,7 +515,7 @@
             named.get(&target.model)?.outdated(loaded)
         });
         let now = self.now();
-        let wait = turn.start(outdated, now) - now;
+        let wait = outdated.map_or(Millis::ZERO, |at| turn.start(at) - now);
         emit!(
             log_event::LOAD,
             "model={} version={} state=waiting rank={rank} hosts={hosts} ms={}",
@@ -544,6 +542,9 @@
             tokio::time::sleep(RETRY.duration()).await;
             return;
         }
+        // The endpoint has taken the staged chunks, so a newer version may replace them.
+        self.loading.set(false);
+        self.changed.notify_one();
         let mut idle = self.now();
         loop {
             tokio::time::sleep(REPORT.duration()).await;
