fix: versions that a starting process finds named bind at once

Cause: an entry or agent that restarted took the time of its start for the time at which a version was named; ages told by other entries were cut off at the start of the clock. Change: a version found at the start binds until another entry tells its age; the clock of a process starts at an hour.

--- a/src/base/clock.rs
+++ b/src/base/clock.rs
@@ -119,20 +119,28 @@
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
     start: Instant,
+    /// Time at the start.
+    offset: Millis,
 }
 
 impl SystemClock {
     /// Starts a clock at zero.
     pub fn start() -> Self {
+        Self::start_at(Millis::ZERO)
+    }
+
+    /// Starts a clock at a later time, so that points in time before its start can be expressed.
+    pub fn start_at(offset: Millis) -> Self {
         Self {
             start: Instant::now(),
+            offset,
         }
     }
 }
 
 impl Clock for SystemClock {
     fn now(&self) -> Millis {
-        self.start.elapsed().into()
+        self.offset + self.start.elapsed().into()
     }
 }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -26,6 +26,9 @@
     http::Pool,
 };
 
+/// Time of the clock at the start: other entries tell what happened before it.
+const START: Millis = Millis::from_secs(3600);
+
 /// Time before the bound of a version from which requests no longer go to endpoints with an older one, and from which
 /// they go there only if they begin at once. The rest covers the ways of the record and of the request.
 const BEGIN_MARGIN: Millis = Millis(900);
@@ -68,7 +71,7 @@
 impl Context {
     pub(super) fn new(settings: GatewaySettings, headers: Headers, members: Members) -> Rc<Self> {
         Rc::new(Self {
-            clock: SystemClock::start(),
+            clock: SystemClock::start_at(START),
             bounds: Cell::new(settings.bounds),
             settings,
             headers,
@@ -127,10 +130,17 @@
     }
 
     /// Notes a named version; returns whether it is newer than the known one.
-    pub(super) fn name_version(&self, model: Rc<str>, version: WeightVersion) -> bool {
+    ///
+    /// `found` says that the process started after the version was named.
+    pub(super) fn name_version(&self, model: Rc<str>, version: WeightVersion, found: bool) -> bool {
         let now = self.now();
         let mut named = self.named.borrow_mut();
-        named.entry(model).or_default().name(version, now)
+        let versions = named.entry(model).or_default();
+        if found {
+            versions.find(version)
+        } else {
+            versions.name(version, now)
+        }
     }
 
     /// Takes over named versions that another entry told.
@@ -155,7 +165,7 @@
         let limit = self.bounds.get().version.times(2);
         let named = self.named.borrow();
         let all = named.iter().flat_map(|(model, versions)| {
-            versions.iter().map(move |(version, at)| NamedAge {
+            versions.known().map(move |(version, at)| NamedAge {
                 model: model.to_string(),
                 version,
                 age: now - at,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,6 +1,11 @@
 //! The entry process: sockets, followers of the store, beats and shutdown.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    marker::PhantomData,
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use eyre::WrapErr;
@@ -77,7 +82,12 @@
 }
 
 /// Follows the operator's records.
-struct Intents<D>(Rc<Context>, std::marker::PhantomData<D>);
+struct Intents<D> {
+    ctx: Rc<Context>,
+    /// Whether the records were read once; what the first read brings was written before this process started.
+    read: Cell<bool>,
+    _decode: PhantomData<D>,
+}
 
 fn apply_catalog(ctx: &Context, catalog: Catalog, raw: Bytes, source: &str) {
     let version = catalog.version;
@@ -98,13 +108,14 @@
         let key = String::from_utf8_lossy(&record.key);
         match D::intent(&record.key, value) {
             Ok(Some(Intent::Catalog(catalog))) => {
-                apply_catalog(&self.0, *catalog, value.clone(), "store");
+                apply_catalog(&self.ctx, *catalog, value.clone(), "store");
             }
             Ok(Some(Intent::Weights(model, version))) => {
-                let newer = self.0.name_version(model, version);
+                let found = !self.read.get();
+                let newer = self.ctx.name_version(model, version, found);
                 emit!(
                     log_event::NAMED,
-                    "key={key} version={version} newer={newer}"
+                    "key={key} version={version} newer={newer} found={found}"
                 );
             }
             Ok(None) => {}
@@ -116,17 +127,18 @@
         for record in records {
             self.take(record);
         }
+        self.read.set(true);
     }
 
     fn regained(&self) {}
 
     async fn interrupted(&self) {
-        self.0.news.notified().await;
+        self.ctx.news.notified().await;
     }
 }
 
 /// Follows the endpoints' records.
-struct Endpoints<D>(Rc<Context>, std::marker::PhantomData<D>);
+struct Endpoints<D>(Rc<Context>, PhantomData<D>);
 
 impl<D: Decode> Endpoints<D> {
     fn apply(&self, record: &Record) -> Option<EndpointId> {
@@ -248,8 +260,12 @@
     let ctx = Context::new(settings, headers, Members::new(me));
     let (closing, closed) = watch::channel(false);
     let callers = serve_all(&ctx, &closed)?;
-    let intents = Rc::new(Intents::<D>(ctx.clone(), std::marker::PhantomData));
-    let endpoints = Rc::new(Endpoints::<D>(ctx.clone(), std::marker::PhantomData));
+    let intents = Rc::new(Intents::<D> {
+        ctx: ctx.clone(),
+        read: Cell::new(false),
+        _decode: PhantomData,
+    });
+    let endpoints = Rc::new(Endpoints::<D>(ctx.clone(), PhantomData));
     let entries = Rc::new(Entries(ctx.clone()));
     spawn_local(follow(store.clone(), Topic::Operator, WAIT, intents));
     spawn_local(follow(
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -176,7 +176,10 @@
         store,
         Topic::Operator,
         WAIT,
-        Rc::new(Intents(agent.clone())),
+        Rc::new(Intents {
+            agent: agent.clone(),
+            read: Cell::new(false),
+        }),
     ));
     spawn_local(watch_endpoint(agent.clone()));
     spawn_local(refresh_peers(agent.clone()));
@@ -203,7 +206,11 @@
 }
 
 /// Follows the operator's records.
-struct Intents<S, D, H, O>(Rc<Agent<S, D, H, O>>);
+struct Intents<S, D, H, O> {
+    agent: Rc<Agent<S, D, H, O>>,
+    /// Whether the records were read once; what the first read brings was written before this process started.
+    read: Cell<bool>,
+}
 
 impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Follower for Intents<S, D, H, O> {
     fn take(&self, record: Record) {
@@ -212,8 +219,10 @@
         };
         let key = String::from_utf8_lossy(&record.key);
         match D::intent(&record.key, value) {
-            Ok(Some(Intent::Catalog(catalog))) => self.0.set_catalog(&catalog),
-            Ok(Some(Intent::Weights(model, version))) => self.0.name_version(model, version),
+            Ok(Some(Intent::Catalog(catalog))) => self.agent.set_catalog(&catalog),
+            Ok(Some(Intent::Weights(model, version))) => {
+                self.agent.name_version(model, version, !self.read.get());
+            }
             Ok(None) => {}
             Err(e) => emit!(log_event::RECORD, "key={key} reason=\"{e}\""),
         }
@@ -223,6 +232,7 @@
         for record in records {
             self.take(record);
         }
+        self.read.set(true);
     }
 
     fn regained(&self) {}
@@ -273,15 +283,20 @@
         }
     }
 
-    fn name_version(&self, model: Rc<str>, version: WeightVersion) {
+    fn name_version(&self, model: Rc<str>, version: WeightVersion, found: bool) {
         let now = self.now();
         let newer = {
             let mut named = self.named.borrow_mut();
-            named.entry(model.clone()).or_default().name(version, now)
+            let versions = named.entry(model.clone()).or_default();
+            if found {
+                versions.find(version)
+            } else {
+                versions.name(version, now)
+            }
         };
         emit!(
             log_event::NAMED,
-            "model={model} version={version} newer={newer}"
+            "model={model} version={version} newer={newer} found={found}"
         );
         if newer {
             self.changed.notify_one();
