--- /dev/null
+++ b/tests/gateway_members.rs
@@ -0,0 +1,96 @@
+//! Entries that callers are sent to.
+
+use std::net::SocketAddr;
+
+use sesamewing::{
+    base::Millis,
+    gateway::{Beat, CatalogVersion, Directory, Members},
+};
+
+fn addr(host: u8, port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], port))
+}
+
+fn beat(host: u8, zone: &str, count: u64) -> Beat {
+    Beat {
+        peer: addr(host, 1),
+        callers: addr(host, 2),
+        zone: zone.parse().expect("a valid name"),
+        boot: 1,
+        count,
+        ready: true,
+        catalog: CatalogVersion(count),
+    }
+}
+
+fn members() -> Members {
+    let mut members = Members::new(beat(1, "a", 0));
+    members.beat(true, CatalogVersion(0), Millis(0));
+    members
+}
+
+fn answer(members: &Members, zone: &str, now: Millis) -> Vec<SocketAddr> {
+    let answer = Directory::answer(members, zone, Millis(5000), now);
+    let mut out = answer.map(|a| a.addresses).unwrap_or_default();
+    out.sort_unstable();
+    out
+}
+
+/// Guards against callers that are sent to an entry that is gone, and against one that came back and is left out.
+#[test]
+fn silent_entries_are_left_out() {
+    let mut members = members();
+    members.hear(beat(2, "a", 1), Millis(100));
+    assert_eq!(answer(&members, "a", Millis(200)).len(), 2);
+    // A beat that was heard before says nothing, whoever repeats it.
+    assert!(!members.hear(beat(2, "a", 1), Millis(2000)));
+    assert_eq!(answer(&members, "a", Millis(2100)), [addr(1, 2)]);
+    assert!(members.hear(beat(2, "a", 2), Millis(2200)));
+    assert_eq!(answer(&members, "a", Millis(2300)).len(), 2);
+}
+
+/// Guards against callers that are sent to an entry that drains.
+#[test]
+fn draining_entries_are_left_out() {
+    let mut members = members();
+    members.hear(beat(2, "a", 1), Millis(100));
+    let leaving = Beat {
+        ready: false,
+        ..beat(2, "a", 2)
+    };
+    assert!(members.hear(leaving, Millis(150)));
+    assert_eq!(answer(&members, "a", Millis(200)), [addr(1, 2)]);
+}
+
+/// Guards against traffic between zones while a zone has entries enough, and against a zone without callers' entries.
+#[test]
+fn zones_come_first() {
+    let mut members = members();
+    members.hear(beat(2, "a", 1), Millis(100));
+    members.hear(beat(3, "b", 1), Millis(100));
+    assert_eq!(answer(&members, "a", Millis(200)), [addr(1, 2), addr(2, 2)]);
+    assert_eq!(answer(&members, "b", Millis(200)).len(), 3);
+}
+
+/// Guards against an entry that keeps an old configuration although another one has the new one.
+#[test]
+fn newer_catalogs_are_found() {
+    let mut members = members();
+    members.hear(beat(2, "a", 7), Millis(100));
+    let newer = |than| members.newer_catalog(CatalogVersion(than), Millis(200));
+    assert_eq!(newer(6), Some(addr(2, 1)));
+    assert_eq!(newer(7), None);
+}
+
+/// Guards against messages that grow with the square of a large number of entries.
+#[test]
+fn many_entries_send_to_few() {
+    let mut members = members();
+    for host in 2..200 {
+        let zone = ["a", "b", "c"][usize::from(host) % 3];
+        members.hear(beat(host, zone, 1), Millis(100));
+    }
+    assert!(members.targets(Millis(200)).len() <= 16);
+    let beats = members.beat(true, CatalogVersion(1), Millis(200));
+    assert!(beats.len() <= 17, "{}", beats.len());
+}
