feat: log lines that never wait, metrics of the gateway; rename the service traits to backing

Cause: log lines were written by the serving thread itself, without a bound; no metrics were served; src/platform/ could be confused with the adapter.

--- a/src/agent/claims/driver.rs
+++ b/src/agent/claims/driver.rs
@@ -13,6 +13,7 @@
         board::Board,
         event::{CLAIMS_BLOCKED, CLAIM_UNKNOWN},
     },
+    backing::{Log, Page, PlatformError, Stream},
     base::{
         Clock, HashMap, Instance, Millis, Offset, ProcessName, RecordId, Region, RequestId, Service,
     },
@@ -21,7 +22,6 @@
     endpoint::Endpoint,
     feed::Replica,
     kernel::{Body, Entry, Kernel, Record, Window},
-    platform::{Log, Page, PlatformError, Stream},
     process::CLAIM_WINDOW,
     settings::ClaimConfig,
     wire::{RunRequest, SettleReply},
--- a/src/agent/claims/reader.rs
+++ b/src/agent/claims/reader.rs
@@ -4,9 +4,9 @@
 
 use super::driver::Event;
 use crate::{
+    backing::{Log, Page, PlatformError, Stream},
     base::{Millis, Offset},
     kernel::Entry,
-    platform::{Log, Page, PlatformError, Stream},
 };
 
 /// Longest time that one read waits at the log.
--- a/src/agent/host.rs
+++ b/src/agent/host.rs
@@ -4,9 +4,9 @@
 
 use super::{board::Board, claims::Claims, event::DRAINING};
 use crate::{
+    backing::HostList,
     base::{Clock, Millis},
     emit,
-    platform::HostList,
     process::{Context, Phase},
 };
 
--- a/src/agent/lessee.rs
+++ b/src/agent/lessee.rs
@@ -4,11 +4,11 @@
 
 use super::{board::Board, event::LEASE_WAIT};
 use crate::{
+    backing::Log,
     base::{Clock, Fence, Millis},
     decide::lease::{LeaseHolder, LeaseStep},
     feed::{append, Replica},
     kernel::{Body, LeaseOp, Record},
-    platform::Log,
 };
 
 /// Time for one append to be read back.
--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -10,13 +10,13 @@
     lessee::Lessee,
 };
 use crate::{
+    backing::Log,
     base::{Clock, Digest, Millis, Region, Service, VersionName},
     decide::lease::FenceGate,
     emit,
     endpoint::{Endpoint, EndpointError, LoadOrder},
     feed::Replica,
     observe::Timeline,
-    platform::Log,
     process::Fencing,
     weights::{Complete, Source},
 };
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -30,12 +30,12 @@
 
 use self::burst::Sizer;
 use crate::{
+    backing::HttpPlatform,
     base::SystemClock,
     decide::lease::LeaseHolder,
     emit,
     endpoint::{Endpoint, Engine, Plain},
     feed,
-    platform::HttpPlatform,
     process::{Context, EndpointKind, EndpointSettings, Phase},
     weights::Distribution,
 };
--- a/src/platform/mod.rs
+++ b/src/backing/mod.rs
@@ -1,4 +1,5 @@
-//! The platform's services behind small traits, and their HTTP adapter.
+//! The log, the weight store and the host list behind small traits, and their HTTP client. The adapter to the users' own
+//! platform is the crate in `platform/`.
 
 mod http;
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -16,9 +16,9 @@
     upkeep, watch,
 };
 use crate::{
+    backing::HostList,
     emit, feed,
     net::Incoming,
-    platform::HostList,
     process::{Context, Phase},
     wire::{Call, Open},
 };
--- a/src/feed/append.rs
+++ b/src/feed/append.rs
@@ -1,10 +1,10 @@
 //! Appends a record and waits until its effect is known.
 
 use crate::{
+    backing::{Log, PlatformError, Stream},
     base::Millis,
     feed::Replica,
     kernel::{Effect, Record, RecordError, Step},
-    platform::{Log, PlatformError, Stream},
 };
 
 /// Pause between two appends of the same record.
--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -7,9 +7,9 @@
     snapshot,
 };
 use crate::{
+    backing::{HostList, Log, Page, PlatformError, Stream},
     base::{jitter, Millis, Offset},
     kernel::{Entry, Refusal},
-    platform::{HostList, Log, Page, PlatformError, Stream},
 };
 
 /// Longest time that one read waits at the log.
--- a/src/feed/run.rs
+++ b/src/feed/run.rs
@@ -8,10 +8,10 @@
     writer::write_snapshots,
 };
 use crate::{
+    backing::{HostList, HttpPlatform},
     base::{Millis, Offset},
     decide::feed::{plan, Plan},
     emit,
-    platform::{HostList, HttpPlatform},
     process::Context,
 };
 
--- a/src/feed/snapshot.rs
+++ b/src/feed/snapshot.rs
@@ -2,9 +2,9 @@
 
 use super::Replica;
 use crate::{
+    backing::{Log, PlatformError, Stream},
     base::{Millis, Offset},
     kernel::{Assembler, Entry, Kernel, Snapshot, SnapshotChunk},
-    platform::{Log, PlatformError, Stream},
 };
 
 /// Chunks in one read.
--- a/src/feed/writer.rs
+++ b/src/feed/writer.rs
@@ -2,9 +2,9 @@
 
 use super::{snapshot, Replica};
 use crate::{
+    backing::{Log, PlatformError, Stream},
     base::{wall_ms, Millis, Offset, ProcessName},
     decide::feed::{snapshot_rank, SnapshotTimer},
-    platform::{Log, PlatformError, Stream},
 };
 
 /// Time between two looks at the timer.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -14,6 +14,7 @@
     fleet::{EndpointId, Fleet},
     log_event,
     members::{Members, NamedAge},
+    metrics::GatewayMetrics,
     named::Named,
     record::WeightVersion,
     turns::Turns,
@@ -49,6 +50,7 @@
     pub(super) bounds: Cell<Bounds>,
     pub(super) headers: Headers,
     pub(super) pool: Pool,
+    pub(super) metrics: GatewayMetrics,
     pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
     /// Encoded form of the catalog.
     pub(super) raw_catalog: RefCell<Bytes>,
@@ -69,13 +71,19 @@
 }
 
 impl Context {
-    pub(super) fn new(settings: GatewaySettings, headers: Headers, members: Members) -> Rc<Self> {
+    pub(super) fn new(
+        settings: GatewaySettings,
+        headers: Headers,
+        members: Members,
+        metrics: GatewayMetrics,
+    ) -> Rc<Self> {
         Rc::new(Self {
             clock: SystemClock::start_at(START),
             bounds: Cell::new(settings.bounds),
             settings,
             headers,
             pool: Pool::default(),
+            metrics,
             catalog: RefCell::default(),
             raw_catalog: RefCell::default(),
             news: Notify::new(),
@@ -248,7 +256,11 @@
 
     /// Takes a further attempt from the budget of a service; returns whether there was one.
     pub(super) fn take_retry(&self, service: &Service) -> bool {
-        self.budget(service, |b| b.take(self.bounds.get().retries))
+        let taken = self.budget(service, |b| b.take(self.bounds.get().retries));
+        if taken {
+            self.metrics.retries.inc();
+        }
+        taken
     }
 
     /// Notes the end of a request at an endpoint.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod headers;
 mod log_event;
 mod members;
+mod metrics;
 mod named;
 mod record;
 mod reply;
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -53,6 +53,20 @@
         }
     }
 
+    /// Returns the reason as a label of metrics.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::Unauthorized => "unauthorized",
+            Self::NoRoute => "no-route",
+            Self::Slow => "slow",
+            Self::TooLarge => "too-large",
+            Self::NotRun(_) => "not-run",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed-out",
+        }
+    }
+
     /// Builds the response.
     pub fn response(self) -> Response<Full<Bytes>> {
         let mut res = Response::new(Full::new(Bytes::from(format!("{self}\n"))));
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,11 +1,6 @@
 //! The entry process: sockets, followers of the store, beats and shutdown.
 
-use std::{
-    cell::{Cell, RefCell},
-    marker::PhantomData,
-    net::SocketAddr,
-    rc::Rc,
-};
+use std::{cell::Cell, marker::PhantomData, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use eyre::WrapErr;
@@ -23,6 +18,7 @@
     follow::{follow, Follower},
     log_event,
     members::{Beat, Datagram, Members, BEAT},
+    metrics::GatewayMetrics,
     record::{EndpointRecord, Intent, Record, RecordStore, Topic},
     serve, GatewaySettings, Headers,
 };
@@ -30,16 +26,39 @@
     base::{wall_ms, HashSet, Millis},
     emit,
     http::{call, listen, ServeOptions},
+    observe::LeftOut,
 };
 
 /// Longest wait of one read of a topic that seldom changes.
 const WAIT: Millis = Millis(5000);
 
-/// Pause between reads of the endpoints, whose records change all the time.
-const ENDPOINTS_PAUSE: Millis = Millis(500);
+/// Pause between reads of the endpoints, whose records change all the time: for each entry, because the reads of all
+/// entries together load the store, and within limits, because an endpoint that leaves has to be known in time.
+const ENDPOINTS_PAUSE: Pause = Pause {
+    each: Millis(45),
+    least: Millis(500),
+    most: Millis(1100),
+};
 
-/// Pause while endpoints load weights: each of these milliseconds an endpoint stands idle after its load.
-const ENDPOINTS_PAUSE_LOADING: Millis = Millis(300);
+/// Pause while endpoints load weights: until its record is read, an endpoint stands idle after its load.
+const ENDPOINTS_PAUSE_LOADING: Pause = Pause {
+    each: Millis(25),
+    least: Millis(300),
+    most: Millis(800),
+};
+
+/// A pause that grows with the number of entries.
+struct Pause {
+    each: Millis,
+    least: Millis,
+    most: Millis,
+}
+
+impl Pause {
+    fn of(&self, entries: usize) -> Millis {
+        self.each.times(entries as u64).clamp(self.least, self.most)
+    }
+}
 
 /// Time between two looks at what expired.
 const UPKEEP: Millis = Millis(250);
@@ -194,11 +213,13 @@
     }
 
     fn pause(&self) -> Millis {
-        if self.0.awaits_weights() {
+        let entries = self.0.members.borrow().len();
+        let pause = if self.0.awaits_weights() {
             ENDPOINTS_PAUSE_LOADING
         } else {
             ENDPOINTS_PAUSE
-        }
+        };
+        pause.of(entries)
     }
 
     fn regained(&self) {
@@ -230,7 +251,8 @@
     fn regained(&self) {}
 }
 
-/// Runs an entry until it is told to stop; `load` reads the settings, at the start and when SIGHUP asks for it.
+/// Runs an entry until it is told to stop; `load` reads the settings, at the start and when SIGHUP asks for it, and
+/// `lines` counts the log lines that were left out.
 ///
 /// # Errors
 ///
@@ -239,6 +261,7 @@
     mut load: impl FnMut() -> eyre::Result<GatewaySettings>,
     headers: Headers,
     store: S,
+    lines: LeftOut,
 ) -> eyre::Result<()> {
     let settings = load()?;
     let me = Beat {
@@ -257,7 +280,12 @@
         settings.zone,
         settings.listen.callers
     );
-    let ctx = Context::new(settings, headers, Members::new(me));
+    let ctx = Context::new(
+        settings,
+        headers,
+        Members::new(me),
+        GatewayMetrics::register(lines),
+    );
     let (closing, closed) = watch::channel(false);
     let callers = serve_all(&ctx, &closed)?;
     let intents = Rc::new(Intents::<D> {
@@ -330,6 +358,14 @@
         let serving = listen_on(addr)?.serve(ServeOptions::default, handler, closed.clone());
         spawn_local(serving);
     }
+    if let Some(addr) = sockets.metrics {
+        let context = ctx.clone();
+        let handler = move |req: hyper::Request<_>| {
+            std::future::ready(serve::metrics(&context, req.uri().path()))
+        };
+        let serving = listen_on(addr)?.serve(ServeOptions::default, handler, closed.clone());
+        spawn_local(serving);
+    }
     if let Some(addr) = sockets.directory {
         let context = ctx.clone();
         let handler = move |req: hyper::Request<_>| {
@@ -383,9 +419,8 @@
 
 /// Takes the beats of other entries.
 async fn hear(ctx: Rc<Context>, socket: Rc<UdpSocket>) {
-    let buffer = RefCell::new(vec![0; DATAGRAM_MAX]);
+    let mut data = vec![0; DATAGRAM_MAX];
     loop {
-        let mut data = buffer.borrow_mut();
         let len = match socket.recv_from(&mut data).await {
             Ok((len, _)) => len,
             Err(e) => {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,6 +17,7 @@
     directory::Directory,
     forward::{forward, response_headers, Attempt, Attempts},
     log_event,
+    metrics::{ByService, Ended},
     reply::Reject,
     stream::{Cut, Relay},
 };
@@ -25,6 +26,9 @@
 /// Path at which entries pass on their catalog.
 pub(super) const CATALOG_PATH: &str = "/catalog";
 
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 type Whole = Response<Full<Bytes>>;
 
 /// Answers a caller.
@@ -52,7 +56,17 @@
     res
 }
 
+fn count_ended(ctx: &Context, service: &str, status: StatusCode, reason: &'static str) {
+    let ended = Ended {
+        service: service.to_owned(),
+        status: status.as_u16(),
+        reason,
+    };
+    ctx.metrics.ended.get_or_create(&ended).inc();
+}
+
 fn log_rejected(ctx: &Context, reject: Reject) {
+    count_ended(ctx, "-", reject.status(), reject.reason());
     let version = ctx.catalog_version();
     emit!(
         log_event::ENDED,
@@ -79,11 +93,21 @@
         }
         Ok(Attempt::Whole(res) | Attempt::Failed(res)) => {
             log_ended(ctx, &job, &attempts, res.status(), "answered");
+            count_ended(ctx, job.service.as_str(), res.status(), "endpoint");
+            let by_service = ByService {
+                service: job.service.to_string(),
+            };
+            let time = (ctx.now() - job.start).duration().as_secs_f64();
+            ctx.metrics
+                .response
+                .get_or_create(&by_service)
+                .observe(time);
             Ok(res)
         }
         Ok(_) => Ok(Reject::Lost.response()),
         Err(reject) => {
             log_ended(ctx, &job, &attempts, reject.status(), &reject.to_string());
+            count_ended(ctx, job.service.as_str(), reject.status(), reject.reason());
             Ok(reject.response())
         }
     }
@@ -120,6 +144,14 @@
     Response::new(Full::new(raw))
 }
 
+/// Answers a request for the metrics.
+pub(super) fn metrics(ctx: &Context, path: &str) -> Whole {
+    if path != METRICS_PATH {
+        return plain(StatusCode::NOT_FOUND);
+    }
+    Response::new(Full::from(ctx.metrics.encode()))
+}
+
 /// Answers a readiness check.
 pub(super) fn readiness(ctx: &Context, path: &str) -> Whole {
     if path != ctx.settings.ready_path {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -13,6 +13,8 @@
     pub readiness: Option<SocketAddr>,
     /// Questions of callers where to connect.
     pub directory: Option<SocketAddr>,
+    /// Metrics in the Prometheus text format, at `/metrics`.
+    pub metrics: Option<SocketAddr>,
     /// Datagrams between entries.
     pub peers: SocketAddr,
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -17,7 +17,7 @@
     context::{Context, Running},
     events::Events,
     forward::{attempt, keep, may_repeat, Attempt, Attempts, Begun, Target},
-    log_event,
+    log_event, metrics,
 };
 use crate::{base::Millis, emit};
 
@@ -105,6 +105,12 @@
                     if !self.begun {
                         self.begun = true;
                         self.log("first-event", "-");
+                        let by_service = metrics::ByService {
+                            service: self.job.service.to_string(),
+                        };
+                        let time = (self.ctx.now() - self.job.start).duration();
+                        let first = &self.ctx.metrics.first;
+                        first.get_or_create(&by_service).observe(time.as_secs_f64());
                     }
                     return Some(Ok(data));
                 }
@@ -135,7 +141,9 @@
         Some(Err(Cut))
     }
 
-    fn log(&self, outcome: &str, reason: &str) {
+    fn log(&self, outcome: &'static str, reason: &str) {
+        let step = metrics::Step { outcome };
+        self.ctx.metrics.streams.get_or_create(&step).inc();
         let ms = self.ctx.now() - self.job.start;
         let last = self.events.last().unwrap_or_default();
         let endpoint = self.attempts.tried.last();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! threads. Programs can embed the first group without the daemons.
 
 pub mod agent;
+pub mod backing;
 pub mod base;
 pub mod decide;
 pub mod endpoint;
@@ -16,7 +17,6 @@
 pub mod net;
 pub mod observe;
 pub mod operator;
-pub mod platform;
 pub mod process;
 pub mod settings;
 pub mod staging;
--- a/src/observe/logging.rs
+++ b/src/observe/logging.rs
@@ -1,9 +1,13 @@
 //! Logging set-up of the programs.
 
+use std::io::Write;
+
 use log::{LevelFilter, Log, Metadata, Record};
 use simplelog::{ConfigBuilder, LevelPadding, WriteLogger};
 use time::{format_description::FormatItem, macros::format_description};
 
+use super::{lines::LeftOut, LineWriter};
+
 /// UTC with milliseconds.
 const TIME: &[FormatItem<'static>] =
     format_description!("[year]-[month]-[day]T[hour]:[minute]:[second].[subsecond digits:3]Z");
@@ -16,7 +20,7 @@
 ];
 
 /// Passes records to the logger, except the details of libraries.
-struct Filter(Box<WriteLogger<std::io::Stderr>>);
+struct Filter<W: Write + Send + 'static>(Box<WriteLogger<W>>);
 
 /// Returns the least severe level that is kept of a target.
 fn limit(target: &str) -> LevelFilter {
@@ -30,7 +34,7 @@
     LevelFilter::Trace
 }
 
-impl Log for Filter {
+impl<W: Write + Send + 'static> Log for Filter<W> {
     fn enabled(&self, m: &Metadata<'_>) -> bool {
         m.level() <= limit(m.target()) && self.0.enabled(m)
     }
@@ -52,6 +56,26 @@
 ///
 /// Returns an error if the program has a logger already.
 pub fn init_logging(level: LevelFilter) -> Result<(), log::SetLoggerError> {
+    install(level, std::io::stderr())
+}
+
+/// Sends log lines of at least `level` to standard output without ever waiting for it; returns the count of lines that
+/// were left out under load.
+///
+/// # Errors
+///
+/// Returns an error if the thread that writes cannot be started, or the program has a logger already.
+pub fn init_line_logging(level: LevelFilter) -> eyre::Result<LeftOut> {
+    let writer = LineWriter::start(std::io::stdout())?;
+    let left_out = writer.left_out();
+    install(level, writer)?;
+    Ok(left_out)
+}
+
+fn install(
+    level: LevelFilter,
+    out: impl Write + Send + 'static,
+) -> Result<(), log::SetLoggerError> {
     let config = ConfigBuilder::new()
         .set_time_format_custom(TIME)
         .set_thread_level(LevelFilter::Off)
@@ -59,11 +83,7 @@
         .set_target_level(LevelFilter::Debug)
         .set_level_padding(LevelPadding::Right)
         .build();
-    log::set_boxed_logger(Box::new(Filter(WriteLogger::new(
-        level,
-        config,
-        std::io::stderr(),
-    ))))?;
+    log::set_boxed_logger(Box::new(Filter(WriteLogger::new(level, config, out))))?;
     log::set_max_level(level);
     Ok(())
 }
--- a/src/operator/error.rs
+++ b/src/operator/error.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use crate::{kernel::Conflict, platform::PlatformError, settings::Problems};
+use crate::{backing::PlatformError, kernel::Conflict, settings::Problems};
 
 /// Exit code of a command; documented in docs/operations.md and never renumbered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/operator/fleet.rs
+++ b/src/operator/fleet.rs
@@ -7,9 +7,9 @@
 
 use super::OperatorError;
 use crate::{
+    backing::{HostList, HttpPlatform},
     base::{Millis, ProcessName},
     observe::ProcessStatus,
-    platform::{HostList, HttpPlatform},
     wire::HostEntry,
 };
 
--- a/src/operator/invocation.rs
+++ b/src/operator/invocation.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 
 use super::{Code, OperatorError};
-use crate::platform::HttpPlatform;
+use crate::backing::HttpPlatform;
 
 /// Environment variable with the platform's base URL.
 const PLATFORM_VARIABLE: &str = "SESAMEWING_PLATFORM";
--- a/src/operator/publish.rs
+++ b/src/operator/publish.rs
@@ -10,10 +10,10 @@
     status, Change, Code, Command, Fleet, Invocation, OperatorError, Outcome, COMMANDS,
 };
 use crate::{
+    backing::HttpPlatform,
     base::{Clock, Millis, Offset, SystemClock},
     feed::{append, follow, AppendError, Replica},
     kernel::{Body, Effect, Record, RecordError},
-    platform::HttpPlatform,
     settings::Tree,
 };
 
--- a/src/operator/state.rs
+++ b/src/operator/state.rs
@@ -2,10 +2,10 @@
 
 use super::OperatorError;
 use crate::{
+    backing::{HttpPlatform, Log, Stream},
     base::{Millis, Offset},
     feed::snapshot,
     kernel::{Config, Kernel, Refusal},
-    platform::{HttpPlatform, Log, Stream},
     process::CLAIM_WINDOW,
 };
 
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -8,12 +8,12 @@
 
 use super::ProcessSettings;
 use crate::{
+    backing::HttpPlatform,
     base::{Instance, Millis, SystemClock},
     feed::Replica,
     kernel::Kernel,
     net::Transport,
     observe::{Metrics, RoleStatus, Timeline},
-    platform::HttpPlatform,
     wire::{Call, HostEntry, HostState, Open},
 };
 
--- a/src/weights/copy.rs
+++ b/src/weights/copy.rs
@@ -15,9 +15,9 @@
     Version, WeightsError,
 };
 use crate::{
+    backing::WeightStore,
     base::{lock, Clock, Digest, HashMap, Millis, Rate},
     decide::chunk::{Action, Bitmap, Config, Event, Fault, PeerId, Scheduler, Source},
-    platform::WeightStore,
     wire::{Call, Have, HaveUpdate},
 };
 
--- a/src/weights/distribution.rs
+++ b/src/weights/distribution.rs
@@ -10,11 +10,11 @@
     COPY_REPLACED,
 };
 use crate::{
+    backing::{HttpPlatform, WeightStore},
     base::{lock, Digest, HashSet, Rate, Size, VersionName},
     decide::chunk::PeerId,
     emit,
     net::{Incoming, Pacer},
-    platform::{HttpPlatform, WeightStore},
     process::Context,
     wire::{Call, PART_MAX},
 };
--- a/src/weights/fetch.rs
+++ b/src/weights/fetch.rs
@@ -6,11 +6,11 @@
 
 use super::{distribution::Shared, hosts::Peers, ORIGIN_CORRUPT, ORIGIN_FAILED, PEER_CORRUPT};
 use crate::{
+    backing::{PlatformError, WeightStore},
     base::{Digest, Millis, Size},
     decide::chunk::{Fault, Place, Source},
     emit,
     net::NetError,
-    platform::{PlatformError, WeightStore},
     wire::{Call, ChunkReply, ChunkRequest, PART_MAX},
 };
 
--- a/src/weights/source.rs
+++ b/src/weights/source.rs
@@ -3,7 +3,7 @@
 use std::{fmt::Display, future::Future, sync::Arc};
 
 use super::{Complete, Distribution, WeightsError};
-use crate::{base::Digest, platform::WeightStore};
+use crate::{backing::WeightStore, base::Digest};
 
 /// A source of complete versions.
 pub trait Source: Send + Sync + 'static {
--- a/src/weights/upload.rs
+++ b/src/weights/upload.rs
@@ -7,10 +7,10 @@
 
 use super::distribution::Shared;
 use crate::{
+    backing::WeightStore,
     base::{Digest, Millis, Size},
     decide::chunk::Bitmap,
     net::{Call, NetError},
-    platform::WeightStore,
     wire::{encode, ChunkReply, ChunkRequest, Have, HaveUpdate, PART_MAX},
 };
 
--- a/standin/src/corrupt.rs
+++ b/standin/src/corrupt.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use eyre::Result;
 use sesamewing::{
+    backing::HostList,
     base::Size,
     net::{Incoming, NetError},
-    platform::HostList,
     process::{Context, ProcessSettings},
     wire::{Call, ChunkReply, ChunkRequest, HaveUpdate, PART_MAX},
 };
--- a/standin/tests/fault_injection.rs
+++ b/standin/tests/fault_injection.rs
@@ -7,8 +7,8 @@
 use reqwest::Client;
 use serde_json::{json, Value};
 use sesamewing::{
+    backing::{HttpPlatform, Log, PlatformError, Stream, WeightStore},
     base::{Digest, Millis, Offset, Size},
-    platform::{HttpPlatform, Log, PlatformError, Stream, WeightStore},
 };
 use sesamewing_standin::{
     weights::{put_weights, Recipe},
--- a/standin/tests/log_streams.rs
+++ b/standin/tests/log_streams.rs
@@ -5,8 +5,8 @@
 use assert_matches::assert_matches;
 use bytes::Bytes;
 use sesamewing::{
+    backing::{HttpPlatform, Log, PlatformError, Stream},
     base::{wall_ms, Millis, Offset},
-    platform::{HttpPlatform, Log, PlatformError, Stream},
 };
 use sesamewing_standin::{Fault, Platform, PlatformOptions, Server};
 
--- a/standin/tests/program_runs.rs
+++ b/standin/tests/program_runs.rs
@@ -6,7 +6,7 @@
 };
 
 use sesamewing::{
-    platform::{HttpPlatform, WeightStore},
+    backing::{HttpPlatform, WeightStore},
     weights::Manifest,
 };
 
--- a/standin/tests/weight_store.rs
+++ b/standin/tests/weight_store.rs
@@ -5,8 +5,8 @@
 use assert_matches::assert_matches;
 use futures_util::future::join_all;
 use sesamewing::{
+    backing::{HostList, HttpPlatform, PlatformError, WeightStore},
     base::{Digest, Millis, Percent, Rate, Size},
-    platform::{HostList, HttpPlatform, PlatformError, WeightStore},
     weights::Manifest,
     wire::HostEntry,
 };
--- a/tests/agent_claims.rs
+++ b/tests/agent_claims.rs
@@ -14,11 +14,11 @@
 };
 use sesamewing::{
     agent::{Board, Claims, Driver, Identity},
+    backing::Stream,
     base::{Attempt, Clock, Instance, Millis, SystemClock},
     decide::claim::Verdict,
     feed::Replica,
     kernel::{Body, Kernel},
-    platform::Stream,
     process::CLAIM_WINDOW,
     wire::{NotRun, RunOutcome, RunRequest, SettleReply},
 };
--- a/tests/agent_run.rs
+++ b/tests/agent_run.rs
@@ -12,9 +12,9 @@
 };
 use sesamewing::{
     agent,
+    backing::Stream,
     base::{Digest, Offset},
     kernel::{Body, LeaseOp},
-    platform::Stream,
     process::{Context, EndpointKind, Phase},
     wire::{NotRun, Reply, RunOutcome},
 };
--- a/tests/applied_offset.rs
+++ b/tests/applied_offset.rs
@@ -4,10 +4,10 @@
 
 use feed_support::{fleet::Fleet, until};
 use sesamewing::{
+    backing::{Log, Stream},
     base::{wall_ms, Millis, Offset},
     feed,
     kernel::{Entry, Kernel, Record},
-    platform::{Log, Stream},
 };
 use sesamewing_standin::PlatformOptions;
 
--- a/tests/claims_stream.rs
+++ b/tests/claims_stream.rs
@@ -7,12 +7,12 @@
 use feed_support::log::MemLog;
 use sesamewing::{
     agent::{Board, Claims, Driver, Identity},
+    backing::Stream,
     base::{Attempt, Clock, Instance, Millis, Offset, RequestId, SystemClock},
     decide::claim::Verdict,
     endpoint::Plain,
     feed::Replica,
     kernel::Kernel,
-    platform::Stream,
     wire::{NotRun, RunOutcome, RunRequest},
 };
 use sesamewing_standin::{Endpoint, EndpointOptions, Kind, Server};
--- a/tests/common/agent/log.rs
+++ b/tests/common/agent/log.rs
@@ -7,9 +7,9 @@
 
 use bytes::Bytes;
 use sesamewing::{
+    backing::{Log, Page, PlatformError, Stream},
     base::{wall_ms, Millis, Offset},
     kernel::{Body, Entry, Record},
-    platform::{Log, Page, PlatformError, Stream},
 };
 use tokio::sync::watch;
 
--- a/tests/common/agent/platform.rs
+++ b/tests/common/agent/platform.rs
@@ -7,9 +7,9 @@
 };
 
 use sesamewing::{
+    backing::{Log, PlatformError, Stream},
     base::{Digest, Millis, Offset, Size, VersionName},
     kernel::{Body, NodePath, Publish},
-    platform::{Log, PlatformError, Stream},
     weights::Manifest,
     wire::HostEntry,
 };
--- a/tests/feed_log.rs
+++ b/tests/feed_log.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use feed_support::log::MemLog;
 use sesamewing::{
+    backing::Stream,
     base::{Millis, Offset},
     feed::{snapshot, Cause, LogReader, Polled, Replica},
     kernel::{Kernel, Record},
-    platform::Stream,
 };
 
 const WINDOW: Millis = Millis::from_secs(3600);
--- a/tests/feed_support/fleet.rs
+++ b/tests/feed_support/fleet.rs
@@ -10,12 +10,12 @@
 };
 
 use sesamewing::{
+    backing::{HostList, HttpPlatform, Log, Stream},
     base::{Millis, Offset, Percent, Rate, Size},
     decide::feed::plan,
     feed,
     kernel::{Kernel, Record},
     net::TlsFiles,
-    platform::{HostList, HttpPlatform, Log, Stream},
     process::{Context, Links, ProcessSettings},
     wire::{Call, HostEntry, Role},
 };
--- a/tests/feed_tree.rs
+++ b/tests/feed_tree.rs
@@ -10,10 +10,10 @@
     until,
 };
 use sesamewing::{
+    backing::HostList,
     base::{Millis, Offset},
     decide::feed::DEGREE,
     feed,
-    platform::HostList,
 };
 use sesamewing_standin::{Fault, PlatformOptions};
 
--- a/tests/gateway_http.rs
+++ b/tests/gateway_http.rs
@@ -13,6 +13,7 @@
         self, Bounds, Catalog, CatalogVersion, GatewaySettings, Headers, Listen, Repeat, Route,
         ServiceSpec, Topic, WorkspaceSpec,
     },
+    observe::LeftOut,
 };
 use tokio::{io::AsyncWriteExt, net::TcpStream, task::LocalSet};
 
@@ -27,6 +28,7 @@
             callers: addr(1, CALLERS),
             readiness: Some(addr(1, 8002)),
             directory: Some(addr(1, 8003)),
+            metrics: Some(addr(1, 8005)),
             peers: addr(1, 8004),
         },
         seeds: Vec::new(),
@@ -132,7 +134,12 @@
             store.write(Topic::Endpoints, &format!("e{i}"), &value);
         }
         store.write(Topic::Operator, "config", "1");
-        let run = gateway::run::<_, TestDecode>(|| Ok(settings()), Headers::default(), store);
+        let run = gateway::run::<_, TestDecode>(
+            || Ok(settings()),
+            Headers::default(),
+            store,
+            LeftOut::default(),
+        );
         tokio::task::spawn_local(run);
         while !ask(addr(1, 8002), "GET /ready HTTP/1.0\r\n\r\n", 300)
             .await
@@ -296,6 +303,19 @@
     });
 }
 
+/// Guards against requests that metrics do not show.
+#[test]
+fn metrics_count_requests() {
+    with_gateway(vec![answer("200 OK", "yes")], |_| async move {
+        ask(addr(1, CALLERS), &request("/once/x"), 1000).await;
+        ask(addr(1, CALLERS), &request("/none/x"), 1000).await;
+        let text = ask(addr(1, 8005), "GET /metrics HTTP/1.0\r\n\r\n", 500).await;
+        let served = "requests_total{service=\"plain\",status=\"200\",reason=\"endpoint\"} 1";
+        assert!(text.contains(served), "{text}");
+        assert!(text.contains("reason=\"no-route\"} 1"), "{text}");
+    });
+}
+
 /// Guards against callers that learn no address, or one of an entry that is not ready.
 #[test]
 fn directory_names_this_entry() {
--- a/tests/load_order.rs
+++ b/tests/load_order.rs
@@ -15,12 +15,12 @@
 use common::{fake::Fake, log::MemLog, platform::Platform, until};
 use sesamewing::{
     agent::{Board, Lessee, Loader},
+    backing::{Log, Page, PlatformError, Stream},
     base::{Clock, Digest, Instance, Millis, Offset},
     decide::lease::{LeaseHolder, MARGIN, TERM},
     feed::Replica,
     kernel::{Body, Kernel, LeaseOp, Record},
     observe::{RoleStatus, Timeline},
-    platform::{Log, Page, PlatformError, Stream},
     process::Fencing,
     weights::{Complete, Source, WeightsError},
 };
--- a/tests/snapshot_restore.rs
+++ b/tests/snapshot_restore.rs
@@ -6,11 +6,11 @@
 
 use feed_support::{fleet::Fleet, gate::Gate, log::MemLog, until, PATIENCE};
 use sesamewing::{
+    backing::{HttpPlatform, Log, Stream},
     base::{Millis, Offset},
     decide::feed::{snapshot_rank, SnapshotTimer, RECORDS_MAX},
     feed::{snapshot, write_snapshots, LogReader, Replica},
     kernel::{Body, Kernel, NodePath, Publish, Record},
-    platform::{HttpPlatform, Log, Stream},
 };
 use sesamewing_standin::PlatformOptions;
 
--- a/tests/weight_exchange/cluster.rs
+++ b/tests/weight_exchange/cluster.rs
@@ -8,11 +8,11 @@
 
 use bytes::Bytes;
 use sesamewing::{
+    backing::{PlatformError, WeightStore},
     base::{Digest, HashMap, Millis, Offset, Percent, Rate, Size},
     decide::chunk::Bitmap,
     kernel::{Body, Effect, Entry, NodePath, Publish, Record},
     net::{Incoming, TlsFiles, SERVER_NAME},
-    platform::{PlatformError, WeightStore},
     process::{Context, EndpointKind, EndpointSettings, Fencing, Links, ProcessSettings},
     weights::{Distribution, Manifest, Totals},
     wire::{Call, ChunkReply, ChunkRequest, HaveUpdate, HostEntry, Hosts, Role},
