--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -309,10 +309,10 @@
             return slots + slots * PLAIN_QUEUE;
         };
         let waits = self.version(e, wanted.model) >= Some(wanted.waiting);
-        match (waits, ask.late) {
-            (false, _) => slots - slots / BEGIN_SHARE,
-            (true, true) => slots,
-            (true, false) => slots + ENGINE_QUEUE,
+        if waits {
+            slots + ENGINE_QUEUE
+        } else {
+            slots - slots / BEGIN_SHARE
         }
     }
 
