--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -5,7 +5,7 @@
 //! | steady | the least loaded of a few random endpoints, nearer ones first |
 //! | more than the endpoints can serve in time | refused at once, with a spread time to return |
 //! | a new version is named | long requests avoid an endpoint whose turn to load is near |
-//! | callers return after a refusal | they take only free slots; new requests may also wait in an endpoint's short queue |
+//! | callers return after a refusal | admitted like new ones, but behind them in an endpoint's queue |
 //! | an endpoint turns requests away | passed over for a short time that doubles |
 //! | an endpoint fails part of its requests | used only when the others are loaded |
 //! | an endpoint is lost | its breaker opens |
@@ -169,8 +169,6 @@
     pub tried: &'a [EndpointId],
     /// Time for which the request keeps a slot, as far as it can be foreseen.
     pub duration: Millis,
-    /// Whether the request returns after a refusal or is a further attempt, so that it cannot be in time any more.
-    pub late: bool,
 }
 
 /// Why a request is sent nowhere.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -145,7 +145,6 @@
         exact: attempts.version,
         tried: &attempts.tried,
         duration: engine.map_or(Millis::ZERO, |e| e.duration(job.prompt, job.output)),
-        late: job.late || attempts.sent > 0,
     };
     let fleet = ctx.fleet.borrow();
     let mut balance = ctx.balance.borrow_mut();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -36,14 +36,14 @@
 /// entries together load the store, and within limits, because an endpoint that leaves has to be known in time.
 const ENDPOINTS_PAUSE: Pause = Pause {
     each: Millis(45),
-    least: Millis(500),
+    least: Millis(650),
     most: Millis(1100),
 };
 
 /// Pause while endpoints load weights: until its record is read, an endpoint stands idle after its load.
 const ENDPOINTS_PAUSE_LOADING: Pause = Pause {
     each: Millis(25),
-    least: Millis(300),
+    least: Millis(350),
     most: Millis(800),
 };
 
--- a/tests/gateway_http.rs
+++ b/tests/gateway_http.rs
@@ -200,6 +200,23 @@
     });
 }
 
+/// Pattern: callers return after a refusal. Guards against returning callers that make new requests late.
+#[test]
+fn returning_callers_are_less_urgent() {
+    with_gateway(vec![answer("200 OK", "yes")], |seen| async move {
+        let new = request("/safe/x").replace("2500", "3000\r\nX-Model: m");
+        let back = request("/safe/x").replace("2500", "1500\r\nX-Model: m");
+        ask(addr(1, CALLERS), &new, 1000).await;
+        ask(addr(1, CALLERS), &back, 1000).await;
+        let requests = seen[0].requests.borrow().clone();
+        let urgency: Vec<u8> = requests
+            .iter()
+            .filter_map(|r| header(r, "x-priority")?.parse().ok())
+            .collect();
+        assert!(urgency.len() == 2 && urgency[0] < urgency[1], "{urgency:?}");
+    });
+}
+
 /// Guards against a response of another request that is passed on.
 #[test]
 fn crossed_responses_are_dropped() {
