--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -3,7 +3,7 @@
 //! | load pattern | what happens |
 //! |---|---|
 //! | steady | the least loaded of a few random endpoints, nearer ones first |
-//! | more than the endpoints can serve in time | refused at once, with a spread time to return |
+//! | more than the endpoints can serve in time | refused at once beyond the slots, with a short, spread time to return |
 //! | a new version is named | long requests avoid an endpoint whose turn to load is near |
 //! | callers return after a refusal | admitted like new ones, but behind them in an endpoint's queue |
 //! | an endpoint turns requests away | passed over for a short time that doubles |
@@ -54,17 +54,14 @@
 /// Age at which the requests that another entry told are no longer counted.
 const TOLD_LIFETIME: Millis = Millis(1200);
 
-/// Requests that may wait at an engine beyond its slots.
-const ENGINE_QUEUE: u32 = 3;
-
 /// Part of an engine's slots, as a divisor, that stays free where a request has to begin at once.
 const BEGIN_SHARE: u32 = 5;
 
 /// Requests that may wait at a plain endpoint, for each slot.
 const PLAIN_QUEUE: u32 = 2;
 
-/// Mean time after which a refused caller is asked to return.
-const RETURN: Millis = Millis(1000);
+/// Mean time after which a refused caller is asked to return: within its objective if a slot is free by then.
+const RETURN: Millis = Millis(250);
 
 /// Load that an endpoint reports in its responses.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -308,7 +305,7 @@
         };
         let waits = self.version(e, wanted.model) >= Some(wanted.waiting);
         if waits {
-            slots + ENGINE_QUEUE
+            slots
         } else {
             slots - slots / BEGIN_SHARE
         }
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -75,10 +75,10 @@
 /// Pattern: more requests than can be served in time. Guards against queues in which all requests become late, and
 /// against refusals while slots are free.
 #[test]
-fn overload_is_refused_beyond_a_short_queue() {
+fn overload_is_refused_beyond_the_slots() {
     let (mut balance, fleet, home) = (Balance::default(), fleet(4), zone("a"));
     let (sent, refusal) = fill(&mut balance, &fleet, &ask(&home));
-    assert!((4 * SLOTS..=4 * (SLOTS + 4)).contains(&sent), "{sent}");
+    assert_eq!(sent, 4 * SLOTS);
     let Refusal::Overloaded(retry) = refusal else {
         panic!("{refusal:?}");
     };
