--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -87,8 +87,6 @@
     pub sequence_ms: f64,
     /// Prompt tokens read in a millisecond.
     pub prompt_rate: f64,
-    /// Decoding steps between two events of a stream.
-    pub stride: u32,
 }
 
 impl EngineSpeed {
@@ -98,13 +96,6 @@
         let ms = f64::from(prompt) / self.prompt_rate.max(0.001) + f64::from(output) * step;
         Millis(ms as u64)
     }
-
-    /// Estimates the engine's time for the tokens of one request, when its batch is full.
-    pub fn cost_ms(&self, prompt: u32, output: u32) -> f64 {
-        let slots = f64::from(self.slots.max(1));
-        let step = self.step_ms + self.sequence_ms * slots;
-        f64::from(prompt) / self.prompt_rate.max(0.001) + f64::from(output) * step / slots
-    }
 }
 
 /// Weights that a service's engines load.
@@ -112,10 +103,6 @@
 pub struct ServiceWeights {
     /// Model names.
     pub models: Vec<Rc<str>>,
-    /// Chunks of one version.
-    pub chunks: u32,
-    /// Size of a chunk, in bytes.
-    pub chunk_bytes: u32,
 }
 
 /// A service.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -205,9 +205,4 @@
             .find(|(name, _)| &**name == model)
             .map(|(_, v)| *v)
     }
-
-    /// Returns the versions of all models that the endpoint has loaded.
-    pub fn loaded(&self) -> impl Iterator<Item = &(Rc<str>, WeightVersion)> {
-        self.record.models.iter()
-    }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,13 +13,13 @@
 
 use super::{
     accept::Job,
-    balance::{Ask, Load, Loads, Outcome, Refusal, Wanted},
+    balance::{Load, Outcome, Refusal},
     catalog::Repeat,
+    choose::choose,
     context::{Context, InFlight},
     events::EventId,
     fleet::EndpointId,
     log_event,
-    named::Named,
     record::WeightVersion,
     reply::Reject,
 };
@@ -54,6 +54,8 @@
     pub(super) addr: SocketAddr,
     pub(super) flight: InFlight,
     pub(super) connection: Connection,
+    /// Idle connections to the endpoint that may be kept.
+    pub(super) idle_max: usize,
     /// When the response has to have begun, because a newer version of the weights binds then.
     pub(super) begin_by: Option<Millis>,
 }
@@ -105,56 +107,6 @@
     }
 }
 
-/// Endpoint of an attempt: its id and address, when the request has to have begun, and the oldest version for it.
-type Choice = (
-    EndpointId,
-    SocketAddr,
-    Option<Millis>,
-    Option<WeightVersion>,
-);
-
-fn choose(ctx: &Context, job: &Job, attempts: &Attempts, now: Millis) -> Result<Choice, Refusal> {
-    let engine = {
-        let catalog = ctx.catalog.borrow();
-        let spec = catalog.as_ref().and_then(|c| c.services.get(&job.service));
-        spec.and_then(|s| s.engine)
-    };
-    let all = ctx.named.borrow();
-    let model = job.model.as_deref().filter(|_| engine.is_some());
-    let named = model.and_then(|m| all.get(m));
-    let newest = named.and_then(Named::newest);
-    let turns = newest.map(|v| ctx.turns(&job.service, v));
-    let weights = model.map(|model| {
-        let (oldest, waiting) = named.map(|n| ctx.oldest_versions(n)).unwrap_or_default();
-        let bound = ctx.bounds.get().version;
-        let loads = turns.as_deref().zip(named).map(|(turns, named)| Loads {
-            turns,
-            named,
-            bound,
-        });
-        Wanted {
-            model,
-            loads,
-            oldest,
-            waiting,
-        }
-    });
-    let ask = Ask {
-        zone: &ctx.settings.zone,
-        weights,
-        exact: attempts.version,
-        tried: &attempts.tried,
-        duration: engine.map_or(Millis::ZERO, |e| e.duration(job.prompt, job.output)),
-    };
-    let fleet = ctx.fleet.borrow();
-    let mut balance = ctx.balance.borrow_mut();
-    let e = balance.pick(fleet.of(&job.service), &ask, now)?;
-    let version = model.and_then(|m| balance.version(e, m));
-    let begin_by = version.and_then(|v| ctx.begin_by(model?, v));
-    let oldest = weights.map(|w| w.oldest);
-    Ok((e.id.clone(), e.record.addr, begin_by, oldest))
-}
-
 /// Sends a request once.
 pub(super) async fn attempt(
     ctx: &Rc<Context>,
@@ -163,7 +115,8 @@
     last: Option<EventId>,
 ) -> Result<Attempt, Refusal> {
     let now = ctx.now();
-    let (id, addr, begin_by, oldest) = choose(ctx, job, attempts, now)?;
+    let choice = choose(ctx, job, attempts, now)?;
+    let (id, addr) = (choice.id, choice.addr);
     attempts.tried.push(id.clone());
     let flight = InFlight::begin(ctx, id.clone());
     let limit = CONNECT.min(job.deadline - now);
@@ -186,9 +139,10 @@
         addr,
         flight,
         connection,
-        begin_by,
+        idle_max: choice.idle_max,
+        begin_by: choice.begin_by,
     };
-    Ok(send(ctx, job, attempts, target, last, oldest).await)
+    Ok(send(ctx, job, attempts, target, last, choice.oldest).await)
 }
 
 async fn open(
@@ -364,16 +318,16 @@
 
 /// Reads the rest of a refusal, so that its connection can be used again.
 async fn finish(ctx: &Context, target: Target, head: &Parts, body: Incoming) {
-    target.flight.end(Outcome::Refused);
+    let idle = target.end(Outcome::Refused);
     let small = body.size_hint().upper().is_some_and(|n| n <= REFUSAL_MAX);
     let read = tokio::time::timeout(REFUSAL_TIME.duration(), body.collect());
     if small && read.await.is_ok_and(|r| r.is_ok()) {
-        keep(ctx, target.addr, target.connection, &head.headers);
+        keep(ctx, idle, &head.headers);
     }
 }
 
 /// Returns a connection to the pool.
-pub(super) fn keep(ctx: &Context, addr: SocketAddr, connection: Connection, headers: &HeaderMap) {
+pub(super) fn keep(ctx: &Context, target: Idle, headers: &HeaderMap) {
     let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
     if text("connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
         return;
@@ -382,8 +336,30 @@
         .and_then(|v| v.split("timeout=").nth(1))
         .and_then(|v| v.split(',').next()?.trim().parse::<u64>().ok());
     // The endpoint closes at the stated time; a request must not cross that.
-    let idle = seconds.map_or(IDLE, |s| Millis(s * 700).min(IDLE));
-    ctx.pool.put(addr, connection, ctx.now() + idle);
+    let time = seconds.map_or(IDLE, |s| Millis(s * 700).min(IDLE));
+    let expires = ctx.now() + time;
+    ctx.pool
+        .put(target.addr, target.connection, expires, target.max);
+}
+
+/// A connection without a request.
+#[derive(Debug)]
+pub(super) struct Idle {
+    addr: SocketAddr,
+    connection: Connection,
+    max: usize,
+}
+
+impl Target {
+    /// Ends the request at the endpoint and returns its connection.
+    pub(super) fn end(self, outcome: Outcome) -> Idle {
+        self.flight.end(outcome);
+        Idle {
+            addr: self.addr,
+            connection: self.connection,
+            max: self.idle_max,
+        }
+    }
 }
 
 async fn whole(
@@ -412,7 +388,6 @@
             return Attempt::TimedOut;
         }
     };
-    keep(ctx, target.addr, target.connection, &head.headers);
     let status = head.status;
     let mut res = Response::new(Full::new(body));
     *res.status_mut() = status;
@@ -423,15 +398,19 @@
         StatusCode::SERVICE_UNAVAILABLE,
         StatusCode::REQUEST_TIMEOUT,
     ];
+    let failed = promise.contains(&status) || status.is_server_error();
+    let outcome = if failed {
+        Outcome::Failed
+    } else {
+        Outcome::Served
+    };
+    keep(ctx, target.end(outcome), &head.headers);
     if promise.contains(&status) {
-        target.flight.end(Outcome::Failed);
         return Attempt::Lost;
     }
-    if status.is_server_error() {
-        target.flight.end(Outcome::Failed);
+    if failed {
         return Attempt::Failed(res);
     }
-    target.flight.end(Outcome::Served);
     Attempt::Whole(res)
 }
 
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -31,8 +31,6 @@
     pub model: HeaderName,
     /// Prompt tokens and most output tokens.
     pub tokens: HeaderName,
-    /// Caller's estimate of the output tokens.
-    pub hint: HeaderName,
     /// Last event of a stream that the caller has.
     pub last_event: HeaderName,
 }
@@ -54,7 +52,6 @@
             versions: name("x-weight-version"),
             model: name("x-model"),
             tokens: name("x-tokens"),
-            hint: name("x-output-hint"),
             last_event: name("last-event-id"),
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,17 +7,20 @@
 mod accept;
 mod balance;
 mod catalog;
+mod choose;
 mod context;
 mod directory;
 mod events;
 mod fleet;
 mod follow;
+mod followers;
 mod forward;
 mod headers;
 mod log_event;
 mod members;
 mod metrics;
 mod named;
+mod peers;
 mod record;
 mod reply;
 mod run;
@@ -35,6 +38,7 @@
 pub use events::{EventError, EventId, Events};
 pub use fleet::{Change, Endpoint, EndpointId, Fleet, RENEWAL};
 pub use follow::{follow, Follower};
+pub use followers::Decode;
 pub use headers::Headers;
 pub use members::{Beat, Datagram, EndpointHash, Member, Members, NamedAge};
 pub use named::Named;
@@ -43,6 +47,6 @@
     WeightVersion,
 };
 pub use reply::Reject;
-pub use run::{run, Decode};
+pub use run::run;
 pub use settings::{Bounds, GatewaySettings, Listen};
 pub use turns::Turns;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -42,13 +42,10 @@
         Ok(job) => run(&ctx, job, running).await,
         Err(reject) => {
             log_rejected(&ctx, reject);
-            Ok(reject.response())
+            Answer::Whole(reject.response())
         }
     }
-    .map_or_else(
-        |r| r.map(|s| Either::Right(StreamBody::new(s))),
-        |r| r.map(Either::Left),
-    );
+    .into_response();
     if draining {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
@@ -75,12 +72,27 @@
     );
 }
 
-/// Runs a request; returns a whole response, or a stream as the error.
+/// Answer to a caller.
+enum Answer<S> {
+    Whole(Whole),
+    Stream(Response<S>),
+}
+
+impl<S> Answer<S> {
+    fn into_response(self) -> Response<Either<Full<Bytes>, StreamBody<S>>> {
+        match self {
+            Self::Whole(res) => res.map(Either::Left),
+            Self::Stream(res) => res.map(|s| Either::Right(StreamBody::new(s))),
+        }
+    }
+}
+
+/// Runs a request.
 async fn run(
     ctx: &Rc<Context>,
     job: Job,
     running: Running,
-) -> Result<Whole, Response<impl Stream<Item = Result<Frame<Bytes>, Cut>>>> {
+) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Cut>>> {
     ctx.count_request(&job.service);
     let mut attempts = Attempts::new();
     match forward(ctx, &job, &mut attempts).await {
@@ -89,7 +101,7 @@
             *res.status_mut() = begun.head.status;
             *res.headers_mut() = response_headers(&begun.head.headers);
             let relay = Relay::new(ctx, job, attempts, *begun, running);
-            Err(res.map(|()| relay.into_stream()))
+            Answer::Stream(res.map(|()| relay.into_stream()))
         }
         Ok(Attempt::Whole(res) | Attempt::Failed(res)) => {
             log_ended(ctx, &job, &attempts, res.status(), "answered");
@@ -102,13 +114,13 @@
                 .response
                 .get_or_create(&by_service)
                 .observe(time);
-            Ok(res)
+            Answer::Whole(res)
         }
-        Ok(_) => Ok(Reject::Lost.response()),
+        Ok(_) => Answer::Whole(Reject::Lost.response()),
         Err(reject) => {
             log_ended(ctx, &job, &attempts, reject.status(), &reject.to_string());
             count_ended(ctx, job.service.as_str(), reject.status(), reject.reason());
-            Ok(reject.response())
+            Answer::Whole(reject.response())
         }
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -163,10 +163,9 @@
         let Some(source) = self.source.take() else {
             return;
         };
-        let target = source.target;
-        target.flight.end(outcome);
+        let idle = source.target.end(outcome);
         if outcome == Outcome::Served {
-            keep(&self.ctx, target.addr, target.connection, &source.headers);
+            keep(&self.ctx, idle, &source.headers);
         }
     }
 
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -15,6 +15,12 @@
 /// Longest time to open a connection.
 const CONNECT: Millis = Millis(600);
 
+/// Time for which an idle connection is kept after a call.
+const IDLE: Millis = Millis(4000);
+
+/// Idle connections kept for one address after calls.
+const IDLE_MAX: usize = 8;
+
 /// Why a call brought no response.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
@@ -59,9 +65,6 @@
     let res = tokio::time::timeout(limit.duration(), exchange)
         .await
         .map_err(|_| lost(format!("no response within {limit}")))??;
-    pool.put(addr, conn, now + limit + IDLE);
+    pool.put(addr, conn, now + limit + IDLE, IDLE_MAX);
     Ok(res)
 }
-
-/// Time for which an idle connection is kept after a call.
-const IDLE: Millis = Millis(4000);
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -5,9 +5,6 @@
 use super::connect::{connect, Connection};
 use crate::base::{HashMap, Millis};
 
-/// Idle connections kept for one address.
-const IDLE_MAX: usize = 24;
-
 /// A connection that is ready for a request.
 #[derive(Debug)]
 pub struct Checkout {
@@ -64,14 +61,14 @@
         None
     }
 
-    /// Keeps a connection whose last response was read completely until `expires`.
-    pub fn put(&self, addr: SocketAddr, connection: Connection, expires: Millis) {
+    /// Keeps a connection whose last response was read completely until `expires`, unless `max` are kept already.
+    pub fn put(&self, addr: SocketAddr, connection: Connection, expires: Millis, max: usize) {
         if connection.is_closed() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(addr).or_default();
-        if list.len() < IDLE_MAX {
+        if list.len() < max {
             list.push(Idle {
                 connection,
                 expires,
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -4,6 +4,7 @@
 //! The endpoint holds the staged chunks, so an agent keeps no content: what it serves to other hosts it reads from the
 //! endpoint. Which chunk comes from where is decided by [`crate::decide::chunk`].
 
+mod agent;
 mod copy;
 mod exchange;
 mod holdings;
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -1,36 +1,24 @@
-//! The agent process: brings the endpoint on its host to the version that the operator named.
+//! The agent process: sockets, followers of the store and shutdown.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap as RegionMap,
-    marker::PhantomData,
-    net::SocketAddr,
-    rc::Rc,
-};
+use std::{cell::Cell, collections::HashMap as RegionMap, net::SocketAddr, rc::Rc};
 
 use eyre::WrapErr;
 use tokio::{
     signal::unix::{signal, SignalKind},
-    sync::{watch, Notify},
+    sync::watch,
     task::spawn_local,
 };
 
 use super::{
-    copy::{copy, CopyContext},
-    exchange::{Client, Exchange, LINK_SHARE},
-    holdings::{is_intact, Holdings},
-    log_event,
-    peers::{Location, Peers},
-    EndpointHost, HostReport, LoadAnswer, Manifest, Origin,
+    agent::Agent,
+    exchange::{Exchange, LINK_SHARE},
+    holdings::Holdings,
+    log_event, EndpointHost, Origin,
 };
 use crate::{
-    base::{Clock, HashMap, Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
-    decide::{chunk::Topology, rollout::Rollout},
+    base::{Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
     emit,
-    gateway::{
-        follow, Catalog, Decode, Follower, Intent, Named, OriginSpec, Record, RecordStore, Topic,
-        WeightVersion,
-    },
+    gateway::{follow, Decode, Follower, Intent, Record, RecordStore, Topic},
     http::{listen, ServeOptions},
     net::Pacer,
 };
@@ -39,20 +27,11 @@
 const WAIT: Millis = Millis(2500);
 
 /// Time between two looks at the endpoint, which answers its own host for free.
-const REPORT: Millis = Millis(150);
+pub(super) const REPORT: Millis = Millis(150);
 
 /// Time between two reads of the list of hosts while a copy is in progress.
 const PEERS_REFRESH: Millis = Millis(1000);
 
-/// Time after a failed call.
-const RETRY: Millis = Millis(200);
-
-/// Time after which an order without an effect is given again.
-const ORDER_RETRY: Millis = Millis(1000);
-
-/// Share of the chunks from which a copy is completed although a newer version was named.
-const NEARLY: (u32, u32) = (3, 4);
-
 /// Time that a stopping agent gives to transfers in progress.
 const STOP: Millis = Millis(1500);
 
@@ -75,38 +54,6 @@
     pub link: Rate,
 }
 
-/// A version of a model.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Target {
-    model: Rc<str>,
-    /// `None` before the operator named one: the newest of the origin.
-    version: Option<WeightVersion>,
-}
-
-struct Agent<S, D, H, O> {
-    settings: AgentSettings,
-    store: S,
-    host: H,
-    origin: O,
-    clock: SystemClock,
-    /// Keeps downloads within their share of the link.
-    down_pacer: Rc<Pacer>,
-    holdings: Rc<Holdings>,
-    client: Client,
-    peers: Rc<RefCell<Rc<Peers>>>,
-    /// Own model and the origin, from the catalog.
-    model: RefCell<Option<Rc<str>>>,
-    origin_spec: RefCell<Option<OriginSpec>>,
-    named: RefCell<HashMap<Rc<str>, Named>>,
-    report: RefCell<Option<HostReport>>,
-    copying: Cell<bool>,
-    /// Whether a complete version waits for its turn or loads.
-    loading: Cell<bool>,
-    /// Wakes the main loop when the target or the endpoint changed.
-    changed: Notify,
-    _decode: PhantomData<D>,
-}
-
 /// Runs an agent until it is told to stop.
 ///
 /// # Errors
@@ -124,13 +71,6 @@
     H: EndpointHost,
     O: Origin,
 {
-    let location = Location {
-        me: settings.exchange,
-        zone: settings.zone.clone(),
-        regions: settings.regions.clone(),
-        origin: None,
-    };
-    let peers = Peers::new(&location, &settings.service, std::iter::empty());
     let holdings = Rc::new(Holdings::default());
     let clock = SystemClock::start();
     let rate = settings.link.share(LINK_SHARE);
@@ -153,25 +93,14 @@
     let (closing, closed) = watch::channel(false);
     let handler = move |req| exchange.clone().answer(req);
     let serving = spawn_local(listener.serve(ServeOptions::default, handler, closed));
-    let agent = Rc::new(Agent::<S, D, H, O> {
-        store: store.clone(),
+    let agent = Rc::new(Agent::<S, D, H, O>::new(
+        settings,
+        store.clone(),
         host,
         origin,
-        clock,
-        down_pacer: pacer(),
         holdings,
-        client: Client::new(),
-        peers: Rc::new(RefCell::new(Rc::new(peers))),
-        model: RefCell::default(),
-        origin_spec: RefCell::default(),
-        named: RefCell::default(),
-        report: RefCell::default(),
-        copying: Cell::default(),
-        loading: Cell::default(),
-        changed: Notify::new(),
-        settings,
-        _decode: PhantomData,
-    });
+        pacer(),
+    ));
     spawn_local(follow(
         store,
         Topic::Operator,
@@ -267,316 +196,3 @@
         }
     }
 }
-
-impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
-    fn now(&self) -> Millis {
-        self.clock.now()
-    }
-
-    fn set_catalog(&self, catalog: &Catalog) {
-        let spec = catalog.services.get(&self.settings.service);
-        let model = spec.and_then(|s| s.weights.as_ref()?.models.first().cloned());
-        *self.origin_spec.borrow_mut() = catalog.origin().cloned();
-        let before = self.model.replace(model.clone());
-        if before != model {
-            self.changed.notify_one();
-        }
-    }
-
-    fn name_version(&self, model: Rc<str>, version: WeightVersion, found: bool) {
-        let now = self.now();
-        let newer = {
-            let mut named = self.named.borrow_mut();
-            let versions = named.entry(model.clone()).or_default();
-            if found {
-                versions.find(version)
-            } else {
-                versions.name(version, now)
-            }
-        };
-        emit!(
-            log_event::NAMED,
-            "model={model} version={version} newer={newer} found={found}"
-        );
-        if newer {
-            self.changed.notify_one();
-        }
-    }
-
-    /// Reads the endpoint's report.
-    async fn look(&self) {
-        let report = match self.host.report().await {
-            Ok(report) => Some(report),
-            Err(e) => {
-                log::debug!("no report of the endpoint: {e}");
-                None
-            }
-        };
-        let before = self.report.replace(report.clone());
-        if before == report {
-            return;
-        }
-        let born = |r: &Option<HostReport>| r.as_ref().map(|r| r.born);
-        emit!(
-            log_event::ENDPOINT,
-            "answers={} born={} busy={} loaded={}",
-            report.is_some(),
-            born(&report).unwrap_or_default(),
-            report.as_ref().is_some_and(|r| r.busy),
-            self.loaded().unwrap_or_default()
-        );
-        let restarted = report.is_some() && born(&before).is_some_and(|b| Some(b) != born(&report));
-        if restarted || before.is_none() {
-            self.holdings.clear();
-        }
-        self.changed.notify_one();
-    }
-
-    /// Returns the loaded version of the own model.
-    fn loaded(&self) -> Option<WeightVersion> {
-        let model = self.model.borrow();
-        let report = self.report.borrow();
-        let models = &report.as_ref()?.models;
-        let loaded = models.iter().find(|m| Some(&m.0) == model.as_ref())?;
-        Some(loaded.1)
-    }
-
-    fn target(&self) -> Option<Target> {
-        let model = self.model.borrow().clone()?;
-        let named = self.named.borrow();
-        let version = named.get(&model).and_then(Named::newest);
-        Some(Target { model, version })
-    }
-
-    /// Waits until the target is another one, or the endpoint restarts. A newer version waits until a complete one is
-    /// loaded: the staged chunks would be lost, and all hosts would have to load the newer one at the same time.
-    async fn superseded(&self, target: &Target) {
-        let born = self.born();
-        loop {
-            self.changed.notified().await;
-            let newer = self.target().as_ref() != Some(target) && !self.is_nearly_loaded();
-            if newer || self.born() != born {
-                // The next step looks at the change too.
-                self.changed.notify_one();
-                return;
-            }
-        }
-    }
-
-    /// Returns whether the present version is loaded sooner than a newer one could be copied.
-    fn is_nearly_loaded(&self) -> bool {
-        let (held, chunks) = self.holdings.progress();
-        self.loading.get() || (self.copying.get() && held * NEARLY.1 >= chunks * NEARLY.0)
-    }
-
-    fn born(&self) -> Option<u64> {
-        self.report.borrow().as_ref().map(|r| r.born)
-    }
-
-    /// Reads the hosts of the service.
-    async fn read_peers(&self) {
-        let records = match self.store.newest(Topic::Endpoints).await {
-            Ok(records) => records.records,
-            Err(e) => {
-                log::debug!("the list of hosts cannot be read: {e}");
-                return;
-            }
-        };
-        let values = records.iter().filter_map(|r| r.value.as_ref());
-        let endpoints: Vec<_> = values.filter_map(|v| D::endpoint(v).ok()).collect();
-        let origin = self
-            .origin_spec
-            .borrow()
-            .as_ref()
-            .and_then(|o| o.zone.clone());
-        let location = Location {
-            me: self.settings.exchange,
-            zone: self.settings.zone.clone(),
-            regions: self.settings.regions.clone(),
-            origin,
-        };
-        let peers = Peers::new(&location, &self.settings.service, endpoints.iter());
-        let same = |a: &Topology, b: &Topology| a.members() == b.members();
-        let changed = !same(&peers.topology, &self.peers.borrow().topology);
-        if changed {
-            *self.peers.borrow_mut() = Rc::new(peers);
-        }
-    }
-
-    /// Brings the endpoint to the target, or waits for a change.
-    async fn step(&self) {
-        let target = self.target().filter(|_| self.report.borrow().is_some());
-        let Some(target) = target else {
-            self.changed.notified().await;
-            return;
-        };
-        tokio::select! {
-            () = self.bring(&target) => {}
-            () = self.superseded(&target) => {
-                emit!(log_event::COPY, "model={} state=superseded", target.model);
-            }
-        }
-        self.copying.set(false);
-        self.loading.set(false);
-    }
-
-    async fn bring(&self, target: &Target) {
-        self.copying.set(true);
-        let Some(manifest) = self.manifest(target).await else {
-            tokio::time::sleep(RETRY.duration()).await;
-            return;
-        };
-        let manifest = Rc::new(manifest);
-        self.holdings.begin(&target.model, &manifest);
-        let begun = self.now();
-        let kept = self.check(&target.model, &manifest).await;
-        emit!(
-            log_event::COPY,
-            "model={} version={} state=begun kept={kept} of={}",
-            target.model,
-            manifest.version,
-            manifest.digests.len()
-        );
-        if kept < manifest.digests.len() {
-            self.read_peers().await;
-            copy(self.copy_context(target, &manifest)).await;
-            emit!(
-                log_event::COPY,
-                "model={} version={} state=complete ms={}",
-                target.model,
-                manifest.version,
-                (self.now() - begun).0
-            );
-        }
-        self.loading.set(true);
-        self.copying.set(false);
-        if self.loaded().is_some_and(|v| v >= manifest.version) {
-            self.loading.set(false);
-            // Complete: nothing to do before the next change.
-            std::future::pending::<()>().await;
-        }
-        self.wait_turn(target, &manifest).await;
-        if self.check(&target.model, &manifest).await == manifest.digests.len() {
-            self.load(target, manifest.version).await;
-        }
-    }
-
-    fn copy_context(&self, target: &Target, manifest: &Rc<Manifest>) -> CopyContext<H, O> {
-        CopyContext {
-            host: self.host.clone(),
-            origin: self.origin.clone(),
-            origin_addr: self.origin_spec.borrow().as_ref().map(|o| o.addr),
-            client: self.client.clone(),
-            holdings: self.holdings.clone(),
-            peers: self.peers.clone(),
-            down: self.settings.link,
-            pacer: self.down_pacer.clone(),
-            clock: self.clock,
-            model: target.model.clone(),
-            manifest: manifest.clone(),
-        }
-    }
-
-    async fn manifest(&self, target: &Target) -> Option<Manifest> {
-        let addr = self.origin_spec.borrow().as_ref().map(|o| o.addr)?;
-        match self
-            .origin
-            .manifest(addr, &target.model, target.version)
-            .await
-        {
-            Ok(manifest) => Some(manifest),
-            Err(e) => {
-                emit!(log_event::ORIGIN, "model={} reason=\"{e}\"", target.model);
-                None
-            }
-        }
-    }
-
-    /// Reads the staged chunks and checks them; returns how many are held.
-    async fn check(&self, model: &str, manifest: &Manifest) -> usize {
-        let staged = self.host.staged(model).await.unwrap_or_else(|e| {
-            log::debug!("the staged chunks cannot be listed: {e}");
-            Vec::new()
-        });
-        for (i, digest) in manifest.digests.iter().enumerate() {
-            let chunk = i as u32;
-            let intact = staged.contains(&chunk)
-                && match self.host.read(model, chunk).await {
-                    Ok(data) => data.is_some_and(|d| is_intact(&d, digest)),
-                    Err(e) => {
-                        log::debug!("chunk {chunk} cannot be read: {e}");
-                        false
-                    }
-                };
-            if intact {
-                self.holdings.insert(model, manifest.version, chunk);
-            } else {
-                self.holdings.remove(model, manifest.version, chunk);
-            }
-        }
-        self.holdings.held(model, manifest.version).len()
-    }
-
-    /// Waits for this host's turn to load.
-    async fn wait_turn(&self, target: &Target, manifest: &Manifest) {
-        let (rank, hosts) = self.peers.borrow().turn(manifest.version);
-        let turn = Rollout {
-            bound: self.settings.bound,
-            rank,
-            hosts,
-        };
-        let outdated = self.loaded().and_then(|loaded| {
-            let named = self.named.borrow();
-            named.get(&target.model)?.outdated(loaded)
-        });
-        let now = self.now();
-        let wait = outdated.map_or(Millis::ZERO, |at| turn.start(at) - now);
-        emit!(
-            log_event::LOAD,
-            "model={} version={} state=waiting rank={rank} hosts={hosts} ms={}",
-            target.model,
-            manifest.version,
-            wait.0
-        );
-        tokio::time::sleep(wait.duration()).await;
-    }
-
-    /// Orders the load and waits for it.
-    async fn load(&self, target: &Target, version: WeightVersion) {
-        let answer = self.host.load(&target.model, version).await;
-        let text = match &answer {
-            Ok(answer) => format!("{answer:?}"),
-            Err(e) => e.to_string(),
-        };
-        emit!(
-            log_event::LOAD,
-            "model={} version={version} state=ordered answer=\"{text}\"",
-            target.model
-        );
-        if !matches!(answer, Ok(LoadAnswer::Begun | LoadAnswer::Done)) {
-            tokio::time::sleep(RETRY.duration()).await;
-            return;
-        }
-        // The endpoint has taken the staged chunks, so a newer version may replace them.
-        self.loading.set(false);
-        self.changed.notify_one();
-        let mut idle = self.now();
-        loop {
-            tokio::time::sleep(REPORT.duration()).await;
-            if self.loaded().is_some_and(|v| v >= version) {
-                emit!(
-                    log_event::LOAD,
-                    "model={} version={version} state=loaded",
-                    target.model
-                );
-                return;
-            }
-            if self.report.borrow().as_ref().is_some_and(|r| r.busy) {
-                idle = self.now();
-            }
-            if self.now() > idle + ORDER_RETRY {
-                return;
-            }
-        }
-    }
-}
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -138,12 +138,9 @@
             step_ms: 7.0,
             sequence_ms: 0.0,
             prompt_rate: 30.0,
-            stride: 6,
         }),
         weights: Some(ServiceWeights {
             models: vec!["m".into()],
-            chunks: CHUNKS,
-            chunk_bytes: CHUNK as u32,
         }),
         origin: Some(OriginSpec {
             addr: addr(15, 1),
