--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -48,7 +48,7 @@
 
 /// Decodes the platform's records.
 pub trait Decode: 'static {
-    /// Decodes a record of [`Topic::Operator`]; `None` if it says nothing that concerns an entry or agent.
+    /// Decodes a record of [`Topic::Operator`](super::Topic::Operator); `None` if it says nothing that concerns an entry or agent.
     ///
     /// # Errors
     ///
@@ -62,7 +62,7 @@
     /// Returns why the value cannot be decoded.
     fn catalog(value: &[u8]) -> Result<Catalog, String>;
 
-    /// Decodes a record of [`Topic::Endpoints`].
+    /// Decodes a record of [`Topic::Endpoints`](super::Topic::Endpoints).
     ///
     /// # Errors
     ///
