refactor: one follower of the operator's records; drop state that nobody read

The entry and the agent each followed the operator's records with the same code, and each chose between a named and a found version. Intents, Decode and IntentSink in gateway/intents.rs serve both; Named::note makes the choice. The pool returned a flag that nobody read, Members had an is_empty that is always false, begin_by looked the model up again. No change of behaviour; the line of a named version has model= in place of key=.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -224,12 +224,12 @@
         now: Millis,
     ) -> Result<&'e Endpoint, Refusal> {
         let mut usable: Vec<(&Endpoint, f64)> = Vec::new();
-        let mut able = 0;
+        let mut able = false;
         for e in endpoints {
             if !self.is_able(e, ask) {
                 continue;
             }
-            able += 1;
+            able = true;
             let limit = self.limit(e, ask);
             let drain = self.drain_cost(e, ask, now);
             let view = self.views.entry(e.id.clone()).or_default();
@@ -245,7 +245,7 @@
             let score = share + far + drain + view.failures * FAILURE_COST;
             usable.push((e, score));
         }
-        if usable.is_empty() && able == 0 {
+        if !able {
             return Err(Refusal::Unavailable(crate::base::jitter(RETURN)));
         }
         let best = (0..CHOICES.min(usable.len()))
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -85,13 +85,13 @@
     let mut balance = ctx.balance.borrow_mut();
     let e = balance.pick(fleet.of(&job.service), &ask, now)?;
     let version = model.and_then(|m| balance.version(e, m));
-    let begin_by = version.and_then(|v| ctx.begin_by(model?, v));
+    let begin_by = version.and_then(|v| ctx.begin_by(named?, v));
     let oldest = weights.map(|w| w.oldest);
     Ok(Choice {
         id: e.id.clone(),
         addr: e.record.addr,
         begin_by,
         oldest,
-        idle_max: idle_max(connections, ctx.members.borrow().len()),
+        idle_max: idle_max(connections, ctx.members.borrow().count()),
     })
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -103,7 +103,7 @@
         self.clock.now()
     }
 
-    /// Takes over the promises and seeds of changed settings; sockets and names stay until a restart.
+    /// Takes over the promises of changed settings; sockets and names stay until a restart.
     pub(super) fn reload(&self, load: &mut impl FnMut() -> eyre::Result<GatewaySettings>) {
         match load() {
             Ok(new) => {
@@ -143,12 +143,7 @@
     pub(super) fn name_version(&self, model: Rc<str>, version: WeightVersion, found: bool) -> bool {
         let now = self.now();
         let mut named = self.named.borrow_mut();
-        let versions = named.entry(model).or_default();
-        if found {
-            versions.find(version)
-        } else {
-            versions.name(version, now)
-        }
+        named.entry(model).or_default().note(version, found, now)
     }
 
     /// Takes over named versions that another entry told.
@@ -232,16 +227,15 @@
     }
 
     /// Returns when a request that was sent to an endpoint with a version has to have begun.
-    pub(super) fn begin_by(&self, model: &str, version: WeightVersion) -> Option<Millis> {
-        let named = self.named.borrow();
-        let outdated = named.get(model)?.outdated(version)?;
+    pub(super) fn begin_by(&self, named: &Named, version: WeightVersion) -> Option<Millis> {
+        let outdated = named.outdated(version)?;
         Some(outdated + self.bounds.get().version - RECALL_MARGIN)
     }
 
     fn budget<T>(&self, service: &Service, f: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let bounds = self.bounds.get();
-        let shares = BUDGET_SHARES.max(self.members.borrow().len() as u32 * 3 / 2);
+        let shares = BUDGET_SHARES.max(self.members.borrow().count() as u32 * 3 / 2);
         let burst = (bounds.retry_burst / shares).max(1);
         let budget = budgets
             .entry(service.clone())
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -1,6 +1,6 @@
 //! What an entry takes from the store's topics.
 
-use std::{cell::Cell, marker::PhantomData, rc::Rc};
+use std::{marker::PhantomData, rc::Rc};
 
 use bytes::Bytes;
 
@@ -9,9 +9,10 @@
     context::Context,
     fleet::{Change, EndpointId},
     follow::Follower,
+    intents::{Decode, IntentSink},
     log_event,
     members::Beat,
-    record::{EndpointRecord, Intent, Record},
+    record::{Record, WeightVersion},
 };
 use crate::{
     base::{HashSet, Millis},
@@ -46,38 +47,7 @@
     }
 }
 
-/// Decodes the platform's records.
-pub trait Decode: 'static {
-    /// Decodes a record of [`Topic::Operator`](super::Topic::Operator); `None` if it says nothing that concerns an entry or agent.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the value cannot be decoded.
-    fn intent(key: &[u8], value: &[u8]) -> Result<Option<Intent>, String>;
-
-    /// Decodes the value of a configuration.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the value cannot be decoded.
-    fn catalog(value: &[u8]) -> Result<Catalog, String>;
-
-    /// Decodes a record of [`Topic::Endpoints`](super::Topic::Endpoints).
-    ///
-    /// # Errors
-    ///
-    /// Returns why the value cannot be decoded.
-    fn endpoint(value: &[u8]) -> Result<EndpointRecord, String>;
-}
-
-/// Follows the operator's records.
-pub(super) struct Intents<D> {
-    ctx: Rc<Context>,
-    /// Whether the records were read once; what the first read brings was written before this process started.
-    read: Cell<bool>,
-    _decode: PhantomData<D>,
-}
-
+/// Puts a catalog in force and logs it.
 pub(super) fn apply_catalog(ctx: &Context, catalog: Catalog, raw: Bytes, source: &str) {
     let version = catalog.version;
     let routes: usize = catalog.routes.values().map(Vec::len).sum();
@@ -89,50 +59,26 @@
     );
 }
 
-impl<D> Intents<D> {
-    pub(super) fn new(ctx: Rc<Context>) -> Self {
-        Self {
-            ctx,
-            read: Cell::new(false),
-            _decode: PhantomData,
-        }
+/// Takes the operator's intents in an entry.
+impl IntentSink for Rc<Context> {
+    fn catalog(&self, catalog: Catalog, raw: Bytes) {
+        apply_catalog(self, catalog, raw, "store");
     }
-}
 
-impl<D: Decode> Follower for Intents<D> {
-    fn take(&self, record: Record) {
-        let Some(value) = &record.value else {
-            return;
-        };
-        let key = String::from_utf8_lossy(&record.key);
-        match D::intent(&record.key, value) {
-            Ok(Some(Intent::Catalog(catalog))) => {
-                apply_catalog(&self.ctx, *catalog, value.clone(), "store");
-            }
-            Ok(Some(Intent::Weights(model, version))) => {
-                let found = !self.read.get();
-                let newer = self.ctx.name_version(model, version, found);
-                emit!(
-                    log_event::NAMED,
-                    "key={key} version={version} newer={newer} found={found}"
-                );
-            }
-            Ok(None) => {}
-            Err(e) => emit!(log_event::RECORD, "key={key} reason=\"{e}\""),
-        }
+    fn weights(&self, model: Rc<str>, version: WeightVersion, found: bool) {
+        let newer = self.name_version(model.clone(), version, found);
+        emit!(
+            log_event::NAMED,
+            "model={model} version={version} newer={newer} found={found}"
+        );
     }
 
-    fn replace(&self, records: Vec<Record>) {
-        for record in records {
-            self.take(record);
-        }
-        self.read.set(true);
+    fn malformed(&self, key: &str, reason: &str) {
+        emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
     }
 
-    fn regained(&self) {}
-
     async fn interrupted(&self) {
-        self.ctx.news.notified().await;
+        self.news.notified().await;
     }
 }
 
@@ -193,7 +139,7 @@
     }
 
     fn pause(&self) -> Millis {
-        let entries = self.0.members.borrow().len();
+        let entries = self.0.members.borrow().count();
         let pause = if self.0.awaits_weights() {
             ENDPOINTS_PAUSE_LOADING
         } else {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -155,7 +155,7 @@
     if job.route.repeat == Repeat::Once {
         return crate::http::connect(addr, limit).await;
     }
-    Ok(ctx.pool.checkout(addr, ctx.now(), limit).await?.connection)
+    ctx.pool.checkout(addr, ctx.now(), limit).await
 }
 
 /// Builds the request of one attempt.
--- /dev/null
+++ b/src/gateway/intents.rs
@@ -0,0 +1,104 @@
+//! Follows the operator's records, for entries and agents.
+
+use std::{cell::Cell, future::Future, marker::PhantomData, rc::Rc};
+
+use bytes::Bytes;
+
+use super::{
+    catalog::Catalog,
+    follow::Follower,
+    record::{EndpointRecord, Intent, Record, WeightVersion},
+};
+
+/// Decodes the platform's records.
+pub trait Decode: 'static {
+    /// Decodes a record of [`Topic::Operator`](super::Topic::Operator); `None` if it says nothing that concerns an
+    /// entry or agent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the value cannot be decoded.
+    fn intent(key: &[u8], value: &[u8]) -> Result<Option<Intent>, String>;
+
+    /// Decodes the value of a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the value cannot be decoded.
+    fn catalog(value: &[u8]) -> Result<Catalog, String>;
+
+    /// Decodes a record of [`Topic::Endpoints`](super::Topic::Endpoints).
+    ///
+    /// # Errors
+    ///
+    /// Returns why the value cannot be decoded.
+    fn endpoint(value: &[u8]) -> Result<EndpointRecord, String>;
+}
+
+/// Takes what the operator's records say.
+pub trait IntentSink {
+    /// Takes a configuration, decoded and encoded.
+    fn catalog(&self, catalog: Catalog, raw: Bytes);
+
+    /// Takes a named version; `found` says that it was named before this process started.
+    fn weights(&self, model: Rc<str>, version: WeightVersion, found: bool);
+
+    /// Notes a record that cannot be decoded.
+    fn malformed(&self, key: &str, reason: &str);
+
+    /// See [`Follower::interrupted`].
+    fn interrupted(&self) -> impl Future<Output = ()> {
+        std::future::pending()
+    }
+}
+
+/// Follows the operator's records.
+#[derive(Debug)]
+pub struct Intents<D, T> {
+    sink: T,
+    /// Whether the records were read once; what the first read brings was written before this process started.
+    read: Cell<bool>,
+    _decode: PhantomData<D>,
+}
+
+impl<D, T> Intents<D, T> {
+    /// Creates a follower that passes the intents on.
+    pub fn new(sink: T) -> Self {
+        Self {
+            sink,
+            read: Cell::new(false),
+            _decode: PhantomData,
+        }
+    }
+}
+
+impl<D: Decode, T: IntentSink> Follower for Intents<D, T> {
+    fn take(&self, record: Record) {
+        let Some(value) = record.value else {
+            return;
+        };
+        match D::intent(&record.key, &value) {
+            Ok(Some(Intent::Catalog(catalog))) => self.sink.catalog(*catalog, value),
+            Ok(Some(Intent::Weights(model, version))) => {
+                self.sink.weights(model, version, !self.read.get());
+            }
+            Ok(None) => {}
+            Err(e) => self
+                .sink
+                .malformed(&String::from_utf8_lossy(&record.key), &e),
+        }
+    }
+
+    fn replace(&self, records: Vec<Record>) {
+        for record in records {
+            self.take(record);
+        }
+        self.read.set(true);
+    }
+
+    fn regained(&self) {}
+
+    async fn interrupted(&self) {
+        self.sink.interrupted().await;
+    }
+}
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -124,15 +124,10 @@
     }
 
     /// Returns the number of entries, with this one.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.others.len() + 1
     }
 
-    /// Returns whether no entry is known; there is always this one.
-    pub fn is_empty(&self) -> bool {
-        false
-    }
-
     /// Notes an announcement in the store.
     pub fn announce(&mut self, beat: Beat, now: Millis) {
         if beat.peer == self.me.peer || self.others.contains_key(&beat.peer) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod followers;
 mod forward;
 mod headers;
+mod intents;
 mod log_event;
 mod members;
 mod metrics;
@@ -38,8 +39,8 @@
 pub use events::{EventError, EventId, Events};
 pub use fleet::{Change, Endpoint, EndpointId, Fleet, RENEWAL};
 pub use follow::{follow, Follower};
-pub use followers::Decode;
 pub use headers::Headers;
+pub use intents::{Decode, IntentSink, Intents};
 pub use members::{Beat, Datagram, EndpointHash, Member, Members, NamedAge};
 pub use named::Named;
 pub use record::{
--- a/src/gateway/named.rs
+++ b/src/gateway/named.rs
@@ -27,6 +27,16 @@
 }
 
 impl Named {
+    /// Notes a version that is named now, or that a starting process found named; returns whether it is newer than all
+    /// before.
+    pub fn note(&mut self, version: WeightVersion, found: bool, now: Millis) -> bool {
+        if found {
+            self.find(version)
+        } else {
+            self.name(version, now)
+        }
+    }
+
     /// Notes a version that was named now; returns whether it is newer than all before.
     pub fn name(&mut self, version: WeightVersion, now: Millis) -> bool {
         self.push(version, now, true)
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,7 +6,8 @@
 
 use super::{
     context::Context,
-    followers::{apply_catalog, Decode},
+    followers::apply_catalog,
+    intents::Decode,
     log_event,
     members::{Datagram, BEAT},
     serve,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,8 @@
     catalog::CatalogVersion,
     context::Context,
     follow::follow,
-    followers::{Decode, Endpoints, Entries, Intents},
+    followers::{Endpoints, Entries},
+    intents::{Decode, Intents},
     log_event,
     members::{Beat, Members},
     metrics::GatewayMetrics,
@@ -83,7 +84,7 @@
     );
     let (closing, closed) = watch::channel(false);
     let callers = serve_all(&ctx, &closed)?;
-    let intents = Rc::new(Intents::<D>::new(ctx.clone()));
+    let intents = Rc::new(Intents::<D, _>::new(ctx.clone()));
     let endpoints = Rc::new(Endpoints::<D>(ctx.clone(), PhantomData));
     let entries = Rc::new(Entries(ctx.clone()));
     spawn_local(follow(store.clone(), Topic::Operator, WAIT, intents));
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -47,8 +47,7 @@
     let mut conn = pool
         .checkout(addr, now, CONNECT.min(limit))
         .await
-        .map_err(|e| CallError::Connect(addr, e.to_string()))?
-        .connection;
+        .map_err(|e| CallError::Connect(addr, e.to_string()))?;
     let lost = |text: String| CallError::Lost(addr, text);
     let exchange = async {
         let res = conn
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,5 +7,5 @@
 
 pub use call::{call, CallError, BODY_MAX};
 pub use connect::{connect, harden, Connection};
-pub use pool::{Checkout, Pool};
+pub use pool::Pool;
 pub use server::{listen, Listener, ServeOptions};
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -5,15 +5,6 @@
 use super::connect::{connect, Connection};
 use crate::base::{HashMap, Millis};
 
-/// A connection that is ready for a request.
-#[derive(Debug)]
-pub struct Checkout {
-    /// The connection.
-    pub connection: Connection,
-    /// Whether it carried a request before.
-    pub reused: bool,
-}
-
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
@@ -37,17 +28,11 @@
         addr: SocketAddr,
         now: Millis,
         limit: Millis,
-    ) -> io::Result<Checkout> {
-        if let Some(connection) = self.take(addr, now) {
-            return Ok(Checkout {
-                connection,
-                reused: true,
-            });
+    ) -> io::Result<Connection> {
+        match self.take(addr, now) {
+            Some(connection) => Ok(connection),
+            None => connect(addr, limit).await,
         }
-        Ok(Checkout {
-            connection: connect(addr, limit).await?,
-            reused: false,
-        })
     }
 
     fn take(&self, addr: SocketAddr, now: Millis) -> Option<Connection> {
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -124,11 +124,7 @@
         let newer = {
             let mut named = self.named.borrow_mut();
             let versions = named.entry(model.clone()).or_default();
-            if found {
-                versions.find(version)
-            } else {
-                versions.name(version, now)
-            }
+            versions.note(version, found, now)
         };
         emit!(
             log_event::NAMED,
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -1,7 +1,8 @@
 //! The agent process: sockets, followers of the store and shutdown.
 
-use std::{cell::Cell, collections::HashMap as RegionMap, net::SocketAddr, rc::Rc};
+use std::{collections::HashMap as RegionMap, net::SocketAddr, rc::Rc};
 
+use bytes::Bytes;
 use eyre::WrapErr;
 use tokio::{
     signal::unix::{signal, SignalKind},
@@ -18,7 +19,7 @@
 use crate::{
     base::{Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
     emit,
-    gateway::{follow, Decode, Follower, Intent, Record, RecordStore, Topic},
+    gateway::{follow, Catalog, Decode, IntentSink, Intents, RecordStore, Topic, WeightVersion},
     http::{listen, ServeOptions},
     net::Pacer,
 };
@@ -105,10 +106,7 @@
         store,
         Topic::Operator,
         WAIT,
-        Rc::new(Intents {
-            agent: agent.clone(),
-            read: Cell::new(false),
-        }),
+        Rc::new(Intents::<D, _>::new(agent.clone())),
     ));
     spawn_local(watch_endpoint(agent.clone()));
     spawn_local(refresh_peers(agent.clone()));
@@ -134,37 +132,19 @@
     Ok(())
 }
 
-/// Follows the operator's records.
-struct Intents<S, D, H, O> {
-    agent: Rc<Agent<S, D, H, O>>,
-    /// Whether the records were read once; what the first read brings was written before this process started.
-    read: Cell<bool>,
-}
-
-impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Follower for Intents<S, D, H, O> {
-    fn take(&self, record: Record) {
-        let Some(value) = &record.value else {
-            return;
-        };
-        let key = String::from_utf8_lossy(&record.key);
-        match D::intent(&record.key, value) {
-            Ok(Some(Intent::Catalog(catalog))) => self.agent.set_catalog(&catalog),
-            Ok(Some(Intent::Weights(model, version))) => {
-                self.agent.name_version(model, version, !self.read.get());
-            }
-            Ok(None) => {}
-            Err(e) => emit!(log_event::RECORD, "key={key} reason=\"{e}\""),
-        }
+/// Takes the operator's intents in an agent.
+impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> IntentSink for Rc<Agent<S, D, H, O>> {
+    fn catalog(&self, catalog: Catalog, _: Bytes) {
+        self.set_catalog(&catalog);
     }
 
-    fn replace(&self, records: Vec<Record>) {
-        for record in records {
-            self.take(record);
-        }
-        self.read.set(true);
+    fn weights(&self, model: Rc<str>, version: WeightVersion, found: bool) {
+        self.name_version(model, version, found);
     }
 
-    fn regained(&self) {}
+    fn malformed(&self, key: &str, reason: &str) {
+        emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
+    }
 }
 
 /// Looks at the endpoint for ever.
