fix(platform): free the origin's connections after each call

Cause: the origin accepts 48 connections from all hosts. Each of 58 agents kept its connections for up to 7 s, and those of hosts that lost power stayed open at the origin, so other agents were reset and read neither manifest nor chunks.

Change: calls to the origin use a connection of their own, closed after the response.

--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -6,7 +6,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response};
 
-use super::pool::Pool;
+use super::{
+    connect::{connect, Connection},
+    pool::Pool,
+};
 use crate::base::Millis;
 
 /// Largest response body of a call, in bytes.
@@ -48,6 +51,33 @@
         .checkout(addr, now, CONNECT.min(limit))
         .await
         .map_err(|e| CallError::Connect(addr, e.to_string()))?;
+    let res = exchange(&mut conn, addr, req, limit).await?;
+    pool.put(addr, conn, now + limit + IDLE, IDLE_MAX);
+    Ok(res)
+}
+
+/// Like [`call`], on a connection that is closed after the response.
+///
+/// # Errors
+///
+/// Returns [`CallError::Lost`] if the connection ends early or the time is over.
+pub async fn call_once(
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
+    limit: Millis,
+) -> Result<Response<Bytes>, CallError> {
+    let mut conn = connect(addr, CONNECT.min(limit))
+        .await
+        .map_err(|e| CallError::Connect(addr, e.to_string()))?;
+    exchange(&mut conn, addr, req, limit).await
+}
+
+async fn exchange(
+    conn: &mut Connection,
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
+    limit: Millis,
+) -> Result<Response<Bytes>, CallError> {
     let lost = |text: String| CallError::Lost(addr, text);
     let exchange = async {
         let res = conn
@@ -61,9 +91,7 @@
             .map_err(|e| lost(e.to_string()))?;
         Ok(Response::from_parts(head, body.to_bytes()))
     };
-    let res = tokio::time::timeout(limit.duration(), exchange)
+    tokio::time::timeout(limit.duration(), exchange)
         .await
-        .map_err(|_| lost(format!("no response within {limit}")))??;
-    pool.put(addr, conn, now + limit + IDLE, IDLE_MAX);
-    Ok(res)
+        .map_err(|_| lost(format!("no response within {limit}")))?
 }
