perf(gateway): two entries of each zone read the store for the others and for agents

Cause: each of 43 entries and 67 agents read the whole configuration and the endpoints itself.

Change: the first two entries of a zone by rank read the store while it answers them; beats tell it with the hash of their table, and the others take table and catalog from them, at once after a change. Agents ask an entry for their model, versions and hosts, and read the store only if no entry answers. Announcements of entries are read at intervals instead of once for each.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -119,7 +119,7 @@
 }
 
 /// Where the weight store is.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginSpec {
     /// Address.
     pub addr: SocketAddr,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -11,9 +11,9 @@
 use super::{
     balance::{Balance, Outcome},
     catalog::{Catalog, CatalogVersion},
-    fleet::{EndpointId, Fleet},
+    fleet::{EndpointId, Fleet, FleetDigest},
     log_event,
-    members::{Members, NamedAge},
+    members::{Members, NamedAge, Status},
     metrics::GatewayMetrics,
     named::Named,
     record::WeightVersion,
@@ -41,6 +41,10 @@
 /// Entries among which the deployment's burst of retries is divided at least.
 const BUDGET_SHARES: u32 = 8;
 
+/// Time after the pause between two reads for which the store may take to answer before this entry no longer counts as
+/// one that reads it.
+const FOLLOW_SLACK: Millis = Millis(500);
+
 /// State of an entry.
 #[derive(Debug)]
 pub(super) struct Context {
@@ -65,6 +69,19 @@
     budgets: RefCell<HashMap<Service, Budget>>,
     /// Whether the endpoints were read once.
     pub(super) fleet_known: Cell<bool>,
+    /// Whether the table of endpoints changed since its hash was computed.
+    pub(super) fleet_changed: Cell<bool>,
+    digest: Cell<FleetDigest>,
+    /// When the next read of the endpoints is due.
+    pub(super) read_due: Cell<Millis>,
+    /// Wakes those who wait for a change of catalog, named versions or endpoints.
+    pub(super) changed: Notify,
+    /// Makes the next beat early.
+    pub(super) beat_soon: Notify,
+    /// Wakes those who take over what other entries have.
+    pub(super) heard: Notify,
+    /// Start of the process.
+    pub(super) started: Millis,
     pub(super) draining: Cell<bool>,
     /// Requests in progress.
     pub(super) running: Cell<u32>,
@@ -77,8 +94,10 @@
         members: Members,
         metrics: GatewayMetrics,
     ) -> Rc<Self> {
+        let clock = SystemClock::start_at(START);
         Rc::new(Self {
-            clock: SystemClock::start_at(START),
+            started: clock.now(),
+            clock,
             bounds: Cell::new(settings.bounds),
             settings,
             headers,
@@ -94,6 +113,12 @@
             turns: RefCell::default(),
             budgets: RefCell::default(),
             fleet_known: Cell::default(),
+            fleet_changed: Cell::default(),
+            digest: Cell::default(),
+            read_due: Cell::default(),
+            changed: Notify::new(),
+            beat_soon: Notify::new(),
+            heard: Notify::new(),
             draining: Cell::default(),
             running: Cell::default(),
         })
@@ -116,7 +141,47 @@
 
     /// Returns whether callers should be sent here.
     pub(super) fn is_ready(&self) -> bool {
-        !self.draining.get() && self.fleet_known.get() && self.catalog.borrow().is_some()
+        !self.draining.get() && self.is_informed()
+    }
+
+    /// Returns whether this entry knows endpoints and catalog.
+    pub(super) fn is_informed(&self) -> bool {
+        self.fleet_known.get() && self.catalog.borrow().is_some()
+    }
+
+    /// Returns whether this entry reads the store itself.
+    pub(super) fn reads_store(&self) -> bool {
+        self.members.borrow().reads_store(self.now())
+    }
+
+    /// Returns whether this entry reads the store, and the store answers.
+    pub(super) fn follows(&self) -> bool {
+        self.now() < self.read_due.get() + FOLLOW_SLACK
+    }
+
+    /// Returns what this entry tells others of itself.
+    pub(super) fn status(&self) -> Status {
+        Status {
+            ready: self.is_ready(),
+            catalog: self.catalog_version(),
+            follows: self.follows(),
+            fleet: self.digest.get(),
+        }
+    }
+
+    /// Tells a change of catalog, named versions or endpoints to everyone who waits for it.
+    pub(super) fn tell(&self) {
+        if self.fleet_changed.take() {
+            self.digest.set(self.fleet.borrow().digest());
+        }
+        self.changed.notify_waiters();
+        self.beat_soon.notify_one();
+    }
+
+    /// Returns whether an entry has something that this one lacks.
+    pub(super) fn is_ahead(&self, told: &Status) -> bool {
+        let newer = told.catalog > self.catalog_version();
+        newer || (told.follows && told.fleet != self.digest.get() && !self.follows())
     }
 
     /// Returns the version of the catalog in force.
@@ -134,6 +199,8 @@
         }
         *current = Some(Rc::new(catalog));
         *self.raw_catalog.borrow_mut() = raw;
+        drop(current);
+        self.tell();
         true
     }
 
@@ -142,17 +209,27 @@
     /// `found` says that the process started after the version was named.
     pub(super) fn name_version(&self, model: Rc<str>, version: WeightVersion, found: bool) -> bool {
         let now = self.now();
-        let mut named = self.named.borrow_mut();
-        named.entry(model).or_default().note(version, found, now)
+        let newer = {
+            let mut named = self.named.borrow_mut();
+            named.entry(model).or_default().note(version, found, now)
+        };
+        if newer {
+            self.tell();
+        }
+        newer
     }
 
     /// Takes over named versions that another entry told.
     pub(super) fn learn_versions(&self, told: Vec<NamedAge>) {
         let now = self.now();
-        let mut named = self.named.borrow_mut();
         for n in told {
-            let versions = named.entry(n.model.as_str().into()).or_default();
-            if versions.learn(n.version, now - n.age) {
+            let learned = {
+                let mut named = self.named.borrow_mut();
+                let versions = named.entry(n.model.as_str().into()).or_default();
+                versions.learn(n.version, now - n.age)
+            };
+            if learned {
+                self.tell();
                 let (model, version, age) = (n.model, n.version, n.age);
                 emit!(
                     log_event::NAMED,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
+
 use super::{
     members::EndpointHash,
     record::{EndpointRecord, Revision, WeightVersion},
@@ -15,7 +17,7 @@
 const MEMORY: Millis = Millis(60_000);
 
 /// Id of one run of an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndpointId(pub Rc<str>);
 
 impl EndpointId {
@@ -67,6 +69,10 @@
     Stale,
 }
 
+/// Hash of a table of endpoints without the counts of their records; tables with the same hash say the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct FleetDigest(pub u64);
+
 /// Endpoints by id.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -163,6 +169,49 @@
         missing
     }
 
+    /// Returns the hash of the table.
+    pub fn digest(&self) -> FleetDigest {
+        let sum = self.endpoints.values().fold(0, |sum: u64, e| {
+            let mut record = e.record.clone();
+            record.revision.sequence = 0;
+            // Records of this program's own types are always encodable.
+            let data = postcard::to_stdvec(&(&e.id, record)).unwrap_or_default();
+            sum.wrapping_add(rendezvous(b"record", &data))
+        });
+        FleetDigest(sum)
+    }
+
+    /// Returns the records of all endpoints, for entries that do not read the store.
+    pub fn records(&self) -> Vec<(EndpointId, EndpointRecord)> {
+        let all = self.endpoints.values();
+        all.map(|e| (e.id.clone(), e.record.clone())).collect()
+    }
+
+    /// Takes over the table of an entry that reads the store; returns what changed.
+    pub fn mirror(
+        &mut self,
+        told: Vec<(EndpointId, EndpointRecord)>,
+        now: Millis,
+    ) -> Vec<(EndpointId, Change)> {
+        let present: HashSet<_> = told.iter().map(|(id, _)| id.clone()).collect();
+        let mut changes = Vec::new();
+        for (id, record) in told {
+            // A table that was read earlier than this one may hold an endpoint that was missing in between.
+            let back = |(r, _): &mut (Revision, Millis)| record.revision == *r;
+            if self.removed.get_mut(&id).is_some_and(back) {
+                self.removed.remove(&id);
+            }
+            changes.push((id.clone(), self.insert(&id, record)));
+        }
+        let missing: Vec<_> = self.endpoints.keys().cloned().collect();
+        for id in missing.into_iter().filter(|id| !present.contains(id)) {
+            self.drop_endpoint(&id, now);
+            changes.push((id, Change::Removed));
+        }
+        changes.retain(|c| !matches!(c.1, Change::Renewed | Change::Stale));
+        changes
+    }
+
     /// Removes endpoints whose time to renew is over; returns them.
     pub fn expire(&mut self, now: Millis) -> Vec<EndpointId> {
         self.removed.retain(|_, (_, until)| *until > now);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,6 +14,9 @@
 /// Time after a failed read; short, because a bound on configuration runs on.
 const RETRY: Millis = Millis(300);
 
+/// Time between two looks whether a topic is wanted again.
+const REST: Millis = Millis(120);
+
 /// Time without an answer after which the store counts as lost.
 const LOST: Millis = Millis(1500);
 
@@ -28,6 +31,17 @@
     /// Notes that the store answers again after an outage; called before the records are taken.
     fn regained(&self);
 
+    /// Notes that all records of a read were taken.
+    fn done(&self) {}
+
+    /// Notes that the store answered.
+    fn answered(&self) {}
+
+    /// Returns whether the topic is to be read; while it is not, another process tells what it says.
+    fn is_wanted(&self) -> bool {
+        true
+    }
+
     /// Returns the pause after a read; topics that change all the time are read at intervals.
     fn pause(&self) -> Millis {
         Millis::ZERO
@@ -55,6 +69,11 @@
         failing: false,
     };
     loop {
+        if !follower.is_wanted() {
+            state.rest(clock.now());
+            tokio::time::sleep(REST.duration()).await;
+            continue;
+        }
         let result = match state.offset {
             None => store.newest(topic).await.map(|r| (r, true)),
             Some(from) => {
@@ -78,6 +97,7 @@
                         follower.take(record);
                     }
                 }
+                follower.done();
                 tokio::time::sleep(follower.pause().duration()).await;
             }
             Err(StoreError::Trimmed) => {
@@ -107,6 +127,14 @@
 }
 
 impl State {
+    /// Starts anew after a time without reads.
+    fn rest(&mut self, now: Millis) {
+        self.offset = None;
+        self.answered = now;
+        self.lost = false;
+        self.failing = false;
+    }
+
     fn answer(&mut self, topic: Topic, now: Millis, follower: &impl Follower) {
         if self.lost || now > self.answered + self.usual + LOST {
             let away = now - self.answered;
@@ -120,6 +148,7 @@
         self.lost = false;
         self.failing = false;
         self.answered = now;
+        follower.answered();
     }
 
     fn fail(&mut self, topic: Topic, now: Millis, error: &StoreError) {
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -1,6 +1,6 @@
 //! What an entry takes from the store's topics.
 
-use std::{marker::PhantomData, rc::Rc};
+use std::{cell::Cell, marker::PhantomData, rc::Rc};
 
 use bytes::Bytes;
 
@@ -19,33 +19,15 @@
     emit,
 };
 
-/// Pause between reads of the endpoints, whose records change all the time: for each entry, because the reads of all
-/// entries together load the store, and within limits, because an endpoint that leaves has to be known in time.
-const ENDPOINTS_PAUSE: Pause = Pause {
-    each: Millis(45),
-    least: Millis(650),
-    most: Millis(1100),
-};
+/// Pause between reads of the endpoints, whose records change all the time; short, because an endpoint that leaves has
+/// to be known in time.
+const ENDPOINTS_PAUSE: Millis = Millis(500);
 
 /// Pause while endpoints load weights: until its record is read, an endpoint stands idle after its load.
-const ENDPOINTS_PAUSE_LOADING: Pause = Pause {
-    each: Millis(25),
-    least: Millis(350),
-    most: Millis(800),
-};
+const ENDPOINTS_PAUSE_LOADING: Millis = Millis(300);
 
-/// A pause that grows with the number of entries.
-struct Pause {
-    each: Millis,
-    least: Millis,
-    most: Millis,
-}
-
-impl Pause {
-    fn of(&self, entries: usize) -> Millis {
-        self.each.times(entries as u64).clamp(self.least, self.most)
-    }
-}
+/// Pause between reads of the announcements of entries, which tell most by their beats.
+const ENTRIES_PAUSE: Millis = Millis(2000);
 
 /// Puts a catalog in force and logs it.
 pub(super) fn apply_catalog(ctx: &Context, catalog: Catalog, raw: Bytes, source: &str) {
@@ -77,6 +59,10 @@
         emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
     }
 
+    fn is_wanted(&self) -> bool {
+        self.reads_store()
+    }
+
     async fn interrupted(&self) {
         self.news.notified().await;
     }
@@ -98,54 +84,80 @@
         };
         let now = self.0.now();
         let change = self.0.fleet.borrow_mut().apply(&id, decoded, now);
-        if matches!(change, Change::Added | Change::Removed) {
-            self.0.reset_turns();
-        }
-        if change == Change::Updated {
-            self.0.balance.borrow_mut().recover(&id);
-        }
-        if !matches!(change, Change::Renewed | Change::Stale) {
-            let fleet = self.0.fleet.borrow();
-            let record = fleet.get(&id).map(|e| &e.record);
-            let text = record.map_or_else(String::new, |r| {
-                let versions: Vec<_> = r.models.iter().map(|m| m.1.to_string()).collect();
-                format!(
-                    " service={} addr={} draining={} sequence={} weights={}",
-                    r.service,
-                    r.addr,
-                    r.draining,
-                    r.revision.sequence,
-                    versions.join(",")
-                )
-            });
-            emit!(log_event::ENDPOINT, "endpoint={id} change={change:?}{text}");
-        }
+        endpoint_changed(&self.0, &id, change);
         Some(id)
     }
 }
 
+/// Takes over a change of an endpoint wherever it matters, and logs it.
+pub(super) fn endpoint_changed(ctx: &Context, id: &EndpointId, change: Change) {
+    if matches!(change, Change::Renewed | Change::Stale) {
+        return;
+    }
+    if matches!(change, Change::Added | Change::Removed) {
+        ctx.reset_turns();
+    }
+    if change == Change::Updated {
+        ctx.balance.borrow_mut().recover(id);
+    }
+    ctx.fleet_changed.set(true);
+    let fleet = ctx.fleet.borrow();
+    let record = fleet.get(id).map(|e| &e.record);
+    let text = record.map_or_else(String::new, |r| {
+        let versions: Vec<_> = r.models.iter().map(|m| m.1.to_string()).collect();
+        format!(
+            " service={} addr={} draining={} sequence={} weights={}",
+            r.service,
+            r.addr,
+            r.draining,
+            r.revision.sequence,
+            versions.join(",")
+        )
+    });
+    emit!(log_event::ENDPOINT, "endpoint={id} change={change:?}{text}");
+}
+
 impl<D: Decode> Follower for Endpoints<D> {
     fn take(&self, record: Record) {
         self.apply(&record);
     }
 
+    fn done(&self) {
+        if self.0.fleet_changed.get() {
+            self.0.tell();
+        }
+    }
+
     fn replace(&self, records: Vec<Record>) {
         let present: HashSet<_> = records.iter().filter_map(|r| self.apply(r)).collect();
         let missing = self.0.fleet.borrow_mut().retain(&present, self.0.now());
         for id in missing {
-            emit!(log_event::ENDPOINT, "endpoint={id} change=missing");
+            let gone = self.0.fleet.borrow().get(&id).is_none();
+            let change = if gone {
+                Change::Removed
+            } else {
+                Change::Doubted
+            };
+            endpoint_changed(&self.0, &id, change);
         }
         self.0.fleet_known.set(true);
+        self.0.fleet_changed.set(true);
     }
 
     fn pause(&self) -> Millis {
-        let entries = self.0.members.borrow().count();
-        let pause = if self.0.awaits_weights() {
+        if self.0.awaits_weights() {
             ENDPOINTS_PAUSE_LOADING
         } else {
             ENDPOINTS_PAUSE
-        };
-        pause.of(entries)
+        }
+    }
+
+    fn answered(&self) {
+        self.0.read_due.set(self.0.now() + self.pause());
+    }
+
+    fn is_wanted(&self) -> bool {
+        self.0.reads_store()
     }
 
     fn regained(&self) {
@@ -155,7 +167,11 @@
 }
 
 /// Follows the announcements of entries.
-pub(super) struct Entries(pub(super) Rc<Context>);
+pub(super) struct Entries {
+    pub(super) ctx: Rc<Context>,
+    /// Whether the announcements were read once.
+    pub(super) read: Cell<bool>,
+}
 
 impl Follower for Entries {
     fn take(&self, record: Record) {
@@ -163,7 +179,7 @@
             return;
         };
         match postcard::from_bytes::<Beat>(value) {
-            Ok(beat) => self.0.members.borrow_mut().announce(beat, self.0.now()),
+            Ok(beat) => self.ctx.members.borrow_mut().announce(beat, self.ctx.now()),
             Err(e) => emit!(log_event::RECORD, "topic=entries reason=\"{e}\""),
         }
     }
@@ -174,5 +190,19 @@
         }
     }
 
+    fn answered(&self) {
+        // Entries that start together announce themselves while this one reads for the first time.
+        self.read
+            .set(self.ctx.now() > self.ctx.started + ENTRIES_PAUSE);
+    }
+
+    fn is_wanted(&self) -> bool {
+        !self.read.get() || self.ctx.reads_store()
+    }
+
+    fn pause(&self) -> Millis {
+        ENTRIES_PAUSE
+    }
+
     fn regained(&self) {}
 }
--- a/src/gateway/intents.rs
+++ b/src/gateway/intents.rs
@@ -46,6 +46,11 @@
     /// Notes a record that cannot be decoded.
     fn malformed(&self, key: &str, reason: &str);
 
+    /// See [`Follower::is_wanted`].
+    fn is_wanted(&self) -> bool {
+        true
+    }
+
     /// See [`Follower::interrupted`].
     fn interrupted(&self) -> impl Future<Output = ()> {
         std::future::pending()
@@ -58,6 +63,8 @@
     sink: T,
     /// Whether the records were read once; what the first read brings was written before this process started.
     read: Cell<bool>,
+    /// Whether even the first read waits until the sink wants it.
+    told: bool,
     _decode: PhantomData<D>,
 }
 
@@ -67,9 +74,18 @@
         Self {
             sink,
             read: Cell::new(false),
+            told: false,
             _decode: PhantomData,
         }
     }
+
+    /// Creates a follower for a process that others tell what the records say: it reads only while the sink wants it.
+    pub fn told(sink: T) -> Self {
+        Self {
+            told: true,
+            ..Self::new(sink)
+        }
+    }
 }
 
 impl<D: Decode, T: IntentSink> Follower for Intents<D, T> {
@@ -98,6 +114,10 @@
 
     fn regained(&self) {}
 
+    fn is_wanted(&self) -> bool {
+        (!self.told && !self.read.get()) || self.sink.is_wanted()
+    }
+
     async fn interrupted(&self) {
         self.sink.interrupted().await;
     }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -8,8 +8,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CatalogVersion, WeightVersion};
-use crate::base::{HashMap, Millis, Zone};
+use super::{fleet::FleetDigest, CatalogVersion, WeightVersion};
+use crate::base::{rendezvous, HashMap, Millis, Zone};
 
 /// Time between two datagrams to the same entries.
 pub(super) const BEAT: Millis = Millis(250);
@@ -33,6 +33,28 @@
 /// Time without a beat after which an entry is forgotten.
 const FORGET: Millis = Millis(120_000);
 
+/// Entries of each zone that read the store for all of the zone.
+const READERS: usize = 2;
+
+/// Time without a beat after which an entry is no longer relied on for what the store says; a few beats.
+const READER_SILENCE: Millis = Millis(800);
+
+/// Time for which an entry that did not pass on its table is not asked again.
+const DISTRUST: Millis = Millis(1500);
+
+/// What an entry knows and does at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// Version of its catalog.
+    pub catalog: CatalogVersion,
+    /// Whether it reads the store, and the store answers.
+    pub follows: bool,
+    /// Hash of its table of endpoints.
+    pub fleet: FleetDigest,
+}
+
 /// State of an entry at one moment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
@@ -46,10 +68,8 @@
     pub boot: u64,
     /// Count of beats since the start.
     pub count: u64,
-    /// Whether it takes callers.
-    pub ready: bool,
-    /// Version of its catalog.
-    pub catalog: CatalogVersion,
+    /// What it knows and does.
+    pub status: Status,
 }
 
 /// A version of weights and the time since it was named.
@@ -93,6 +113,8 @@
     heard: Millis,
     /// Whether a beat arrived, and not only its announcement.
     beating: bool,
+    /// Time before which it is not asked for its table.
+    distrusted: Millis,
 }
 
 impl Member {
@@ -100,6 +122,17 @@
         let limit = if self.beating { SILENCE } else { WELCOME };
         now < self.heard + limit
     }
+
+    /// Returns whether the entry tells what the store says.
+    fn is_reader(&self, now: Millis) -> bool {
+        let fresh = self.beating && now < self.heard + READER_SILENCE;
+        fresh && self.beat.status.follows && self.distrusted <= now
+    }
+}
+
+/// Order in which entries read the store for their zone; lower is first.
+fn rank(peer: SocketAddr) -> u64 {
+    rendezvous(b"reader", peer.to_string().as_bytes())
 }
 
 /// Entries as one of them knows them.
@@ -136,6 +169,7 @@
         let member = Member {
             heard: now,
             beating: false,
+            distrusted: Millis::ZERO,
             beat,
         };
         self.others.insert(member.beat.peer, member);
@@ -150,6 +184,7 @@
             let member = Member {
                 heard: now,
                 beating: true,
+                distrusted: Millis::ZERO,
                 beat,
             };
             self.others.insert(member.beat.peer, member);
@@ -158,20 +193,20 @@
         if known.beating && beat.order() <= known.beat.order() {
             return false;
         }
-        let changed = known.beat.ready != beat.ready || !known.is_live(now);
+        let changed = known.beat.status.ready != beat.status.ready || !known.is_live(now);
         *known = Member {
             heard: now,
             beating: true,
             beat,
+            distrusted: known.distrusted,
         };
         changed
     }
 
     /// Prepares the beats of the next datagram: this entry's first, then the ones heard last.
-    pub fn beat(&mut self, ready: bool, catalog: CatalogVersion, now: Millis) -> Vec<Beat> {
+    pub fn beat(&mut self, status: Status, now: Millis) -> Vec<Beat> {
         self.me.count += 1;
-        self.me.ready = ready;
-        self.me.catalog = catalog;
+        self.me.status = status;
         self.others.retain(|_, m| now < m.heard + FORGET);
         if self.sends_to_all() {
             return vec![self.me.clone()];
@@ -208,11 +243,58 @@
         out
     }
 
-    /// Returns a live entry with a newer catalog than a version.
+    fn is_near(&self, m: &Member) -> bool {
+        m.beat.zone == self.me.zone
+    }
+
+    /// Returns whether this entry reads the store itself: it is one of the first of its zone, or those do not read.
+    pub fn reads_store(&self, now: Millis) -> bool {
+        let mine = rank(self.me.peer);
+        let readers = self
+            .others
+            .values()
+            .filter(|m| self.is_near(m) && m.is_reader(now));
+        readers.filter(|m| rank(m.beat.peer) < mine).count() < READERS
+    }
+
+    /// Returns an entry that reads the store, with the hash of its table: the first of the own zone, or any other.
+    pub fn reader(&self, now: Millis) -> Option<(SocketAddr, FleetDigest)> {
+        let readers = self.others.values().filter(|m| m.is_reader(now));
+        let first = readers.min_by_key(|m| (!self.is_near(m), rank(m.beat.peer)))?;
+        Some((first.beat.peer, first.beat.status.fleet))
+    }
+
+    /// Notes that an entry did not pass on its table.
+    pub fn distrust(&mut self, peer: SocketAddr, now: Millis) {
+        if let Some(m) = self.others.get_mut(&peer) {
+            m.distrusted = now + DISTRUST;
+        }
+    }
+
+    /// Returns a live entry with a newer catalog than a version: of the own zone, if an entry of it reads the store.
     pub fn newer_catalog(&self, than: CatalogVersion, now: Millis) -> Option<SocketAddr> {
-        let newer = |m: &&Member| m.is_live(now) && m.beat.catalog > than;
-        let newest = self.others.values().filter(newer);
-        newest.max_by_key(|m| m.beat.catalog).map(|m| m.beat.peer)
+        let reads = |m: &Member| self.is_near(m) && m.is_reader(now);
+        let near = self.others.values().any(reads);
+        let newer = |m: &&Member| {
+            m.is_live(now) && m.beat.status.catalog > than && (!near || self.is_near(m))
+        };
+        // Any of them, so that no link carries all copies of a large catalog.
+        let newer: Vec<_> = self.others.values().filter(newer).collect();
+        let newest = newer.iter().map(|m| m.beat.status.catalog).max()?;
+        let newest: Vec<_> = newer
+            .iter()
+            .filter(|m| m.beat.status.catalog == newest)
+            .collect();
+        Some(newest[fastrand::usize(..newest.len())].beat.peer)
+    }
+
+    /// Returns the peer addresses of a few live entries, those of a zone first, for agents.
+    pub fn peers(&self, zone: &str, max: usize, now: Millis) -> Vec<SocketAddr> {
+        let others = self.others.values().filter(|m| m.is_live(now));
+        let mut all: Vec<&Beat> = others.map(|m| &m.beat).chain([&self.me]).collect();
+        fastrand::shuffle(&mut all);
+        all.sort_by_key(|b| b.zone.as_str() != zone);
+        all.into_iter().take(max).map(|b| b.peer).collect()
     }
 
     /// Returns the addresses for a caller of a zone: those of the zone first if there are at least two, then all.
@@ -221,7 +303,7 @@
         let all: Vec<&Beat> = others
             .map(|m| &m.beat)
             .chain([&self.me])
-            .filter(|b| b.ready)
+            .filter(|b| b.status.ready)
             .collect();
         let near: Vec<_> = all
             .iter()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! on one thread, because an entry host has one small core; state is shared without locks.
 
 mod accept;
+mod assignment;
 mod balance;
 mod catalog;
 mod choose;
@@ -30,6 +31,8 @@
 mod stream;
 mod turns;
 
+pub use assignment::Assignment;
+pub(crate) use assignment::{ASSIGNMENT_PATH, ASSIGNMENT_WAIT};
 pub use balance::{Ask, Balance, Load, Loads, Outcome, Refusal, Wanted};
 pub use catalog::{
     CallerLimits, Catalog, CatalogVersion, EngineSpeed, OriginSpec, Repeat, Route, ServiceSpec,
@@ -37,11 +40,11 @@
 };
 pub use directory::Directory;
 pub use events::{EventError, EventId, Events};
-pub use fleet::{Change, Endpoint, EndpointId, Fleet, RENEWAL};
+pub use fleet::{Change, Endpoint, EndpointId, Fleet, FleetDigest, RENEWAL};
 pub use follow::{follow, Follower};
 pub use headers::Headers;
 pub use intents::{Decode, IntentSink, Intents};
-pub use members::{Beat, Datagram, EndpointHash, Member, Members, NamedAge};
+pub use members::{Beat, Datagram, EndpointHash, Member, Members, NamedAge, Status};
 pub use named::Named;
 pub use record::{
     EndpointRecord, Intent, Record, RecordStore, Records, Revision, StoreError, Topic,
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -115,7 +115,7 @@
 }
 
 /// Order of the records of one endpoint: its start in Unix milliseconds, then the count of its records.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Revision {
     /// Time of the endpoint's start.
     pub born: u64,
@@ -124,7 +124,7 @@
 }
 
 /// What an endpoint says of itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Service.
     pub service: Service,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,6 +1,6 @@
 //! The entry process: sockets, followers of the store, beats and shutdown.
 
-use std::{marker::PhantomData, net::SocketAddr, rc::Rc};
+use std::{cell::Cell, marker::PhantomData, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use eyre::WrapErr;
@@ -12,15 +12,15 @@
 };
 
 use super::{
-    catalog::CatalogVersion,
     context::Context,
+    fleet::Change,
     follow::follow,
-    followers::{Endpoints, Entries},
+    followers::{endpoint_changed, Endpoints, Entries},
     intents::{Decode, Intents},
     log_event,
-    members::{Beat, Members},
+    members::{Beat, Members, Status},
     metrics::GatewayMetrics,
-    peers::{beat, follow_peers, hear, send_beat},
+    peers::{beat, follow_peers, hear, mirror_fleet, send_beat},
     record::{Record, RecordStore, Topic},
     serve, GatewaySettings, Headers,
 };
@@ -66,8 +66,7 @@
         zone: settings.zone.clone(),
         boot: wall_ms(),
         count: 0,
-        ready: false,
-        catalog: CatalogVersion::default(),
+        status: Status::default(),
     };
     emit!(
         log_event::PROCESS,
@@ -86,7 +85,10 @@
     let callers = serve_all(&ctx, &closed)?;
     let intents = Rc::new(Intents::<D, _>::new(ctx.clone()));
     let endpoints = Rc::new(Endpoints::<D>(ctx.clone(), PhantomData));
-    let entries = Rc::new(Entries(ctx.clone()));
+    let entries = Rc::new(Entries {
+        ctx: ctx.clone(),
+        read: Cell::default(),
+    });
     spawn_local(follow(store.clone(), Topic::Operator, WAIT, intents));
     spawn_local(follow(
         store.clone(),
@@ -104,6 +106,7 @@
     spawn_local(hear(ctx.clone(), socket.clone()));
     spawn_local(beat(ctx.clone(), socket.clone()));
     spawn_local(follow_peers::<D>(ctx.clone()));
+    spawn_local(mirror_fleet(ctx.clone()));
     let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
     let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
     loop {
@@ -138,8 +141,10 @@
     let handler = move |req| serve::respond(context.clone(), req);
     let task = spawn_local(callers.serve(options, handler, closed.clone()));
     let context = ctx.clone();
-    let handler =
-        move |req: hyper::Request<_>| std::future::ready(serve::peer(&context, req.uri().path()));
+    let handler = move |req: hyper::Request<_>| {
+        let (context, path) = (context.clone(), req.uri().path().to_owned());
+        async move { serve::peer(&context, &path).await }
+    };
     let peers = listen_on(sockets.peers)?;
     spawn_local(peers.serve(ServeOptions::default, handler, closed.clone()));
     if let Some(addr) = sockets.readiness {
@@ -198,8 +203,11 @@
         tokio::time::sleep(UPKEEP.duration()).await;
         let now = ctx.now();
         let over = ctx.fleet.borrow_mut().expire(now);
-        for id in over {
-            emit!(log_event::ENDPOINT, "endpoint={id} change=expired");
+        for id in &over {
+            endpoint_changed(&ctx, id, Change::Removed);
+        }
+        if !over.is_empty() {
+            ctx.tell();
         }
         ctx.pool.sweep(now);
         let fleet = ctx.fleet.borrow();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -13,6 +13,7 @@
 
 use super::{
     accept::{accept, Job},
+    assignment::{self, ASSIGNMENT_PATH},
     context::{Context, Running},
     directory::Directory,
     forward::{forward, response_headers, Attempt, Attempts},
@@ -26,6 +27,9 @@
 /// Path at which entries pass on their catalog.
 pub(super) const CATALOG_PATH: &str = "/catalog";
 
+/// Path at which entries that read the store pass on their table of endpoints.
+pub(super) const FLEET_PATH: &str = "/fleet";
+
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -147,13 +151,28 @@
     res
 }
 
-/// Answers another entry that asks for the catalog in its encoded form.
-pub(super) fn peer(ctx: &Context, path: &str) -> Whole {
-    let raw = ctx.raw_catalog.borrow().clone();
-    if path != CATALOG_PATH || raw.is_empty() {
-        return plain(StatusCode::NOT_FOUND);
+/// Answers another entry, or an agent.
+pub(super) async fn peer(ctx: &Context, path: &str) -> Whole {
+    let answer = match path {
+        CATALOG_PATH => Some(ctx.raw_catalog.borrow().clone()).filter(|raw| !raw.is_empty()),
+        FLEET_PATH => encoded_fleet(ctx),
+        _ => match path.strip_prefix(ASSIGNMENT_PATH) {
+            Some(question) => assignment::answer(ctx, question).await.map(Bytes::from),
+            None => None,
+        },
+    };
+    answer.map_or_else(
+        || plain(StatusCode::NOT_FOUND),
+        |body| Response::new(Full::new(body)),
+    )
+}
+
+fn encoded_fleet(ctx: &Context) -> Option<Bytes> {
+    if !ctx.follows() {
+        return None;
     }
-    Response::new(Full::new(raw))
+    let records = ctx.fleet.borrow().records();
+    postcard::to_stdvec(&records).ok().map(Bytes::from)
 }
 
 /// Answers a request for the metrics.
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     marker::PhantomData,
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -18,13 +19,16 @@
     EndpointHost, HostReport, LoadAnswer, Manifest, Origin,
 };
 use crate::{
-    base::{Clock, HashMap, Millis, SystemClock},
+    base::{Clock, HashMap, Millis, SystemClock, Zone},
     decide::{chunk::Topology, rollout::Rollout},
     emit,
-    gateway::{Catalog, Decode, Named, OriginSpec, RecordStore, Topic, WeightVersion},
+    gateway::{Assignment, Catalog, Decode, Named, OriginSpec, RecordStore, Topic, WeightVersion},
     net::Pacer,
 };
 
+/// Time without news from any entry after which the store is read instead.
+const FORGOTTEN: Millis = Millis(2500);
+
 /// Time after a failed call.
 const RETRY: Millis = Millis(200);
 
@@ -44,7 +48,7 @@
 
 /// State of an agent.
 pub(super) struct Agent<S, D, H, O> {
-    settings: AgentSettings,
+    pub(super) settings: AgentSettings,
     store: S,
     host: H,
     origin: O,
@@ -58,6 +62,9 @@
     model: RefCell<Option<Rc<str>>>,
     origin_spec: RefCell<Option<OriginSpec>>,
     named: RefCell<HashMap<Rc<str>, Named>>,
+    /// When an entry last told the work, and when this agent started.
+    told: Cell<Option<Millis>>,
+    started: Millis,
     report: RefCell<Option<HostReport>>,
     /// Whether a copy is in progress.
     pub(super) copying: Cell<bool>,
@@ -83,12 +90,15 @@
             regions: settings.regions.clone(),
             origin: None,
         };
-        let peers = Peers::new(&location, &settings.service, std::iter::empty());
+        let peers = Peers::new(&location, &[]);
+        let clock = SystemClock::start();
         Self {
             store,
             host,
             origin,
-            clock: SystemClock::start(),
+            clock,
+            told: Cell::default(),
+            started: clock.now(),
             down_pacer: pacer,
             holdings,
             client: Client::new(),
@@ -205,29 +215,54 @@
         self.report.borrow().as_ref().map(|r| r.born)
     }
 
-    /// Reads the hosts of the service.
-    pub(super) async fn read_peers(&self) {
-        let records = match self.store.newest(Topic::Endpoints).await {
-            Ok(records) => records.records,
-            Err(e) => {
-                log::debug!("the list of hosts cannot be read: {e}");
-                return;
-            }
+    /// Takes what an entry tells.
+    pub(super) fn assign(&self, told: &Assignment) {
+        let now = self.now();
+        self.told.set(Some(now));
+        *self.origin_spec.borrow_mut() = told.origin.clone();
+        self.set_hosts(&told.hosts);
+        let Some(model) = &told.model else {
+            return;
         };
-        let values = records.iter().filter_map(|r| r.value.as_ref());
-        let endpoints: Vec<_> = values.filter_map(|v| D::endpoint(v).ok()).collect();
-        let origin = self
-            .origin_spec
-            .borrow()
-            .as_ref()
-            .and_then(|o| o.zone.clone());
+        if self.model.replace(Some(model.clone())).as_ref() != Some(model) {
+            self.changed.notify_one();
+        }
+        for n in &told.named {
+            let mut named = self.named.borrow_mut();
+            let versions = named.entry(model.clone()).or_default();
+            let before = versions.newest();
+            if versions.learn(n.version, now - n.age) {
+                let (version, age) = (n.version, n.age);
+                emit!(
+                    log_event::NAMED,
+                    "model={model} version={version} age={age} source=entry"
+                );
+            }
+            if versions.newest() != before {
+                self.changed.notify_one();
+            }
+        }
+        let known = self.named.borrow().get(model).and_then(Named::newest);
+        if let Some(newest) = told.newest.filter(|n| known < Some(*n)) {
+            self.name_version(model.clone(), newest, true);
+        }
+    }
+
+    /// Returns whether no entry told anything for a while, so that the store has to be read.
+    pub(super) fn is_forgotten(&self) -> bool {
+        let told = self.told.get().unwrap_or(self.started);
+        self.now() > told + FORGOTTEN
+    }
+
+    fn set_hosts(&self, hosts: &[(SocketAddr, Zone)]) {
+        let origin = self.origin_spec.borrow();
         let location = Location {
             me: self.settings.exchange,
             zone: self.settings.zone.clone(),
             regions: self.settings.regions.clone(),
-            origin,
+            origin: origin.as_ref().and_then(|o| o.zone.clone()),
         };
-        let peers = Peers::new(&location, &self.settings.service, endpoints.iter());
+        let peers = Peers::new(&location, hosts);
         let same = |a: &Topology, b: &Topology| a.members() == b.members();
         let changed = !same(&peers.topology, &self.peers.borrow().topology);
         if changed {
@@ -235,6 +270,25 @@
         }
     }
 
+    /// Reads the hosts of the service from the store, if no entry tells them.
+    pub(super) async fn read_peers(&self) {
+        if !self.is_forgotten() {
+            return;
+        }
+        let records = match self.store.newest(Topic::Endpoints).await {
+            Ok(records) => records.records,
+            Err(e) => {
+                log::debug!("the list of hosts cannot be read: {e}");
+                return;
+            }
+        };
+        let values = records.iter().filter_map(|r| r.value.as_ref());
+        let endpoints = values.filter_map(|v| D::endpoint(v).ok());
+        let own = endpoints.filter(|e| e.service == self.settings.service);
+        let hosts: Vec<_> = own.map(|e| (e.addr, e.zone)).collect();
+        self.set_hosts(&hosts);
+    }
+
     /// Brings the endpoint to the target, or waits for a change.
     pub(super) async fn step(&self) {
         let target = self.target().filter(|_| self.report.borrow().is_some());
--- /dev/null
+++ b/src/staging/entries.rs
@@ -0,0 +1,106 @@
+//! Asks entries what there is to do, so that agents do not load the store and the links to it.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+
+use super::{agent::Agent, EndpointHost, Origin};
+use crate::{
+    base::{jitter, Clock, Millis, SystemClock},
+    gateway::{Assignment, Beat, Decode, RecordStore, Topic, ASSIGNMENT_PATH, ASSIGNMENT_WAIT},
+    http::{call, Pool},
+};
+
+/// Time for an answer beyond the wait that is asked for.
+const ANSWER: Millis = Millis(500);
+
+/// Time after a question that failed, and after a failed read of the announcements.
+const RETRY: Millis = Millis(60);
+const STORE_RETRY: Millis = Millis(600);
+
+/// Entries to ask, and what the last one told.
+struct Source {
+    pool: Pool,
+    clock: SystemClock,
+    entries: Vec<SocketAddr>,
+    tag: u64,
+}
+
+/// Asks entries for ever, one at a time.
+pub(super) async fn follow_entries<S, D, H, O>(agent: Rc<Agent<S, D, H, O>>, store: S)
+where
+    S: RecordStore,
+    D: Decode,
+    H: EndpointHost,
+    O: Origin,
+{
+    let mut source = Source {
+        pool: Pool::default(),
+        clock: SystemClock::start(),
+        entries: Vec::new(),
+        tag: 0,
+    };
+    let zone = &agent.settings.zone;
+    loop {
+        let Some(&entry) = source.entries.last() else {
+            source.entries = announced(&store, zone.as_str()).await;
+            if source.entries.is_empty() {
+                tokio::time::sleep(jitter(STORE_RETRY).duration()).await;
+            }
+            continue;
+        };
+        let service = &agent.settings.service;
+        let path = format!("{ASSIGNMENT_PATH}{service}/{zone}/{}", source.tag);
+        let Some(told) = source.ask(entry, path).await else {
+            source.entries.pop();
+            tokio::time::sleep(jitter(RETRY).duration()).await;
+            continue;
+        };
+        agent.assign(&told);
+        source.tag = told.tag;
+        if !told.entries.is_empty() {
+            source.entries = told.entries;
+            // The one that answers is asked again.
+            source.entries.retain(|e| *e != entry);
+            source.entries.push(entry);
+        }
+    }
+}
+
+impl Source {
+    async fn ask(&self, entry: SocketAddr, path: String) -> Option<Assignment> {
+        let mut req = Request::new(Full::default());
+        *req.uri_mut() = path.parse().ok()?;
+        let limit = ASSIGNMENT_WAIT + ANSWER;
+        match call(&self.pool, entry, req, self.clock.now(), limit).await {
+            Ok(res) if res.status() == StatusCode::OK => postcard::from_bytes(res.body()).ok(),
+            Ok(res) => {
+                log::debug!("{entry} answers a question for work with {}", res.status());
+                None
+            }
+            Err(e) => {
+                log::debug!("no work from {entry}: {e}");
+                None
+            }
+        }
+    }
+}
+
+/// Reads which entries announced themselves; those of the zone come last and are asked first.
+async fn announced<S: RecordStore>(store: &S, zone: &str) -> Vec<SocketAddr> {
+    let records = match store.newest(Topic::Entries).await {
+        Ok(records) => records.records,
+        Err(e) => {
+            log::debug!("the announcements of entries cannot be read: {e}");
+            return Vec::new();
+        }
+    };
+    let values = records.iter().filter_map(|r| r.value.as_ref());
+    let mut beats: Vec<Beat> = values
+        .filter_map(|v| postcard::from_bytes(v).ok())
+        .collect();
+    fastrand::shuffle(&mut beats);
+    beats.sort_by_key(|b| b.zone.as_str() == zone);
+    beats.into_iter().map(|b| b.peer).collect()
+}
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -6,6 +6,7 @@
 
 mod agent;
 mod copy;
+mod entries;
 mod exchange;
 mod holdings;
 mod host;
--- a/src/staging/peers.rs
+++ b/src/staging/peers.rs
@@ -3,12 +3,12 @@
 use std::{collections::HashMap as RegionMap, net::SocketAddr};
 
 use crate::{
-    base::{HashMap, Region, Service, Zone},
+    base::{HashMap, Region, Zone},
     decide::{
         chunk::{Member, PeerId, Place, Topology},
         rollout::order,
     },
-    gateway::{EndpointRecord, WeightVersion},
+    gateway::WeightVersion,
 };
 
 /// Other hosts of a service.
@@ -55,21 +55,17 @@
 }
 
 impl Peers {
-    /// Finds the hosts of a service.
-    pub(super) fn new<'e>(
-        location: &Location,
-        service: &Service,
-        endpoints: impl Iterator<Item = &'e EndpointRecord>,
-    ) -> Self {
+    /// Finds the other agents of a service from the addresses and zones of its endpoints.
+    pub(super) fn new(location: &Location, endpoints: &[(SocketAddr, Zone)]) -> Self {
         let me = id(location.me);
         let mut members = Vec::new();
         let mut addrs = HashMap::default();
-        for e in endpoints.filter(|e| e.service == *service) {
-            let addr = SocketAddr::new(e.addr.ip(), location.me.port());
+        for (addr, zone) in endpoints {
+            let addr = SocketAddr::new(addr.ip(), location.me.port());
             let id = id(addr);
             members.push(Member {
                 id,
-                place: location.place(&e.zone),
+                place: location.place(zone),
             });
             addrs.insert(id, addr);
         }
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -12,6 +12,7 @@
 
 use super::{
     agent::Agent,
+    entries::follow_entries,
     exchange::{Exchange, LINK_SHARE},
     holdings::Holdings,
     log_event, EndpointHost, Origin,
@@ -102,11 +103,12 @@
         holdings,
         pacer(),
     ));
+    spawn_local(follow_entries(agent.clone(), store.clone()));
     spawn_local(follow(
         store,
         Topic::Operator,
         WAIT,
-        Rc::new(Intents::<D, _>::new(agent.clone())),
+        Rc::new(Intents::<D, _>::told(agent.clone())),
     ));
     spawn_local(watch_endpoint(agent.clone()));
     spawn_local(refresh_peers(agent.clone()));
@@ -145,6 +147,10 @@
     fn malformed(&self, key: &str, reason: &str) {
         emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
     }
+
+    fn is_wanted(&self) -> bool {
+        self.is_forgotten()
+    }
 }
 
 /// Looks at the endpoint for ever.
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -4,7 +4,7 @@
 
 use sesamewing::{
     base::Millis,
-    gateway::{Beat, CatalogVersion, Directory, Members},
+    gateway::{Beat, CatalogVersion, Directory, FleetDigest, Members, Status},
 };
 
 fn addr(host: u8, port: u16) -> SocketAddr {
@@ -18,14 +18,21 @@
         zone: zone.parse().expect("a valid name"),
         boot: 1,
         count,
+        status: status(count),
+    }
+}
+
+fn status(catalog: u64) -> Status {
+    Status {
         ready: true,
-        catalog: CatalogVersion(count),
+        catalog: CatalogVersion(catalog),
+        ..Status::default()
     }
 }
 
 fn members() -> Members {
     let mut members = Members::new(beat(1, "a", 0));
-    members.beat(true, CatalogVersion(0), Millis(0));
+    members.beat(status(0), Millis(0));
     members
 }
 
@@ -55,7 +62,7 @@
     let mut members = members();
     members.hear(beat(2, "a", 1), Millis(100));
     let leaving = Beat {
-        ready: false,
+        status: Status::default(),
         ..beat(2, "a", 2)
     };
     assert!(members.hear(leaving, Millis(150)));
@@ -91,6 +98,6 @@
         members.hear(beat(host, zone, 1), Millis(100));
     }
     assert!(members.targets(Millis(200)).len() <= 16);
-    let beats = members.beat(true, CatalogVersion(1), Millis(200));
+    let beats = members.beat(status(1), Millis(200));
     assert!(beats.len() <= 17, "{}", beats.len());
 }
