perf(staging): manifests from other agents; fewer chunks at the origin at once

A manifest that arrives spoilt would have blocked its host for ever.

Change: the manifest goes down the tree of each region from the one host that asks the origin; leaders fetch 10 chunks at once instead of 24; a manifest whose chunk arrives with another digest twice is read again from the origin. Tests fail without: few_hosts_ask_origin, wrong_manifest_is_replaced.

--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 
 use super::{
-    copy::{copy, CopyContext},
+    copy::{copy, version_id, CopyContext},
     exchange::Client,
     holdings::{is_intact, Holdings},
     log_event,
@@ -19,7 +19,7 @@
     EndpointHost, HostReport, LoadAnswer, Manifest, Origin,
 };
 use crate::{
-    base::{Clock, HashMap, Millis, SystemClock, Zone},
+    base::{jitter, Clock, HashMap, Millis, SystemClock, Zone},
     decide::{chunk::Topology, rollout::Rollout},
     emit,
     gateway::{Assignment, Catalog, Decode, Named, OriginSpec, RecordStore, Topic, WeightVersion},
@@ -68,6 +68,8 @@
     report: RefCell<Option<HostReport>>,
     /// Whether a copy is in progress.
     pub(super) copying: Cell<bool>,
+    /// Whether the last manifest was wrong, so that the next one comes from the origin.
+    doubted: Cell<bool>,
     /// Whether a complete version waits for its turn or loads.
     loading: Cell<bool>,
     /// Wakes the main loop when the target or the endpoint changed.
@@ -108,6 +110,7 @@
             named: RefCell::default(),
             report: RefCell::default(),
             copying: Cell::default(),
+            doubted: Cell::default(),
             loading: Cell::default(),
             changed: Notify::new(),
             settings,
@@ -308,8 +311,9 @@
 
     async fn bring(&self, target: &Target) {
         self.copying.set(true);
+        self.read_peers().await;
         let Some(manifest) = self.manifest(target).await else {
-            tokio::time::sleep(RETRY.duration()).await;
+            tokio::time::sleep(jitter(RETRY).duration()).await;
             return;
         };
         let manifest = Rc::new(manifest);
@@ -324,8 +328,17 @@
             manifest.digests.len()
         );
         if kept < manifest.digests.len() {
-            self.read_peers().await;
-            copy(self.copy_context(target, &manifest)).await;
+            if let Err(e) = copy(self.copy_context(target, &manifest)).await {
+                emit!(
+                    log_event::COPY,
+                    "model={} version={} state=restarted reason=\"{e}\"",
+                    target.model,
+                    manifest.version
+                );
+                self.holdings.clear();
+                self.doubted.set(true);
+                return;
+            }
             emit!(
                 log_event::COPY,
                 "model={} version={} state=complete ms={}",
@@ -364,6 +377,15 @@
     }
 
     async fn manifest(&self, target: &Target) -> Option<Manifest> {
+        let version = target.version.filter(|_| !self.doubted.replace(false));
+        if let Some(version) = version {
+            if let Some(known) = self.holdings.manifest(&target.model, version) {
+                return Some((*known).clone());
+            }
+            if let Some(told) = self.told_manifest(&target.model, version).await {
+                return Some(told);
+            }
+        }
         let addr = self.origin_spec.borrow().as_ref().map(|o| o.addr)?;
         match self
             .origin
@@ -378,6 +400,19 @@
         }
     }
 
+    /// Asks other hosts for a manifest, so that few ask the origin.
+    async fn told_manifest(&self, model: &str, version: WeightVersion) -> Option<Manifest> {
+        let id = version_id(model, version);
+        let sources = self.peers.borrow().manifest_sources(&id);
+        for addr in sources {
+            let told = self.client.manifest(addr, model, version).await;
+            if told.is_some() {
+                return told;
+            }
+        }
+        None
+    }
+
     /// Reads the staged chunks and checks them; returns how many are held.
     async fn check(&self, model: &str, manifest: &Manifest) -> usize {
         let staged = self.host.staged(model).await.unwrap_or_else(|e| {
--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -19,6 +19,7 @@
     base::{Clock, Digest, HashMap, Millis, Rate, SystemClock},
     decide::chunk::{Action, Config, Event, Fault, PeerId, Scheduler, Source},
     emit,
+    gateway::WeightVersion,
     net::Pacer,
     settings::Prefer,
 };
@@ -37,9 +38,23 @@
 const BACKOFF: Millis = Millis(150);
 const BACKOFF_MAX: Millis = Millis(600);
 
+/// Chunks that leaders of all hosts fetch from the origin at once. All share its link, and connections to it time out
+/// behind a long queue of chunks.
+const WINDOW: usize = 10;
+
+/// Times that a chunk may arrive with another digest before the manifest is taken to be wrong.
+const CORRUPT_MAX: u32 = 2;
+
 /// News that waits for the scheduler.
 const NEWS: usize = 64;
 
+/// Returns the key of a version for the choice of neighbours and leaders.
+pub(super) fn version_id(model: &str, version: WeightVersion) -> Digest {
+    let mut id = Digest::of(model.as_bytes());
+    id.0[..8].copy_from_slice(&version.0.to_le_bytes());
+    id
+}
+
 /// What a copy needs.
 #[derive(Clone, Debug)]
 pub(super) struct CopyContext<H, O> {
@@ -72,10 +87,23 @@
     subscriptions: JoinSet<()>,
     following: HashMap<PeerId, AbortHandle>,
     news: (mpsc::Sender<Event>, mpsc::Receiver<Event>),
+    /// Times that each chunk arrived with another digest.
+    corrupt: HashMap<u32, u32>,
 }
 
+/// The digests of the manifest match no source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("chunk {0} arrives with another digest from every source; read the manifest again")]
+pub(super) struct WrongManifest(u32);
+
 /// Copies all chunks of a version that are not held.
-pub(super) async fn copy<H: EndpointHost, O: Origin>(ctx: CopyContext<H, O>) {
+///
+/// # Errors
+///
+/// Returns an error if the manifest seems to be wrong.
+pub(super) async fn copy<H: EndpointHost, O: Origin>(
+    ctx: CopyContext<H, O>,
+) -> Result<(), WrongManifest> {
     let manifest = ctx.manifest.clone();
     let peers = ctx.peers.borrow().clone();
     let mut config = Config::new(Prefer::Origin, manifest.chunk, ctx.down);
@@ -83,11 +111,10 @@
     config.grace = GRACE;
     config.backoff = BACKOFF;
     config.backoff_max = BACKOFF_MAX;
-    let mut id = Digest::of(ctx.model.as_bytes());
-    id.0[..8].copy_from_slice(&manifest.version.0.to_le_bytes());
+    config.window = WINDOW;
     let mut scheduler = Scheduler::new(
         config,
-        id,
+        version_id(&ctx.model, manifest.version),
         manifest.digests.clone(),
         peers.topology.clone(),
         fastrand::u64(..),
@@ -104,8 +131,9 @@
         subscriptions: JoinSet::new(),
         following: HashMap::default(),
         news: mpsc::channel(NEWS),
+        corrupt: HashMap::default(),
     };
-    copy.run().await;
+    copy.run().await
 }
 
 impl<H: EndpointHost, O: Origin> Copy<H, O> {
@@ -113,7 +141,7 @@
         self.ctx.clock.now()
     }
 
-    async fn run(mut self) {
+    async fn run(mut self) -> Result<(), WrongManifest> {
         while let Some(wake) = self.act() {
             self.subscribe();
             let wait = (wake - self.now()).min(REFRESH);
@@ -132,8 +160,13 @@
                 }
                 () = tokio::time::sleep(wait.duration()) => {}
             }
+            let wrong = self.corrupt.iter().find(|(_, n)| **n >= CORRUPT_MAX);
+            if let Some((chunk, _)) = wrong {
+                return Err(WrongManifest(*chunk));
+            }
             self.refresh();
         }
+        Ok(())
     }
 
     /// Takes over a changed list of hosts.
@@ -208,6 +241,9 @@
                     done.chunk,
                     done.from
                 );
+                if fault == Fault::Corrupt {
+                    *self.corrupt.entry(done.chunk).or_default() += 1;
+                }
                 Event::Failed(done.chunk, done.from, fault)
             }
         };
--- a/src/staging/exchange.rs
+++ b/src/staging/exchange.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, Method, Request, Response, StatusCode};
 
-use super::{holdings::is_intact, holdings::Holdings, log_event, EndpointHost};
+use super::{holdings::is_intact, holdings::Holdings, log_event, EndpointHost, Manifest};
 use crate::{
     base::{Clock, Digest, Millis, Percent, SystemClock},
     decide::chunk::Fault,
@@ -29,6 +29,9 @@
 /// Time in which further news is collected before an answer.
 const NEWS_DELAY: Millis = Millis(15);
 
+/// Time for an answer beyond the wait for news.
+const ANSWER: Millis = Millis(700);
+
 /// Longest time of a chunk's transfer.
 const TRANSFER: Millis = Millis(2500);
 
@@ -48,6 +51,8 @@
     Have(&'a str, WeightVersion, usize),
     /// A chunk.
     Chunk(&'a str, WeightVersion, u32),
+    /// The manifest.
+    Manifest(&'a str, WeightVersion),
 }
 
 fn parse(path: &str) -> Option<Question<'_>> {
@@ -55,6 +60,9 @@
     let kind = parts.next()?;
     let model = parts.next()?;
     let version = WeightVersion(parts.next()?.parse().ok()?);
+    if kind == "manifest" {
+        return Some(Question::Manifest(model, version));
+    }
     let number = parts.next()?;
     match kind {
         "have" => Some(Question::Have(model, version, number.parse().ok()?)),
@@ -75,10 +83,28 @@
         match parse(req.uri().path()) {
             Some(Question::Have(model, version, from)) => self.have(model, version, from).await,
             Some(Question::Chunk(model, version, chunk)) => self.chunk(model, version, chunk).await,
+            Some(Question::Manifest(model, version)) => self.manifest(model, version).await,
             None => respond(StatusCode::NOT_FOUND, Bytes::new()),
         }
     }
 
+    /// Answers with the manifest of a version; waits for it if this host does not have it yet.
+    async fn manifest(&self, model: &str, version: WeightVersion) -> Response<Full<Bytes>> {
+        let wait = async {
+            loop {
+                let news = self.holdings.changed();
+                if let Some(manifest) = self.holdings.manifest(model, version) {
+                    return postcard::to_stdvec(&*manifest).ok();
+                }
+                news.await;
+            }
+        };
+        match tokio::time::timeout(NEWS_WAIT.duration(), wait).await {
+            Ok(Some(data)) => respond(StatusCode::OK, data.into()),
+            _ => respond(StatusCode::NOT_FOUND, Bytes::new()),
+        }
+    }
+
     async fn have(
         &self,
         model: &str,
@@ -192,7 +218,7 @@
         from: usize,
     ) -> Option<Vec<u32>> {
         let path = format!("/have/{model}/{version}/{from}");
-        let limit = NEWS_WAIT + NEWS_DELAY + Millis(700);
+        let limit = NEWS_WAIT + NEWS_DELAY + ANSWER;
         match self.get(addr, path, limit).await {
             Ok(res) if res.status() == StatusCode::OK => postcard::from_bytes(res.body()).ok(),
             Ok(res) => {
@@ -206,6 +232,24 @@
         }
     }
 
+    /// Fetches a manifest; waits until the other host has it.
+    pub(super) async fn manifest(
+        &self,
+        addr: SocketAddr,
+        model: &str,
+        version: WeightVersion,
+    ) -> Option<Manifest> {
+        let path = format!("/manifest/{model}/{version}");
+        match self.get(addr, path, NEWS_WAIT + ANSWER).await {
+            Ok(res) if res.status() == StatusCode::OK => postcard::from_bytes(res.body()).ok(),
+            Ok(_) => None,
+            Err(e) => {
+                log::debug!("no manifest from {addr}: {e}");
+                None
+            }
+        }
+    }
+
     /// Fetches a chunk and checks it.
     pub(super) async fn chunk(
         &self,
--- a/src/staging/holdings.rs
+++ b/src/staging/holdings.rs
@@ -92,6 +92,11 @@
         })?
     }
 
+    /// Returns the manifest of a version, if it is the present one.
+    pub(super) fn manifest(&self, model: &str, version: WeightVersion) -> Option<Rc<Manifest>> {
+        self.with(model, version, |c| c.manifest.clone())
+    }
+
     /// Returns the number of held chunks and of all.
     pub(super) fn progress(&self) -> (u32, u32) {
         let current = self.current.borrow();
--- a/src/staging/host.rs
+++ b/src/staging/host.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     base::{Digest, Size},
@@ -97,7 +98,7 @@
 }
 
 /// What a version consists of.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Manifest {
     /// Version.
     pub version: WeightVersion,
--- a/src/staging/peers.rs
+++ b/src/staging/peers.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap as RegionMap, net::SocketAddr};
 
 use crate::{
-    base::{HashMap, Region, Zone},
+    base::{Digest, HashMap, Region, Zone},
     decide::{
         chunk::{Member, PeerId, Place, Topology},
         rollout::order,
@@ -81,6 +81,20 @@
         self.addrs.get(&id).copied()
     }
 
+    /// Returns the hosts of the region to ask for the manifest of a version, in order; none for the host that asks the
+    /// origin for the region.
+    pub(super) fn manifest_sources(&self, id: &Digest) -> Vec<SocketAddr> {
+        let Some(parent) = self.topology.parent(id) else {
+            return Vec::new();
+        };
+        let members = self.topology.members().iter();
+        let local: Vec<_> = members.filter(|m| m.place.is_local()).collect();
+        let other = local.get(fastrand::usize(..local.len().max(1)));
+        let sources = [Some(parent), other.map(|m| m.id)];
+        let addrs = sources.into_iter().flatten().filter_map(|id| self.addr(id));
+        addrs.collect()
+    }
+
     /// Returns this host's position among all in the turns of a version, and their number.
     pub(super) fn turn(&self, version: WeightVersion) -> (usize, usize) {
         let mine = order(self.me.ip(), version.0);
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -90,9 +90,18 @@
     }
 }
 
-/// An origin in memory; counts the chunks that it sends and spoils the first one.
+/// An origin in memory; counts what it sends and spoils the first chunk.
 #[derive(Clone, Default)]
-struct Store(Rc<Cell<u32>>);
+struct Store(Rc<Sent>);
+
+#[derive(Default)]
+struct Sent {
+    chunks: Cell<u32>,
+    /// Manifests of named versions.
+    manifests: Cell<u32>,
+    /// Whether the next manifest of a named version is spoilt.
+    wrong: Cell<bool>,
+}
 
 impl Origin for Store {
     async fn manifest(
@@ -101,12 +110,20 @@
         _: &str,
         version: Option<WeightVersion>,
     ) -> Result<Manifest, HostError> {
+        let named = version.is_some();
         let version = version.unwrap_or(WeightVersion(1));
         let digest = |c| Digest(Sha256::digest(content(version.0, c)).into());
+        let mut digests: Vec<_> = (0..CHUNKS).map(digest).collect();
+        if named {
+            self.0.manifests.set(self.0.manifests.get() + 1);
+            if self.0.wrong.take() {
+                digests[5] = Digest([0; 32]);
+            }
+        }
         Ok(Manifest {
             version,
             chunk: Size(CHUNK as u64),
-            digests: (0..CHUNKS).map(digest).collect(),
+            digests,
         })
     }
 
@@ -118,8 +135,9 @@
         chunk: u32,
     ) -> Result<Bytes, HostError> {
         tokio::time::sleep(Millis(4).duration()).await;
-        self.0.set(self.0.get() + 1);
-        if self.0.get() == 1 {
+        let sent = self.0.chunks.get() + 1;
+        self.0.chunks.set(sent);
+        if sent == 1 {
             return Ok(Bytes::from(vec![0; CHUNK]));
         }
         Ok(content(version.0, chunk))
@@ -208,7 +226,7 @@
     let loaded = || engines.iter().all(|e| e.0.loaded.get() == 1);
     with_agents(&engines, &origin, &[], loaded);
     assert!(engines.iter().all(|e| e.0.bad_loads.get() == 0));
-    let sent = origin.0.get();
+    let sent = origin.0.chunks.get();
     assert!(sent <= CHUNKS * 3 / 2, "{sent} of {CHUNKS} chunks");
 }
 
@@ -221,3 +239,25 @@
     with_agents(&engines, &origin, &[2, 3], loaded);
     assert!(engines.iter().all(|e| e.0.bad_loads.get() == 0));
 }
+
+/// Guards against an origin that all hosts ask for the manifest at the same time.
+#[test]
+fn few_hosts_ask_origin() {
+    let engines: Vec<Engine> = (0..5).map(|_| Engine::default()).collect();
+    let origin = Store::default();
+    let loaded = || engines.iter().all(|e| e.0.loaded.get() == 2);
+    with_agents(&engines, &origin, &[2], loaded);
+    let manifests = origin.0.manifests.get();
+    assert!(manifests <= 2, "{manifests} manifests");
+}
+
+/// Guards against hosts that wait for ever for a chunk whose digest was spoilt on the way.
+#[test]
+fn wrong_manifest_is_replaced() {
+    let engines: Vec<Engine> = (0..3).map(|_| Engine::default()).collect();
+    let origin = Store::default();
+    origin.0.wrong.set(true);
+    let loaded = || engines.iter().all(|e| e.0.loaded.get() == 2);
+    with_agents(&engines, &origin, &[2], loaded);
+    assert!(engines.iter().all(|e| e.0.bad_loads.get() == 0));
+}
