perf(staging): copy a version while the one before waits for its turn

Cause: the endpoint stages one copy, so a version that was named while the one before waited for its turn was copied only after that load.

Change: chunks of the newer version stay in memory until the endpoint has taken the one before, or until they are complete, and then the one before is left out and its turn taken over. Hosts whose copies are late share the time that is left. Load and turn moved to staging/load.rs.

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -40,8 +40,15 @@
     /// Returns when the host begins to load, if it holds the version then; `outdated` is the time at which a version
     /// newer than the loaded one was named.
     pub fn start(&self, outdated: Millis) -> Millis {
-        let (first, last) = (share(self.bound, FIRST), share(self.bound, LAST));
+        self.start_from(outdated, Millis::ZERO)
+    }
+
+    /// Returns when a host begins to load that holds the version from `ready` on. Hosts that are ready late, all at about
+    /// the same time, take turns in the time that is left.
+    pub fn start_from(&self, outdated: Millis, ready: Millis) -> Millis {
+        let last = outdated + share(self.bound, LAST);
+        let first = ready.max(outdated + share(self.bound, FIRST));
         let step = (last - first).0 * self.rank as u64 / self.hosts.max(1) as u64;
-        outdated + first + Millis(step)
+        first + Millis(step)
     }
 }
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -12,15 +12,16 @@
 use super::{
     copy::{copy, version_id, CopyContext},
     exchange::Client,
-    holdings::{is_intact, Holdings},
+    holdings::Holdings,
+    load::Loader,
     log_event,
     peers::{Location, Peers},
-    run::{AgentSettings, REPORT},
-    EndpointHost, HostReport, LoadAnswer, Manifest, Origin,
+    run::AgentSettings,
+    EndpointHost, HostReport, Manifest, Origin,
 };
 use crate::{
     base::{jitter, Clock, HashMap, Millis, SystemClock, Zone},
-    decide::{chunk::Topology, rollout::Rollout},
+    decide::chunk::Topology,
     emit,
     gateway::{Assignment, Catalog, Decode, Named, OriginSpec, RecordStore, Topic, WeightVersion},
     net::Pacer,
@@ -30,10 +31,7 @@
 const FORGOTTEN: Millis = Millis(2500);
 
 /// Time after a failed call.
-const RETRY: Millis = Millis(200);
-
-/// Time after which an order without an effect is given again.
-const ORDER_RETRY: Millis = Millis(1000);
+pub(super) const RETRY: Millis = Millis(200);
 
 /// Share of the chunks from which a copy is completed although a newer version was named.
 const NEARLY: (u32, u32) = (3, 4);
@@ -50,30 +48,29 @@
 pub(super) struct Agent<S, D, H, O> {
     pub(super) settings: AgentSettings,
     store: S,
-    host: H,
+    pub(super) host: H,
     origin: O,
     clock: SystemClock,
     /// Keeps downloads within their share of the link.
     down_pacer: Rc<Pacer>,
-    holdings: Rc<Holdings>,
+    pub(super) holdings: Rc<Holdings>,
     client: Client,
-    peers: Rc<RefCell<Rc<Peers>>>,
+    pub(super) peers: Rc<RefCell<Rc<Peers>>>,
     /// Own model and the origin, from the catalog.
     model: RefCell<Option<Rc<str>>>,
     origin_spec: RefCell<Option<OriginSpec>>,
-    named: RefCell<HashMap<Rc<str>, Named>>,
+    pub(super) named: RefCell<HashMap<Rc<str>, Named>>,
     /// When an entry last told the work, and when this agent started.
     told: Cell<Option<Millis>>,
     started: Millis,
-    report: RefCell<Option<HostReport>>,
+    pub(super) report: RefCell<Option<HostReport>>,
     /// Whether a copy is in progress.
     pub(super) copying: Cell<bool>,
     /// Whether the last manifest was wrong, so that the next one comes from the origin.
     doubted: Cell<bool>,
-    /// Whether a complete version waits for its turn or loads.
-    loading: Cell<bool>,
+    pub(super) loader: Loader,
     /// Wakes the main loop when the target or the endpoint changed.
-    changed: Notify,
+    pub(super) changed: Notify,
     _decode: PhantomData<D>,
 }
 
@@ -111,14 +108,14 @@
             report: RefCell::default(),
             copying: Cell::default(),
             doubted: Cell::default(),
-            loading: Cell::default(),
+            loader: Loader::default(),
             changed: Notify::new(),
             settings,
             _decode: PhantomData,
         }
     }
 
-    fn now(&self) -> Millis {
+    pub(super) fn now(&self) -> Millis {
         self.clock.now()
     }
 
@@ -173,12 +170,13 @@
         let restarted = report.is_some() && born(&before).is_some_and(|b| Some(b) != born(&report));
         if restarted || before.is_none() {
             self.holdings.clear();
+            self.loader.reset();
         }
         self.changed.notify_one();
     }
 
     /// Returns the loaded version of the own model.
-    fn loaded(&self) -> Option<WeightVersion> {
+    pub(super) fn loaded(&self) -> Option<WeightVersion> {
         let model = self.model.borrow();
         let report = self.report.borrow();
         let models = &report.as_ref()?.models;
@@ -193,13 +191,13 @@
         Some(Target { model, version })
     }
 
-    /// Waits until the target is another one, or the endpoint restarts. A newer version waits until a complete one is
-    /// loaded: the staged chunks would be lost, and all hosts would have to load the newer one at the same time.
+    /// Waits until the target is another one, or the endpoint restarts. A newer version waits until one that is nearly
+    /// complete is copied.
     async fn superseded(&self, target: &Target) {
         let born = self.born();
         loop {
             self.changed.notified().await;
-            let newer = self.target().as_ref() != Some(target) && !self.is_nearly_loaded();
+            let newer = self.target().as_ref() != Some(target) && !self.is_nearly_copied();
             if newer || self.born() != born {
                 // The next step looks at the change too.
                 self.changed.notify_one();
@@ -208,10 +206,10 @@
         }
     }
 
-    /// Returns whether the present version is loaded sooner than a newer one could be copied.
-    fn is_nearly_loaded(&self) -> bool {
+    /// Returns whether most of the present version is copied.
+    fn is_nearly_copied(&self) -> bool {
         let (held, chunks) = self.holdings.progress();
-        self.loading.get() || (self.copying.get() && held * NEARLY.1 >= chunks * NEARLY.0)
+        self.copying.get() && held * NEARLY.1 >= chunks * NEARLY.0
     }
 
     fn born(&self) -> Option<u64> {
@@ -293,7 +291,7 @@
     }
 
     /// Brings the endpoint to the target, or waits for a change.
-    pub(super) async fn step(&self) {
+    pub(super) async fn step(self: &Rc<Self>) {
         let target = self.target().filter(|_| self.report.borrow().is_some());
         let Some(target) = target else {
             self.changed.notified().await;
@@ -306,10 +304,9 @@
             }
         }
         self.copying.set(false);
-        self.loading.set(false);
     }
 
-    async fn bring(&self, target: &Target) {
+    async fn bring(self: &Rc<Self>, target: &Target) {
         self.copying.set(true);
         self.read_peers().await;
         let Some(manifest) = self.manifest(target).await else {
@@ -317,47 +314,47 @@
             return;
         };
         let manifest = Rc::new(manifest);
-        self.holdings.begin(&target.model, &manifest);
+        let waiting = self.loader.occupied.get();
+        self.holdings.begin(&target.model, &manifest, waiting);
+        if !self.copy_missing(target, &manifest).await {
+            return;
+        }
+        self.copying.set(false);
+        let is_loaded = || self.loaded().is_some_and(|v| v >= manifest.version);
+        if is_loaded() || self.load_in_turn(&target.model, &manifest).await {
+            // Nothing to do before the next change.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Copies the chunks that are not held; returns whether all are.
+    async fn copy_missing(&self, target: &Target, manifest: &Rc<Manifest>) -> bool {
         let begun = self.now();
-        let kept = self.check(&target.model, &manifest).await;
+        let (model, version) = (&target.model, manifest.version);
+        let kept = self.check(model, manifest).await;
+        let chunks = manifest.digests.len();
         emit!(
             log_event::COPY,
-            "model={} version={} state=begun kept={kept} of={}",
-            target.model,
-            manifest.version,
-            manifest.digests.len()
+            "model={model} version={version} state=begun kept={kept} of={chunks}"
         );
-        if kept < manifest.digests.len() {
-            if let Err(e) = copy(self.copy_context(target, &manifest)).await {
-                emit!(
-                    log_event::COPY,
-                    "model={} version={} state=restarted reason=\"{e}\"",
-                    target.model,
-                    manifest.version
-                );
-                self.holdings.clear();
-                self.doubted.set(true);
-                return;
-            }
+        if kept == chunks {
+            return true;
+        }
+        if let Err(e) = copy(self.copy_context(target, manifest)).await {
             emit!(
                 log_event::COPY,
-                "model={} version={} state=complete ms={}",
-                target.model,
-                manifest.version,
-                (self.now() - begun).0
+                "model={model} version={version} state=restarted reason=\"{e}\""
             );
+            self.holdings.clear();
+            self.doubted.set(true);
+            return false;
         }
-        self.loading.set(true);
-        self.copying.set(false);
-        if self.loaded().is_some_and(|v| v >= manifest.version) {
-            self.loading.set(false);
-            // Complete: nothing to do before the next change.
-            std::future::pending::<()>().await;
-        }
-        self.wait_turn(target, &manifest).await;
-        if self.check(&target.model, &manifest).await == manifest.digests.len() {
-            self.load(target, manifest.version).await;
-        }
+        emit!(
+            log_event::COPY,
+            "model={model} version={version} state=complete ms={}",
+            (self.now() - begun).0
+        );
+        true
     }
 
     fn copy_context(&self, target: &Target, manifest: &Rc<Manifest>) -> CopyContext<H, O> {
@@ -367,6 +364,7 @@
             origin_addr: self.origin_spec.borrow().as_ref().map(|o| o.addr),
             client: self.client.clone(),
             holdings: self.holdings.clone(),
+            occupied: self.loader.occupied.clone(),
             peers: self.peers.clone(),
             down: self.settings.link,
             pacer: self.down_pacer.clone(),
@@ -412,92 +410,4 @@
         }
         None
     }
-
-    /// Reads the staged chunks and checks them; returns how many are held.
-    async fn check(&self, model: &str, manifest: &Manifest) -> usize {
-        let staged = self.host.staged(model).await.unwrap_or_else(|e| {
-            log::debug!("the staged chunks cannot be listed: {e}");
-            Vec::new()
-        });
-        for (i, digest) in manifest.digests.iter().enumerate() {
-            let chunk = i as u32;
-            let intact = staged.contains(&chunk)
-                && match self.host.read(model, chunk).await {
-                    Ok(data) => data.is_some_and(|d| is_intact(&d, digest)),
-                    Err(e) => {
-                        log::debug!("chunk {chunk} cannot be read: {e}");
-                        false
-                    }
-                };
-            if intact {
-                self.holdings.insert(model, manifest.version, chunk);
-            } else {
-                self.holdings.remove(model, manifest.version, chunk);
-            }
-        }
-        self.holdings.held(model, manifest.version).len()
-    }
-
-    /// Waits for this host's turn to load.
-    async fn wait_turn(&self, target: &Target, manifest: &Manifest) {
-        let (rank, hosts) = self.peers.borrow().turn(manifest.version);
-        let turn = Rollout {
-            bound: self.settings.bound,
-            rank,
-            hosts,
-        };
-        let outdated = self.loaded().and_then(|loaded| {
-            let named = self.named.borrow();
-            named.get(&target.model)?.outdated(loaded)
-        });
-        let now = self.now();
-        let wait = outdated.map_or(Millis::ZERO, |at| turn.start(at) - now);
-        emit!(
-            log_event::LOAD,
-            "model={} version={} state=waiting rank={rank} hosts={hosts} ms={}",
-            target.model,
-            manifest.version,
-            wait.0
-        );
-        tokio::time::sleep(wait.duration()).await;
-    }
-
-    /// Orders the load and waits for it.
-    async fn load(&self, target: &Target, version: WeightVersion) {
-        let answer = self.host.load(&target.model, version).await;
-        let text = match &answer {
-            Ok(answer) => format!("{answer:?}"),
-            Err(e) => e.to_string(),
-        };
-        emit!(
-            log_event::LOAD,
-            "model={} version={version} state=ordered answer=\"{text}\"",
-            target.model
-        );
-        if !matches!(answer, Ok(LoadAnswer::Begun | LoadAnswer::Done)) {
-            tokio::time::sleep(RETRY.duration()).await;
-            return;
-        }
-        // The endpoint has taken the staged chunks, so a newer version may replace them.
-        self.loading.set(false);
-        self.changed.notify_one();
-        let mut idle = self.now();
-        loop {
-            tokio::time::sleep(REPORT.duration()).await;
-            if self.loaded().is_some_and(|v| v >= version) {
-                emit!(
-                    log_event::LOAD,
-                    "model={} version={version} state=loaded",
-                    target.model
-                );
-                return;
-            }
-            if self.report.borrow().as_ref().is_some_and(|r| r.busy) {
-                idle = self.now();
-            }
-            if self.now() > idle + ORDER_RETRY {
-                return;
-            }
-        }
-    }
 }
--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -1,6 +1,10 @@
 //! The copy of one version: drives the scheduler of chunks.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use tokio::{
@@ -63,6 +67,8 @@
     pub(super) origin_addr: Option<SocketAddr>,
     pub(super) client: Client,
     pub(super) holdings: Rc<Holdings>,
+    /// Whether the endpoint still keeps another version for its load, so that chunks are kept in memory.
+    pub(super) occupied: Rc<Cell<bool>>,
     pub(super) peers: Rc<RefCell<Rc<Peers>>>,
     pub(super) down: Rate,
     pub(super) pacer: Rc<Pacer>,
@@ -275,7 +281,7 @@
     }
 }
 
-/// Fetches a chunk, checks it and stages it.
+/// Fetches a chunk, checks it and stages it, or keeps it until it can be staged.
 async fn fetch<H: EndpointHost, O: Origin>(
     ctx: &CopyContext<H, O>,
     chunk: u32,
@@ -305,6 +311,10 @@
             data
         }
     };
+    if ctx.occupied.get() {
+        ctx.holdings.keep(&ctx.model, version, chunk, data);
+        return Ok(());
+    }
     ctx.host.stage(&ctx.model, chunk, data).await.map_err(|e| {
         log::debug!("chunk {chunk} cannot be staged: {e}");
         Fault::Lost
--- a/src/staging/exchange.rs
+++ b/src/staging/exchange.rs
@@ -148,6 +148,9 @@
         }
         let _upload = Upload::begin(&self.uploads);
         self.pacer.acquire(self.holdings.chunk_size()).await;
+        if let Some(data) = self.holdings.kept(model, version, chunk) {
+            return respond(StatusCode::OK, data);
+        }
         match self.host.read(model, chunk).await {
             Ok(Some(data)) if is_intact(&data, &digest) => respond(StatusCode::OK, data),
             Ok(_) => {
--- a/src/staging/holdings.rs
+++ b/src/staging/holdings.rs
@@ -2,11 +2,16 @@
 
 use std::{cell::RefCell, rc::Rc};
 
+use bytes::Bytes;
 use sha2::{Digest as _, Sha256};
 use tokio::sync::Notify;
 
 use super::Manifest;
-use crate::{base::Digest, decide::chunk::Bitmap, gateway::WeightVersion};
+use crate::{
+    base::{Digest, HashMap},
+    decide::chunk::Bitmap,
+    gateway::WeightVersion,
+};
 
 /// Returns whether a chunk has its digest.
 pub(super) fn is_intact(data: &[u8], digest: &Digest) -> bool {
@@ -21,36 +26,47 @@
     held: Bitmap,
     /// Chunks in the order in which they arrived; chunks that were lost later stay in it.
     log: Vec<u32>,
+    /// Content of chunks that are not staged at the endpoint.
+    memory: HashMap<u32, Bytes>,
 }
 
 /// Chunks that other hosts may copy from here.
 #[derive(Debug, Default)]
 pub(super) struct Holdings {
     current: RefCell<Option<Current>>,
+    /// The version before, while it is staged at the endpoint and waits for its load.
+    previous: RefCell<Option<Current>>,
     news: Notify,
 }
 
 impl Holdings {
-    /// Starts a version without chunks, unless it is the present one.
-    pub(super) fn begin(&self, model: &Rc<str>, manifest: &Rc<Manifest>) {
+    /// Starts a version without chunks, unless it is the present one; `waiting` says that the endpoint keeps the one
+    /// before until it is loaded.
+    pub(super) fn begin(&self, model: &Rc<str>, manifest: &Rc<Manifest>, waiting: bool) {
         let mut current = self.current.borrow_mut();
         if let Some(c) = &*current {
             if c.model == *model && c.manifest.version == manifest.version {
                 return;
             }
         }
-        *current = Some(Current {
+        let new = Current {
             model: model.clone(),
             held: Bitmap::new(manifest.digests.len() as u32),
             manifest: manifest.clone(),
             log: Vec::new(),
-        });
+            memory: HashMap::default(),
+        };
+        let old = current.replace(new);
+        if let Some(old) = old.filter(|old| waiting && old.memory.is_empty()) {
+            *self.previous.borrow_mut() = Some(old);
+        }
         self.news.notify_waiters();
     }
 
     /// Forgets all chunks, because the endpoint may have lost them.
     pub(super) fn clear(&self) {
         *self.current.borrow_mut() = None;
+        self.forget_previous();
         self.news.notify_waiters();
     }
 
@@ -60,9 +76,42 @@
         version: WeightVersion,
         f: impl FnOnce(&mut Current) -> T,
     ) -> Option<T> {
+        let is_meant = |c: &&mut Current| *c.model == *model && c.manifest.version == version;
         let mut current = self.current.borrow_mut();
-        let c = current.as_mut()?;
-        (*c.model == *model && c.manifest.version == version).then(|| f(c))
+        let mut previous = self.previous.borrow_mut();
+        let found = current.as_mut().filter(is_meant);
+        found.or(previous.as_mut().filter(is_meant)).map(f)
+    }
+
+    /// Forgets the version before, because its chunks at the endpoint are about to be replaced.
+    pub(super) fn forget_previous(&self) {
+        *self.previous.borrow_mut() = None;
+    }
+
+    /// Notes a checked chunk and keeps its content until it can be staged.
+    pub(super) fn keep(&self, model: &str, version: WeightVersion, chunk: u32, data: Bytes) {
+        self.with(model, version, |c| c.memory.insert(chunk, data));
+    }
+
+    /// Returns the content of a chunk that is not staged.
+    pub(super) fn kept(&self, model: &str, version: WeightVersion, chunk: u32) -> Option<Bytes> {
+        self.with(model, version, |c| c.memory.get(&chunk).cloned())?
+    }
+
+    /// Returns a chunk that is kept here until it is staged.
+    pub(super) fn next_unstaged(
+        &self,
+        model: &str,
+        version: WeightVersion,
+    ) -> Option<(u32, Bytes)> {
+        self.with(model, version, |c| {
+            c.memory.iter().next().map(|(n, data)| (*n, data.clone()))
+        })?
+    }
+
+    /// Notes that a chunk is staged.
+    pub(super) fn set_staged(&self, model: &str, version: WeightVersion, chunk: u32) {
+        self.with(model, version, |c| c.memory.remove(&chunk));
     }
 
     /// Notes a checked chunk.
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod holdings;
 mod host;
+mod load;
 mod log_event;
 mod peers;
 mod run;
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -184,7 +184,8 @@
     }
 }
 
-/// Runs agents with their endpoints until `done`, at most 10 s.
+/// Runs agents with their endpoints until `done`, at most 10 s. The next version is named when the origin has sent a
+/// copy of the one before.
 fn with_agents(engines: &[Engine], origin: &Store, versions: &[u64], done: impl Fn() -> bool) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -205,10 +206,14 @@
             tokio::task::spawn_local(run);
         }
         tokio::time::sleep(Millis(400).duration()).await;
-        for version in versions {
+        let mut waited = 0;
+        for (i, version) in versions.iter().enumerate() {
+            while origin.0.chunks.get() < CHUNKS * i as u32 && waited < 10_000 {
+                tokio::time::sleep(Millis(20).duration()).await;
+                waited += 20;
+            }
             store.write(Topic::Operator, "m", &version.to_string());
         }
-        let mut waited = 0;
         while !done() && waited < 10_000 {
             tokio::time::sleep(Millis(20).duration()).await;
             waited += 20;
