perf(staging): agents tell entries at once when an endpoint stops for a load and when it has loaded

Change: the agent sends a datagram to the entries that read the store when the endpoint has accepted the order and when it has loaded; its record, as long as it says the same as before, does not undo that, for 5 s at most. Entries that do not read the store get only what changed.

--- a/src/gateway/assignment.rs
+++ b/src/gateway/assignment.rs
@@ -32,6 +32,8 @@
     pub hosts: Vec<(SocketAddr, Zone)>,
     /// Entries to ask next, those of the agent's zone first.
     pub entries: Vec<SocketAddr>,
+    /// Entries that read the store, to be told of the endpoint.
+    pub readers: Vec<SocketAddr>,
     /// Hash of everything but ages and entries; the next question names it.
     pub tag: u64,
 }
@@ -68,7 +70,9 @@
         }
         out.model = model;
         out.tag = out.hash();
-        out.entries = ctx.members.borrow().peers(zone, ENTRIES_MAX, now);
+        let members = ctx.members.borrow();
+        out.entries = members.peers(zone, ENTRIES_MAX, now);
+        out.readers = members.readers(now);
         out
     }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,6 +1,6 @@
 //! Endpoints that an entry knows, from their records in the store.
 
-use std::rc::Rc;
+use std::{net::SocketAddr, rc::Rc};
 
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +13,9 @@
 /// Time that endpoints need to renew records that expired during an outage of the store.
 pub const RENEWAL: Millis = Millis(2300);
 
+/// Time that an endpoint's record takes at most to follow what the agent said; a drain and a load take less.
+const RECORD_LAG: Millis = Millis(5000);
+
 /// Time for which the revision of a removed endpoint is remembered, so that a delayed older record does not restore it.
 const MEMORY: Millis = Millis(60_000);
 
@@ -50,6 +53,44 @@
     pub record: EndpointRecord,
     /// Time at which the endpoint leaves the table, if its record was removed in doubt.
     removal: Option<Millis>,
+    /// Count of the table's changes when this one last changed.
+    changed: u64,
+    /// Weights that the record still names although the agent said otherwise, and the time until which it may.
+    outdated: Option<(Vec<(Rc<str>, WeightVersion)>, Millis)>,
+}
+
+/// What an agent says of the endpoint on its host, sooner than the endpoint's own record does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointNews {
+    /// Address of the endpoint.
+    pub addr: SocketAddr,
+    /// Start of the endpoint in Unix milliseconds.
+    pub born: u64,
+    /// Loaded weights; none while it drains and loads.
+    pub models: Vec<(Rc<str>, WeightVersion)>,
+}
+
+/// Changes of a table, for entries that do not read the store.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetNews {
+    /// Count of changes that these lead to.
+    pub count: u64,
+    /// Whether these are all endpoints.
+    pub whole: bool,
+    /// Endpoints that came or changed.
+    pub records: Vec<(EndpointId, EndpointRecord)>,
+    /// Endpoints that left.
+    pub removed: Vec<EndpointId>,
+}
+
+/// An endpoint that left the table.
+#[derive(Clone, Copy, Debug)]
+struct Removed {
+    revision: Revision,
+    /// Time until which it is remembered.
+    until: Millis,
+    /// Count of the table's changes when it left.
+    changed: u64,
 }
 
 /// What a record changed.
@@ -77,7 +118,9 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     endpoints: HashMap<EndpointId, Endpoint>,
-    removed: HashMap<EndpointId, (Revision, Millis)>,
+    removed: HashMap<EndpointId, Removed>,
+    /// Count of changes.
+    changes: u64,
     /// Removals before this time are in doubt, because the store was away.
     doubt: Millis,
 }
@@ -91,26 +134,30 @@
         now: Millis,
     ) -> Change {
         match record {
-            Some(record) => self.insert(id, record),
+            Some(record) => self.insert(id, record, now),
             None => self.remove(id, now),
         }
     }
 
-    fn insert(&mut self, id: &EndpointId, record: EndpointRecord) -> Change {
+    fn insert(&mut self, id: &EndpointId, mut record: EndpointRecord, now: Millis) -> Change {
         if self
             .removed
             .get(id)
-            .is_some_and(|(r, _)| record.revision <= *r)
+            .is_some_and(|r| record.revision <= r.revision)
         {
             return Change::Stale;
         }
+        let changed = self.changes + 1;
         let Some(known) = self.endpoints.get_mut(id) else {
             self.removed.remove(id);
             let endpoint = Endpoint {
                 id: id.clone(),
                 record,
                 removal: None,
+                changed,
+                outdated: None,
             };
+            self.changes = changed;
             self.endpoints.insert(id.clone(), endpoint);
             return Change::Added;
         };
@@ -118,6 +165,12 @@
             return Change::Stale;
         }
         known.removal = None;
+        match &known.outdated {
+            Some((models, until)) if *models == record.models && now < *until => {
+                record.models.clone_from(&known.record.models);
+            }
+            _ => known.outdated = None,
+        }
         let revision = record.revision;
         let same = EndpointRecord {
             revision,
@@ -125,10 +178,11 @@
         } == record;
         known.record = record;
         if same {
-            Change::Renewed
-        } else {
-            Change::Updated
+            return Change::Renewed;
         }
+        known.changed = changed;
+        self.changes = changed;
+        Change::Updated
     }
 
     fn remove(&mut self, id: &EndpointId, now: Millis) -> Change {
@@ -145,8 +199,13 @@
 
     fn drop_endpoint(&mut self, id: &EndpointId, now: Millis) {
         if let Some(e) = self.endpoints.remove(id) {
-            let memory = (e.record.revision, now + MEMORY);
-            self.removed.insert(e.id, memory);
+            self.changes += 1;
+            let removed = Removed {
+                revision: e.record.revision,
+                until: now + MEMORY,
+                changed: self.changes,
+            };
+            self.removed.insert(e.id, removed);
         }
     }
 
@@ -181,40 +240,69 @@
         FleetDigest(sum)
     }
 
-    /// Returns the records of all endpoints, for entries that do not read the store.
-    pub fn records(&self) -> Vec<(EndpointId, EndpointRecord)> {
-        let all = self.endpoints.values();
-        all.map(|e| (e.id.clone(), e.record.clone())).collect()
+    /// Returns what changed since a count of changes; everything if that is not known.
+    pub fn news(&self, since: Option<u64>) -> FleetNews {
+        let since = since.filter(|n| *n <= self.changes);
+        let from = since.unwrap_or(0);
+        let records = self.endpoints.values().filter(|e| e.changed > from);
+        let removed = self.removed.iter().filter(|(_, r)| r.changed > from);
+        FleetNews {
+            count: self.changes,
+            whole: since.is_none(),
+            records: records.map(|e| (e.id.clone(), e.record.clone())).collect(),
+            removed: removed.map(|(id, _)| id.clone()).collect(),
+        }
     }
 
-    /// Takes over the table of an entry that reads the store; returns what changed.
-    pub fn mirror(
-        &mut self,
-        told: Vec<(EndpointId, EndpointRecord)>,
-        now: Millis,
-    ) -> Vec<(EndpointId, Change)> {
-        let present: HashSet<_> = told.iter().map(|(id, _)| id.clone()).collect();
+    /// Takes over changes from an entry that reads the store; returns what changed here.
+    pub fn mirror(&mut self, news: FleetNews, now: Millis) -> Vec<(EndpointId, Change)> {
+        let mut gone = news.removed;
+        if news.whole {
+            let present: HashSet<_> = news.records.iter().map(|(id, _)| id).collect();
+            let known = self.endpoints.keys();
+            gone = known.filter(|id| !present.contains(id)).cloned().collect();
+        }
         let mut changes = Vec::new();
-        for (id, record) in told {
+        for (id, record) in news.records {
             // A table that was read earlier than this one may hold an endpoint that was missing in between.
-            let back = |(r, _): &mut (Revision, Millis)| record.revision == *r;
-            if self.removed.get_mut(&id).is_some_and(back) {
+            if self
+                .removed
+                .get(&id)
+                .is_some_and(|r| record.revision == r.revision)
+            {
                 self.removed.remove(&id);
             }
-            changes.push((id.clone(), self.insert(&id, record)));
+            let change = self.insert(&id, record, now);
+            changes.push((id, change));
         }
-        let missing: Vec<_> = self.endpoints.keys().cloned().collect();
-        for id in missing.into_iter().filter(|id| !present.contains(id)) {
-            self.drop_endpoint(&id, now);
-            changes.push((id, Change::Removed));
+        for id in gone {
+            if self.endpoints.contains_key(&id) {
+                self.drop_endpoint(&id, now);
+                changes.push((id, Change::Removed));
+            }
         }
         changes.retain(|c| !matches!(c.1, Change::Renewed | Change::Stale));
         changes
     }
 
+    /// Takes what an agent says of its endpoint; returns the endpoint if that is new.
+    pub fn hear(&mut self, news: &EndpointNews, now: Millis) -> Option<EndpointId> {
+        let meant =
+            |e: &&mut Endpoint| e.record.addr == news.addr && e.record.revision.born == news.born;
+        let known = self.endpoints.values_mut().find(meant)?;
+        if known.record.models == news.models {
+            return None;
+        }
+        let before = std::mem::replace(&mut known.record.models, news.models.clone());
+        known.outdated = Some((before, now + RECORD_LAG));
+        self.changes += 1;
+        known.changed = self.changes;
+        Some(known.id.clone())
+    }
+
     /// Removes endpoints whose time to renew is over; returns them.
     pub fn expire(&mut self, now: Millis) -> Vec<EndpointId> {
-        self.removed.retain(|_, (_, until)| *until > now);
+        self.removed.retain(|_, r| r.until > now);
         let over: Vec<_> = self
             .endpoints
             .values()
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -8,7 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{fleet::FleetDigest, CatalogVersion, WeightVersion};
+use super::{
+    fleet::{EndpointNews, FleetDigest},
+    CatalogVersion, WeightVersion,
+};
 use crate::base::{rendezvous, HashMap, Millis, Zone};
 
 /// Time between two datagrams to the same entries.
@@ -98,6 +101,15 @@
     pub loads: Vec<(EndpointHash, u16)>,
 }
 
+/// A datagram to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// From another entry.
+    Beat(Datagram),
+    /// From an agent, to entries that read the store.
+    Endpoint(EndpointNews),
+}
+
 impl Beat {
     fn order(&self) -> (u64, u64) {
         (self.boot, self.count)
@@ -257,11 +269,18 @@
         readers.filter(|m| rank(m.beat.peer) < mine).count() < READERS
     }
 
-    /// Returns an entry that reads the store, with the hash of its table: the first of the own zone, or any other.
-    pub fn reader(&self, now: Millis) -> Option<(SocketAddr, FleetDigest)> {
+    /// Returns an entry that reads the store: the first of the own zone, or any other.
+    pub fn reader(&self, now: Millis) -> Option<&Beat> {
         let readers = self.others.values().filter(|m| m.is_reader(now));
         let first = readers.min_by_key(|m| (!self.is_near(m), rank(m.beat.peer)))?;
-        Some((first.beat.peer, first.beat.status.fleet))
+        Some(&first.beat)
+    }
+
+    /// Returns the entries that read the store, for agents; this one too if it does.
+    pub fn readers(&self, now: Millis) -> Vec<SocketAddr> {
+        let others = self.others.values().filter(|m| m.is_reader(now));
+        let me = Some(&self.me).filter(|me| me.status.follows);
+        others.map(|m| &m.beat).chain(me).map(|b| b.peer).collect()
     }
 
     /// Notes that an entry did not pass on its table.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,11 +40,13 @@
 };
 pub use directory::Directory;
 pub use events::{EventError, EventId, Events};
-pub use fleet::{Change, Endpoint, EndpointId, Fleet, FleetDigest, RENEWAL};
+pub use fleet::{
+    Change, Endpoint, EndpointId, EndpointNews, Fleet, FleetDigest, FleetNews, RENEWAL,
+};
 pub use follow::{follow, Follower};
 pub use headers::Headers;
 pub use intents::{Decode, IntentSink, Intents};
-pub use members::{Beat, Datagram, EndpointHash, Member, Members, NamedAge, Status};
+pub use members::{Beat, Datagram, EndpointHash, Member, Members, Message, NamedAge, Status};
 pub use named::Named;
 pub use record::{
     EndpointRecord, Intent, Record, RecordStore, Records, Revision, StoreError, Topic,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -7,12 +7,11 @@
 
 use super::{
     context::Context,
-    fleet::{EndpointId, FleetDigest},
+    fleet::{Change, EndpointNews, FleetDigest, FleetNews},
     followers::{apply_catalog, endpoint_changed},
     intents::Decode,
     log_event,
-    members::{Datagram, BEAT},
-    record::EndpointRecord,
+    members::{Datagram, Message, BEAT},
     serve,
 };
 use crate::{base::Millis, emit, http::call};
@@ -37,9 +36,16 @@
                 continue;
             }
         };
-        let Ok(datagram) = postcard::from_bytes::<Datagram>(&data[..len]) else {
-            emit!(log_event::RECORD, "topic=beats reason=malformed");
-            continue;
+        let datagram = match postcard::from_bytes::<Message>(&data[..len]) {
+            Ok(Message::Beat(datagram)) => datagram,
+            Ok(Message::Endpoint(news)) => {
+                hear_endpoint(&ctx, &news);
+                continue;
+            }
+            Err(e) => {
+                emit!(log_event::RECORD, "topic=beats reason=\"{e}\"");
+                continue;
+            }
         };
         let now = ctx.now();
         ctx.learn_versions(datagram.named);
@@ -67,7 +73,7 @@
         named: ctx.told_versions(),
         loads: ctx.balance.borrow().loads(),
     };
-    let data = match postcard::to_stdvec(&datagram) {
+    let data = match postcard::to_stdvec(&Message::Beat(datagram)) {
         Ok(data) => data,
         Err(e) => {
             log::warn!("cannot encode a beat: {e}");
@@ -128,9 +134,9 @@
 }
 
 /// Asks another entry for what is at a path.
-async fn ask(ctx: &Context, peer: SocketAddr, path: &'static str) -> Option<Bytes> {
+async fn ask(ctx: &Context, peer: SocketAddr, path: &str) -> Option<Bytes> {
     let mut req = hyper::Request::new(http_body_util::Full::default());
-    *req.uri_mut() = hyper::Uri::from_static(path);
+    *req.uri_mut() = path.parse().ok()?;
     match call(&ctx.pool, peer, req, ctx.now(), PEER_ANSWER).await {
         Ok(res) if res.status() == hyper::StatusCode::OK => Some(res.into_body()),
         Ok(res) => {
@@ -144,35 +150,67 @@
     }
 }
 
+/// What was taken over from an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Mirrored {
+    peer: SocketAddr,
+    /// Start of the entry's process.
+    boot: u64,
+    /// Hash of its table that led to the last question.
+    digest: FleetDigest,
+    /// Count of its changes that are taken over.
+    count: u64,
+}
+
 /// Takes over the endpoints from an entry that reads the store, while this one does not.
 pub(super) async fn mirror_fleet(ctx: Rc<Context>) {
-    let mut mirrored: Option<FleetDigest> = None;
+    let mut mirrored: Option<Mirrored> = None;
     loop {
         wait_for_news(&ctx).await;
         if ctx.follows() {
             mirrored = None;
             continue;
         }
-        let reader = ctx.members.borrow().reader(ctx.now());
-        let Some((peer, digest)) = reader.filter(|r| mirrored != Some(r.1)) else {
+        let reader = ctx.members.borrow().reader(ctx.now()).cloned();
+        let Some(reader) = reader else {
             continue;
         };
-        let table = ask(&ctx, peer, serve::FLEET_PATH).await;
-        let told = table
-            .and_then(|data| postcard::from_bytes::<Vec<(EndpointId, EndpointRecord)>>(&data).ok());
-        let Some(told) = told else {
+        let (peer, boot, digest) = (reader.peer, reader.boot, reader.status.fleet);
+        let before = mirrored.filter(|m| m.peer == peer && m.boot == boot);
+        if before.is_some_and(|m| m.digest == digest) {
+            continue;
+        }
+        let count = before.map_or_else(|| "-".to_owned(), |m| m.count.to_string());
+        let path = format!("{}{boot}/{count}", serve::FLEET_PATH);
+        let data = ask(&ctx, peer, &path).await;
+        let news = data.and_then(|data| postcard::from_bytes::<FleetNews>(&data).ok());
+        let Some(news) = news else {
             emit!(log_event::MEMBER, "entry={peer} outcome=no-table");
             ctx.members.borrow_mut().distrust(peer, ctx.now());
             continue;
         };
-        let changes = ctx.fleet.borrow_mut().mirror(told, ctx.now());
+        mirrored = Some(Mirrored {
+            peer,
+            boot,
+            digest,
+            count: news.count,
+        });
+        let changes = ctx.fleet.borrow_mut().mirror(news, ctx.now());
         for (id, change) in &changes {
             endpoint_changed(&ctx, id, *change);
         }
-        mirrored = Some(digest);
         ctx.fleet_known.set(true);
         if !changes.is_empty() {
             ctx.tell();
         }
     }
 }
+
+/// Takes what an agent says of its endpoint.
+fn hear_endpoint(ctx: &Context, news: &EndpointNews) {
+    let heard = ctx.fleet.borrow_mut().hear(news, ctx.now());
+    if let Some(id) = heard {
+        endpoint_changed(ctx, &id, Change::Updated);
+        ctx.tell();
+    }
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -27,8 +27,9 @@
 /// Path at which entries pass on their catalog.
 pub(super) const CATALOG_PATH: &str = "/catalog";
 
-/// Path at which entries that read the store pass on their table of endpoints.
-pub(super) const FLEET_PATH: &str = "/fleet";
+/// Path at which entries that read the store pass on changes of their table of endpoints; followed by the start of the
+/// process and the count of changes that the other entry has.
+pub(super) const FLEET_PATH: &str = "/fleet/";
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -155,10 +156,13 @@
 pub(super) async fn peer(ctx: &Context, path: &str) -> Whole {
     let answer = match path {
         CATALOG_PATH => Some(ctx.raw_catalog.borrow().clone()).filter(|raw| !raw.is_empty()),
-        FLEET_PATH => encoded_fleet(ctx),
-        _ => match path.strip_prefix(ASSIGNMENT_PATH) {
-            Some(question) => assignment::answer(ctx, question).await.map(Bytes::from),
-            None => None,
+        _ => match (
+            path.strip_prefix(FLEET_PATH),
+            path.strip_prefix(ASSIGNMENT_PATH),
+        ) {
+            (Some(since), _) => encoded_fleet(ctx, since),
+            (_, Some(question)) => assignment::answer(ctx, question).await.map(Bytes::from),
+            _ => None,
         },
     };
     answer.map_or_else(
@@ -167,12 +171,17 @@
     )
 }
 
-fn encoded_fleet(ctx: &Context) -> Option<Bytes> {
+/// Returns what changed since `boot/count`: the start of this process and a count of its table's changes.
+fn encoded_fleet(ctx: &Context, since: &str) -> Option<Bytes> {
     if !ctx.follows() {
         return None;
     }
-    let records = ctx.fleet.borrow().records();
-    postcard::to_stdvec(&records).ok().map(Bytes::from)
+    let (boot, count) = since.split_once('/')?;
+    let boot: u64 = boot.parse().ok()?;
+    let same = boot == ctx.members.borrow().me().boot;
+    let count: Option<u64> = count.parse().ok().filter(|_| same);
+    let news = ctx.fleet.borrow().news(count);
+    postcard::to_stdvec(&news).ok().map(Bytes::from)
 }
 
 /// Answers a request for the metrics.
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -23,7 +23,10 @@
     base::{jitter, Clock, HashMap, Millis, SystemClock, Zone},
     decide::chunk::Topology,
     emit,
-    gateway::{Assignment, Catalog, Decode, Named, OriginSpec, RecordStore, Topic, WeightVersion},
+    gateway::{
+        Assignment, Catalog, Decode, EndpointNews, Named, OriginSpec, RecordStore, Topic,
+        WeightVersion,
+    },
     net::Pacer,
 };
 
@@ -62,6 +65,10 @@
     pub(super) named: RefCell<HashMap<Rc<str>, Named>>,
     /// When an entry last told the work, and when this agent started.
     told: Cell<Option<Millis>>,
+    /// Entries that read the store.
+    readers: RefCell<Vec<SocketAddr>>,
+    /// Address of the endpoint, from its record.
+    endpoint: Cell<Option<SocketAddr>>,
     started: Millis,
     pub(super) report: RefCell<Option<HostReport>>,
     /// Whether a copy is in progress.
@@ -71,6 +78,8 @@
     pub(super) loader: Loader,
     /// Wakes the main loop when the target or the endpoint changed.
     pub(super) changed: Notify,
+    /// Wakes the task that tells entries of the endpoint.
+    pub(super) state_changed: Notify,
     _decode: PhantomData<D>,
 }
 
@@ -97,6 +106,8 @@
             origin,
             clock,
             told: Cell::default(),
+            readers: RefCell::default(),
+            endpoint: Cell::default(),
             started: clock.now(),
             down_pacer: pacer,
             holdings,
@@ -110,6 +121,7 @@
             doubted: Cell::default(),
             loader: Loader::default(),
             changed: Notify::new(),
+            state_changed: Notify::new(),
             settings,
             _decode: PhantomData,
         }
@@ -173,6 +185,24 @@
             self.loader.reset();
         }
         self.changed.notify_one();
+        self.state_changed.notify_one();
+    }
+
+    /// Returns what entries should know of the endpoint, and the entries to tell.
+    pub(super) fn news(&self) -> Option<(EndpointNews, Vec<SocketAddr>)> {
+        let report = self.report.borrow();
+        let report = report.as_ref()?;
+        let taken = self.loader.ordered.get();
+        let news = EndpointNews {
+            addr: self.endpoint.get()?,
+            born: report.born,
+            models: if taken {
+                Vec::new()
+            } else {
+                report.models.clone()
+            },
+        };
+        Some((news, self.readers.borrow().clone()))
     }
 
     /// Returns the loaded version of the own model.
@@ -222,6 +252,7 @@
         self.told.set(Some(now));
         *self.origin_spec.borrow_mut() = told.origin.clone();
         self.set_hosts(&told.hosts);
+        self.readers.borrow_mut().clone_from(&told.readers);
         let Some(model) = &told.model else {
             return;
         };
@@ -265,6 +296,8 @@
         };
         let peers = Peers::new(&location, hosts);
         let same = |a: &Topology, b: &Topology| a.members() == b.members();
+        let own = |h: &&(SocketAddr, Zone)| h.0.ip() == self.settings.exchange.ip();
+        self.endpoint.set(hosts.iter().find(own).map(|h| h.0));
         let changed = !same(&peers.topology, &self.peers.borrow().topology);
         if changed {
             *self.peers.borrow_mut() = Rc::new(peers);
--- a/src/staging/load.rs
+++ b/src/staging/load.rs
@@ -29,8 +29,8 @@
 pub(super) struct Loader {
     /// Whether the endpoint keeps a complete version that it has not taken yet.
     pub(super) occupied: Rc<Cell<bool>>,
-    /// Whether the endpoint loads a version.
-    ordered: Cell<bool>,
+    /// Whether the endpoint drains for a load or loads.
+    pub(super) ordered: Cell<bool>,
     /// Turn of this host, until it loads; a newer version that is complete before takes over the turn.
     turn: Cell<Option<Millis>>,
     task: RefCell<Option<AbortHandle>>,
@@ -184,8 +184,10 @@
         }
         self.loader.turn.set(None);
         self.loader.ordered.set(true);
+        self.state_changed.notify_one();
         let loaded = self.wait_loaded(model, version).await;
         self.loader.ordered.set(false);
+        self.state_changed.notify_one();
         loaded
     }
 
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -14,6 +14,7 @@
 mod log_event;
 mod peers;
 mod run;
+mod tell;
 
 pub use host::{EndpointHost, HostError, HostReport, LoadAnswer, Manifest, Origin};
 pub use run::{run, AgentSettings};
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use eyre::WrapErr;
 use tokio::{
+    net::UdpSocket,
     signal::unix::{signal, SignalKind},
     sync::watch,
     task::spawn_local,
@@ -15,7 +16,9 @@
     entries::follow_entries,
     exchange::{Exchange, LINK_SHARE},
     holdings::Holdings,
-    log_event, EndpointHost, Origin,
+    log_event,
+    tell::tell_entries,
+    EndpointHost, Origin,
 };
 use crate::{
     base::{Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
@@ -111,6 +114,10 @@
         Rc::new(Intents::<D, _>::told(agent.clone())),
     ));
     spawn_local(watch_endpoint(agent.clone()));
+    let socket = UdpSocket::bind(addr)
+        .await
+        .wrap_err_with(|| format!("cannot bind {addr} to tell entries; check the settings"))?;
+    spawn_local(tell_entries(agent.clone(), socket));
     spawn_local(refresh_peers(agent.clone()));
     let main = spawn_local(async move {
         loop {
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -2,7 +2,9 @@
 
 use sesamewing::{
     base::{HashSet, Millis},
-    gateway::{Change, EndpointId, EndpointRecord, Fleet, Revision, RENEWAL},
+    gateway::{
+        Change, EndpointId, EndpointNews, EndpointRecord, Fleet, Revision, WeightVersion, RENEWAL,
+    },
 };
 
 fn id(text: &str) -> EndpointId {
@@ -72,3 +74,79 @@
     assert_eq!(fleet.expire(back + RENEWAL), vec![dead]);
     assert!(fleet.get(&live).is_some());
 }
+
+fn loaded(sequence: u64, version: Option<u64>) -> EndpointRecord {
+    let models = version.map(|v| ("m".into(), WeightVersion(v)));
+    EndpointRecord {
+        models: models.into_iter().collect(),
+        ..record(10, sequence)
+    }
+}
+
+fn news(born: u64, version: Option<u64>) -> EndpointNews {
+    let record = loaded(0, version);
+    EndpointNews {
+        addr: record.addr,
+        born,
+        models: record.models,
+    }
+}
+
+fn version(fleet: &Fleet) -> Option<WeightVersion> {
+    fleet.get(&id("e"))?.weights("m")
+}
+
+/// Guards against entries whose table differs from that of the entry that reads the store for them.
+#[test]
+fn changes_are_mirrored() {
+    let now = Millis(0);
+    let (mut fleet, mut copy) = (Fleet::default(), Fleet::default());
+    for (name, born) in [("a", 1), ("b", 2), ("c", 3)] {
+        fleet.apply(&id(name), Some(record(born, 1)), now);
+    }
+    let whole = fleet.news(None);
+    let count = whole.count;
+    assert_eq!(copy.mirror(whole, now).len(), 3);
+    assert_eq!(copy.digest(), fleet.digest());
+    fleet.apply(&id("a"), None, now);
+    fleet.apply(&id("b"), Some(record(2, 2)), now);
+    assert_eq!(copy.mirror(fleet.news(Some(count)), now).len(), 1);
+    fleet.apply(&id("d"), Some(record(4, 1)), now);
+    let later = fleet.news(Some(fleet.news(None).count - 1));
+    assert_eq!((later.records.len(), later.removed.len()), (1, 0));
+    copy.mirror(later, now);
+    assert_eq!(copy.digest(), fleet.digest());
+    // Another entry's whole table replaces everything.
+    let other = Fleet::default().news(None);
+    assert_eq!(copy.mirror(other, now).len(), 3);
+}
+
+/// Guards against requests to an endpoint that drains for a load although its record does not say so yet, and against
+/// an endpoint that stands idle after its load until the record is read.
+#[test]
+fn agents_are_faster_than_records() {
+    let mut fleet = Fleet::default();
+    fleet.apply(&id("e"), Some(loaded(1, Some(1))), Millis(0));
+    assert!(fleet.hear(&news(10, None), Millis(100)).is_some());
+    // The record still names the version until the drain ends.
+    fleet.apply(&id("e"), Some(loaded(2, Some(1))), Millis(600));
+    assert_eq!(version(&fleet), None);
+    assert!(fleet.hear(&news(10, Some(2)), Millis(1500)).is_some());
+    assert_eq!(version(&fleet), Some(WeightVersion(2)));
+    fleet.apply(&id("e"), Some(loaded(3, None)), Millis(1600));
+    assert_eq!(version(&fleet), Some(WeightVersion(2)));
+    fleet.apply(&id("e"), Some(loaded(4, Some(2))), Millis(1700));
+    assert_eq!(version(&fleet), Some(WeightVersion(2)));
+}
+
+/// Guards against an endpoint that stays unused because its agent ended after it said that a load begins.
+#[test]
+fn silent_agent_is_outlived() {
+    let mut fleet = Fleet::default();
+    fleet.apply(&id("e"), Some(loaded(1, Some(1))), Millis(0));
+    fleet.hear(&news(10, None), Millis(100));
+    fleet.apply(&id("e"), Some(loaded(2, Some(1))), Millis(9000));
+    assert_eq!(version(&fleet), Some(WeightVersion(1)));
+    // News of an earlier run of the endpoint says nothing.
+    assert!(fleet.hear(&news(9, None), Millis(9100)).is_none());
+}
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -101,3 +101,58 @@
     let beats = members.beat(status(1), Millis(200));
     assert!(beats.len() <= 17, "{}", beats.len());
 }
+
+fn reading(host: u8, zone: &str, count: u64) -> Beat {
+    let status = Status {
+        follows: true,
+        fleet: FleetDigest(count),
+        ..status(1)
+    };
+    Beat {
+        status,
+        ..beat(host, zone, count)
+    }
+}
+
+/// Guards against reads of the store that grow with the number of entries, and against a zone in which nobody reads.
+#[test]
+fn two_of_zone_read() {
+    let readers = (1..=20).filter(|host| {
+        let mut members = Members::new(reading(*host, "a", 0));
+        for other in (1..=20).filter(|o| o != host) {
+            members.hear(reading(other, "a", 1), Millis(100));
+        }
+        members.reads_store(Millis(200))
+    });
+    assert_eq!(readers.count(), 2);
+}
+
+/// Guards against an entry that relies on others which no longer get answers from the store, or fell silent.
+#[test]
+fn lost_readers_are_replaced() {
+    let mut members = members();
+    for host in 2..20 {
+        members.hear(reading(host, "a", 1), Millis(100));
+    }
+    assert!(members.reader(Millis(200)).is_some());
+    // All fall silent.
+    assert!(members.reads_store(Millis(1000)));
+    assert!(members.reader(Millis(1000)).is_none());
+    // They beat again, but the store does not answer them.
+    for host in 2..20 {
+        members.hear(beat(host, "a", 2), Millis(1100));
+    }
+    assert!(members.reads_store(Millis(1200)));
+}
+
+/// Guards against an entry that asks one that does not answer again and again.
+#[test]
+fn silent_reader_is_passed_over() {
+    let mut members = members();
+    members.hear(reading(2, "a", 1), Millis(100));
+    members.hear(reading(3, "b", 1), Millis(100));
+    let peer = |m: &Members| m.reader(Millis(200)).map(|b| b.peer);
+    assert_eq!(peer(&members), Some(addr(2, 1)), "the own zone comes first");
+    members.distrust(addr(2, 1), Millis(150));
+    assert_eq!(peer(&members), Some(addr(3, 1)));
+}
