perf(staging): a new host copies before its endpoint is up

Change: the agent copies at once and keeps chunks until they can be staged, but not on the first start of the whole deployment, when endpoints hold weights. A chunk that the endpoint does not take is kept instead of fetched again.

--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -71,6 +71,8 @@
     endpoint: Cell<Option<SocketAddr>>,
     started: Millis,
     pub(super) report: RefCell<Option<HostReport>>,
+    /// Start of the endpoint that answered last.
+    last_born: Cell<Option<u64>>,
     /// Whether a copy is in progress.
     pub(super) copying: Cell<bool>,
     /// Whether the last manifest was wrong, so that the next one comes from the origin.
@@ -117,6 +119,7 @@
             origin_spec: RefCell::default(),
             named: RefCell::default(),
             report: RefCell::default(),
+            last_born: Cell::default(),
             copying: Cell::default(),
             doubted: Cell::default(),
             loader: Loader::default(),
@@ -179,8 +182,10 @@
             report.as_ref().is_some_and(|r| r.busy),
             self.loaded().unwrap_or_default()
         );
-        let restarted = report.is_some() && born(&before).is_some_and(|b| Some(b) != born(&report));
-        if restarted || before.is_none() {
+        let known = self.last_born.get();
+        let restarted = known.is_some() && born(&report).is_some_and(|b| Some(b) != known);
+        self.last_born.set(born(&report).or(known));
+        if restarted {
             self.holdings.clear();
             self.loader.reset();
         }
@@ -228,7 +233,8 @@
         loop {
             self.changed.notified().await;
             let newer = self.target().as_ref() != Some(target) && !self.is_nearly_copied();
-            if newer || self.born() != born {
+            let restarted = born.is_some() && self.born() != born;
+            if newer || restarted {
                 // The next step looks at the change too.
                 self.changed.notify_one();
                 return;
@@ -325,8 +331,8 @@
 
     /// Brings the endpoint to the target, or waits for a change.
     pub(super) async fn step(self: &Rc<Self>) {
-        let target = self.target().filter(|_| self.report.borrow().is_some());
-        let Some(target) = target else {
+        let begins = self.report.borrow().is_some() || self.settings.prefetch;
+        let Some(target) = self.target().filter(|_| begins) else {
             self.changed.notified().await;
             return;
         };
--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -315,10 +315,12 @@
         ctx.holdings.keep(&ctx.model, version, chunk, data);
         return Ok(());
     }
-    ctx.host.stage(&ctx.model, chunk, data).await.map_err(|e| {
-        log::debug!("chunk {chunk} cannot be staged: {e}");
-        Fault::Lost
-    })
+    if let Err(e) = ctx.host.stage(&ctx.model, chunk, data.clone()).await {
+        // The endpoint may not be up yet.
+        log::debug!("chunk {chunk} cannot be staged yet: {e}");
+        ctx.holdings.keep(&ctx.model, version, chunk, data);
+    }
+    Ok(())
 }
 
 /// Passes a neighbour's news to the scheduler until it does not answer.
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -57,6 +57,9 @@
     pub bound: Millis,
     /// Rate of the host's link.
     pub link: Rate,
+    /// Whether to copy before the endpoint answers. Not when the deployment starts for the first time: its endpoints hold
+    /// weights from the start.
+    pub prefetch: bool,
 }
 
 /// Runs an agent until it is told to stop.
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -42,12 +42,24 @@
     loaded: Cell<u64>,
     /// Chunk that turns bad once, after it was staged.
     rots: Cell<Option<u32>>,
+    /// Whether it does not answer.
+    down: Cell<bool>,
     /// Loads of incomplete, spoilt or mixed chunks.
     bad_loads: Cell<u32>,
 }
 
+impl Engine {
+    fn answers(&self) -> Result<(), HostError> {
+        if self.0.down.get() {
+            return Err(HostError::Lost("it is down".to_owned()));
+        }
+        Ok(())
+    }
+}
+
 impl EndpointHost for Engine {
     async fn report(&self) -> Result<HostReport, HostError> {
+        self.answers()?;
         let models = match self.0.loaded.get() {
             0 => Vec::new(),
             v => vec![(Rc::from("m"), WeightVersion(v))],
@@ -60,6 +72,7 @@
     }
 
     async fn staged(&self, _: &str) -> Result<Vec<u32>, HostError> {
+        self.answers()?;
         Ok(self.0.staged.borrow().keys().copied().collect())
     }
 
@@ -68,6 +81,7 @@
     }
 
     async fn stage(&self, _: &str, chunk: u32, data: Bytes) -> Result<(), HostError> {
+        self.answers()?;
         let rots = self.0.rots.get() == Some(chunk);
         let data = if rots {
             self.0.rots.set(None);
@@ -80,6 +94,7 @@
     }
 
     async fn load(&self, _: &str, version: WeightVersion) -> Result<LoadAnswer, HostError> {
+        self.answers()?;
         let staged = self.0.staged.borrow();
         let good = (0..CHUNKS).all(|c| staged.get(&c) == Some(&content(version.0, c)));
         if !good {
@@ -101,6 +116,8 @@
     manifests: Cell<u32>,
     /// Whether the next manifest of a named version is spoilt.
     wrong: Cell<bool>,
+    /// Whether it does not answer.
+    gone: Cell<bool>,
 }
 
 impl Origin for Store {
@@ -135,6 +152,9 @@
         chunk: u32,
     ) -> Result<Bytes, HostError> {
         tokio::time::sleep(Millis(4).duration()).await;
+        if self.0.gone.get() {
+            return Err(HostError::Lost("it is gone".to_owned()));
+        }
         let sent = self.0.chunks.get() + 1;
         self.0.chunks.set(sent);
         if sent == 1 {
@@ -181,6 +201,7 @@
         exchange: addr(n, PORT),
         bound: Millis(2000),
         link: Rate(4_000_000),
+        prefetch: true,
     }
 }
 
@@ -266,3 +287,26 @@
     with_agents(&engines, &origin, &[2], loaded);
     assert!(engines.iter().all(|e| e.0.bad_loads.get() == 0));
 }
+
+/// Guards against a host that starts to copy only when its endpoint is up, a second after the agent.
+#[test]
+fn copy_begins_before_endpoint() {
+    let engines: Vec<Engine> = (0..3).map(|_| Engine::default()).collect();
+    let origin = Store::default();
+    engines[1].0.down.set(true);
+    let looks = Cell::new(0);
+    let done = || {
+        let others = engines[0].0.loaded.get() == 2 && engines[2].0.loaded.get() == 2;
+        looks.set(looks.get() + u32::from(others));
+        if looks.get() == 25 {
+            // Nothing can be fetched any more when the endpoint comes up.
+            origin.0.gone.set(true);
+            engines[0].0.down.set(true);
+            engines[2].0.down.set(true);
+            engines[1].0.down.set(false);
+        }
+        engines.iter().all(|e| e.0.loaded.get() == 2)
+    };
+    with_agents(&engines, &origin, &[2], done);
+    assert!(engines.iter().all(|e| e.0.bad_loads.get() == 0));
+}
