perf(gateway): callers return later while no endpoint can run their request

Cause: between the bound of an old version and the end of the loads no endpoint can run a request; callers came back after 0.25 s, were refused again, and had no further try. A refusal's log line did not say why.

Change: 1.2 s on average for a request that no endpoint can run; refusals are told apart as starting, no endpoint, overloaded and turned away, in log, metrics and text. A copy to an endpoint that serves nothing yet uses the whole link.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -29,6 +29,9 @@
 /// Time by which a deadline must be shorter than the route's timeout to count as that of a returning caller.
 const RETURNING: Millis = Millis(100);
 
+/// Mean time after which a caller of an entry returns that is starting.
+const STARTING: Millis = Millis(600);
+
 /// Headers that concern one connection only.
 const HOP: [HeaderName; 6] = [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, EXPECT];
 
@@ -155,7 +158,7 @@
     let start = ctx.now();
     let catalog = ctx.catalog.borrow().clone();
     let Some(catalog) = catalog.filter(|_| ctx.fleet_known.get()) else {
-        return Err(Reject::NotRun(crate::base::jitter(Millis(600))));
+        return Err(Reject::Starting(crate::base::jitter(STARTING)));
     };
     let names = &ctx.headers;
     let (head, body) = req.into_parts();
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -63,6 +63,9 @@
 /// Mean time after which a refused caller is asked to return: within its objective if a slot is free by then.
 const RETURN: Millis = Millis(250);
 
+/// Mean time after which a caller is asked to return while no endpoint can run its request: about what a load takes.
+const RETURN_ABSENT: Millis = Millis(1200);
+
 /// Load that an endpoint reports in its responses.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -177,15 +180,6 @@
     Overloaded(Millis),
 }
 
-impl Refusal {
-    /// Returns the time after which the caller should return.
-    pub fn retry(self) -> Millis {
-        match self {
-            Self::Unavailable(t) | Self::Overloaded(t) => t,
-        }
-    }
-}
-
 /// Load of all endpoints.
 #[derive(Debug, Default)]
 pub struct Balance {
@@ -246,7 +240,7 @@
             usable.push((e, score));
         }
         if !able {
-            return Err(Refusal::Unavailable(crate::base::jitter(RETURN)));
+            return Err(Refusal::Unavailable(crate::base::jitter(RETURN_ABSENT)));
         }
         let best = (0..CHOICES.min(usable.len()))
             .map(|i| {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -436,6 +436,9 @@
     attempts.sent == 0 || ctx.take_retry(&job.service)
 }
 
+/// Mean time after which a caller returns whose request was turned away by endpoints.
+const TURNED_AWAY: Millis = Millis(300);
+
 /// Connections that may fail to open for one request.
 const UNSENT_MAX: usize = 4;
 
@@ -455,7 +458,7 @@
         let result = match attempt(ctx, job, attempts, job.last).await {
             Ok(result) => result,
             Err(_) if ran => return Err(Reject::Lost),
-            Err(refusal) => return Err(Reject::NotRun(refusal.retry())),
+            Err(refusal) => return Err(refusal.into()),
         };
         let spare = match result {
             Attempt::Begun(_) | Attempt::Whole(_) => return Ok(result),
@@ -480,7 +483,7 @@
         return match spare {
             Some(res) => Ok(Attempt::Failed(res)),
             None if ran => Err(Reject::Lost),
-            None => Err(Reject::NotRun(crate::base::jitter(Millis(300)))),
+            None => Err(Reject::TurnedAway(crate::base::jitter(TURNED_AWAY))),
         };
     }
 }
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -7,8 +7,18 @@
     Response, StatusCode,
 };
 
+use super::Refusal;
 use crate::base::Millis;
 
+impl From<Refusal> for Reject {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Unavailable(t) => Self::Unavailable(t),
+            Refusal::Overloaded(t) => Self::Overloaded(t),
+        }
+    }
+}
+
 /// Why an entry answers a request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Reject {
@@ -27,9 +37,18 @@
     /// The body is too large.
     #[error("the request body is too large")]
     TooLarge,
-    /// The request was not run; the caller should return after a time.
-    #[error("not run; retry after {0}")]
-    NotRun(Millis),
+    /// This entry knows no configuration or no endpoints yet; the request was not run.
+    #[error("not run, this entry is starting; retry after {0}")]
+    Starting(Millis),
+    /// No endpoint of the service can run the request; it was not run.
+    #[error("not run, no endpoint can run it; retry after {0}")]
+    Unavailable(Millis),
+    /// Every endpoint that can run the request is loaded; it was not run.
+    #[error("not run, all endpoints are loaded; retry after {0}")]
+    Overloaded(Millis),
+    /// The endpoints that were asked turned the request away; it was not run.
+    #[error("not run, the endpoints turned it away; retry after {0}")]
+    TurnedAway(Millis),
     /// The endpoint was lost; the request may have run.
     #[error("the response of the endpoint was lost; the request may have run")]
     Lost,
@@ -47,7 +66,10 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Slow => StatusCode::REQUEST_TIMEOUT,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Starting(_)
+            | Self::Unavailable(_)
+            | Self::Overloaded(_)
+            | Self::TurnedAway(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -61,17 +83,31 @@
             Self::NoRoute => "no-route",
             Self::Slow => "slow",
             Self::TooLarge => "too-large",
-            Self::NotRun(_) => "not-run",
+            Self::Starting(_) => "starting",
+            Self::Unavailable(_) => "no-endpoint",
+            Self::Overloaded(_) => "overloaded",
+            Self::TurnedAway(_) => "turned-away",
             Self::Lost => "lost",
             Self::TimedOut => "timed-out",
         }
     }
 
+    /// Returns the time after which a caller should return whose request was not run.
+    fn retry(self) -> Option<Millis> {
+        match self {
+            Self::Starting(t)
+            | Self::Unavailable(t)
+            | Self::Overloaded(t)
+            | Self::TurnedAway(t) => Some(t),
+            _ => None,
+        }
+    }
+
     /// Builds the response.
     pub fn response(self) -> Response<Full<Bytes>> {
         let mut res = Response::new(Full::new(Bytes::from(format!("{self}\n"))));
         *res.status_mut() = self.status();
-        if let Self::NotRun(wait) = self {
+        if let Some(wait) = self.retry() {
             let text = format!("{}.{:03}", wait.0 / 1000, wait.0 % 1000);
             if let Ok(value) = HeaderValue::from_str(&text) {
                 res.headers_mut().insert(RETRY_AFTER, value);
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -406,7 +406,7 @@
             occupied: self.loader.occupied.clone(),
             peers: self.peers.clone(),
             down: self.settings.link,
-            pacer: self.down_pacer.clone(),
+            pacer: self.loaded().map(|_| self.down_pacer.clone()),
             clock: self.clock,
             model: target.model.clone(),
             manifest: manifest.clone(),
--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -71,7 +71,8 @@
     pub(super) occupied: Rc<Cell<bool>>,
     pub(super) peers: Rc<RefCell<Rc<Peers>>>,
     pub(super) down: Rate,
-    pub(super) pacer: Rc<Pacer>,
+    /// Leaves a share of the link to the endpoint; `None` if it serves nothing yet.
+    pub(super) pacer: Option<Rc<Pacer>>,
     pub(super) clock: SystemClock,
     pub(super) model: Rc<str>,
     pub(super) manifest: Rc<Manifest>,
@@ -289,7 +290,9 @@
     addr: Option<SocketAddr>,
 ) -> Result<(), Fault> {
     let addr = addr.ok_or(Fault::Lost)?;
-    ctx.pacer.acquire(ctx.manifest.chunk.0 as usize).await;
+    if let Some(pacer) = &ctx.pacer {
+        pacer.acquire(ctx.manifest.chunk.0 as usize).await;
+    }
     let version = ctx.manifest.version;
     let digest = &ctx.manifest.digests[chunk as usize];
     let data: Bytes = match from {
