fix(gateway): after an outage of the store, read the newest records at once

Cause: an entry that the store had turned away for 8 s read the backlog page by page and already told others that it reads the store.

Change: the first answer after an outage is not taken; the newest record of each key is read instead.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -87,6 +87,10 @@
             }
         };
         match result {
+            Ok((_, false)) if state.is_away(clock.now()) => {
+                // Records since the outage come in pages; until the last one, others must not rely on this process.
+                state.offset = None;
+            }
             Ok((records, all)) => {
                 state.answer(topic, clock.now(), &*follower);
                 state.offset = Some(records.next);
@@ -135,8 +139,13 @@
         self.failing = false;
     }
 
+    /// Returns whether the store has not answered for so long that it counts as lost.
+    fn is_away(&self, now: Millis) -> bool {
+        self.lost || now > self.answered + self.usual + LOST
+    }
+
     fn answer(&mut self, topic: Topic, now: Millis, follower: &impl Follower) {
-        if self.lost || now > self.answered + self.usual + LOST {
+        if self.is_away(now) {
             let away = now - self.answered;
             emit!(
                 log_event::STORE,
@@ -153,7 +162,7 @@
 
     fn fail(&mut self, topic: Topic, now: Millis, error: &StoreError) {
         self.failing = true;
-        if !self.lost && now > self.answered + self.usual + LOST {
+        if !self.lost && self.is_away(now) {
             self.lost = true;
             emit!(
                 log_event::STORE,
