perf(gateway): pass catalogs on compressed; read them from the store only when settled

A reader that sends a catalog of 256 kB to 13 entries fills its link, so its beats were late; the others then read the store for a moment, with the whole configuration each time, over the link between the regions.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -16,6 +16,7 @@
     members::{Members, NamedAge, Status},
     metrics::GatewayMetrics,
     named::Named,
+    packed::pack,
     record::WeightVersion,
     turns::Turns,
     Bounds, GatewaySettings, Headers,
@@ -45,6 +46,9 @@
 /// one that reads it.
 const FOLLOW_SLACK: Millis = Millis(500);
 
+/// Time for which an entry reads the endpoints before it reads the configuration too.
+const SETTLED: Millis = Millis(1200);
+
 /// State of an entry.
 #[derive(Debug)]
 pub(super) struct Context {
@@ -56,8 +60,9 @@
     pub(super) pool: Pool,
     pub(super) metrics: GatewayMetrics,
     pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
-    /// Encoded form of the catalog.
-    pub(super) raw_catalog: RefCell<Bytes>,
+    /// Encoded form of the catalog, and its compressed form once another entry asked for it.
+    raw_catalog: RefCell<Bytes>,
+    packed_catalog: RefCell<Option<Bytes>>,
     /// Wakes the follower of the operator's records.
     pub(super) news: Notify,
     pub(super) fleet: RefCell<Fleet>,
@@ -72,6 +77,8 @@
     /// Whether the table of endpoints changed since its hash was computed.
     pub(super) fleet_changed: Cell<bool>,
     digest: Cell<FleetDigest>,
+    /// Since when this entry reads the store.
+    reads_since: Cell<Option<Millis>>,
     /// When the next read of the endpoints is due.
     pub(super) read_due: Cell<Millis>,
     /// Wakes those who wait for a change of catalog, named versions or endpoints.
@@ -105,6 +112,7 @@
             metrics,
             catalog: RefCell::default(),
             raw_catalog: RefCell::default(),
+            packed_catalog: RefCell::default(),
             news: Notify::new(),
             fleet: RefCell::default(),
             balance: RefCell::default(),
@@ -115,6 +123,7 @@
             fleet_known: Cell::default(),
             fleet_changed: Cell::default(),
             digest: Cell::default(),
+            reads_since: Cell::default(),
             read_due: Cell::default(),
             changed: Notify::new(),
             beat_soon: Notify::new(),
@@ -151,7 +160,19 @@
 
     /// Returns whether this entry reads the store itself.
     pub(super) fn reads_store(&self) -> bool {
-        self.members.borrow().reads_store(self.now())
+        let now = self.now();
+        let reads = self.members.borrow().reads_store(now);
+        let since = self.reads_since.get().unwrap_or(now);
+        self.reads_since.set(reads.then_some(since));
+        reads
+    }
+
+    /// Returns whether this entry reads the configuration itself: not if it reads the store for a moment only, because a
+    /// catalog may be large, and any other entry passes it on.
+    pub(super) fn reads_catalog(&self) -> bool {
+        let now = self.now();
+        let settled = |since| now >= since + SETTLED || since <= self.started + SETTLED;
+        self.reads_store() && self.reads_since.get().is_some_and(settled)
     }
 
     /// Returns whether this entry reads the store, and the store answers.
@@ -199,11 +220,31 @@
         }
         *current = Some(Rc::new(catalog));
         *self.raw_catalog.borrow_mut() = raw;
+        *self.packed_catalog.borrow_mut() = None;
         drop(current);
         self.tell();
         true
     }
 
+    /// Returns the catalog in compressed form for another entry; `None` if this one has none.
+    pub(super) fn packed_catalog(&self) -> Option<Bytes> {
+        let raw = self.raw_catalog.borrow();
+        if raw.is_empty() {
+            return None;
+        }
+        let mut packed = self.packed_catalog.borrow_mut();
+        if packed.is_none() {
+            match pack(&raw) {
+                Ok(data) => *packed = Some(data),
+                Err(e) => emit!(
+                    log_event::RECORD,
+                    "key=catalog reason=\"cannot compress: {e}\""
+                ),
+            }
+        }
+        packed.clone()
+    }
+
     /// Notes a named version; returns whether it is newer than the known one.
     ///
     /// `found` says that the process started after the version was named.
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -60,7 +60,7 @@
     }
 
     fn is_wanted(&self) -> bool {
-        self.reads_store()
+        self.reads_catalog()
     }
 
     async fn interrupted(&self) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod members;
 mod metrics;
 mod named;
+mod packed;
 mod peers;
 mod record;
 mod reply;
@@ -48,6 +49,7 @@
 pub use intents::{Decode, IntentSink, Intents};
 pub use members::{Beat, Datagram, EndpointHash, Member, Members, Message, NamedAge, Status};
 pub use named::Named;
+pub use packed::{pack, unpack};
 pub use record::{
     EndpointRecord, Intent, Record, RecordStore, Records, Revision, StoreError, Topic,
     WeightVersion,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,6 +12,7 @@
     intents::Decode,
     log_event,
     members::{Datagram, Message, BEAT},
+    packed::unpack,
     serve,
 };
 use crate::{base::Millis, emit, http::call};
@@ -118,9 +119,16 @@
         let Some(peer) = newer else {
             continue;
         };
-        let Some(raw) = ask(&ctx, peer, serve::CATALOG_PATH).await else {
+        let Some(data) = ask(&ctx, peer, serve::CATALOG_PATH).await else {
             continue;
         };
+        let raw = match unpack(&data) {
+            Ok(raw) => raw,
+            Err(e) => {
+                emit!(log_event::RECORD, "source={peer} reason=\"{e}\"");
+                continue;
+            }
+        };
         match D::catalog(&raw) {
             Ok(catalog) => apply_catalog(&ctx, catalog, raw, &peer.to_string()),
             Err(e) => emit!(log_event::RECORD, "source={peer} reason=\"{e}\""),
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -155,7 +155,7 @@
 /// Answers another entry, or an agent.
 pub(super) async fn peer(ctx: &Context, path: &str) -> Whole {
     let answer = match path {
-        CATALOG_PATH => Some(ctx.raw_catalog.borrow().clone()).filter(|raw| !raw.is_empty()),
+        CATALOG_PATH => ctx.packed_catalog(),
         _ => match (
             path.strip_prefix(FLEET_PATH),
             path.strip_prefix(ASSIGNMENT_PATH),
