fix(staging): an agent that starts anew loads a version that was named before at once

Cause: the agent's clock began at zero, so a version with an unknown time counted as named just now.

Change: the clock begins at one hour, as in entries. The test fails without.

--- a/src/base/clock.rs
+++ b/src/base/clock.rs
@@ -123,7 +123,15 @@
     offset: Millis,
 }
 
+/// Time at the start of a clock whose process hears of events that are older than itself.
+const PAST: Millis = Millis::from_secs(3600);
+
 impl SystemClock {
+    /// Starts a clock after [`Millis::ZERO`] by more than any bound, so that zero means long ago.
+    pub fn start_late() -> Self {
+        Self::start_at(PAST)
+    }
+
     /// Starts a clock at zero.
     pub fn start() -> Self {
         Self::start_at(Millis::ZERO)
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -28,9 +28,6 @@
     http::Pool,
 };
 
-/// Time of the clock at the start: other entries tell what happened before it.
-const START: Millis = Millis::from_secs(3600);
-
 /// Time before the bound of a version from which requests no longer go to endpoints with an older one, and from which
 /// they go there only if they begin at once. The rest covers the ways of the record and of the request.
 const BEGIN_MARGIN: Millis = Millis(900);
@@ -101,7 +98,7 @@
         members: Members,
         metrics: GatewayMetrics,
     ) -> Rc<Self> {
-        let clock = SystemClock::start_at(START);
+        let clock = SystemClock::start_late();
         Rc::new(Self {
             started: clock.now(),
             clock,
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -101,7 +101,7 @@
             origin: None,
         };
         let peers = Peers::new(&location, &[]);
-        let clock = SystemClock::start();
+        let clock = SystemClock::start_late();
         Self {
             store,
             host,
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -190,7 +190,10 @@
     out
 }
 
-fn settings(n: u8) -> AgentSettings {
+/// Bound on old versions.
+const BOUND: Millis = Millis(2000);
+
+fn settings(n: u8, bound: Millis) -> AgentSettings {
     let zone = "a".parse().expect("a valid name");
     let region = "r".parse().expect("a valid name");
     AgentSettings {
@@ -199,7 +202,7 @@
         zone,
         service: "llm".parse().expect("a valid name"),
         exchange: addr(n, PORT),
-        bound: Millis(2000),
+        bound,
         link: Rate(4_000_000),
         prefetch: true,
     }
@@ -208,6 +211,16 @@
 /// Runs agents with their endpoints until `done`, at most 10 s. The next version is named when the origin has sent a
 /// copy of the one before.
 fn with_agents(engines: &[Engine], origin: &Store, versions: &[u64], done: impl Fn() -> bool) {
+    with_bound(BOUND, engines, origin, versions, done);
+}
+
+fn with_bound(
+    bound: Millis,
+    engines: &[Engine],
+    origin: &Store,
+    versions: &[u64],
+    done: impl Fn() -> bool,
+) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -222,8 +235,12 @@
             let value = format!("llm {at} a m {}", engine.0.loaded.get());
             store.write(Topic::Endpoints, &format!("e{n}"), &value);
             let (engine, origin) = (engine.clone(), origin.clone());
-            let run =
-                staging::run::<_, TestDecode, _, _>(settings(n), store.clone(), engine, origin);
+            let run = staging::run::<_, TestDecode, _, _>(
+                settings(n, bound),
+                store.clone(),
+                engine,
+                origin,
+            );
             tokio::task::spawn_local(run);
         }
         tokio::time::sleep(Millis(400).duration()).await;
@@ -310,3 +327,15 @@
     with_agents(&engines, &origin, &[2], done);
     assert!(engines.iter().all(|e| e.0.bad_loads.get() == 0));
 }
+
+/// Guards against an agent that starts anew, takes a version that was named long ago for a new one, and lets its
+/// endpoint stand idle until a turn that is over.
+#[test]
+fn found_version_is_loaded_at_once() {
+    let engines: Vec<Engine> = (0..3).map(|_| Engine::default()).collect();
+    engines.iter().for_each(|e| e.0.loaded.set(1));
+    let origin = Store::default();
+    let loaded = || engines.iter().all(|e| e.0.loaded.get() == 2);
+    // The first turn would come after the time of the test.
+    with_bound(Millis(40_000), &engines, &origin, &[2], loaded);
+}
