--- a/src/gateway/assignment.rs
+++ b/src/gateway/assignment.rs
@@ -34,7 +34,8 @@
     pub entries: Vec<SocketAddr>,
     /// Entries that read the store, to be told of the endpoint.
     pub readers: Vec<SocketAddr>,
-    /// Hash of everything but ages and entries; the next question names it.
+    /// Hash of everything but ages and entries; the next question names it. If it is the one of the question, hosts and
+    /// versions are left out.
     pub tag: u64,
 }
 
@@ -97,9 +98,15 @@
     let end = ctx.now() + ASSIGNMENT_WAIT;
     loop {
         let news = ctx.changed.notified();
-        let current = Assignment::of(ctx, &service, zone);
+        let mut current = Assignment::of(ctx, &service, zone);
+        if current.tag != tag {
+            return postcard::to_stdvec(&current).ok();
+        }
         let left = end - ctx.now();
-        if current.tag != tag || left == Millis::ZERO {
+        if left == Millis::ZERO {
+            // The agent has these.
+            current.hosts = Vec::new();
+            current.named = Vec::new();
             return postcard::to_stdvec(&current).ok();
         }
         // The time is over or something changed: either way the answer is made anew.
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -252,13 +252,17 @@
         self.report.borrow().as_ref().map(|r| r.born)
     }
 
+    /// Notes that an entry answers, and which entries read the store.
+    pub(super) fn set_readers(&self, readers: &[SocketAddr]) {
+        self.told.set(Some(self.now()));
+        *self.readers.borrow_mut() = readers.to_vec();
+    }
+
     /// Takes what an entry tells.
     pub(super) fn assign(&self, told: &Assignment) {
         let now = self.now();
-        self.told.set(Some(now));
         *self.origin_spec.borrow_mut() = told.origin.clone();
         self.set_hosts(&told.hosts);
-        self.readers.borrow_mut().clone_from(&told.readers);
         let Some(model) = &told.model else {
             return;
         };
--- a/src/staging/entries.rs
+++ b/src/staging/entries.rs
@@ -57,7 +57,10 @@
             tokio::time::sleep(jitter(RETRY).duration()).await;
             continue;
         };
-        agent.assign(&told);
+        agent.set_readers(&told.readers);
+        if told.tag != source.tag {
+            agent.assign(&told);
+        }
         source.tag = told.tag;
         if !told.entries.is_empty() {
             source.entries = told.entries;
