--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -13,10 +13,9 @@
     catalog::{Catalog, CatalogVersion},
     fleet::{EndpointId, Fleet, FleetDigest},
     log_event,
-    members::{Members, NamedAge, Status},
+    members::{Members, NamedAge},
     metrics::GatewayMetrics,
     named::Named,
-    packed::pack,
     record::WeightVersion,
     turns::Turns,
     Bounds, GatewaySettings, Headers,
@@ -39,13 +38,6 @@
 /// Entries among which the deployment's burst of retries is divided at least.
 const BUDGET_SHARES: u32 = 8;
 
-/// Time after the pause between two reads for which the store may take to answer before this entry no longer counts as
-/// one that reads it.
-const FOLLOW_SLACK: Millis = Millis(500);
-
-/// Time for which an entry reads the endpoints before it reads the configuration too.
-const SETTLED: Millis = Millis(1200);
-
 /// State of an entry.
 #[derive(Debug)]
 pub(super) struct Context {
@@ -58,8 +50,8 @@
     pub(super) metrics: GatewayMetrics,
     pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
     /// Encoded form of the catalog, and its compressed form once another entry asked for it.
-    raw_catalog: RefCell<Bytes>,
-    packed_catalog: RefCell<Option<Bytes>>,
+    pub(super) raw_catalog: RefCell<Bytes>,
+    pub(super) packed_catalog: RefCell<Option<Bytes>>,
     /// Wakes the follower of the operator's records.
     pub(super) news: Notify,
     pub(super) fleet: RefCell<Fleet>,
@@ -73,9 +65,9 @@
     pub(super) fleet_known: Cell<bool>,
     /// Whether the table of endpoints changed since its hash was computed.
     pub(super) fleet_changed: Cell<bool>,
-    digest: Cell<FleetDigest>,
+    pub(super) digest: Cell<FleetDigest>,
     /// Since when this entry reads the store.
-    reads_since: Cell<Option<Millis>>,
+    pub(super) reads_since: Cell<Option<Millis>>,
     /// When the next read of the endpoints is due.
     pub(super) read_due: Cell<Millis>,
     /// Wakes those who wait for a change of catalog, named versions or endpoints.
@@ -155,53 +147,6 @@
         self.fleet_known.get() && self.catalog.borrow().is_some()
     }
 
-    /// Returns whether this entry reads the store itself.
-    pub(super) fn reads_store(&self) -> bool {
-        let now = self.now();
-        let reads = self.members.borrow().reads_store(now);
-        let since = self.reads_since.get().unwrap_or(now);
-        self.reads_since.set(reads.then_some(since));
-        reads
-    }
-
-    /// Returns whether this entry reads the configuration itself: not if it reads the store for a moment only, because a
-    /// catalog may be large, and any other entry passes it on.
-    pub(super) fn reads_catalog(&self) -> bool {
-        let now = self.now();
-        let settled = |since| now >= since + SETTLED || since <= self.started + SETTLED;
-        self.reads_store() && self.reads_since.get().is_some_and(settled)
-    }
-
-    /// Returns whether this entry reads the store, and the store answers.
-    pub(super) fn follows(&self) -> bool {
-        self.now() < self.read_due.get() + FOLLOW_SLACK
-    }
-
-    /// Returns what this entry tells others of itself.
-    pub(super) fn status(&self) -> Status {
-        Status {
-            ready: self.is_ready(),
-            catalog: self.catalog_version(),
-            follows: self.follows(),
-            fleet: self.digest.get(),
-        }
-    }
-
-    /// Tells a change of catalog, named versions or endpoints to everyone who waits for it.
-    pub(super) fn tell(&self) {
-        if self.fleet_changed.take() {
-            self.digest.set(self.fleet.borrow().digest());
-        }
-        self.changed.notify_waiters();
-        self.beat_soon.notify_one();
-    }
-
-    /// Returns whether an entry has something that this one lacks.
-    pub(super) fn is_ahead(&self, told: &Status) -> bool {
-        let newer = told.catalog > self.catalog_version();
-        newer || (told.follows && told.fleet != self.digest.get() && !self.follows())
-    }
-
     /// Returns the version of the catalog in force.
     pub(super) fn catalog_version(&self) -> CatalogVersion {
         let catalog = self.catalog.borrow();
@@ -223,25 +168,6 @@
         true
     }
 
-    /// Returns the catalog in compressed form for another entry; `None` if this one has none.
-    pub(super) fn packed_catalog(&self) -> Option<Bytes> {
-        let raw = self.raw_catalog.borrow();
-        if raw.is_empty() {
-            return None;
-        }
-        let mut packed = self.packed_catalog.borrow_mut();
-        if packed.is_none() {
-            match pack(&raw) {
-                Ok(data) => *packed = Some(data),
-                Err(e) => emit!(
-                    log_event::RECORD,
-                    "key=catalog reason=\"cannot compress: {e}\""
-                ),
-            }
-        }
-        packed.clone()
-    }
-
     /// Notes a named version; returns whether it is newer than the known one.
     ///
     /// `found` says that the process started after the version was named.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod named;
 mod packed;
 mod peers;
+mod reading;
 mod record;
 mod reply;
 mod run;
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -20,19 +20,12 @@
     EndpointHost, HostReport, Manifest, Origin,
 };
 use crate::{
-    base::{jitter, Clock, HashMap, Millis, SystemClock, Zone},
-    decide::chunk::Topology,
+    base::{jitter, Clock, HashMap, Millis, SystemClock},
     emit,
-    gateway::{
-        Assignment, Catalog, Decode, EndpointNews, Named, OriginSpec, RecordStore, Topic,
-        WeightVersion,
-    },
+    gateway::{Decode, Named, OriginSpec, RecordStore, WeightVersion},
     net::Pacer,
 };
 
-/// Time without news from any entry after which the store is read instead.
-const FORGOTTEN: Millis = Millis(2500);
-
 /// Time after a failed call.
 pub(super) const RETRY: Millis = Millis(200);
 
@@ -50,7 +43,7 @@
 /// State of an agent.
 pub(super) struct Agent<S, D, H, O> {
     pub(super) settings: AgentSettings,
-    store: S,
+    pub(super) store: S,
     pub(super) host: H,
     origin: O,
     clock: SystemClock,
@@ -60,16 +53,16 @@
     client: Client,
     pub(super) peers: Rc<RefCell<Rc<Peers>>>,
     /// Own model and the origin, from the catalog.
-    model: RefCell<Option<Rc<str>>>,
-    origin_spec: RefCell<Option<OriginSpec>>,
+    pub(super) model: RefCell<Option<Rc<str>>>,
+    pub(super) origin_spec: RefCell<Option<OriginSpec>>,
     pub(super) named: RefCell<HashMap<Rc<str>, Named>>,
     /// When an entry last told the work, and when this agent started.
-    told: Cell<Option<Millis>>,
+    pub(super) told: Cell<Option<Millis>>,
     /// Entries that read the store.
-    readers: RefCell<Vec<SocketAddr>>,
+    pub(super) readers: RefCell<Vec<SocketAddr>>,
     /// Address of the endpoint, from its record.
-    endpoint: Cell<Option<SocketAddr>>,
-    started: Millis,
+    pub(super) endpoint: Cell<Option<SocketAddr>>,
+    pub(super) started: Millis,
     pub(super) report: RefCell<Option<HostReport>>,
     /// Start of the endpoint that answered last.
     last_born: Cell<Option<u64>>,
@@ -134,32 +127,6 @@
         self.clock.now()
     }
 
-    pub(super) fn set_catalog(&self, catalog: &Catalog) {
-        let spec = catalog.services.get(&self.settings.service);
-        let model = spec.and_then(|s| s.weights.as_ref()?.models.first().cloned());
-        *self.origin_spec.borrow_mut() = catalog.origin().cloned();
-        let before = self.model.replace(model.clone());
-        if before != model {
-            self.changed.notify_one();
-        }
-    }
-
-    pub(super) fn name_version(&self, model: Rc<str>, version: WeightVersion, found: bool) {
-        let now = self.now();
-        let newer = {
-            let mut named = self.named.borrow_mut();
-            let versions = named.entry(model.clone()).or_default();
-            versions.note(version, found, now)
-        };
-        emit!(
-            log_event::NAMED,
-            "model={model} version={version} newer={newer} found={found}"
-        );
-        if newer {
-            self.changed.notify_one();
-        }
-    }
-
     /// Reads the endpoint's report.
     pub(super) async fn look(&self) {
         let report = match self.host.report().await {
@@ -193,23 +160,6 @@
         self.state_changed.notify_one();
     }
 
-    /// Returns what entries should know of the endpoint, and the entries to tell.
-    pub(super) fn news(&self) -> Option<(EndpointNews, Vec<SocketAddr>)> {
-        let report = self.report.borrow();
-        let report = report.as_ref()?;
-        let taken = self.loader.ordered.get();
-        let news = EndpointNews {
-            addr: self.endpoint.get()?,
-            born: report.born,
-            models: if taken {
-                Vec::new()
-            } else {
-                report.models.clone()
-            },
-        };
-        Some((news, self.readers.borrow().clone()))
-    }
-
     /// Returns the loaded version of the own model.
     pub(super) fn loaded(&self) -> Option<WeightVersion> {
         let model = self.model.borrow();
@@ -252,87 +202,6 @@
         self.report.borrow().as_ref().map(|r| r.born)
     }
 
-    /// Notes that an entry answers, and which entries read the store.
-    pub(super) fn set_readers(&self, readers: &[SocketAddr]) {
-        self.told.set(Some(self.now()));
-        *self.readers.borrow_mut() = readers.to_vec();
-    }
-
-    /// Takes what an entry tells.
-    pub(super) fn assign(&self, told: &Assignment) {
-        let now = self.now();
-        *self.origin_spec.borrow_mut() = told.origin.clone();
-        self.set_hosts(&told.hosts);
-        let Some(model) = &told.model else {
-            return;
-        };
-        if self.model.replace(Some(model.clone())).as_ref() != Some(model) {
-            self.changed.notify_one();
-        }
-        for n in &told.named {
-            let mut named = self.named.borrow_mut();
-            let versions = named.entry(model.clone()).or_default();
-            let before = versions.newest();
-            if versions.learn(n.version, now - n.age) {
-                let (version, age) = (n.version, n.age);
-                emit!(
-                    log_event::NAMED,
-                    "model={model} version={version} age={age} source=entry"
-                );
-            }
-            if versions.newest() != before {
-                self.changed.notify_one();
-            }
-        }
-        let known = self.named.borrow().get(model).and_then(Named::newest);
-        if let Some(newest) = told.newest.filter(|n| known < Some(*n)) {
-            self.name_version(model.clone(), newest, true);
-        }
-    }
-
-    /// Returns whether no entry told anything for a while, so that the store has to be read.
-    pub(super) fn is_forgotten(&self) -> bool {
-        let told = self.told.get().unwrap_or(self.started);
-        self.now() > told + FORGOTTEN
-    }
-
-    fn set_hosts(&self, hosts: &[(SocketAddr, Zone)]) {
-        let origin = self.origin_spec.borrow();
-        let location = Location {
-            me: self.settings.exchange,
-            zone: self.settings.zone.clone(),
-            regions: self.settings.regions.clone(),
-            origin: origin.as_ref().and_then(|o| o.zone.clone()),
-        };
-        let peers = Peers::new(&location, hosts);
-        let same = |a: &Topology, b: &Topology| a.members() == b.members();
-        let own = |h: &&(SocketAddr, Zone)| h.0.ip() == self.settings.exchange.ip();
-        self.endpoint.set(hosts.iter().find(own).map(|h| h.0));
-        let changed = !same(&peers.topology, &self.peers.borrow().topology);
-        if changed {
-            *self.peers.borrow_mut() = Rc::new(peers);
-        }
-    }
-
-    /// Reads the hosts of the service from the store, if no entry tells them.
-    pub(super) async fn read_peers(&self) {
-        if !self.is_forgotten() {
-            return;
-        }
-        let records = match self.store.newest(Topic::Endpoints).await {
-            Ok(records) => records.records,
-            Err(e) => {
-                log::debug!("the list of hosts cannot be read: {e}");
-                return;
-            }
-        };
-        let values = records.iter().filter_map(|r| r.value.as_ref());
-        let endpoints = values.filter_map(|v| D::endpoint(v).ok());
-        let own = endpoints.filter(|e| e.service == self.settings.service);
-        let hosts: Vec<_> = own.map(|e| (e.addr, e.zone)).collect();
-        self.set_hosts(&hosts);
-    }
-
     /// Brings the endpoint to the target, or waits for a change.
     pub(super) async fn step(self: &Rc<Self>) {
         let begins = self.report.borrow().is_some() || self.settings.prefetch;
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod run;
 mod tell;
+mod work;
 
 pub use host::{EndpointHost, HostError, HostReport, LoadAnswer, Manifest, Origin};
 pub use run::{run, AgentSettings};
--- /dev/null
+++ b/src/staging/work.rs
@@ -0,0 +1,147 @@
+//! What an agent is told to do: its model, the named versions and the other hosts, by an entry or by the store.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use super::{
+    agent::Agent,
+    log_event,
+    peers::{Location, Peers},
+    EndpointHost, Origin,
+};
+use crate::{
+    base::{Millis, Zone},
+    decide::chunk::Topology,
+    emit,
+    gateway::{
+        Assignment, Catalog, Decode, EndpointNews, Named, RecordStore, Topic, WeightVersion,
+    },
+};
+
+/// Time without news from any entry after which the store is read instead.
+const FORGOTTEN: Millis = Millis(2500);
+
+impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
+    pub(super) fn set_catalog(&self, catalog: &Catalog) {
+        let spec = catalog.services.get(&self.settings.service);
+        let model = spec.and_then(|s| s.weights.as_ref()?.models.first().cloned());
+        *self.origin_spec.borrow_mut() = catalog.origin().cloned();
+        let before = self.model.replace(model.clone());
+        if before != model {
+            self.changed.notify_one();
+        }
+    }
+
+    pub(super) fn name_version(&self, model: Rc<str>, version: WeightVersion, found: bool) {
+        let now = self.now();
+        let newer = {
+            let mut named = self.named.borrow_mut();
+            let versions = named.entry(model.clone()).or_default();
+            versions.note(version, found, now)
+        };
+        emit!(
+            log_event::NAMED,
+            "model={model} version={version} newer={newer} found={found}"
+        );
+        if newer {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Notes that an entry answers, and which entries read the store.
+    pub(super) fn set_readers(&self, readers: &[SocketAddr]) {
+        self.told.set(Some(self.now()));
+        *self.readers.borrow_mut() = readers.to_vec();
+    }
+
+    /// Takes what an entry tells.
+    pub(super) fn assign(&self, told: &Assignment) {
+        let now = self.now();
+        *self.origin_spec.borrow_mut() = told.origin.clone();
+        self.set_hosts(&told.hosts);
+        let Some(model) = &told.model else {
+            return;
+        };
+        if self.model.replace(Some(model.clone())).as_ref() != Some(model) {
+            self.changed.notify_one();
+        }
+        for n in &told.named {
+            let mut named = self.named.borrow_mut();
+            let versions = named.entry(model.clone()).or_default();
+            let before = versions.newest();
+            if versions.learn(n.version, now - n.age) {
+                let (version, age) = (n.version, n.age);
+                emit!(
+                    log_event::NAMED,
+                    "model={model} version={version} age={age} source=entry"
+                );
+            }
+            if versions.newest() != before {
+                self.changed.notify_one();
+            }
+        }
+        let known = self.named.borrow().get(model).and_then(Named::newest);
+        if let Some(newest) = told.newest.filter(|n| known < Some(*n)) {
+            self.name_version(model.clone(), newest, true);
+        }
+    }
+
+    /// Returns whether no entry told anything for a while, so that the store has to be read.
+    pub(super) fn is_forgotten(&self) -> bool {
+        let told = self.told.get().unwrap_or(self.started);
+        self.now() > told + FORGOTTEN
+    }
+
+    fn set_hosts(&self, hosts: &[(SocketAddr, Zone)]) {
+        let origin = self.origin_spec.borrow();
+        let location = Location {
+            me: self.settings.exchange,
+            zone: self.settings.zone.clone(),
+            regions: self.settings.regions.clone(),
+            origin: origin.as_ref().and_then(|o| o.zone.clone()),
+        };
+        let peers = Peers::new(&location, hosts);
+        let same = |a: &Topology, b: &Topology| a.members() == b.members();
+        let own = |h: &&(SocketAddr, Zone)| h.0.ip() == self.settings.exchange.ip();
+        self.endpoint.set(hosts.iter().find(own).map(|h| h.0));
+        let changed = !same(&peers.topology, &self.peers.borrow().topology);
+        if changed {
+            *self.peers.borrow_mut() = Rc::new(peers);
+        }
+    }
+
+    /// Reads the hosts of the service from the store, if no entry tells them.
+    pub(super) async fn read_peers(&self) {
+        if !self.is_forgotten() {
+            return;
+        }
+        let records = match self.store.newest(Topic::Endpoints).await {
+            Ok(records) => records.records,
+            Err(e) => {
+                log::debug!("the list of hosts cannot be read: {e}");
+                return;
+            }
+        };
+        let values = records.iter().filter_map(|r| r.value.as_ref());
+        let endpoints = values.filter_map(|v| D::endpoint(v).ok());
+        let own = endpoints.filter(|e| e.service == self.settings.service);
+        let hosts: Vec<_> = own.map(|e| (e.addr, e.zone)).collect();
+        self.set_hosts(&hosts);
+    }
+
+    /// Returns what entries should know of the endpoint, and the entries to tell.
+    pub(super) fn news(&self) -> Option<(EndpointNews, Vec<SocketAddr>)> {
+        let report = self.report.borrow();
+        let report = report.as_ref()?;
+        let taken = self.loader.ordered.get();
+        let news = EndpointNews {
+            addr: self.endpoint.get()?,
+            born: report.born,
+            models: if taken {
+                Vec::new()
+            } else {
+                report.models.clone()
+            },
+        };
+        Some((news, self.readers.borrow().clone()))
+    }
+}
