--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -55,8 +55,16 @@
     removal: Option<Millis>,
     /// Count of the table's changes when this one last changed.
     changed: u64,
-    /// Weights that the record still names although the agent said otherwise, and the time until which it may.
-    outdated: Option<(Vec<(Rc<str>, WeightVersion)>, Millis)>,
+    /// What the agent's news replaced in the record.
+    outdated: Option<Outdated>,
+}
+
+/// Weights that an endpoint's record still names although its agent said otherwise.
+#[derive(Clone, Debug)]
+struct Outdated {
+    models: Vec<(Rc<str>, WeightVersion)>,
+    /// Time from which the record is believed again in any case.
+    until: Millis,
 }
 
 /// What an agent says of the endpoint on its host, sooner than the endpoint's own record does.
@@ -166,7 +174,7 @@
         }
         known.removal = None;
         match &known.outdated {
-            Some((models, until)) if *models == record.models && now < *until => {
+            Some(old) if old.models == record.models && now < old.until => {
                 record.models.clone_from(&known.record.models);
             }
             _ => known.outdated = None,
@@ -293,8 +301,10 @@
         if known.record.models == news.models {
             return None;
         }
-        let before = std::mem::replace(&mut known.record.models, news.models.clone());
-        known.outdated = Some((before, now + RECORD_LAG));
+        known.outdated = Some(Outdated {
+            models: std::mem::replace(&mut known.record.models, news.models.clone()),
+            until: now + RECORD_LAG,
+        });
         self.changes += 1;
         known.changed = self.changes;
         Some(known.id.clone())
