feat(observe): lines for who reads the store and which entry tells an agent its work

A failure that follows from what an entry was told by another one could not be traced to that other entry.

--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -28,6 +28,9 @@
     /// Another entry came or left.
     MEMBER = 458, "gateway-member", Info,
         "another entry came, left or fell silent", "look for that entry";
+    /// This entry reads the store or relies on another one, or changes the one that it relies on.
+    READER = 460, "gateway-reader", Info,
+        "the entry reads the store itself or takes the endpoints from another one", "see the beats of the zone's entries";
     /// The process starts, drains or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -197,6 +197,13 @@
             ctx.members.borrow_mut().distrust(peer, ctx.now());
             continue;
         };
+        if before.is_none() {
+            let (whole, records) = (news.whole, news.records.len());
+            emit!(
+                log_event::READER,
+                "source={peer} whole={whole} records={records}"
+            );
+        }
         mirrored = Some(Mirrored {
             peer,
             boot,
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -17,8 +17,12 @@
     pub(super) fn reads_store(&self) -> bool {
         let now = self.now();
         let reads = self.members.borrow().reads_store(now);
-        let since = self.reads_since.get().unwrap_or(now);
-        self.reads_since.set(reads.then_some(since));
+        let before = self.reads_since.get();
+        if reads != before.is_some() {
+            let readers = self.members.borrow().readers(now).len();
+            emit!(log_event::READER, "reads={reads} readers={readers}");
+        }
+        self.reads_since.set(reads.then_some(before.unwrap_or(now)));
         reads
     }
 
--- a/src/staging/entries.rs
+++ b/src/staging/entries.rs
@@ -5,9 +5,10 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 
-use super::{agent::Agent, EndpointHost, Origin};
+use super::{agent::Agent, log_event, EndpointHost, Origin};
 use crate::{
     base::{jitter, Clock, Millis, SystemClock},
+    emit,
     gateway::{Assignment, Beat, Decode, RecordStore, Topic, ASSIGNMENT_PATH, ASSIGNMENT_WAIT},
     http::{call, Pool},
 };
@@ -24,6 +25,8 @@
     pool: Pool,
     clock: SystemClock,
     entries: Vec<SocketAddr>,
+    /// The one that answered the last question.
+    answering: Option<SocketAddr>,
     tag: u64,
 }
 
@@ -39,6 +42,7 @@
         pool: Pool::default(),
         clock: SystemClock::start(),
         entries: Vec::new(),
+        answering: None,
         tag: 0,
     };
     let zone = &agent.settings.zone;
@@ -53,10 +57,15 @@
         let service = &agent.settings.service;
         let path = format!("{ASSIGNMENT_PATH}{service}/{zone}/{}", source.tag);
         let Some(told) = source.ask(entry, path).await else {
+            emit!(log_event::ENTRY, "entry={entry} answers=false");
+            source.answering = None;
             source.entries.pop();
             tokio::time::sleep(jitter(RETRY).duration()).await;
             continue;
         };
+        if source.answering.replace(entry) != Some(entry) {
+            emit!(log_event::ENTRY, "entry={entry} answers=true");
+        }
         agent.set_readers(&told.readers);
         if told.tag != source.tag {
             agent.assign(&told);
--- a/src/staging/log_event.rs
+++ b/src/staging/log_event.rs
@@ -19,6 +19,9 @@
     /// A record cannot be used.
     RECORD = 655, "staging-record", Warn,
         "a record of the store cannot be decoded and is ignored", "look for its writer";
+    /// An entry does not answer, or another one does.
+    ENTRY = 657, "staging-entry", Info,
+        "an entry that tells the agent its work does not answer, or the next one does", "look for that entry";
     /// The origin does not answer.
     ORIGIN = 656, "staging-origin", Warn,
         "the origin of weights does not answer or refuses", "check the origin";
