--- a/src/staging/load.rs
+++ b/src/staging/load.rs
@@ -73,8 +73,7 @@
             let (agent, model, manifest) = (self.clone(), model.clone(), manifest.clone());
             async move { agent.wait_and_load(&model, &manifest).await }
         });
-        let old = self.loader.task.replace(Some(task.abort_handle()));
-        drop(old);
+        *self.loader.task.borrow_mut() = Some(task.abort_handle());
         task.await.unwrap_or(false)
     }
 
--- a/src/staging/work.rs
+++ b/src/staging/work.rs
@@ -21,6 +21,7 @@
 const FORGOTTEN: Millis = Millis(2500);
 
 impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
+    /// Takes a configuration from the store.
     pub(super) fn set_catalog(&self, catalog: &Catalog) {
         let spec = catalog.services.get(&self.settings.service);
         let model = spec.and_then(|s| s.weights.as_ref()?.models.first().cloned());
@@ -31,6 +32,7 @@
         }
     }
 
+    /// Notes a named version; `found` says that it was named before this agent started.
     pub(super) fn name_version(&self, model: Rc<str>, version: WeightVersion, found: bool) {
         let now = self.now();
         let newer = {
