refactor(weights): one driver for the copies of agents and of endpoint hosts

Cause: src/staging/copy.rs repeated the loop of src/weights/copy.rs: tasks of transfers and subscriptions, cancels, events and the look at the hosts.

Behaviour is as before; staging_copy and weight_exchange pass unchanged.

--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -1,4 +1,4 @@
-//! The copy of one version: drives the scheduler of chunks.
+//! The copy of one version to the endpoint.
 
 use std::{
     cell::{Cell, RefCell},
@@ -21,16 +21,14 @@
 };
 use crate::{
     base::{Clock, Digest, HashMap, Millis, Rate, SystemClock},
-    decide::chunk::{Action, Config, Event, Fault, PeerId, Scheduler, Source},
+    decide::chunk::{Config, Event, Fault, PeerId, Scheduler, Source, Topology},
     emit,
     gateway::WeightVersion,
     net::Pacer,
     settings::Prefer,
+    weights::{Driver, Fetched, Transfer},
 };
 
-/// Time between two looks at the list of hosts.
-const REFRESH: Millis = Millis(300);
-
 /// Time without progress after which another host takes over a chunk; links carry one in a few tens of milliseconds.
 const STALL: Millis = Millis(900);
 
@@ -49,9 +47,6 @@
 /// Times that a chunk may arrive with another digest before the manifest is taken to be wrong.
 const CORRUPT_MAX: u32 = 2;
 
-/// News that waits for the scheduler.
-const NEWS: usize = 64;
-
 /// Returns the key of a version for the choice of neighbours and leaders.
 pub(super) fn version_id(model: &str, version: WeightVersion) -> Digest {
     let mut id = Digest::of(model.as_bytes());
@@ -78,22 +73,10 @@
     pub(super) manifest: Rc<Manifest>,
 }
 
-struct Fetched {
-    chunk: u32,
-    from: Source,
-    result: Result<(), Fault>,
-}
-
-/// State of a copy; dropping it ends all its tasks.
+/// Transfers of a copy to the endpoint on this host.
 struct Copy<H, O> {
     ctx: CopyContext<H, O>,
     peers: Rc<Peers>,
-    scheduler: Scheduler,
-    fetches: JoinSet<Fetched>,
-    running: HashMap<(u32, Source), AbortHandle>,
-    subscriptions: JoinSet<()>,
-    following: HashMap<PeerId, AbortHandle>,
-    news: (mpsc::Sender<Event>, mpsc::Receiver<Event>),
     /// Times that each chunk arrived with another digest.
     corrupt: HashMap<u32, u32>,
 }
@@ -132,153 +115,81 @@
     let copy = Copy {
         ctx,
         peers,
-        scheduler,
-        fetches: JoinSet::new(),
-        running: HashMap::default(),
-        subscriptions: JoinSet::new(),
-        following: HashMap::default(),
-        news: mpsc::channel(NEWS),
         corrupt: HashMap::default(),
     };
-    copy.run().await
+    Driver::new(copy, scheduler).run().await
 }
 
-impl<H: EndpointHost, O: Origin> Copy<H, O> {
+impl<H: EndpointHost, O: Origin> Transfer for Copy<H, O> {
+    type Content = ();
+    type Error = WrongManifest;
+
+    const REFRESH: Millis = Millis(300);
+
     fn now(&self) -> Millis {
         self.ctx.clock.now()
     }
 
-    async fn run(mut self) -> Result<(), WrongManifest> {
-        while let Some(wake) = self.act() {
-            self.subscribe();
-            let wait = (wake - self.now()).min(REFRESH);
-            tokio::select! {
-                Some(event) = self.news.1.recv() => {
-                    self.take(event);
-                    while let Ok(event) = self.news.1.try_recv() {
-                        self.take(event);
-                    }
-                }
-                Some(done) = self.fetches.join_next() => {
-                    // Aborted tasks were cancelled by the scheduler, which expects no event for them.
-                    if let Ok(done) = done {
-                        self.finish(done);
-                    }
-                }
-                () = tokio::time::sleep(wait.duration()) => {}
-            }
-            let wrong = self.corrupt.iter().find(|(_, n)| **n >= CORRUPT_MAX);
-            if let Some((chunk, _)) = wrong {
-                return Err(WrongManifest(*chunk));
-            }
-            self.refresh();
-        }
-        Ok(())
-    }
-
-    /// Takes over a changed list of hosts.
-    fn refresh(&mut self) {
+    fn refresh(&mut self) -> Option<Topology> {
         let peers = self.ctx.peers.borrow().clone();
         if Rc::ptr_eq(&peers, &self.peers) {
-            return;
+            return None;
         }
-        let topology = peers.topology.clone();
         self.peers = peers;
-        self.take(Event::Members(topology));
+        Some(self.peers.topology.clone())
     }
 
-    fn take(&mut self, event: Event) {
-        if let Event::Gone(peer) = event {
-            self.following.remove(&peer);
-        }
-        self.scheduler.handle(self.now(), event);
-    }
-
-    /// Does what the scheduler decides; returns the time of its next decision, or `None` when all chunks are held.
-    fn act(&mut self) -> Option<Millis> {
-        loop {
-            match self.scheduler.poll(self.now()) {
-                Action::Fetch(chunk, from) => self.fetch(chunk, from),
-                Action::Cancel(chunk, from) => {
-                    if let Some(task) = self.running.remove(&(chunk, from)) {
-                        task.abort();
-                    }
-                }
-                Action::Wait(at) => return Some(at),
-                Action::Done => return None,
-            }
-        }
-    }
-
-    fn fetch(&mut self, chunk: u32, from: Source) {
+    fn fetch(&self, tasks: &mut JoinSet<Fetched<()>>, chunk: u32, from: Source) -> AbortHandle {
         let addr = match from {
             Source::Origin => self.ctx.origin_addr,
             Source::Peer(id) => self.peers.addr(id),
         };
         let ctx = self.ctx.clone();
-        let task = self.fetches.spawn_local(async move {
+        tasks.spawn_local(async move {
             let result = fetch(&ctx, chunk, from, addr).await;
             Fetched {
                 chunk,
                 from,
                 result,
             }
-        });
-        self.running.insert((chunk, from), task);
+        })
     }
 
-    fn finish(&mut self, done: Fetched) {
-        if self.running.remove(&(done.chunk, done.from)).is_none() {
-            return;
-        }
-        let event = match done.result {
-            Ok(()) => {
-                let version = self.ctx.manifest.version;
-                self.ctx
-                    .holdings
-                    .insert(&self.ctx.model, version, done.chunk);
-                Event::Arrived(done.chunk, done.from)
-            }
-            Err(fault) => {
-                emit!(
-                    log_event::CHUNK,
-                    "model={} version={} chunk={} source={:?} outcome={fault:?}",
-                    self.ctx.model,
-                    self.ctx.manifest.version,
-                    done.chunk,
-                    done.from
-                );
-                if fault == Fault::Corrupt {
-                    *self.corrupt.entry(done.chunk).or_default() += 1;
-                }
-                Event::Failed(done.chunk, done.from, fault)
-            }
-        };
-        self.scheduler.handle(self.now(), event);
+    fn subscribe(
+        &self,
+        tasks: &mut JoinSet<()>,
+        id: PeerId,
+        events: mpsc::Sender<Event>,
+    ) -> Option<AbortHandle> {
+        let addr = self.peers.addr(id)?;
+        Some(tasks.spawn_local(follow(self.ctx.clone(), id, addr, events)))
     }
 
-    /// Keeps asking each neighbour for news.
-    fn subscribe(&mut self) {
-        let wanted: Vec<_> = self.scheduler.neighbours().collect();
-        self.following.retain(|id, task| {
-            let keep = wanted.contains(id);
-            if !keep {
-                task.abort();
-            }
-            keep
-        });
-        while self.subscriptions.try_join_next().is_some() {}
-        for id in wanted {
-            let Some(addr) = self.peers.addr(id) else {
-                continue;
-            };
-            if self.following.contains_key(&id) {
-                continue;
+    fn finish(
+        &mut self,
+        scheduler: &mut Scheduler,
+        done: Fetched<()>,
+    ) -> Result<(), WrongManifest> {
+        let (chunk, from, now) = (done.chunk, done.from, self.now());
+        let (model, version) = (&self.ctx.model, self.ctx.manifest.version);
+        let Err(fault) = done.result else {
+            self.ctx.holdings.insert(model, version, chunk);
+            scheduler.handle(now, Event::Arrived(chunk, from));
+            return Ok(());
+        };
+        emit!(
+            log_event::CHUNK,
+            "model={model} version={version} chunk={chunk} source={from:?} outcome={fault:?}"
+        );
+        scheduler.handle(now, Event::Failed(chunk, from, fault));
+        if fault == Fault::Corrupt {
+            let count = self.corrupt.entry(chunk).or_default();
+            *count += 1;
+            if *count >= CORRUPT_MAX {
+                return Err(WrongManifest(chunk));
             }
-            let task = follow(self.ctx.clone(), id, addr, self.news.0.clone());
-            let task = self.subscriptions.spawn_local(task);
-            self.following.insert(id, task);
         }
+        Ok(())
     }
 }
 
--- a/src/weights/copy.rs
+++ b/src/weights/copy.rs
@@ -1,6 +1,6 @@
-//! The copy of one manifest: drives the scheduler.
+//! The copy of one manifest.
 
-use std::sync::Arc;
+use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
 use tokio::{
@@ -10,20 +10,18 @@
 
 use super::{
     distribution::Shared,
+    driver::{Driver, Fetched, Transfer},
     fetch::Content,
     hosts::{crossing, settings, Peers},
     Version, WeightsError,
 };
 use crate::{
     backing::WeightStore,
-    base::{lock, Clock, Digest, HashMap, Millis, Rate},
-    decide::chunk::{Action, Bitmap, Config, Event, Fault, PeerId, Scheduler, Source},
+    base::{lock, Clock, Digest, Millis, Rate},
+    decide::chunk::{Bitmap, Config, Event, Fault, PeerId, Scheduler, Source, Topology},
     wire::{Call, Have, HaveUpdate},
 };
 
-/// Time between two looks at the host list.
-const REFRESH: Millis = Millis(500);
-
 /// Longest time between two updates of a subscription.
 const HAVE_INTERVAL: Millis = Millis(500);
 
@@ -40,9 +38,6 @@
 /// Time after which the next rank fetches the manifest into the region.
 const MANIFEST_STALL: Millis = Millis(2000);
 
-/// Updates that wait for the scheduler; a subscription pauses when they are not taken.
-const UPDATES: usize = 64;
-
 /// Fetches all chunks of a manifest.
 pub(super) async fn run<S: WeightStore>(
     shared: &Arc<Shared<S>>,
@@ -55,9 +50,9 @@
     };
     shared.chunks().admit(version.clone())?;
     shared.changes.send_replace(());
-    let mut copy = Copy::new(shared, version.clone());
-    copy.run().await;
-    Ok(version)
+    match Copy::driver(shared, version.clone()).run().await {
+        Ok(()) => Ok(version),
+    }
 }
 
 /// Gets a manifest: the leader of the region brings it in, the others ask along a tree.
@@ -106,30 +101,15 @@
     topology.parent(id).map(Source::Peer)
 }
 
-/// Result of a fetch task.
-struct Fetched {
-    chunk: u32,
-    from: Source,
-    result: Result<Bytes, Fault>,
-}
-
-/// State of a copy; dropping it ends all its tasks.
+/// Transfers of a copy between agents.
 struct Copy<S> {
     shared: Arc<Shared<S>>,
     version: Arc<Version>,
     peers: Arc<Peers>,
-    scheduler: Scheduler,
-    fetches: JoinSet<Fetched>,
-    /// Handles of `fetches`.
-    running: HashMap<(u32, Source), AbortHandle>,
-    subscriptions: JoinSet<()>,
-    /// Handles of `subscriptions`.
-    following: HashMap<PeerId, AbortHandle>,
-    updates: (mpsc::Sender<Event>, mpsc::Receiver<Event>),
 }
 
 impl<S: WeightStore> Copy<S> {
-    fn new(shared: &Arc<Shared<S>>, version: Arc<Version>) -> Self {
+    fn driver(shared: &Arc<Shared<S>>, version: Arc<Version>) -> Driver<Self> {
         let now = shared.ctx.clock.now();
         let peers = Arc::new(Peers::read(&shared.ctx));
         let weights = settings(&shared.ctx);
@@ -149,148 +129,85 @@
         for chunk in held.iter().flat_map(Bitmap::iter) {
             scheduler.handle(now, Event::Held(chunk));
         }
-        Self {
+        let copy = Self {
             shared: shared.clone(),
             version,
             peers,
-            scheduler,
-            fetches: JoinSet::new(),
-            running: HashMap::default(),
-            subscriptions: JoinSet::new(),
-            following: HashMap::default(),
-            updates: mpsc::channel(UPDATES),
-        }
+        };
+        Driver::new(copy, scheduler)
     }
+}
 
-    fn now(&self) -> Millis {
-        self.shared.ctx.clock.now()
-    }
+impl<S: WeightStore> Transfer for Copy<S> {
+    type Content = Bytes;
+    type Error = Infallible;
 
-    async fn run(&mut self) {
-        loop {
-            let Some(wake) = self.act() else {
-                return;
-            };
-            self.subscribe();
-            let wait = (wake - self.now()).min(REFRESH);
-            tokio::select! {
-                Some(event) = self.updates.1.recv() => {
-                    self.take(event);
-                    while let Ok(event) = self.updates.1.try_recv() {
-                        self.take(event);
-                    }
-                }
-                Some(done) = self.fetches.join_next() => {
-                    // Aborted tasks were cancelled by the scheduler, which expects no event for them.
-                    if let Ok(done) = done {
-                        self.finish(done);
-                    }
-                }
-                () = tokio::time::sleep(wait.duration()) => {}
-            }
-            if let Some(peers) = self.peers.refresh(&self.shared.ctx) {
-                let topology = peers.topology.clone();
-                self.peers = Arc::new(peers);
-                self.take(Event::Members(topology));
-            }
-        }
-    }
+    const REFRESH: Millis = Millis(500);
 
-    fn take(&mut self, event: Event) {
-        if let Event::Gone(peer) = event {
-            self.following.remove(&peer);
-        }
-        self.scheduler.handle(self.now(), event);
+    fn now(&self) -> Millis {
+        self.shared.ctx.clock.now()
     }
 
-    /// Does what the scheduler decides; returns the time of its next decision, or `None` when all chunks are held.
-    fn act(&mut self) -> Option<Millis> {
-        loop {
-            match self.scheduler.poll(self.now()) {
-                Action::Fetch(chunk, from) => self.fetch(chunk, from),
-                Action::Cancel(chunk, from) => {
-                    if let Some(task) = self.running.remove(&(chunk, from)) {
-                        task.abort();
-                    }
-                }
-                Action::Wait(at) => return Some(at),
-                Action::Done => return None,
-            }
-        }
+    fn refresh(&mut self) -> Option<Topology> {
+        let peers = self.peers.refresh(&self.shared.ctx)?;
+        let topology = peers.topology.clone();
+        self.peers = Arc::new(peers);
+        Some(topology)
     }
 
-    fn fetch(&mut self, chunk: u32, from: Source) {
+    fn fetch(&self, tasks: &mut JoinSet<Fetched<Bytes>>, chunk: u32, from: Source) -> AbortHandle {
         let (shared, peers) = (self.shared.clone(), self.peers.clone());
         let manifest = &self.version.manifest;
         let id = manifest.chunks[chunk as usize];
         let content = Content::Chunk(id, manifest.chunk_size(chunk as usize));
-        let task = self.fetches.spawn(async move {
+        tasks.spawn(async move {
             let result = shared.fetch(content, from, &peers).await;
             Fetched {
                 chunk,
                 from,
                 result,
             }
-        });
-        self.running.insert((chunk, from), task);
+        })
     }
 
-    fn finish(&mut self, done: Fetched) {
-        let (chunk, from) = (done.chunk, done.from);
-        if self.running.remove(&(chunk, from)).is_none() {
-            return;
-        }
-        let now = self.now();
+    fn subscribe(
+        &self,
+        tasks: &mut JoinSet<()>,
+        id: PeerId,
+        events: mpsc::Sender<Event>,
+    ) -> Option<AbortHandle> {
+        let addr = self.peers.host(id)?.peer;
+        let (shared, version) = (self.shared.clone(), self.version.clone());
+        Some(tasks.spawn(follow(shared, id, addr, version, events)))
+    }
+
+    fn finish(
+        &mut self,
+        scheduler: &mut Scheduler,
+        done: Fetched<Bytes>,
+    ) -> Result<(), Infallible> {
+        let (chunk, from, now) = (done.chunk, done.from, self.now());
         let data = match done.result {
             Ok(data) => data,
             Err(fault) => {
                 if let (Fault::Corrupt, Source::Peer(peer)) = (fault, from) {
                     lock(&self.shared.corrupt).insert(peer);
                 }
-                let event = Event::Failed(chunk, from, fault);
-                return self.scheduler.handle(now, event);
+                scheduler.handle(now, Event::Failed(chunk, from, fault));
+                return Ok(());
             }
         };
-        if self.scheduler.held().contains(chunk) {
+        if scheduler.held().contains(chunk) {
             self.shared.counters.duplicate_chunks.inc();
         }
         let id = self.version.manifest.chunks[chunk as usize];
         self.shared.chunks().insert(id, data);
         self.shared.changes.send_replace(());
-        self.scheduler.handle(now, Event::Arrived(chunk, from));
+        scheduler.handle(now, Event::Arrived(chunk, from));
         for &same in self.version.positions(&id) {
-            self.scheduler.handle(now, Event::Held(same));
-        }
-    }
-
-    /// Keeps one subscription to each neighbour.
-    fn subscribe(&mut self) {
-        let wanted: Vec<_> = self.scheduler.neighbours().collect();
-        self.following.retain(|id, task| {
-            let keep = wanted.contains(id);
-            if !keep {
-                task.abort();
-            }
-            keep
-        });
-        while self.subscriptions.try_join_next().is_some() {}
-        for id in wanted {
-            let Some(host) = self.peers.host(id) else {
-                continue;
-            };
-            if self.following.contains_key(&id) {
-                continue;
-            }
-            let task = follow(
-                self.shared.clone(),
-                id,
-                host.peer,
-                self.version.clone(),
-                self.updates.0.clone(),
-            );
-            let task = self.subscriptions.spawn(task);
-            self.following.insert(id, task);
+            scheduler.handle(now, Event::Held(same));
         }
+        Ok(())
     }
 }
 
--- a/src/weights/mod.rs
+++ b/src/weights/mod.rs
@@ -3,6 +3,7 @@
 mod copy;
 mod counters;
 mod distribution;
+mod driver;
 mod error;
 mod fetch;
 mod hosts;
@@ -13,6 +14,7 @@
 
 pub use counters::{Counters, Totals};
 pub use distribution::{Complete, Distribution};
+pub(crate) use driver::{Driver, Fetched, Transfer};
 pub use error::WeightsError;
 pub use manifest::{Manifest, ManifestError};
 pub use source::Source;
