refactor(http): one call that reads a path

Cause: entries, agents and the exchange each built the same request, and one of them asked for / when a path was not valid.

Change: http::get builds it; a path that is not valid is an error with a text. SystemClock::start_at has no callers outside and is private.

--- a/src/base/clock.rs
+++ b/src/base/clock.rs
@@ -138,7 +138,7 @@
     }
 
     /// Starts a clock at a later time, so that points in time before its start can be expressed.
-    pub fn start_at(offset: Millis) -> Self {
+    fn start_at(offset: Millis) -> Self {
         Self {
             start: Instant::now(),
             offset,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -15,7 +15,7 @@
     packed::unpack,
     serve,
 };
-use crate::{base::Millis, emit, http::call};
+use crate::{base::Millis, emit, http::get};
 
 /// Largest datagram, in bytes.
 const DATAGRAM_MAX: usize = 8 << 10;
@@ -143,9 +143,7 @@
 
 /// Asks another entry for what is at a path.
 async fn ask(ctx: &Context, peer: SocketAddr, path: &str) -> Option<Bytes> {
-    let mut req = hyper::Request::new(http_body_util::Full::default());
-    *req.uri_mut() = path.parse().ok()?;
-    match call(&ctx.pool, peer, req, ctx.now(), PEER_ANSWER).await {
+    match get(&ctx.pool, peer, path, ctx.now(), PEER_ANSWER).await {
         Ok(res) if res.status() == hyper::StatusCode::OK => Some(res.into_body()),
         Ok(res) => {
             log::debug!("{peer} does not pass on {path}: {}", res.status());
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -30,6 +30,9 @@
     /// No connection; the request was not sent.
     #[error("cannot connect to {0}: {1}; check the address and the peer")]
     Connect(SocketAddr, String),
+    /// The path is not valid; nothing was sent.
+    #[error("`{0}` is no valid path; check the names in it")]
+    Path(String),
     /// The request may have had an effect.
     #[error("no whole response from {0}: {1}; the call may have taken effect")]
     Lost(SocketAddr, String),
@@ -56,6 +59,23 @@
     Ok(res)
 }
 
+/// Reads the resource at a path; see [`call`].
+///
+/// # Errors
+///
+/// Returns an error if the path is not valid, or no whole response comes.
+pub async fn get(
+    pool: &Pool,
+    addr: SocketAddr,
+    path: &str,
+    now: Millis,
+    limit: Millis,
+) -> Result<Response<Bytes>, CallError> {
+    let mut req = Request::new(Full::default());
+    *req.uri_mut() = path.parse().map_err(|_| CallError::Path(path.to_owned()))?;
+    call(pool, addr, req, now, limit).await
+}
+
 /// Like [`call`], on a connection that is closed after the response.
 ///
 /// # Errors
--- a/src/staging/entries.rs
+++ b/src/staging/entries.rs
@@ -2,15 +2,14 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use http_body_util::Full;
-use hyper::{Request, StatusCode};
+use hyper::StatusCode;
 
 use super::{agent::Agent, log_event, EndpointHost, Origin};
 use crate::{
     base::{jitter, Clock, Millis, SystemClock},
     emit,
     gateway::{Assignment, Beat, Decode, RecordStore, Topic, ASSIGNMENT_PATH, ASSIGNMENT_WAIT},
-    http::{call, Pool},
+    http::{get, Pool},
 };
 
 /// Time for an answer beyond the wait that is asked for.
@@ -56,7 +55,7 @@
         };
         let service = &agent.settings.service;
         let path = format!("{ASSIGNMENT_PATH}{service}/{zone}/{}", source.tag);
-        let Some(told) = source.ask(entry, path).await else {
+        let Some(told) = source.ask(entry, &path).await else {
             emit!(log_event::ENTRY, "entry={entry} answers=false");
             source.answering = None;
             source.entries.pop();
@@ -81,11 +80,9 @@
 }
 
 impl Source {
-    async fn ask(&self, entry: SocketAddr, path: String) -> Option<Assignment> {
-        let mut req = Request::new(Full::default());
-        *req.uri_mut() = path.parse().ok()?;
+    async fn ask(&self, entry: SocketAddr, path: &str) -> Option<Assignment> {
         let limit = ASSIGNMENT_WAIT + ANSWER;
-        match call(&self.pool, entry, req, self.clock.now(), limit).await {
+        match get(&self.pool, entry, path, self.clock.now(), limit).await {
             Ok(res) if res.status() == StatusCode::OK => postcard::from_bytes(res.body()).ok(),
             Ok(res) => {
                 log::debug!("{entry} answers a question for work with {}", res.status());
--- a/src/staging/exchange.rs
+++ b/src/staging/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{body::Incoming, Method, Request, Response, StatusCode};
+use hyper::{body::Incoming, Request, Response, StatusCode};
 
 use super::{holdings::is_intact, holdings::Holdings, log_event, EndpointHost, Manifest};
 use crate::{
@@ -12,7 +12,7 @@
     decide::chunk::Fault,
     emit,
     gateway::WeightVersion,
-    http::{call, CallError, Pool},
+    http::{get, CallError, Pool},
     net::Pacer,
 };
 
@@ -206,10 +206,7 @@
         path: String,
         limit: Millis,
     ) -> Result<Response<Bytes>, CallError> {
-        let mut req = Request::new(Full::default());
-        *req.method_mut() = Method::GET;
-        *req.uri_mut() = path.parse().unwrap_or_default();
-        call(&self.pool, addr, req, self.clock.now(), limit).await
+        get(&self.pool, addr, &path, self.clock.now(), limit).await
     }
 
     /// Asks which chunks arrived after a position; waits for news.
