refactor(gateway): keep hashes and ranks instead of computing them at each look

Cause: each change of one endpoint hashed the whole table again, each look at the zone's readers hashed every address again, several times a second, and each question of an agent that still waited shuffled all entries. The hash of the table was kept twice.

Not measured; behaviour is as before.

--- a/src/gateway/assignment.rs
+++ b/src/gateway/assignment.rs
@@ -40,8 +40,8 @@
 }
 
 impl Assignment {
-    /// Returns the work of a service as an entry knows it.
-    fn of(ctx: &Context, service: &Service, zone: &str) -> Self {
+    /// Returns the work of a service as an entry knows it, without the entries to ask and to tell.
+    fn of(ctx: &Context, service: &Service) -> Self {
         let now = ctx.now();
         let catalog = ctx.catalog.borrow();
         let spec = catalog.as_ref().and_then(|c| c.services.get(service));
@@ -71,12 +71,17 @@
         }
         out.model = model;
         out.tag = out.hash();
-        let members = ctx.members.borrow();
-        out.entries = members.peers(zone, ENTRIES_MAX, now);
-        out.readers = members.readers(now);
         out
     }
 
+    /// Adds the entries to ask and to tell, and encodes the answer.
+    fn encode(mut self, ctx: &Context, zone: &str) -> Option<Vec<u8>> {
+        let (members, now) = (ctx.members.borrow(), ctx.now());
+        self.entries = members.peers(zone, ENTRIES_MAX, now);
+        self.readers = members.readers(now);
+        postcard::to_stdvec(&self).ok()
+    }
+
     /// Returns the hash of what an agent acts on.
     fn hash(&self) -> u64 {
         let known: Vec<_> = self.named.iter().map(|n| n.version).collect();
@@ -98,16 +103,16 @@
     let end = ctx.now() + ASSIGNMENT_WAIT;
     loop {
         let news = ctx.changed.notified();
-        let mut current = Assignment::of(ctx, &service, zone);
+        let mut current = Assignment::of(ctx, &service);
         if current.tag != tag {
-            return postcard::to_stdvec(&current).ok();
+            return current.encode(ctx, zone);
         }
         let left = end - ctx.now();
         if left == Millis::ZERO {
             // The agent has these.
             current.hosts = Vec::new();
             current.named = Vec::new();
-            return postcard::to_stdvec(&current).ok();
+            return current.encode(ctx, zone);
         }
         // The time is over or something changed: either way the answer is made anew.
         let _ = tokio::time::timeout(left.duration(), news).await;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -11,7 +11,7 @@
 use super::{
     balance::{Balance, Outcome},
     catalog::{Catalog, CatalogVersion},
-    fleet::{EndpointId, Fleet, FleetDigest},
+    fleet::{EndpointId, Fleet},
     log_event,
     members::{Members, NamedAge},
     metrics::GatewayMetrics,
@@ -63,9 +63,8 @@
     budgets: RefCell<HashMap<Service, Budget>>,
     /// Whether the endpoints were read once.
     pub(super) fleet_known: Cell<bool>,
-    /// Whether the table of endpoints changed since its hash was computed.
+    /// Whether the table of endpoints changed since that was told.
     pub(super) fleet_changed: Cell<bool>,
-    pub(super) digest: Cell<FleetDigest>,
     /// Since when this entry reads the store.
     pub(super) reads_since: Cell<Option<Millis>>,
     /// When the next read of the endpoints is due.
@@ -111,7 +110,6 @@
             budgets: RefCell::default(),
             fleet_known: Cell::default(),
             fleet_changed: Cell::default(),
-            digest: Cell::default(),
             reads_since: Cell::default(),
             read_due: Cell::default(),
             changed: Notify::new(),
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -55,6 +55,8 @@
     removal: Option<Millis>,
     /// Count of the table's changes when this one last changed.
     changed: u64,
+    /// Part of the table's hash.
+    hash: u64,
     /// What the agent's news replaced in the record.
     outdated: Option<Outdated>,
 }
@@ -129,6 +131,8 @@
     removed: HashMap<EndpointId, Removed>,
     /// Count of changes.
     changes: u64,
+    /// Sum of the endpoints' hashes.
+    sum: u64,
     /// Removals before this time are in doubt, because the store was away.
     doubt: Millis,
 }
@@ -155,17 +159,18 @@
         {
             return Change::Stale;
         }
-        let changed = self.changes + 1;
         let Some(known) = self.endpoints.get_mut(id) else {
             self.removed.remove(id);
-            let endpoint = Endpoint {
+            self.changes += 1;
+            let mut endpoint = Endpoint {
                 id: id.clone(),
                 record,
                 removal: None,
-                changed,
+                changed: self.changes,
+                hash: 0,
                 outdated: None,
             };
-            self.changes = changed;
+            endpoint.rehash(&mut self.sum);
             self.endpoints.insert(id.clone(), endpoint);
             return Change::Added;
         };
@@ -179,17 +184,22 @@
             }
             _ => known.outdated = None,
         }
+        known.record.revision.sequence = record.revision.sequence;
+        if known.record == record {
+            return Change::Renewed;
+        }
         let revision = record.revision;
         let same = EndpointRecord {
             revision,
             ..known.record.clone()
         } == record;
         known.record = record;
+        known.rehash(&mut self.sum);
         if same {
             return Change::Renewed;
         }
-        known.changed = changed;
-        self.changes = changed;
+        self.changes += 1;
+        known.changed = self.changes;
         Change::Updated
     }
 
@@ -208,6 +218,7 @@
     fn drop_endpoint(&mut self, id: &EndpointId, now: Millis) {
         if let Some(e) = self.endpoints.remove(id) {
             self.changes += 1;
+            self.sum = self.sum.wrapping_sub(e.hash);
             let removed = Removed {
                 revision: e.record.revision,
                 until: now + MEMORY,
@@ -238,14 +249,7 @@
 
     /// Returns the hash of the table.
     pub fn digest(&self) -> FleetDigest {
-        let sum = self.endpoints.values().fold(0, |sum: u64, e| {
-            let mut record = e.record.clone();
-            record.revision.sequence = 0;
-            // Records of this program's own types are always encodable.
-            let data = postcard::to_stdvec(&(&e.id, record)).unwrap_or_default();
-            sum.wrapping_add(rendezvous(b"record", &data))
-        });
-        FleetDigest(sum)
+        FleetDigest(self.sum)
     }
 
     /// Returns what changed since a count of changes; everything if that is not known.
@@ -305,6 +309,7 @@
             models: std::mem::replace(&mut known.record.models, news.models.clone()),
             until: now + RECORD_LAG,
         });
+        known.rehash(&mut self.sum);
         self.changes += 1;
         known.changed = self.changes;
         Some(known.id.clone())
@@ -344,6 +349,17 @@
 }
 
 impl Endpoint {
+    /// Takes a change of the record into the sum of all hashes.
+    fn rehash(&mut self, sum: &mut u64) {
+        let mut record = self.record.clone();
+        record.revision.sequence = 0;
+        // Records of this program's own types are always encodable.
+        let data = postcard::to_stdvec(&(&self.id, record)).unwrap_or_default();
+        let hash = rendezvous(b"record", &data);
+        *sum = sum.wrapping_sub(self.hash).wrapping_add(hash);
+        self.hash = hash;
+    }
+
     /// Returns the version of a model that the endpoint has loaded.
     pub fn weights(&self, model: &str) -> Option<WeightVersion> {
         self.record
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -127,9 +127,21 @@
     beating: bool,
     /// Time before which it is not asked for its table.
     distrusted: Millis,
+    /// See [`rank`]; kept because each look compares the ranks of a whole zone.
+    rank: u64,
 }
 
 impl Member {
+    fn new(beat: Beat, beating: bool, now: Millis) -> Self {
+        Self {
+            rank: rank(beat.peer),
+            beat,
+            heard: now,
+            beating,
+            distrusted: Millis::ZERO,
+        }
+    }
+
     fn is_live(&self, now: Millis) -> bool {
         let limit = if self.beating { SILENCE } else { WELCOME };
         now < self.heard + limit
@@ -151,6 +163,8 @@
 #[derive(Debug)]
 pub struct Members {
     me: Beat,
+    /// Own rank; see [`rank`].
+    rank: u64,
     others: HashMap<SocketAddr, Member>,
 }
 
@@ -158,6 +172,7 @@
     /// Starts with this entry alone.
     pub fn new(me: Beat) -> Self {
         Self {
+            rank: rank(me.peer),
             me,
             others: HashMap::default(),
         }
@@ -178,12 +193,7 @@
         if beat.peer == self.me.peer || self.others.contains_key(&beat.peer) {
             return;
         }
-        let member = Member {
-            heard: now,
-            beating: false,
-            distrusted: Millis::ZERO,
-            beat,
-        };
+        let member = Member::new(beat, false, now);
         self.others.insert(member.beat.peer, member);
     }
 
@@ -193,12 +203,7 @@
             return false;
         }
         let Some(known) = self.others.get_mut(&beat.peer) else {
-            let member = Member {
-                heard: now,
-                beating: true,
-                distrusted: Millis::ZERO,
-                beat,
-            };
+            let member = Member::new(beat, true, now);
             self.others.insert(member.beat.peer, member);
             return true;
         };
@@ -206,12 +211,9 @@
             return false;
         }
         let changed = known.beat.status.ready != beat.status.ready || !known.is_live(now);
-        *known = Member {
-            heard: now,
-            beating: true,
-            beat,
-            distrusted: known.distrusted,
-        };
+        known.beat = beat;
+        known.heard = now;
+        known.beating = true;
         changed
     }
 
@@ -261,18 +263,17 @@
 
     /// Returns whether this entry reads the store itself: it is one of the first of its zone, or those do not read.
     pub fn reads_store(&self, now: Millis) -> bool {
-        let mine = rank(self.me.peer);
         let readers = self
             .others
             .values()
             .filter(|m| self.is_near(m) && m.is_reader(now));
-        readers.filter(|m| rank(m.beat.peer) < mine).count() < READERS
+        readers.filter(|m| m.rank < self.rank).count() < READERS
     }
 
     /// Returns an entry that reads the store: the first of the own zone, or any other.
     pub fn reader(&self, now: Millis) -> Option<&Beat> {
         let readers = self.others.values().filter(|m| m.is_reader(now));
-        let first = readers.min_by_key(|m| (!self.is_near(m), rank(m.beat.peer)))?;
+        let first = readers.min_by_key(|m| (!self.is_near(m), m.rank))?;
         Some(&first.beat)
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,8 +1,8 @@
 //! Entry that forwards HTTP requests directly to endpoints.
 //!
 //! Requests are routed by host and path prefix. The catalog, the endpoints and the named weight versions are records of
-//! the platform's store, which every entry follows by itself; nothing is agreed between entries. Everything here runs
-//! on one thread, because an entry host has one small core; state is shared without locks.
+//! the platform's store, which two entries of each zone read for the others and for agents; nothing is agreed between
+//! entries. Everything here runs on one thread, because an entry host has one small core; state is shared without locks.
 
 mod accept;
 mod assignment;
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -13,7 +13,7 @@
 const SETTLED: Millis = Millis(1200);
 
 impl Context {
-    /// Returns whether this entry reads the store itself.
+    /// Returns whether this entry reads the store itself, and notes since when.
     pub(super) fn reads_store(&self) -> bool {
         let now = self.now();
         let reads = self.members.borrow().reads_store(now);
@@ -45,15 +45,13 @@
             ready: self.is_ready(),
             catalog: self.catalog_version(),
             follows: self.follows(),
-            fleet: self.digest.get(),
+            fleet: self.fleet.borrow().digest(),
         }
     }
 
     /// Tells a change of catalog, named versions or endpoints to everyone who waits for it.
     pub(super) fn tell(&self) {
-        if self.fleet_changed.take() {
-            self.digest.set(self.fleet.borrow().digest());
-        }
+        self.fleet_changed.set(false);
         self.changed.notify_waiters();
         self.beat_soon.notify_one();
     }
@@ -61,7 +59,8 @@
     /// Returns whether an entry has something that this one lacks.
     pub(super) fn is_ahead(&self, told: &Status) -> bool {
         let newer = told.catalog > self.catalog_version();
-        newer || (told.follows && told.fleet != self.digest.get() && !self.follows())
+        let fleet = self.fleet.borrow().digest();
+        newer || (told.follows && told.fleet != fleet && !self.follows())
     }
 
     /// Returns the catalog in compressed form for another entry; `None` if this one has none.
