refactor(staging): the agent's loops are its methods

Cause: four functions named the same four type parameters and bounds for the sake of one argument.

Change: they are methods of the agent; 21 lines less, behaviour is as before.

--- a/src/staging/entries.rs
+++ b/src/staging/entries.rs
@@ -29,52 +29,48 @@
     tag: u64,
 }
 
-/// Asks entries for ever, one at a time.
-pub(super) async fn follow_entries<S, D, H, O>(agent: Rc<Agent<S, D, H, O>>, store: S)
-where
-    S: RecordStore,
-    D: Decode,
-    H: EndpointHost,
-    O: Origin,
-{
-    let mut source = Source {
-        pool: Pool::default(),
-        clock: SystemClock::start(),
-        entries: Vec::new(),
-        answering: None,
-        tag: 0,
-    };
-    let zone = &agent.settings.zone;
-    loop {
-        let Some(&entry) = source.entries.last() else {
-            source.entries = announced(&store, zone.as_str()).await;
-            if source.entries.is_empty() {
-                tokio::time::sleep(jitter(STORE_RETRY).duration()).await;
-            }
-            continue;
+impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
+    /// Asks entries for ever, one at a time.
+    pub(super) async fn follow_entries(self: Rc<Self>) {
+        let mut source = Source {
+            pool: Pool::default(),
+            clock: SystemClock::start(),
+            entries: Vec::new(),
+            answering: None,
+            tag: 0,
         };
-        let service = &agent.settings.service;
-        let path = format!("{ASSIGNMENT_PATH}{service}/{zone}/{}", source.tag);
-        let Some(told) = source.ask(entry, &path).await else {
-            emit!(log_event::ENTRY, "entry={entry} answers=false");
-            source.answering = None;
-            source.entries.pop();
-            tokio::time::sleep(jitter(RETRY).duration()).await;
-            continue;
-        };
-        if source.answering.replace(entry) != Some(entry) {
-            emit!(log_event::ENTRY, "entry={entry} answers=true");
-        }
-        agent.set_readers(&told.readers);
-        if told.tag != source.tag {
-            agent.assign(&told);
-        }
-        source.tag = told.tag;
-        if !told.entries.is_empty() {
-            source.entries = told.entries;
-            // The one that answers is asked again.
-            source.entries.retain(|e| *e != entry);
-            source.entries.push(entry);
+        let zone = &self.settings.zone;
+        loop {
+            let Some(&entry) = source.entries.last() else {
+                source.entries = announced(&self.store, zone.as_str()).await;
+                if source.entries.is_empty() {
+                    tokio::time::sleep(jitter(STORE_RETRY).duration()).await;
+                }
+                continue;
+            };
+            let service = &self.settings.service;
+            let path = format!("{ASSIGNMENT_PATH}{service}/{zone}/{}", source.tag);
+            let Some(told) = source.ask(entry, &path).await else {
+                emit!(log_event::ENTRY, "entry={entry} answers=false");
+                source.answering = None;
+                source.entries.pop();
+                tokio::time::sleep(jitter(RETRY).duration()).await;
+                continue;
+            };
+            if source.answering.replace(entry) != Some(entry) {
+                emit!(log_event::ENTRY, "entry={entry} answers=true");
+            }
+            self.set_readers(&told.readers);
+            if told.tag != source.tag {
+                self.assign(&told);
+            }
+            source.tag = told.tag;
+            if !told.entries.is_empty() {
+                source.entries = told.entries;
+                // The one that answers is asked again.
+                source.entries.retain(|e| *e != entry);
+                source.entries.push(entry);
+            }
         }
     }
 }
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -13,12 +13,9 @@
 
 use super::{
     agent::Agent,
-    entries::follow_entries,
     exchange::{Exchange, LINK_SHARE},
     holdings::Holdings,
-    log_event,
-    tell::tell_entries,
-    EndpointHost, Origin,
+    log_event, EndpointHost, Origin,
 };
 use crate::{
     base::{Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
@@ -109,19 +106,19 @@
         holdings,
         pacer(),
     ));
-    spawn_local(follow_entries(agent.clone(), store.clone()));
+    spawn_local(agent.clone().follow_entries());
     spawn_local(follow(
         store,
         Topic::Operator,
         WAIT,
         Rc::new(Intents::<D, _>::told(agent.clone())),
     ));
-    spawn_local(watch_endpoint(agent.clone()));
+    spawn_local(agent.clone().watch_endpoint());
     let socket = UdpSocket::bind(addr)
         .await
         .wrap_err_with(|| format!("cannot bind {addr} to tell entries; check the settings"))?;
-    spawn_local(tell_entries(agent.clone(), socket));
-    spawn_local(refresh_peers(agent.clone()));
+    spawn_local(agent.clone().tell_entries(socket));
+    spawn_local(agent.clone().refresh_peers());
     let main = spawn_local(async move {
         loop {
             agent.step().await;
@@ -163,32 +160,22 @@
     }
 }
 
-/// Looks at the endpoint for ever.
-async fn watch_endpoint<S, D, H, O>(agent: Rc<Agent<S, D, H, O>>)
-where
-    S: RecordStore,
-    D: Decode,
-    H: EndpointHost,
-    O: Origin,
-{
-    loop {
-        agent.look().await;
-        tokio::time::sleep(REPORT.duration()).await;
+impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
+    /// Looks at the endpoint for ever.
+    async fn watch_endpoint(self: Rc<Self>) {
+        loop {
+            self.look().await;
+            tokio::time::sleep(REPORT.duration()).await;
+        }
     }
-}
 
-/// Reads the list of hosts while a copy is in progress.
-async fn refresh_peers<S, D, H, O>(agent: Rc<Agent<S, D, H, O>>)
-where
-    S: RecordStore,
-    D: Decode,
-    H: EndpointHost,
-    O: Origin,
-{
-    loop {
-        tokio::time::sleep(PEERS_REFRESH.duration()).await;
-        if agent.copying.get() {
-            agent.read_peers().await;
+    /// Reads the list of hosts while a copy is in progress.
+    async fn refresh_peers(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(PEERS_REFRESH.duration()).await;
+            if self.copying.get() {
+                self.read_peers().await;
+            }
         }
     }
 }
--- a/src/staging/tell.rs
+++ b/src/staging/tell.rs
@@ -14,33 +14,29 @@
 const REPEATS: u32 = 2;
 const REPEAT: Millis = Millis(80);
 
-/// Sends the endpoint's state to the entries that read the store, whenever it changes.
-pub(super) async fn tell_entries<S, D, H, O>(agent: Rc<Agent<S, D, H, O>>, socket: UdpSocket)
-where
-    S: RecordStore,
-    D: Decode,
-    H: EndpointHost,
-    O: Origin,
-{
-    loop {
-        agent.state_changed.notified().await;
-        for _ in 0..REPEATS {
-            let Some((news, readers)) = agent.news() else {
-                break;
-            };
-            let message = match postcard::to_stdvec(&Message::Endpoint(news)) {
-                Ok(message) => message,
-                Err(e) => {
-                    log::warn!("cannot encode the state of the endpoint: {e}");
+impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
+    /// Sends the endpoint's state to the entries that read the store, whenever it changes.
+    pub(super) async fn tell_entries(self: Rc<Self>, socket: UdpSocket) {
+        loop {
+            self.state_changed.notified().await;
+            for _ in 0..REPEATS {
+                let Some((news, readers)) = self.news() else {
                     break;
+                };
+                let message = match postcard::to_stdvec(&Message::Endpoint(news)) {
+                    Ok(message) => message,
+                    Err(e) => {
+                        log::warn!("cannot encode the state of the endpoint: {e}");
+                        break;
+                    }
+                };
+                for reader in readers {
+                    if let Err(e) = socket.send_to(&message, reader).await {
+                        log::debug!("the state of the endpoint is not told to {reader}: {e}");
+                    }
                 }
-            };
-            for reader in readers {
-                if let Err(e) = socket.send_to(&message, reader).await {
-                    log::debug!("the state of the endpoint is not told to {reader}: {e}");
-                }
+                tokio::time::sleep(REPEAT.duration()).await;
             }
-            tokio::time::sleep(REPEAT.duration()).await;
         }
     }
 }
