--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -7,12 +7,11 @@
     rc::Rc,
 };
 
-use gateway_support::MemoryStore;
+use gateway_support::{run_local, MemoryStore};
 use sesamewing::{
     base::Millis,
     gateway::{follow, Follower, Record, RecordStore, Records, StoreError, Topic},
 };
-use tokio::task::LocalSet;
 
 /// A store that can be away, and that returns one record a read.
 #[derive(Clone, Default)]
@@ -85,11 +84,7 @@
 /// the backlog come one after the other, the newest records at once.
 #[test]
 fn outage_ends_with_newest() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    LocalSet::new().block_on(&runtime, async {
+    run_local(async {
         let store = FlakyStore::default();
         let heard = Rc::new(Heard::default());
         let topic = Topic::Endpoints;
--- a/tests/gateway_http.rs
+++ b/tests/gateway_http.rs
@@ -5,7 +5,7 @@
 use std::{future::Future, rc::Rc};
 
 use gateway_support::{
-    addr, ask, endpoint, header, set_catalog, MemoryStore, Seen, Step, TestDecode,
+    addr, ask, endpoint, header, run_local, set_catalog, MemoryStore, Seen, Step, TestDecode,
 };
 use sesamewing::{
     base::{HashMap, Millis},
@@ -15,7 +15,7 @@
     },
     observe::LeftOut,
 };
-use tokio::{io::AsyncWriteExt, net::TcpStream, task::LocalSet};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 const CALLERS: u16 = 8001;
 
@@ -119,11 +119,7 @@
     scripts: Vec<Vec<Step>>,
     test: impl FnOnce(Vec<Rc<Seen>>) -> F,
 ) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    LocalSet::new().block_on(&runtime, async {
+    run_local(async {
         set_catalog(catalog());
         let store = MemoryStore::default();
         let mut seen = Vec::new();
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -3,6 +3,7 @@
 
 use std::{
     cell::RefCell,
+    future::Future,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::atomic::{AtomicU8, Ordering},
@@ -21,6 +22,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::Notify,
+    task::LocalSet,
 };
 
 /// Hosts of one test.
@@ -49,6 +51,15 @@
     SocketAddr::new(host(n), port)
 }
 
+/// Runs a test's tasks on this thread until its future ends.
+pub fn run_local<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test)
+}
+
 thread_local! {
     static CATALOG: RefCell<Option<Catalog>> = const { RefCell::new(None) };
 }
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use gateway_support::{addr, set_catalog, MemoryStore, TestDecode};
+use gateway_support::{addr, run_local, set_catalog, MemoryStore, TestDecode};
 use sesamewing::{
     base::{Digest, HashMap, Millis, Rate, Size},
     gateway::{
@@ -22,7 +22,6 @@
     },
 };
 use sha2::{Digest as _, Sha256};
-use tokio::task::LocalSet;
 
 const CHUNKS: u32 = 24;
 const CHUNK: usize = 8 << 10;
@@ -221,11 +220,7 @@
     versions: &[u64],
     done: impl Fn() -> bool,
 ) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    LocalSet::new().block_on(&runtime, async {
+    run_local(async {
         set_catalog(catalog());
         let store = MemoryStore::default();
         store.write(Topic::Operator, "config", "1");
