fix(gateway): name the version that the endpoint holds, not the oldest one that will do

Cause: an endpoint turns a request away if its version differs from the named one.

Change: the request names the version that the chosen endpoint is known to hold.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -29,8 +29,9 @@
     pub(super) addr: SocketAddr,
     /// When the request has to have begun, because a newer version of the weights binds then.
     pub(super) begin_by: Option<Millis>,
-    /// Oldest version of the weights for the request.
-    pub(super) oldest: Option<WeightVersion>,
+    /// Version of the weights that the endpoint has to hold, if a named one binds. Endpoints take this as the only
+    /// version, so it is the one that they are known to hold, not the oldest one that will do.
+    pub(super) expected: Option<WeightVersion>,
     /// Idle connections to the endpoint that this entry may keep.
     pub(super) idle_max: usize,
 }
@@ -86,12 +87,13 @@
     let e = balance.pick(fleet.of(&job.service), &ask, now)?;
     let version = model.and_then(|m| balance.version(e, m));
     let begin_by = version.and_then(|v| ctx.begin_by(named?, v));
-    let oldest = weights.map(|w| w.oldest);
+    let binds = weights.is_some_and(|w| w.oldest > WeightVersion::default());
+    let expected = version.filter(|_| binds);
     Ok(Choice {
         id: e.id.clone(),
         addr: e.record.addr,
         begin_by,
-        oldest,
+        expected,
         idle_max: idle_max(connections, ctx.members.borrow().count()),
     })
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -159,7 +159,7 @@
         idle_max: choice.idle_max,
         begin_by: choice.begin_by,
     };
-    Ok(send(ctx, job, attempts, target, last, choice.oldest).await)
+    Ok(send(ctx, job, attempts, target, last, choice.expected).await)
 }
 
 /// Returns why a request must no longer go to an endpoint that was chosen for it: the connection took time to open, or
@@ -198,7 +198,7 @@
     job: &Job,
     target: &Target,
     last: Option<EventId>,
-    oldest: Option<WeightVersion>,
+    expected: Option<WeightVersion>,
 ) -> Request<Full<Bytes>> {
     let names = &ctx.headers;
     let mut req = Request::new(Full::new(job.body.clone()));
@@ -211,7 +211,7 @@
     if let Ok(id) = HeaderValue::from_str(&target.id.0) {
         headers.insert(&names.instance, id);
     }
-    if let Some(version) = oldest.filter(|v| *v > WeightVersion::default()) {
+    if let Some(version) = expected {
         headers.insert(&names.version, HeaderValue::from(version.0));
     }
     if let Some(last) = last {
@@ -241,9 +241,9 @@
     attempts: &mut Attempts,
     mut target: Target,
     last: Option<EventId>,
-    oldest: Option<WeightVersion>,
+    expected: Option<WeightVersion>,
 ) -> Attempt {
-    let req = request(ctx, job, &target, last, oldest);
+    let req = request(ctx, job, &target, last, expected);
     let now = ctx.now();
     let recall = target.begin_by.map_or(Millis::MAX, |at| at - now);
     let limit = patience(ctx, job, attempts).min(recall);
--- a/tests/endpoint_word.rs
+++ b/tests/endpoint_word.rs
@@ -8,8 +8,8 @@
     header, MemoryStore, Step,
 };
 use sesamewing::{
-    base::Millis,
-    gateway::{EndpointId, EndpointRecord, Fleet, Revision, Topic},
+    base::{HashMap, Millis},
+    gateway::{Catalog, EndpointId, EndpointRecord, EngineSpeed, Fleet, Revision, Topic},
 };
 
 const NOW: Millis = Millis(100_000);
@@ -102,3 +102,42 @@
     fleet.apply(&id, Some(record(2, 1)), NOW);
     assert!(!draining(&fleet));
 }
+
+/// A catalog whose endpoints are engines with weights.
+fn engines() -> Catalog {
+    let mut out = catalog();
+    let services: HashMap<_, _> = out
+        .services
+        .drain()
+        .map(|(name, mut spec)| {
+            spec.engine = Some(EngineSpeed {
+                slots: 4,
+                step_ms: 1.0,
+                sequence_ms: 0.0,
+                prompt_rate: 10.0,
+            });
+            (name, spec)
+        })
+        .collect();
+    out.services = services;
+    out
+}
+
+/// Pattern: a third version is named while hosts still load the second. Guards against requests that name the oldest
+/// version that will do: an endpoint that has the newest one turns them away.
+#[test]
+fn requests_name_the_version_of_their_endpoint() {
+    let store = MemoryStore::default();
+    store.write(Topic::Operator, MODEL, "2");
+    let script = answer("200 OK", "yes");
+    with_store(store, engines(), vec![script], |seen, store| async move {
+        store.write(Topic::Operator, MODEL, &HELD.to_string());
+        tokio::time::sleep(Millis(100).duration()).await;
+        let text = request("/safe/x").replace("2500", &format!("2500\r\nX-Model: {MODEL}"));
+        let res = ask(addr(1, CALLERS), &text, 1000).await;
+        assert!(res.starts_with("HTTP/1.1 200"), "{res}");
+        let sent = seen[0].requests.borrow().last().cloned();
+        let expected = sent.and_then(|r| header(&r, "x-expect-version"));
+        assert_eq!(expected, Some(HELD.to_string()));
+    });
+}
