perf(gateway): endpoints get only requests that end by their turn to load

The duration of a request was taken from its largest output, which is the same for all, so nothing kept long requests away. Turns were foreseen in one order and taken in another where copies came late.

Change: durations from the caller's hint; a request that outlasts the turn by more than 250 ms goes elsewhere; hosts in the origin's zone, whose copies are complete first, load first; a host that is ready for its foreseen turn keeps it.

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -3,7 +3,8 @@
 //! A host that loads takes no requests while its running ones end, so the hosts of a service take turns over the time
 //! that the deployment allows. Two limits are kept apart: every host has begun before the bound on old versions, and
 //! as few as possible load at once. Turns follow from the list of hosts alone, so that entries know them too and keep
-//! long requests away from a host whose turn is near.
+//! long requests away from a host whose turn is near. Hosts near the origin come first, since their copies are complete
+//! first.
 
 use std::net::IpAddr;
 
@@ -20,9 +21,21 @@
     Millis(t.0 * part / whole)
 }
 
-/// Returns the order of a host in the turns of a version; lower is earlier.
-pub fn order(host: IpAddr, version: u64) -> u64 {
-    rendezvous(&version.to_le_bytes(), host.to_string().as_bytes())
+/// Order of a host in the turns of a version; lower is earlier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TurnOrder {
+    /// Whether the host is in another availability zone than the origin.
+    far: bool,
+    /// Spreads the hosts of one zone, in another way for each version.
+    draw: u64,
+}
+
+/// Returns the order of a host in the turns of a version.
+pub fn order(host: IpAddr, near: bool, version: u64) -> TurnOrder {
+    TurnOrder {
+        far: !near,
+        draw: rendezvous(&version.to_le_bytes(), host.to_string().as_bytes()),
+    }
 }
 
 /// Turn of one host among those of its service.
@@ -43,12 +56,19 @@
         self.start_from(outdated, Millis::ZERO)
     }
 
-    /// Returns when a host begins to load that holds the version from `ready` on. Hosts that are ready late, all at about
-    /// the same time, take turns in the time that is left.
+    /// Returns when a host begins to load that holds the version from `ready` on: at the turn that entries foresee, or,
+    /// if that is over, in a turn of the time that is left.
     pub fn start_from(&self, outdated: Millis, ready: Millis) -> Millis {
+        let first = outdated + share(self.bound, FIRST);
         let last = outdated + share(self.bound, LAST);
-        let first = ready.max(outdated + share(self.bound, FIRST));
-        let step = (last - first).0 * self.rank as u64 / self.hosts.max(1) as u64;
-        first + Millis(step)
+        let hosts = self.hosts.max(1) as u64;
+        let rank = self.rank as u64;
+        let foreseen = first + Millis((last - first).0 * rank / hosts);
+        if ready <= foreseen {
+            return foreseen;
+        }
+        // Those whose turns are over share what is left; this host is the one at `rank` among them.
+        let late = ((ready - first).0 * hosts).div_ceil((last - first).0.max(1));
+        ready + Millis((last - ready).0 * rank / late.clamp(1, hosts))
     }
 }
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -4,7 +4,7 @@
 //! |---|---|
 //! | steady | the least loaded of a few random endpoints, nearer ones first |
 //! | more than the endpoints can serve in time | refused at once beyond the slots, with a short, spread time to return |
-//! | a new version is named | long requests avoid an endpoint whose turn to load is near |
+//! | a new version is named | an endpoint gets only requests that end by its turn to load |
 //! | callers return after a refusal | admitted like new ones, but behind them in an endpoint's queue |
 //! | an endpoint turns requests away | passed over for a short time that doubles |
 //! | an endpoint names a time to return | passed over until then, whatever else is heard of it |
@@ -34,13 +34,18 @@
 /// Cost of an endpoint whose recent requests all failed, as a share of its slots.
 const FAILURE_COST: f64 = 3.0;
 
-/// Cost of an endpoint whose load of a newer version is delayed by [`DRAIN_TIME`], as a share of its slots; less for a
+/// Time by which a request may outlast the turn of its endpoint to load.
+const OVERRUN_MAX: Millis = Millis(250);
+
+/// Cost of an endpoint whose load of a newer version is delayed by [`OVERRUN_MAX`], as a share of its slots; less for a
 /// shorter delay.
-const DRAIN_COST: f64 = 0.8;
-const DRAIN_TIME: Millis = Millis(800);
+const OVERRUN_COST: f64 = 0.5;
+
+/// Time after its turn for which an endpoint is taken to drain or to load; after it, the host seems to lack a copy.
+const LOADING: Millis = Millis(800);
 
-/// Cost of an endpoint whose turn to load has come.
-const LOADING_COST: f64 = 1.5;
+/// Cost of an endpoint whose host seems to lack a copy: it may load at any moment.
+const LATE_COST: f64 = 1.5;
 
 /// Weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
@@ -230,7 +235,9 @@
             }
             able = true;
             let limit = self.limit(e, ask);
-            let drain = self.drain_cost(e, ask, now);
+            let Some(drain) = self.drain_cost(e, ask, now) else {
+                continue;
+            };
             let view = self.views.entry(e.id.clone()).or_default();
             let closed = view.refusing.0.max(view.held);
             opens = opens.min(closed);
@@ -295,21 +302,24 @@
     }
 
     /// Returns what it costs that a request delays the endpoint's load of a newer version: while it runs, the other
-    /// slots stay empty.
-    fn drain_cost(&self, e: &Endpoint, ask: &Ask<'_>, now: Millis) -> f64 {
+    /// slots stay empty. `None` if it would delay the load too much.
+    fn drain_cost(&self, e: &Endpoint, ask: &Ask<'_>, now: Millis) -> Option<f64> {
         let turn = ask.weights.and_then(|wanted| {
             let loads = wanted.loads?;
             let loaded = self.version(e, wanted.model)?;
             loads.turns.turn(e, loaded, loads.named, loads.bound)
         });
         let Some(turn) = turn else {
-            return 0.0;
+            return Some(0.0);
         };
-        if now >= turn {
-            return LOADING_COST;
+        if now >= turn + LOADING {
+            return Some(LATE_COST);
         }
         let delay = now + ask.duration - turn;
-        (delay.0 as f64 / DRAIN_TIME.0 as f64).min(1.0) * DRAIN_COST
+        if delay > OVERRUN_MAX {
+            return None;
+        }
+        Some(delay.0 as f64 / OVERRUN_MAX.0 as f64 * OVERRUN_COST)
     }
 
     /// Returns how many requests an endpoint may have for one more to be sent.
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -76,6 +76,12 @@
     }
 }
 
+/// Share of the expected output, in percent, that few outputs exceed; callers expect the median.
+const OUTPUT_MARGIN: u32 = 150;
+
+/// Time of a decoding step while the engine also reads prompts, in percent of one without.
+const SHARED_STEP: f64 = 130.0;
+
 /// Work that an engine does at once, and how fast.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineSpeed {
@@ -90,11 +96,14 @@
 }
 
 impl EngineSpeed {
-    /// Estimates how long a request keeps its slot when the batch is full.
-    pub fn duration(&self, prompt: u32, output: u32) -> Millis {
+    /// Estimates how long a request keeps its slot when the batch is full; `hint` is the output that its caller expects.
+    pub fn duration(&self, prompt: u32, output: u32, hint: Option<u32>) -> Millis {
+        let expected = hint.map(|n| n.saturating_mul(OUTPUT_MARGIN) / 100);
+        let output = expected.map_or(output, |n| n.min(output));
         let step = self.step_ms + self.sequence_ms * f64::from(self.slots);
-        let ms = f64::from(prompt) / self.prompt_rate.max(0.001) + f64::from(output) * step;
-        Millis(ms as u64)
+        let write = f64::from(output) * step * SHARED_STEP / 100.0;
+        let read = f64::from(prompt) / self.prompt_rate.max(0.001);
+        Millis((read + write) as u64)
     }
 }
 
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -80,7 +80,9 @@
         weights,
         exact: attempts.version,
         tried: &attempts.tried,
-        duration: engine.map_or(Millis::ZERO, |e| e.duration(job.prompt, job.output)),
+        duration: engine.map_or(Millis::ZERO, |e| {
+            e.duration(job.prompt, job.output, job.hint)
+        }),
     };
     let fleet = ctx.fleet.borrow();
     let mut balance = ctx.balance.borrow_mut();
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -258,7 +258,10 @@
         match all.get(service) {
             Some(turns) if turns.version() == version => turns.clone(),
             _ => {
-                let turns = Rc::new(Turns::new(&self.fleet.borrow(), service, version));
+                let catalog = self.catalog.borrow();
+                let origin = catalog.as_ref().and_then(|c| c.origin()?.zone.as_ref());
+                let fleet = self.fleet.borrow();
+                let turns = Rc::new(Turns::new(&fleet, service, version, origin));
                 all.insert(service.clone(), turns.clone());
                 turns
             }
--- a/src/gateway/turns.rs
+++ b/src/gateway/turns.rs
@@ -6,7 +6,7 @@
     record::WeightVersion,
 };
 use crate::{
-    base::{HashMap, Millis, Service},
+    base::{HashMap, Millis, Service, Zone},
     decide::rollout::{order, Rollout},
 };
 
@@ -19,11 +19,19 @@
 }
 
 impl Turns {
-    /// Orders the hosts of a service.
-    pub fn new(fleet: &Fleet, service: &Service, version: WeightVersion) -> Self {
+    /// Orders the hosts of a service; `origin` is the availability zone of the origin, if it is known.
+    pub fn new(
+        fleet: &Fleet,
+        service: &Service,
+        version: WeightVersion,
+        origin: Option<&Zone>,
+    ) -> Self {
         let mut hosts: Vec<_> = fleet
             .of(service)
-            .map(|e| (order(e.record.addr.ip(), version.0), e.id.clone()))
+            .map(|e| {
+                let near = Some(&e.record.zone) == origin;
+                (order(e.record.addr.ip(), near, version.0), e.id.clone())
+            })
             .collect();
         hosts.sort_unstable();
         Self {
--- a/src/staging/peers.rs
+++ b/src/staging/peers.rs
@@ -1,9 +1,12 @@
 //! Hosts that copy the same weights, from the records of their endpoints.
 
-use std::{collections::HashMap as RegionMap, net::SocketAddr};
+use std::{
+    collections::HashMap as RegionMap,
+    net::{IpAddr, SocketAddr},
+};
 
 use crate::{
-    base::{Digest, HashMap, Region, Zone},
+    base::{Digest, HashMap, HashSet, Region, Zone},
     decide::{
         chunk::{Member, PeerId, Place, Topology},
         rollout::order,
@@ -17,6 +20,8 @@
     pub(super) topology: Topology,
     me: SocketAddr,
     addrs: HashMap<PeerId, SocketAddr>,
+    /// Hosts in the origin's availability zone.
+    near: HashSet<IpAddr>,
 }
 
 /// Where this host and the origin are.
@@ -60,9 +65,16 @@
         let me = id(location.me);
         let mut members = Vec::new();
         let mut addrs = HashMap::default();
+        let mut near = HashSet::default();
+        if location.origin.as_ref() == Some(&location.zone) {
+            near.insert(location.me.ip());
+        }
         for (addr, zone) in endpoints {
             let addr = SocketAddr::new(addr.ip(), location.me.port());
             let id = id(addr);
+            if location.origin.as_ref() == Some(zone) {
+                near.insert(addr.ip());
+            }
             members.push(Member {
                 id,
                 place: location.place(zone),
@@ -73,6 +85,7 @@
             topology: Topology::new(me, members),
             me: location.me,
             addrs,
+            near,
         }
     }
 
@@ -97,9 +110,10 @@
 
     /// Returns this host's position among all in the turns of a version, and their number.
     pub(super) fn turn(&self, version: WeightVersion) -> (usize, usize) {
-        let mine = order(self.me.ip(), version.0);
+        let order = |host| order(host, self.near.contains(&host), version.0);
+        let mine = order(self.me.ip());
         let others = self.addrs.values().filter(|a| a.ip() != self.me.ip());
-        let ahead = others.clone().filter(|a| order(a.ip(), version.0) < mine);
+        let ahead = others.clone().filter(|a| order(a.ip()) < mine);
         (ahead.count(), others.count() + 1)
     }
 }
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -175,6 +175,7 @@
         &fleet,
         &"llm".parse().expect("a valid name"),
         WeightVersion(2),
+        None,
     );
     let turn = |e: &Endpoint| {
         turns
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -60,7 +60,7 @@
 #[test]
 fn order_differs_between_versions() {
     let hosts: Vec<std::net::IpAddr> = (1..20).map(|i| [10, 0, 0, i].into()).collect();
-    let first = |version| hosts.iter().min_by_key(|h| order(**h, version));
+    let first = |version| hosts.iter().min_by_key(|h| order(**h, false, version));
     let distinct: std::collections::HashSet<_> = (1..30).map(first).collect();
     assert!(distinct.len() > 5, "{distinct:?}");
 }
