perf(gateway): divide the endpoints among the entries of their zone

Cause: an entry knew the requests of others only from beats, a quarter of a second old, so entries chose the same endpoint at once; its engine then read their prompts one after the other.

Change: each endpoint has one home among the live entries of its zone, by a rule that all entries with the same view compute alike; requests go elsewhere when home is loaded. An entry also counts the prompt tokens that its endpoints have yet to read. Weighed: more frequent beats, which cost each entry more as the fleet grows; homes cost nothing.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -2,7 +2,8 @@
 //!
 //! | load pattern | what happens |
 //! |---|---|
-//! | steady | the least loaded of a few random endpoints, nearer ones first |
+//! | steady | the least loaded of the endpoints that this entry is the home of, and of a few others, nearer ones first |
+//! | prompts that come close together | an endpoint that has yet to read some is passed over |
 //! | more than the endpoints can serve in time | refused at once beyond the slots, with a short, spread time to return |
 //! | a new version is named | an endpoint gets only requests that end by its turn to load |
 //! | callers return after a refusal | admitted like new ones, but behind them in an endpoint's queue |
@@ -21,7 +22,7 @@
     turns::Turns,
 };
 use crate::{
-    base::{HashMap, Millis, Zone},
+    base::{HashMap, HashSet, Millis, Zone},
     decide::route::Breaker,
 };
 
@@ -31,6 +32,12 @@
 /// Cost of another zone, as a share of an endpoint's slots.
 const ZONE_COST: f64 = 0.12;
 
+/// Cost of an endpoint of which another entry is the home, as a share of its slots.
+const AWAY_COST: f64 = 0.25;
+
+/// Time to read the prompts that an endpoint has yet to read that costs as much as all of its slots.
+const READ_TIME: f64 = 250.0;
+
 /// Cost of an endpoint whose recent requests all failed, as a share of its slots.
 const FAILURE_COST: f64 = 3.0;
 
@@ -124,6 +131,8 @@
 struct View {
     /// Requests of this entry in progress.
     own: u32,
+    /// Prompt tokens of these that the endpoint has yet to read.
+    unread: u32,
     /// Requests of others when the endpoint last reported, and when that was.
     others: u32,
     reported: Option<Millis>,
@@ -175,6 +184,10 @@
     pub exact: Option<WeightVersion>,
     /// Endpoints that had the request already.
     pub tried: &'a [EndpointId],
+    /// Endpoints of which the entry is the home; see [`homes`](super::homes()).
+    pub homes: &'a HashSet<EndpointId>,
+    /// Prompt tokens that an endpoint reads in a millisecond; `None` for plain services.
+    pub read_rate: Option<f64>,
     /// Time for which the request keeps a slot, as far as it can be foreseen.
     pub duration: Millis,
 }
@@ -225,6 +238,7 @@
         ask: &Ask<'_>,
         now: Millis,
     ) -> Result<&'e Endpoint, Refusal> {
+        let mut home: Vec<(&Endpoint, f64)> = Vec::new();
         let mut usable: Vec<(&Endpoint, f64)> = Vec::new();
         let mut able = false;
         // Earliest time at which an endpoint takes requests, if all are passed over until some time.
@@ -250,19 +264,26 @@
             }
             let far = f64::from(u8::from(e.record.zone != *ask.zone)) * ZONE_COST;
             let share = f64::from(load) / f64::from(slots);
-            let score = share + far + drain + view.failures * FAILURE_COST;
-            usable.push((e, score));
+            let read = ask
+                .read_rate
+                .map_or(0.0, |rate| f64::from(view.unread) / rate / READ_TIME);
+            let score = share + far + drain + read + view.failures * FAILURE_COST;
+            if ask.homes.contains(&e.id) {
+                home.push((e, score));
+            } else {
+                usable.push((e, score + AWAY_COST));
+            }
         }
         if !able {
             return Err(Refusal::Unavailable(crate::base::jitter(RETURN_ABSENT)));
         }
-        let best = (0..CHOICES.min(usable.len()))
-            .map(|i| {
-                let j = fastrand::usize(i..usable.len());
-                usable.swap(i, j);
-                usable[i]
-            })
-            .min_by(|a, b| a.1.total_cmp(&b.1));
+        let others = (0..CHOICES.min(usable.len())).map(|i| {
+            let j = fastrand::usize(i..usable.len());
+            usable.swap(i, j);
+            usable[i]
+        });
+        let best = home.into_iter().chain(others);
+        let best = best.min_by(|a, b| a.1.total_cmp(&b.1));
         best.map(|(e, _)| e).ok_or_else(|| {
             let wait = crate::base::jitter(RETURN);
             Refusal::Overloaded(wait.max(opens - now))
@@ -336,13 +357,21 @@
         }
     }
 
-    /// Notes that a request is sent.
-    pub fn begin(&mut self, id: &EndpointId, now: Millis) {
+    /// Notes that a request with a prompt of some tokens is sent.
+    pub fn begin(&mut self, id: &EndpointId, prompt: u32, now: Millis) {
         let view = self.views.entry(id.clone()).or_default();
         view.own += 1;
+        view.unread += prompt;
         view.breaker.begin(now);
     }
 
+    /// Notes that an endpoint has read the prompt of a request.
+    pub fn has_read(&mut self, id: &EndpointId, prompt: u32) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.unread = view.unread.saturating_sub(prompt);
+        }
+    }
+
     /// Notes what a response says of its endpoint.
     pub fn report(
         &mut self,
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -75,11 +75,14 @@
             waiting,
         }
     });
+    let homes = ctx.homes.borrow();
     let ask = Ask {
         zone: &ctx.settings.zone,
         weights,
         exact: attempts.version,
         tried: &attempts.tried,
+        homes: &homes,
+        read_rate: engine.map(|e| e.prompt_rate),
         duration: engine.map_or(Millis::ZERO, |e| {
             e.duration(job.prompt, job.output, job.hint)
         }),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -12,6 +12,7 @@
     balance::{Balance, Outcome},
     catalog::{Catalog, CatalogVersion},
     fleet::{EndpointId, Fleet},
+    homes::homes,
     log_event,
     members::{Members, NamedAge},
     metrics::GatewayMetrics,
@@ -21,7 +22,7 @@
     Bounds, GatewaySettings, Headers,
 };
 use crate::{
-    base::{Clock, HashMap, Millis, Service, SystemClock},
+    base::{Clock, HashMap, HashSet, Millis, Service, SystemClock},
     decide::retry::Budget,
     emit,
     http::Pool,
@@ -61,6 +62,8 @@
     /// Turns of each service, for the newest named version and the endpoints at the last change.
     turns: RefCell<HashMap<Service, Rc<Turns>>>,
     budgets: RefCell<HashMap<Service, Budget>>,
+    /// Endpoints of which this entry is the home.
+    pub(super) homes: RefCell<HashSet<EndpointId>>,
     /// Whether the endpoints were read once.
     pub(super) fleet_known: Cell<bool>,
     /// Whether the table of endpoints changed since that was told.
@@ -108,6 +111,7 @@
             named: RefCell::default(),
             turns: RefCell::default(),
             budgets: RefCell::default(),
+            homes: RefCell::default(),
             fleet_known: Cell::default(),
             fleet_changed: Cell::default(),
             reads_since: Cell::default(),
@@ -247,6 +251,14 @@
         })
     }
 
+    /// Divides the endpoints among the entries that are live now.
+    pub(super) fn divide(&self) {
+        let members = self.members.borrow();
+        let entries = members.places(self.now());
+        let mine = homes(&self.fleet.borrow(), &entries, members.me().peer);
+        *self.homes.borrow_mut() = mine;
+    }
+
     /// Forgets the turns, because endpoints came or left.
     pub(super) fn reset_turns(&self) {
         self.turns.borrow_mut().clear();
@@ -310,19 +322,32 @@
 pub(super) struct InFlight {
     ctx: Rc<Context>,
     id: Option<EndpointId>,
+    /// Prompt tokens that the endpoint has yet to read.
+    prompt: u32,
 }
 
 impl InFlight {
-    pub(super) fn begin(ctx: &Rc<Context>, id: EndpointId) -> Self {
-        ctx.balance.borrow_mut().begin(&id, ctx.now());
+    /// Counts a request with a prompt of some tokens.
+    pub(super) fn begin(ctx: &Rc<Context>, id: EndpointId, prompt: u32) -> Self {
+        ctx.balance.borrow_mut().begin(&id, prompt, ctx.now());
         Self {
             ctx: ctx.clone(),
             id: Some(id),
+            prompt,
+        }
+    }
+
+    /// Notes that the endpoint has read the prompt.
+    pub(super) fn has_read(&mut self) {
+        let prompt = std::mem::take(&mut self.prompt);
+        if let Some(id) = &self.id {
+            self.ctx.balance.borrow_mut().has_read(id, prompt);
         }
     }
 
     /// Ends the request with a verdict on the endpoint.
     pub(super) fn end(mut self, outcome: Outcome) {
+        self.has_read();
         if let Some(id) = self.id.take() {
             self.ctx.end(&id, outcome);
         }
@@ -331,6 +356,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.has_read();
         if let Some(id) = self.id.take() {
             self.ctx.end(&id, Outcome::Abandoned);
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -126,7 +126,7 @@
     let choice = choose(ctx, job, attempts, now)?;
     let (id, addr) = (choice.id, choice.addr);
     attempts.tried.push(id.clone());
-    let flight = InFlight::begin(ctx, id.clone());
+    let flight = InFlight::begin(ctx, id.clone(), job.prompt);
     let limit = CONNECT.min(job.deadline - now);
     let connection = match open(ctx, job, addr, limit).await {
         Ok(connection) => connection,
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -10,6 +10,7 @@
 
 use super::{
     fleet::{EndpointNews, FleetDigest},
+    homes::Place,
     CatalogVersion, WeightVersion,
 };
 use crate::base::{rendezvous, HashMap, Millis, Zone};
@@ -319,6 +320,18 @@
         all.into_iter().take(max).map(|b| b.peer).collect()
     }
 
+    /// Returns the live entries that take callers, with this one if it does.
+    pub fn places(&self, now: Millis) -> Vec<Place> {
+        let others = self.others.values().filter(|m| m.is_live(now));
+        let all = others.map(|m| &m.beat).chain([&self.me]);
+        let ready = all.filter(|b| b.status.ready);
+        let place = |b: &Beat| Place {
+            peer: b.peer,
+            zone: b.zone.clone(),
+        };
+        ready.map(place).collect()
+    }
+
     /// Returns the addresses for a caller of a zone: those of the zone first if there are at least two, then all.
     pub fn addresses(&self, zone: &str, max: usize, now: Millis) -> Vec<SocketAddr> {
         let others = self.others.values().filter(|m| m.is_live(now));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod followers;
 mod forward;
 mod headers;
+mod homes;
 mod intents;
 mod log_event;
 mod members;
@@ -47,6 +48,7 @@
 };
 pub use follow::{follow, Follower};
 pub use headers::Headers;
+pub use homes::{homes, Place};
 pub use intents::{Decode, IntentSink, Intents};
 pub use members::{Beat, Datagram, EndpointHash, Member, Members, Message, NamedAge, Status};
 pub use named::Named;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -209,6 +209,7 @@
         if !over.is_empty() {
             ctx.tell();
         }
+        ctx.divide();
         ctx.pool.sweep(now);
         let fleet = ctx.fleet.borrow();
         ctx.balance
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -105,6 +105,9 @@
         loop {
             match self.step().await {
                 Step::Events(data) => {
+                    if let Some(source) = &mut self.source {
+                        source.target.flight.has_read();
+                    }
                     if !self.begun {
                         self.begun = true;
                         self.log("first-event", "-");
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use sesamewing::{
-    base::{Millis, Zone},
+    base::{HashSet, Millis, Zone},
     gateway::{
         Ask, Balance, Endpoint, EndpointId, EndpointRecord, Fleet, Loads, Named, Outcome, Refusal,
         Revision, Turns, Wanted, WeightVersion,
@@ -42,7 +42,7 @@
     fleet
 }
 
-fn ask(zone: &Zone) -> Ask<'_> {
+fn ask<'a>(zone: &'a Zone, homes: &'a HashSet<EndpointId>) -> Ask<'a> {
     Ask {
         zone,
         weights: Some(Wanted {
@@ -53,6 +53,8 @@
         }),
         exact: None,
         tried: &[],
+        homes,
+        read_rate: None,
         duration: Millis(1000),
     }
 }
@@ -65,7 +67,7 @@
 fn fill(balance: &mut Balance, fleet: &Fleet, ask: &Ask<'_>) -> (u32, Refusal) {
     for sent in 0..1000 {
         match balance.pick(all(fleet), ask, NOW) {
-            Ok(e) => balance.begin(&e.id.clone(), NOW),
+            Ok(e) => balance.begin(&e.id.clone(), 0, NOW),
             Err(refusal) => return (sent, refusal),
         }
     }
@@ -77,7 +79,8 @@
 #[test]
 fn overload_is_refused_beyond_the_slots() {
     let (mut balance, fleet, home) = (Balance::default(), fleet(4), zone("a"));
-    let (sent, refusal) = fill(&mut balance, &fleet, &ask(&home));
+    let none = HashSet::default();
+    let (sent, refusal) = fill(&mut balance, &fleet, &ask(&home, &none));
     assert_eq!(sent, 4 * SLOTS);
     let Refusal::Overloaded(retry) = refusal else {
         panic!("{refusal:?}");
@@ -89,8 +92,9 @@
 #[test]
 fn light_load_stays_in_the_zone() {
     let (mut balance, fleet, home) = (Balance::default(), fleet(4), zone("a"));
+    let none = HashSet::default();
     let near = (0..100).filter(|_| {
-        let e = balance.pick(all(&fleet), &ask(&home), NOW);
+        let e = balance.pick(all(&fleet), &ask(&home, &none), NOW);
         e.is_ok_and(|e| e.record.zone == home)
     });
     assert!(near.count() > 80);
@@ -101,13 +105,14 @@
 #[test]
 fn refusing_endpoints_are_passed_over() {
     let (mut balance, fleet, home) = (Balance::default(), fleet(1), zone("a"));
+    let none = HashSet::default();
     let e = name(0);
-    balance.begin(&e, NOW);
+    balance.begin(&e, 0, NOW);
     balance.end(&e, Outcome::Refused, NOW);
-    let pick = |b: &mut Balance, now| b.pick(all(&fleet), &ask(&home), now).is_ok();
+    let pick = |b: &mut Balance, now| b.pick(all(&fleet), &ask(&home, &none), now).is_ok();
     assert!(!pick(&mut balance, NOW + Millis(50)));
     assert!(pick(&mut balance, NOW + Millis(1000)));
-    balance.begin(&e, NOW);
+    balance.begin(&e, 0, NOW);
     balance.end(&e, Outcome::Refused, NOW);
     balance.recover(&e);
     assert!(pick(&mut balance, NOW + Millis(1)));
@@ -117,9 +122,10 @@
 #[test]
 fn failing_endpoints_lose_traffic() {
     let (mut balance, fleet, home) = (Balance::default(), fleet(3), zone("a"));
+    let none = HashSet::default();
     let grey = name(0);
     for i in 0..20 {
-        balance.begin(&grey, NOW);
+        balance.begin(&grey, 0, NOW);
         let outcome = if i % 2 == 0 {
             Outcome::Failed
         } else {
@@ -128,7 +134,7 @@
         balance.end(&grey, outcome, NOW);
     }
     let hits = (0..100).filter(|_| {
-        let e = balance.pick(all(&fleet), &ask(&home), NOW);
+        let e = balance.pick(all(&fleet), &ask(&home, &none), NOW);
         e.is_ok_and(|e| e.id == grey)
     });
     assert!(hits.count() < 10);
@@ -139,7 +145,8 @@
 #[test]
 fn versions_bind() {
     let (mut balance, fleet, home) = (Balance::default(), fleet(2), zone("a"));
-    let plain = ask(&home);
+    let none = HashSet::default();
+    let plain = ask(&home, &none);
     let wanted = plain.weights.expect("a model is asked for");
     let newer = Ask {
         weights: Some(Wanted {
@@ -152,7 +159,7 @@
     assert!(matches!(refused, Err(Refusal::Unavailable(_))));
     // A response shows the new version before the record does.
     let loaded = name(1);
-    balance.begin(&loaded, NOW);
+    balance.begin(&loaded, 0, NOW);
     balance.report(&loaded, None, Some(WeightVersion(2)), NOW);
     let found = balance.pick(all(&fleet), &newer, NOW).map(|e| e.id.clone());
     assert_eq!(found, Ok(loaded));
@@ -169,6 +176,7 @@
 #[test]
 fn long_requests_avoid_endpoints_that_load_soon() {
     let (mut balance, fleet, home) = (Balance::default(), fleet(8), zone("a"));
+    let none = HashSet::default();
     let mut named = Named::default();
     named.name(WeightVersion(2), NOW);
     let turns = Turns::new(
@@ -197,7 +205,7 @@
             oldest: WeightVersion(0),
             waiting: WeightVersion(0),
         }),
-        ..ask(&home)
+        ..ask(&home, &none)
     };
     let mut pick = |ask: &Ask<'_>| {
         let two = [first, last].into_iter();
