perf(staging): fetch from the origin without waiting for exchange; keep an older copy while the origin is away

Change: chunks that come into the region are counted in the host's share of its link but do not wait for it; a copy goes on until the manifest of the newer version is there. Ruled out: more chunks at the origin at once, which lets connections to it time out.

--- a/src/net/pace.rs
+++ b/src/net/pace.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Counts a transfer that may not wait; it delays those after it.
+    pub fn charge(&self, bytes: usize) {
+        lock(&self.bucket).take(bytes, self.clock.now());
+    }
+
     /// Waits until a transfer may start; concurrent transfers are served in the order of their calls.
     pub async fn acquire(&self, bytes: usize) {
         let wait = {
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -68,6 +68,8 @@
     last_born: Cell<Option<u64>>,
     /// Whether a copy is in progress.
     pub(super) copying: Cell<bool>,
+    /// Manifest of a newer version that is copied next.
+    next: RefCell<Option<(Target, Manifest)>>,
     /// Whether the last manifest was wrong, so that the next one comes from the origin.
     doubted: Cell<bool>,
     pub(super) loader: Loader,
@@ -114,6 +116,7 @@
             report: RefCell::default(),
             last_born: Cell::default(),
             copying: Cell::default(),
+            next: RefCell::default(),
             doubted: Cell::default(),
             loader: Loader::default(),
             changed: Notify::new(),
@@ -177,12 +180,16 @@
     }
 
     /// Waits until the target is another one, or the endpoint restarts. A newer version waits until one that is nearly
-    /// complete is copied.
+    /// complete is copied, and until its manifest is known: while the origin is away, the older copy goes on.
     async fn superseded(&self, target: &Target) {
         let born = self.born();
         loop {
             self.changed.notified().await;
-            let newer = self.target().as_ref() != Some(target) && !self.is_nearly_copied();
+            let next = self.target().filter(|t| t != target);
+            let newer = match next.filter(|_| !self.is_nearly_copied()) {
+                Some(next) => self.is_obtainable(&next).await,
+                None => false,
+            };
             let restarted = born.is_some() && self.born() != born;
             if newer || restarted {
                 // The next step looks at the change too.
@@ -192,6 +199,20 @@
         }
     }
 
+    /// Returns whether the manifest of a target can be had; tries again later if not.
+    async fn is_obtainable(&self, target: &Target) -> bool {
+        if !self.copying.get() || target.version.is_none() {
+            return true;
+        }
+        let Some(manifest) = self.manifest(target).await else {
+            tokio::time::sleep(jitter(RETRY).duration()).await;
+            self.changed.notify_one();
+            return false;
+        };
+        *self.next.borrow_mut() = Some((target.clone(), manifest));
+        true
+    }
+
     /// Returns whether most of the present version is copied.
     fn is_nearly_copied(&self) -> bool {
         let (held, chunks) = self.holdings.progress();
@@ -288,6 +309,9 @@
 
     async fn manifest(&self, target: &Target) -> Option<Manifest> {
         let version = target.version.filter(|_| !self.doubted.replace(false));
+        if let Some((_, manifest)) = self.next.take().filter(|n| n.0 == *target) {
+            return Some(manifest);
+        }
         if let Some(version) = version {
             if let Some(known) = self.holdings.manifest(&target.model, version) {
                 return Some((*known).clone());
--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -202,7 +202,13 @@
 ) -> Result<(), Fault> {
     let addr = addr.ok_or(Fault::Lost)?;
     if let Some(pacer) = &ctx.pacer {
-        pacer.acquire(ctx.manifest.chunk.0 as usize).await;
+        let bytes = ctx.manifest.chunk.0 as usize;
+        if ctx.peers.borrow().is_local(from) {
+            pacer.acquire(bytes).await;
+        } else {
+            // Many hosts wait for a chunk that this one brings into the region.
+            pacer.charge(bytes);
+        }
     }
     let version = ctx.manifest.version;
     let digest = &ctx.manifest.digests[chunk as usize];
--- a/src/staging/peers.rs
+++ b/src/staging/peers.rs
@@ -8,7 +8,7 @@
 use crate::{
     base::{Digest, HashMap, HashSet, Region, Zone},
     decide::{
-        chunk::{Member, PeerId, Place, Topology},
+        chunk::{Member, PeerId, Place, Source, Topology},
         rollout::order,
     },
     gateway::WeightVersion,
@@ -89,6 +89,14 @@
         }
     }
 
+    /// Returns whether a source is a host of this region.
+    pub(super) fn is_local(&self, source: Source) -> bool {
+        match source {
+            Source::Origin => false,
+            Source::Peer(id) => self.topology.place(id).is_some_and(Place::is_local),
+        }
+    }
+
     /// Returns the address of a host's exchange.
     pub(super) fn addr(&self, id: PeerId) -> Option<SocketAddr> {
         self.addrs.get(&id).copied()
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -117,6 +117,8 @@
     wrong: Cell<bool>,
     /// Whether it does not answer.
     gone: Cell<bool>,
+    /// Version whose manifest cannot be had.
+    hidden: Cell<u64>,
 }
 
 impl Origin for Store {
@@ -130,6 +132,9 @@
         let version = version.unwrap_or(WeightVersion(1));
         let digest = |c| Digest(Sha256::digest(content(version.0, c)).into());
         let mut digests: Vec<_> = (0..CHUNKS).map(digest).collect();
+        if version.0 == self.0.hidden.get() {
+            return Err(HostError::Lost("it is gone".to_owned()));
+        }
         if named {
             self.0.manifests.set(self.0.manifests.get() + 1);
             if self.0.wrong.take() {
@@ -278,6 +283,20 @@
     assert!(engines.iter().all(|e| e.0.bad_loads.get() == 0));
 }
 
+/// Guards against a copy that is given up for a newer version of which nothing can be had, because the origin went away.
+#[test]
+fn older_copy_goes_on_without_origin() {
+    let engines: Vec<Engine> = (0..3).map(|_| Engine::default()).collect();
+    engines.iter().for_each(|e| e.0.loaded.set(1));
+    let origin = Store::default();
+    // The newer version is named after a quarter of the copy.
+    origin.0.chunks.set(CHUNKS * 3 / 4);
+    origin.0.hidden.set(3);
+    let loaded = || engines.iter().all(|e| e.0.loaded.get() == 2);
+    with_agents(&engines, &origin, &[2, 3], loaded);
+    assert!(engines.iter().all(|e| e.0.bad_loads.get() == 0));
+}
+
 /// Guards against an origin that all hosts ask for the manifest at the same time.
 #[test]
 fn few_hosts_ask_origin() {
