perf(gateway): foresee the turns of the version that a host loads next; ignore turns of a stalled rollout

Once a second version was named, entries foresaw all turns in its order, and hosts loaded in that of the first.

Change: turns are kept for the three newest versions; a host's turn is that of the first version newer than the one it holds. If more hosts let their turn pass than took it, turns count for nothing until a host loads.

Tests: stalled_rollouts_keep_endpoints_in_use, turns_follow_the_version_that_is_next, full_endpoints_do_not_delay_loads.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -6,6 +6,7 @@
 //! | prompts that come close together | an endpoint that has yet to read some is passed over |
 //! | more than the endpoints can serve in time | refused at once beyond the slots, with a short, spread time to return |
 //! | a new version is named | an endpoint gets only requests that end by its turn to load |
+//! | copies of a new version are late | turns do not count until a host has taken its own |
 //! | callers return after a refusal | admitted like new ones, but behind them in an endpoint's queue |
 //! | an endpoint turns requests away | passed over for a short time that doubles |
 //! | an endpoint names a time to return | passed over until then, whatever else is heard of it |
@@ -240,6 +241,8 @@
     ) -> Result<&'e Endpoint, Refusal> {
         let mut home: Vec<(&Endpoint, f64)> = Vec::new();
         let mut usable: Vec<(&Endpoint, f64)> = Vec::new();
+        let endpoints: Vec<_> = endpoints.collect();
+        let stalled = self.is_stalled(&endpoints, ask, now);
         let mut able = false;
         // Earliest time at which an endpoint takes requests, if all are passed over until some time.
         let mut opens = Millis::MAX;
@@ -249,7 +252,12 @@
             }
             able = true;
             let limit = self.limit(e, ask);
-            let Some(drain) = self.drain_cost(e, ask, now) else {
+            let drain = if stalled {
+                Some(0.0)
+            } else {
+                self.drain_cost(e, ask, now)
+            };
+            let Some(drain) = drain else {
                 continue;
             };
             let view = self.views.entry(e.id.clone()).or_default();
@@ -322,15 +330,38 @@
         Some(loaded.max(seen.unwrap_or_default()))
     }
 
+    /// Returns the turn of an endpoint that has yet to load a newer version.
+    fn turn(&self, e: &Endpoint, ask: &Ask<'_>) -> Option<Millis> {
+        let wanted = ask.weights?;
+        let loads = wanted.loads?;
+        let loaded = self.version(e, wanted.model)?;
+        loads.turns.turn(e, loaded, loads.named, loads.bound)
+    }
+
+    /// Returns whether more hosts let their turn pass than took it: their copies are late, so nobody loads soon.
+    fn is_stalled(&self, endpoints: &[&Endpoint], ask: &Ask<'_>, now: Millis) -> bool {
+        let Some(newest) = ask.weights.and_then(|w| w.loads?.named.newest()) else {
+            return false;
+        };
+        let (mut passed, mut taken) = (0, 0);
+        for e in endpoints {
+            match self.turn(e, ask) {
+                Some(turn) => passed += usize::from(now >= turn + LOADING),
+                // It loads, or has loaded.
+                None => {
+                    let model = ask.weights.map_or("", |w| w.model);
+                    let version = self.version(e, model);
+                    taken += usize::from(version.is_none_or(|v| v >= newest));
+                }
+            }
+        }
+        passed > taken
+    }
+
     /// Returns what it costs that a request delays the endpoint's load of a newer version: while it runs, the other
     /// slots stay empty. `None` if it would delay the load too much.
     fn drain_cost(&self, e: &Endpoint, ask: &Ask<'_>, now: Millis) -> Option<f64> {
-        let turn = ask.weights.and_then(|wanted| {
-            let loads = wanted.loads?;
-            let loaded = self.version(e, wanted.model)?;
-            loads.turns.turn(e, loaded, loads.named, loads.bound)
-        });
-        let Some(turn) = turn else {
+        let Some(turn) = self.turn(e, ask) else {
             return Some(0.0);
         };
         if now >= turn + LOADING {
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -8,7 +8,6 @@
     context::Context,
     fleet::EndpointId,
     forward::Attempts,
-    named::Named,
     record::WeightVersion,
 };
 use crate::base::Millis;
@@ -58,8 +57,7 @@
     let all = ctx.named.borrow();
     let model = job.model.as_deref().filter(|_| engine.is_some());
     let named = model.and_then(|m| all.get(m));
-    let newest = named.and_then(Named::newest);
-    let turns = newest.map(|v| ctx.turns(&job.service, v));
+    let turns = named.map(|n| ctx.turns(&job.service, n));
     let weights = model.map(|model| {
         let (oldest, waiting) = named.map(|n| ctx.oldest_versions(n)).unwrap_or_default();
         let bound = ctx.bounds.get().version;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -36,6 +36,9 @@
 /// Time before the bound of a version at which requests that have not begun on an older one are taken back.
 const RECALL_MARGIN: Millis = Millis(150);
 
+/// Newest versions whose turns are foreseen; hosts leave out versions that are older.
+const TURN_VERSIONS: usize = 3;
+
 /// Entries among which the deployment's burst of retries is divided at least.
 const BUDGET_SHARES: u32 = 8;
 
@@ -264,16 +267,17 @@
         self.turns.borrow_mut().clear();
     }
 
-    /// Returns the turns of a service for a version.
-    pub(super) fn turns(&self, service: &Service, version: WeightVersion) -> Rc<Turns> {
+    /// Returns the turns of a service for the newest named versions.
+    pub(super) fn turns(&self, service: &Service, named: &Named) -> Rc<Turns> {
         let mut all = self.turns.borrow_mut();
         match all.get(service) {
-            Some(turns) if turns.version() == version => turns.clone(),
+            Some(turns) if turns.newest() == named.newest() => turns.clone(),
             _ => {
+                let versions: Vec<_> = named.latest(TURN_VERSIONS).collect();
                 let catalog = self.catalog.borrow();
                 let origin = catalog.as_ref().and_then(|c| c.origin()?.zone.as_ref());
                 let fleet = self.fleet.borrow();
-                let turns = Rc::new(Turns::new(&fleet, service, version, origin));
+                let turns = Rc::new(Turns::new(&fleet, service, &versions, origin));
                 all.insert(service.clone(), turns.clone());
                 turns
             }
--- a/src/gateway/named.rs
+++ b/src/gateway/named.rs
@@ -95,6 +95,12 @@
         self.entries.last().map(|e| e.version)
     }
 
+    /// Returns the newest versions, oldest first.
+    pub fn latest(&self, count: usize) -> impl Iterator<Item = WeightVersion> + '_ {
+        let skip = self.entries.len().saturating_sub(count);
+        self.entries.iter().skip(skip).map(|e| e.version)
+    }
+
     /// Returns the newest version that was named at least `age` ago: nothing older may begin.
     pub fn binding(&self, age: Millis, now: Millis) -> Option<WeightVersion> {
         let old = |e: &&Entry| e.at + age <= now;
--- a/src/gateway/turns.rs
+++ b/src/gateway/turns.rs
@@ -10,12 +10,19 @@
     decide::rollout::{order, Rollout},
 };
 
-/// Positions of the hosts of one service in the turns of one version.
+/// Positions of the hosts of one service in the turns of a version.
+#[derive(Clone, Debug)]
+struct Ranks {
+    version: WeightVersion,
+    ranks: HashMap<EndpointId, usize>,
+}
+
+/// Positions of the hosts of one service in the turns of the versions that some have yet to load.
 #[derive(Clone, Debug, Default)]
 pub struct Turns {
-    version: WeightVersion,
     hosts: usize,
-    ranks: HashMap<EndpointId, usize>,
+    /// In the order of versions.
+    versions: Vec<Ranks>,
 }
 
 impl Turns {
@@ -23,31 +30,36 @@
     pub fn new(
         fleet: &Fleet,
         service: &Service,
-        version: WeightVersion,
+        versions: &[WeightVersion],
         origin: Option<&Zone>,
     ) -> Self {
-        let mut hosts: Vec<_> = fleet
-            .of(service)
-            .map(|e| {
-                let near = Some(&e.record.zone) == origin;
-                (order(e.record.addr.ip(), near, version.0), e.id.clone())
-            })
-            .collect();
-        hosts.sort_unstable();
+        let rank = |version: &WeightVersion| {
+            let mut hosts: Vec<_> = fleet
+                .of(service)
+                .map(|e| {
+                    let near = Some(&e.record.zone) == origin;
+                    (order(e.record.addr.ip(), near, version.0), e.id.clone())
+                })
+                .collect();
+            hosts.sort_unstable();
+            Ranks {
+                version: *version,
+                ranks: hosts
+                    .into_iter()
+                    .enumerate()
+                    .map(|(i, h)| (h.1, i))
+                    .collect(),
+            }
+        };
         Self {
-            version,
-            hosts: hosts.len(),
-            ranks: hosts
-                .into_iter()
-                .enumerate()
-                .map(|(i, h)| (h.1, i))
-                .collect(),
+            hosts: fleet.of(service).count(),
+            versions: versions.iter().map(rank).collect(),
         }
     }
 
-    /// Returns the version.
-    pub fn version(&self) -> WeightVersion {
-        self.version
+    /// Returns the newest version.
+    pub fn newest(&self) -> Option<WeightVersion> {
+        self.versions.last().map(|v| v.version)
     }
 
     /// Returns the turn of an endpoint that has a version loaded; `None` if it does not load soon.
@@ -59,9 +71,10 @@
         bound: Millis,
     ) -> Option<Millis> {
         let outdated = named.outdated(loaded)?;
+        let next = self.versions.iter().find(|v| v.version > loaded)?;
         let rollout = Rollout {
             bound,
-            rank: *self.ranks.get(&e.id)?,
+            rank: *next.ranks.get(&e.id)?,
             hosts: self.hosts,
         };
         Some(rollout.start(outdated))
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -171,52 +171,128 @@
     assert_eq!(found, Ok(name(0)));
 }
 
+/// A fleet in which a version is named, and the turns of its hosts.
+struct Rollout {
+    fleet: Fleet,
+    named: Named,
+    turns: Turns,
+}
+
+impl Rollout {
+    /// Names versions some time apart.
+    fn new(hosts: usize, versions: &[(u64, Millis)]) -> Self {
+        let fleet = fleet(hosts);
+        let mut named = Named::default();
+        for (version, at) in versions {
+            named.name(WeightVersion(*version), *at);
+        }
+        let all: Vec<_> = versions.iter().map(|v| WeightVersion(v.0)).collect();
+        let service = "llm".parse().expect("a valid name");
+        let turns = Turns::new(&fleet, &service, &all, None);
+        Self {
+            fleet,
+            named,
+            turns,
+        }
+    }
+
+    fn turn(&self, e: &Endpoint) -> Millis {
+        let turn = self.turns.turn(e, WeightVersion(1), &self.named, BOUND);
+        turn.expect("the endpoint has yet to load")
+    }
+
+    /// The endpoints in the order of their turns.
+    fn order(&self) -> Vec<&Endpoint> {
+        let mut order: Vec<_> = self.fleet.iter().collect();
+        order.sort_by_key(|e| self.turn(e));
+        order
+    }
+
+    fn ask<'a>(&'a self, plain: Ask<'a>, duration: Millis) -> Ask<'a> {
+        Ask {
+            weights: Some(Wanted {
+                model: MODEL,
+                loads: Some(Loads {
+                    turns: &self.turns,
+                    named: &self.named,
+                    bound: BOUND,
+                }),
+                oldest: WeightVersion(0),
+                waiting: WeightVersion(0),
+            }),
+            duration,
+            ..plain
+        }
+    }
+}
+
 /// Pattern: a new version is named. Guards against long requests at an endpoint whose turn to load is near: it would
 /// stand still with empty slots until the last of them ends.
 #[test]
 fn long_requests_avoid_endpoints_that_load_soon() {
-    let (mut balance, fleet, home) = (Balance::default(), fleet(8), zone("a"));
-    let none = HashSet::default();
-    let mut named = Named::default();
-    named.name(WeightVersion(2), NOW);
-    let turns = Turns::new(
-        &fleet,
-        &"llm".parse().expect("a valid name"),
-        WeightVersion(2),
-        None,
-    );
-    let turn = |e: &Endpoint| {
-        turns
-            .turn(e, WeightVersion(1), &named, BOUND)
-            .expect("a turn")
-    };
-    let mut order: Vec<_> = fleet.iter().collect();
-    order.sort_by_key(|e| turn(e));
+    let (home, none) = (zone("a"), HashSet::default());
+    let rollout = Rollout::new(8, &[(2, NOW)]);
+    let order = rollout.order();
     let (first, last) = (order[0], order[7]);
-    let now = Millis(turn(first).0 - 200);
-    let long = Ask {
-        weights: Some(Wanted {
-            model: MODEL,
-            loads: Some(Loads {
-                turns: &turns,
-                named: &named,
-                bound: BOUND,
-            }),
-            oldest: WeightVersion(0),
-            waiting: WeightVersion(0),
-        }),
-        ..ask(&home, &none)
-    };
-    let mut pick = |ask: &Ask<'_>| {
+    let now = Millis(rollout.turn(first).0 - 200);
+    let mut balance = Balance::default();
+    let mut pick = |duration| {
+        let ask = rollout.ask(ask(&home, &none), duration);
         let two = [first, last].into_iter();
-        balance.pick(two, ask, now).map(|e| e.id.clone())
+        balance.pick(two, &ask, now).map(|e| e.id.clone())
     };
-    assert!((0..20).all(|_| pick(&long).as_ref() == Ok(&last.id)));
-    let short = Ask {
-        duration: Millis(50),
-        ..long.clone()
-    };
-    let short_hits = (0..40).filter(|_| pick(&short).as_ref() == Ok(&first.id));
+    assert!((0..20).all(|_| pick(Millis(1000)).as_ref() == Ok(&last.id)));
+    let short_hits = (0..40).filter(|_| pick(Millis(50)).as_ref() == Ok(&first.id));
     let same_zone = first.record.zone == last.record.zone;
     assert!(short_hits.count() > 0 || !same_zone);
 }
+
+/// Pattern: a new version is named while endpoints are loaded to their limit. Guards against a long request that goes to
+/// an endpoint whose turn is near because the others are full.
+#[test]
+fn full_endpoints_do_not_delay_loads() {
+    let (home, none) = (zone("a"), HashSet::default());
+    let rollout = Rollout::new(2, &[(2, NOW)]);
+    let order = rollout.order();
+    let now = Millis(rollout.turn(order[0]).0 - 200);
+    let mut balance = Balance::default();
+    for _ in 0..SLOTS {
+        balance.begin(&order[1].id, 0, now);
+    }
+    let long = rollout.ask(ask(&home, &none), Millis(3000));
+    let refused = balance.pick(rollout.fleet.iter(), &long, now);
+    assert!(matches!(refused, Err(Refusal::Overloaded(_))));
+}
+
+/// Pattern: copies of a new version are late, because the origin is away. Guards against endpoints that get no long
+/// requests although none of them can load.
+#[test]
+fn stalled_rollouts_keep_endpoints_in_use() {
+    let (home, none) = (zone("a"), HashSet::default());
+    let rollout = Rollout::new(4, &[(2, NOW)]);
+    let order = rollout.order();
+    let now = rollout.turn(order[1]) + Millis(900);
+    let mut balance = Balance::default();
+    let long = rollout.ask(ask(&home, &none), Millis(4000));
+    let near = [order[2], order[3]];
+    assert!(balance.pick(near.into_iter(), &long, now).is_err());
+    for _ in 0..4 * SLOTS {
+        let e = balance.pick(rollout.fleet.iter(), &long, now);
+        let id = e
+            .expect("a stalled rollout takes no endpoint away")
+            .id
+            .clone();
+        balance.begin(&id, 0, now);
+    }
+}
+
+/// Pattern: a third version is named while hosts wait to load the second. Guards against turns that are foreseen in the
+/// order of the third.
+#[test]
+fn turns_follow_the_version_that_is_next() {
+    let both = Rollout::new(8, &[(2, NOW), (3, NOW + Millis(2000))]);
+    let second = Rollout::new(8, &[(2, NOW)]);
+    for e in both.fleet.iter() {
+        assert_eq!(both.turn(e), second.turn(e));
+    }
+}
