fix(http): answer the requests that had arrived when a planned stop began

Cause: once a stop began, connections that waited to be accepted were reset, and hyper closes a connection that has no request in progress, also if one lies in its socket unread.

Change: for 100 ms after the start of the stop connections are accepted and read on; then each ends after its response.

Test: planned_stop.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -18,6 +18,10 @@
 /// Time to wait after the system refused to accept a connection, for example for lack of descriptors.
 const ACCEPT_RETRY: Millis = Millis(20);
 
+/// Time after the start of a shutdown for which connections are accepted and open ones are read, so that requests that
+/// had arrived by then have their responses.
+const SETTLE: Millis = Millis(100);
+
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -59,6 +63,13 @@
     })
 }
 
+/// Waits until the shutdown has begun and what had arrived by then is read.
+async fn settle(mut closing: watch::Receiver<bool>) {
+    // An error says that the sender is gone, which ends the service too.
+    let _ = closing.wait_for(|c| *c).await;
+    tokio::time::sleep(SETTLE.duration()).await;
+}
+
 impl Listener {
     /// Returns the bound address.
     ///
@@ -69,13 +80,13 @@
         self.listener.local_addr()
     }
 
-    /// Serves connections until `closing` becomes `true`: then no connection is accepted, each open one ends after its
-    /// response, and the call returns once all have ended.
+    /// Serves connections until `closing` becomes `true`: then connections that wait already are accepted, each open one
+    /// ends after its response, and the call returns once all have ended.
     pub async fn serve<H, F, B>(
         self,
         options: impl Fn() -> ServeOptions,
         handler: H,
-        mut closing: watch::Receiver<bool>,
+        closing: watch::Receiver<bool>,
     ) where
         H: Fn(Request<Incoming>) -> F + 'static,
         F: Future<Output = Response<B>> + 'static,
@@ -84,10 +95,13 @@
     {
         let handler = Rc::new(handler);
         let (alive, mut ended) = tokio::sync::mpsc::channel::<Infallible>(1);
+        let closed = closing.clone();
+        let settled = settle(closing);
+        tokio::pin!(settled);
         loop {
             let stream = tokio::select! {
                 accepted = self.listener.accept() => accepted,
-                _ = closing.wait_for(|c| *c) => break,
+                () = settled.as_mut() => break,
             };
             let stream = match stream {
                 Ok((stream, _)) => stream,
@@ -112,13 +126,13 @@
                 .header_read_timeout(options.header_timeout.duration())
                 .max_buf_size(options.header_max.max(8192))
                 .serve_connection(TokioIo::new(stream), service);
-            let (alive, mut closing) = (alive.clone(), closing.clone());
+            let (alive, closing) = (alive.clone(), closed.clone());
             tokio::task::spawn_local(async move {
                 let _alive = alive;
                 tokio::pin!(connection);
                 let ended = tokio::select! {
                     ended = connection.as_mut() => Some(ended),
-                    _ = closing.wait_for(|c| *c) => None,
+                    () = settle(closing) => None,
                 };
                 let ended = match ended {
                     Some(ended) => ended,
--- /dev/null
+++ b/tests/planned_stop.rs
@@ -0,0 +1,70 @@
+//! A planned stop of a server under load.
+
+mod gateway_support;
+
+use std::io::Write;
+
+use bytes::Bytes;
+use gateway_support::{addr, run_local};
+use http_body_util::Full;
+use hyper::Response;
+use sesamewing::{
+    base::Millis,
+    http::{listen, ServeOptions},
+};
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::watch,
+};
+
+const CALLERS: usize = 60;
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: h.example\r\n\r\n";
+
+/// Guards against requests that had just arrived when the stop began and get no response: on connections that were not
+/// accepted yet, on new ones that were not read yet, and on kept ones.
+#[test]
+fn arrived_requests_are_answered() {
+    run_local(async {
+        let at = addr(1, 8100);
+        let (closing, closed) = watch::channel(false);
+        let handler = |_| async {
+            tokio::time::sleep(Millis(20).duration()).await;
+            Response::new(Full::new(Bytes::from_static(b"yes")))
+        };
+        let listener = listen(at).expect("a free address");
+        let serving =
+            tokio::task::spawn_local(listener.serve(ServeOptions::default, handler, closed));
+        let mut callers = Vec::new();
+        for _ in 0..CALLERS {
+            callers.push(TcpStream::connect(at).await.expect("a connection"));
+        }
+        // Half of the connections have had a response.
+        for caller in &mut callers[..CALLERS / 2] {
+            caller.write_all(REQUEST).await.expect("a request is sent");
+            let mut part = [0; 1024];
+            assert!(caller.read(&mut part).await.is_ok_and(|n| n > 0));
+        }
+        // Without a pause, so that the server reads none of these before the stop.
+        for caller in &callers {
+            let socket = SockRef::from(caller);
+            (&*socket).write_all(REQUEST).expect("a request is sent");
+        }
+        for _ in 0..CALLERS {
+            let mut socket = std::net::TcpStream::connect(at).expect("a connection");
+            socket.write_all(REQUEST).expect("a request is sent");
+            socket.set_nonblocking(true).expect("an option");
+            callers.push(TcpStream::from_std(socket).expect("a socket"));
+        }
+        closing.send_replace(true);
+        let mut answered = 0;
+        for caller in &mut callers {
+            let mut out = Vec::new();
+            let _ = caller.read_to_end(&mut out).await;
+            answered += usize::from(out.ends_with(b"yes"));
+        }
+        assert_eq!(answered, callers.len());
+        serving.await.expect("the server ends");
+    });
+}
