perf(gateway): returning callers may wait at an endpoint; return times follow loads; one reader a zone where zones are many

Cause: a caller returns once; one that returned to full endpoints was refused for good although engines would soon have had room. While no endpoint held a version that may begin, callers returned after 1.2 s, mostly before copies were complete.

Change: returning callers may wait behind new ones for a quarter of the slots and may delay a load by 1 s; the time to return is 1.0 s while an endpoint loads, otherwise 1.8 s; with more than three zones one entry of each reads.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -7,7 +7,7 @@
 //! | more than the endpoints can serve in time | refused at once beyond the slots, with a short, spread time to return |
 //! | a new version is named | an endpoint gets only requests that end by its turn to load |
 //! | copies of a new version are late | turns do not count until a host has taken its own |
-//! | callers return after a refusal | admitted like new ones, but behind them in an endpoint's queue |
+//! | callers return after a refusal | may wait in an endpoint's queue, behind new ones, and may delay a load |
 //! | an endpoint turns requests away | passed over for a short time that doubles |
 //! | an endpoint names a time to return | passed over until then, whatever else is heard of it |
 //! | an endpoint fails part of its requests | used only when the others are loaded |
@@ -42,8 +42,13 @@
 /// Cost of an endpoint whose recent requests all failed, as a share of its slots.
 const FAILURE_COST: f64 = 3.0;
 
-/// Time by which a request may outlast the turn of its endpoint to load.
+/// Time by which a request may outlast the turn of its endpoint to load, and by which one of a returning caller may, who
+/// cannot come back once more.
 const OVERRUN_MAX: Millis = Millis(250);
+const OVERRUN_RETURNING: Millis = Millis(1000);
+
+/// Part of an engine's slots, as a divisor, for which returning callers may wait beyond the slots.
+const RETURNING_SHARE: u32 = 4;
 
 /// Cost of an endpoint whose load of a newer version is delayed by [`OVERRUN_MAX`], as a share of its slots; less for a
 /// shorter delay.
@@ -77,8 +82,13 @@
 /// Mean time after which a refused caller is asked to return: within its objective if a slot is free by then.
 const RETURN: Millis = Millis(250);
 
-/// Mean time after which a caller is asked to return while no endpoint can run its request: about what a load takes.
-const RETURN_ABSENT: Millis = Millis(1200);
+/// Mean time after which a caller is asked to return while no endpoint can run its request but some load weights: about
+/// what a load takes.
+const RETURN_LOADING: Millis = Millis(1000);
+
+/// Mean time after which a caller is asked to return while no endpoint can run its request and none loads weights: copies
+/// take seconds, and callers wait no longer than a third of their time.
+const RETURN_ABSENT: Millis = Millis(1800);
 
 /// Load that an endpoint reports in its responses.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -189,6 +199,8 @@
     pub homes: &'a HashSet<EndpointId>,
     /// Prompt tokens that an endpoint reads in a millisecond; `None` for plain services.
     pub read_rate: Option<f64>,
+    /// Whether the caller returns after a refusal.
+    pub returning: bool,
     /// Time for which the request keeps a slot, as far as it can be foreseen.
     pub duration: Millis,
 }
@@ -246,7 +258,7 @@
         let mut able = false;
         // Earliest time at which an endpoint takes requests, if all are passed over until some time.
         let mut opens = Millis::MAX;
-        for e in endpoints {
+        for &e in &endpoints {
             if !self.is_able(e, ask) {
                 continue;
             }
@@ -283,7 +295,13 @@
             }
         }
         if !able {
-            return Err(Refusal::Unavailable(crate::base::jitter(RETURN_ABSENT)));
+            let loading = |e: &&Endpoint| !e.record.draining && e.record.models.is_empty();
+            let wait = if endpoints.iter().any(loading) {
+                RETURN_LOADING
+            } else {
+                RETURN_ABSENT
+            };
+            return Err(Refusal::Unavailable(crate::base::jitter(wait)));
         }
         let others = (0..CHOICES.min(usable.len())).map(|i| {
             let j = fastrand::usize(i..usable.len());
@@ -368,7 +386,12 @@
             return Some(LATE_COST);
         }
         let delay = now + ask.duration - turn;
-        if delay > OVERRUN_MAX {
+        let longest = if ask.returning {
+            OVERRUN_RETURNING
+        } else {
+            OVERRUN_MAX
+        };
+        if delay > longest {
             return None;
         }
         Some(delay.0 as f64 / OVERRUN_MAX.0 as f64 * OVERRUN_COST)
@@ -381,7 +404,9 @@
             return slots + slots * PLAIN_QUEUE;
         };
         let waits = self.version(e, wanted.model) >= Some(wanted.waiting);
-        if waits {
+        if waits && ask.returning {
+            slots + slots / RETURNING_SHARE
+        } else if waits {
             slots
         } else {
             slots - slots / BEGIN_SHARE
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -80,6 +80,7 @@
         exact: attempts.version,
         tried: &attempts.tried,
         homes: &homes,
+        returning: job.late,
         read_rate: engine.map(|e| e.prompt_rate),
         duration: engine.map_or(Millis::ZERO, |e| {
             e.duration(job.prompt, job.output, job.hint)
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -13,7 +13,7 @@
     homes::Place,
     CatalogVersion, WeightVersion,
 };
-use crate::base::{rendezvous, HashMap, Millis, Zone};
+use crate::base::{rendezvous, HashMap, HashSet, Millis, Zone};
 
 /// Time between two datagrams to the same entries.
 pub(super) const BEAT: Millis = Millis(250);
@@ -37,8 +37,10 @@
 /// Time without a beat after which an entry is forgotten.
 const FORGET: Millis = Millis(120_000);
 
-/// Entries of each zone that read the store for all of the zone.
+/// Entries of each zone that read the store for all of the zone; one where there are more zones than [`ZONES_MAX`], whose
+/// readers stand in for each other.
 const READERS: usize = 2;
+const ZONES_MAX: usize = 3;
 
 /// Time without a beat after which an entry is no longer relied on for what the store says; a few beats.
 const READER_SILENCE: Millis = Millis(800);
@@ -270,7 +272,18 @@
             .others
             .values()
             .filter(|m| self.is_near(m) && m.is_reader(now));
-        readers.filter(|m| m.rank < self.rank).count() < READERS
+        readers.filter(|m| m.rank < self.rank).count() < self.readers_wanted()
+    }
+
+    /// Returns how many entries of each zone read the store.
+    fn readers_wanted(&self) -> usize {
+        let others = self.others.values().map(|m| &m.beat.zone);
+        let zones: HashSet<_> = others.chain([&self.me.zone]).collect();
+        if zones.len() > ZONES_MAX {
+            1
+        } else {
+            READERS
+        }
     }
 
     /// Returns an entry that reads the store: the first of the own zone, or any other.
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -55,6 +55,7 @@
         tried: &[],
         homes,
         read_rate: None,
+        returning: false,
         duration: Millis(1000),
     }
 }
@@ -296,3 +297,33 @@
         assert_eq!(both.turn(e), second.turn(e));
     }
 }
+
+/// Pattern: all endpoints are too old, because copies of a new version are late. Guards against callers that return, for
+/// the last time, before any endpoint can have loaded.
+#[test]
+fn callers_return_when_loads_may_be_done() {
+    let (home, none) = (zone("a"), HashSet::default());
+    let plain = ask(&home, &none);
+    let wanted = plain.weights.expect("a model is asked for");
+    let newer = Ask {
+        weights: Some(Wanted {
+            oldest: WeightVersion(2),
+            ..wanted
+        }),
+        ..plain
+    };
+    let mean_wait = |fleet: &Fleet| {
+        let mut balance = Balance::default();
+        let waits = (0..100).map(|_| match balance.pick(all(fleet), &newer, NOW) {
+            Err(Refusal::Unavailable(wait)) => wait.0,
+            other => panic!("{other:?}"),
+        });
+        waits.sum::<u64>() / 100
+    };
+    let mut loading = fleet(2);
+    let mut record = loading.get(&name(0)).expect("a record").record.clone();
+    record.models.clear();
+    record.revision.sequence = 1;
+    loading.apply(&name(0), Some(record), NOW);
+    assert!(mean_wait(&loading) + 400 < mean_wait(&fleet(2)));
+}
--- a/tests/gateway_homes.rs
+++ b/tests/gateway_homes.rs
@@ -90,6 +90,7 @@
         tried: &[],
         homes,
         read_rate: Some(20.0),
+        returning: false,
         duration: Millis(1000),
     }
 }
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -127,6 +127,21 @@
     assert_eq!(readers.count(), 2);
 }
 
+/// Guards against reads of the store that grow with the number of zones.
+#[test]
+fn one_of_each_zone_reads_where_zones_are_many() {
+    let zones = ["a", "b", "c", "d", "e"];
+    let zone = |host: u8| zones[usize::from(host) % zones.len()];
+    let readers = (1..=20).filter(|host| {
+        let mut members = Members::new(reading(*host, zone(*host), 0));
+        for other in (1..=20).filter(|o| o != host) {
+            members.hear(reading(other, zone(other), 1), Millis(100));
+        }
+        members.reads_store(Millis(200))
+    });
+    assert_eq!(readers.count(), zones.len());
+}
+
 /// Guards against an entry that relies on others which no longer get answers from the store, or fell silent.
 #[test]
 fn lost_readers_are_replaced() {
