fix(gateway): agents tell all entries of their endpoints while nobody reads the store

Change: while nobody reads the store, agents tell up to 64 live entries.

Test: agents_tell_all_entries_while_nobody_reads.

--- a/src/gateway/assignment.rs
+++ b/src/gateway/assignment.rs
@@ -32,7 +32,7 @@
     pub hosts: Vec<(SocketAddr, Zone)>,
     /// Entries to ask next, those of the agent's zone first.
     pub entries: Vec<SocketAddr>,
-    /// Entries that read the store, to be told of the endpoint.
+    /// Entries to be told of the endpoint.
     pub readers: Vec<SocketAddr>,
     /// Hash of everything but ages and entries; the next question names it. If it is the one of the question, hosts and
     /// versions are left out.
@@ -78,7 +78,7 @@
     fn encode(mut self, ctx: &Context, zone: &str) -> Option<Vec<u8>> {
         let (members, now) = (ctx.members.borrow(), ctx.now());
         self.entries = members.peers(zone, ENTRIES_MAX, now);
-        self.readers = members.readers(now);
+        self.readers = members.told(zone, now);
         postcard::to_stdvec(&self).ok()
     }
 
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -42,6 +42,9 @@
 const READERS: usize = 2;
 const ZONES_MAX: usize = 3;
 
+/// Entries that an agent tells at most.
+const TOLD_MAX: usize = 64;
+
 /// Time without a beat after which an entry is no longer relied on for what the store says; a few beats.
 const READER_SILENCE: Millis = Millis(800);
 
@@ -293,7 +296,18 @@
         Some(&first.beat)
     }
 
-    /// Returns the entries that read the store, for agents; this one too if it does.
+    /// Returns the entries that agents tell of their endpoints: those that read the store and pass on what they know. While
+    /// nobody does, for example because the store is away, all live ones up to a number.
+    pub fn told(&self, zone: &str, now: Millis) -> Vec<SocketAddr> {
+        let readers = self.readers(now);
+        if readers.is_empty() {
+            self.peers(zone, TOLD_MAX, now)
+        } else {
+            readers
+        }
+    }
+
+    /// Returns the entries that read the store; this one too if it does.
     pub fn readers(&self, now: Millis) -> Vec<SocketAddr> {
         let others = self.others.values().filter(|m| m.is_reader(now));
         let me = Some(&self.me).filter(|me| me.status.follows);
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -58,7 +58,7 @@
     pub(super) named: RefCell<HashMap<Rc<str>, Named>>,
     /// When an entry last told the work, and when this agent started.
     pub(super) told: Cell<Option<Millis>>,
-    /// Entries that read the store.
+    /// Entries to tell of the endpoint.
     pub(super) readers: RefCell<Vec<SocketAddr>>,
     /// Address of the endpoint, from its record.
     pub(super) endpoint: Cell<Option<SocketAddr>>,
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -142,6 +142,20 @@
     assert_eq!(readers.count(), zones.len());
 }
 
+/// Pattern: a version is loaded while the store is away. Guards against entries that learn from no agent which endpoints
+/// loaded it, and go on naming the older version to them.
+#[test]
+fn agents_tell_all_entries_while_nobody_reads() {
+    let mut members = members();
+    for host in 2..20 {
+        members.hear(beat(host, "a", 1), Millis(100));
+    }
+    assert!(members.readers(Millis(200)).is_empty());
+    assert_eq!(members.told("a", Millis(200)).len(), 19);
+    members.hear(reading(2, "a", 2), Millis(200));
+    assert_eq!(members.told("a", Millis(300)), members.readers(Millis(300)));
+}
+
 /// Guards against an entry that relies on others which no longer get answers from the store, or fell silent.
 #[test]
 fn lost_readers_are_replaced() {
