--- a/tests/endpoint_word.rs
+++ b/tests/endpoint_word.rs
@@ -97,7 +97,8 @@
     fleet.apply(&id, Some(record(1, 2)), NOW);
     assert!(draining(&fleet));
     // Other entries learn it from a datagram.
-    assert_eq!(other.leave_told(&fleet.leaving(NOW), NOW), [id.clone()]);
+    let told = other.leave_told(&fleet.leaving(NOW), NOW);
+    assert!(told.len() == 1 && told[0] == id);
     assert!(draining(&other));
     fleet.apply(&id, Some(record(2, 1)), NOW);
     assert!(!draining(&fleet));
