fix(gateway): a request that outlasts all turns is asked to return soon

Cause: if every endpoint was passed over because the request would delay its load, the time to return was the largest that there is; callers then waited a third of their time. Found by reading the diff.

Change: such endpoints count as open now.

Test: refused_long_requests_return_soon, which failed first.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -270,6 +270,7 @@
                 self.drain_cost(e, ask, now)
             };
             let Some(drain) = drain else {
+                opens = now;
                 continue;
             };
             let view = self.views.entry(e.id.clone()).or_default();
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -327,3 +327,14 @@
     loading.apply(&name(0), Some(record), NOW);
     assert!(mean_wait(&loading) + 400 < mean_wait(&fleet(2)));
 }
+
+/// Pattern: a new version is named, and a request would outlast the turns of all endpoints. Guards against a caller that
+/// is asked to return at no sensible time.
+#[test]
+fn refused_long_requests_return_soon() {
+    let (home, none) = (zone("a"), HashSet::default());
+    let rollout = Rollout::new(2, &[(2, NOW)]);
+    let long = rollout.ask(ask(&home, &none), Millis(60_000));
+    let refused = Balance::default().pick(rollout.fleet.iter(), &long, NOW);
+    assert!(matches!(refused, Err(Refusal::Overloaded(t)) if t < Millis(1000)));
+}
