--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -237,6 +237,63 @@
         }
         self.own + told.max(self.others)
     }
+
+    /// Returns what a request costs at the endpoint with a load, as a share of its slots.
+    fn cost(&self, e: &Endpoint, ask: &Ask<'_>, load: u32) -> f64 {
+        let share = f64::from(load) / f64::from(e.record.slots.max(1));
+        let far = f64::from(u8::from(e.record.zone != *ask.zone)) * ZONE_COST;
+        let read = ask
+            .read_rate
+            .map_or(0.0, |rate| f64::from(self.unread) / rate / READ_TIME);
+        share + far + read + self.failures * FAILURE_COST
+    }
+}
+
+/// Endpoints that may get a request, with their costs.
+#[derive(Debug)]
+struct Candidates<'e> {
+    /// Those of which the entry is the home.
+    home: Vec<(&'e Endpoint, f64)>,
+    others: Vec<(&'e Endpoint, f64)>,
+    /// Whether any endpoint can run the request, now or later.
+    able: bool,
+    /// Earliest time at which one of these takes requests, if all are passed over until some time.
+    opens: Millis,
+}
+
+impl Default for Candidates<'_> {
+    fn default() -> Self {
+        Self {
+            home: Vec::new(),
+            others: Vec::new(),
+            able: false,
+            opens: Millis::MAX,
+        }
+    }
+}
+
+impl<'e> Candidates<'e> {
+    /// Returns the cheapest among all at home and a few random others.
+    fn best(mut self) -> Option<&'e Endpoint> {
+        let others = (0..CHOICES.min(self.others.len())).map(|i| {
+            let j = fastrand::usize(i..self.others.len());
+            self.others.swap(i, j);
+            self.others[i]
+        });
+        let all = self.home.into_iter().chain(others);
+        all.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(e, _)| e)
+    }
+}
+
+/// Returns when a caller should return whose request no endpoint can run.
+fn absent_wait(endpoints: &[&Endpoint]) -> Millis {
+    let loading = |e: &&Endpoint| !e.record.draining && e.record.models.is_empty();
+    let mean = if endpoints.iter().any(loading) {
+        RETURN_LOADING
+    } else {
+        RETURN_ABSENT
+    };
+    crate::base::jitter(mean)
 }
 
 impl Balance {
@@ -251,18 +308,32 @@
         ask: &Ask<'_>,
         now: Millis,
     ) -> Result<&'e Endpoint, Refusal> {
-        let mut home: Vec<(&Endpoint, f64)> = Vec::new();
-        let mut usable: Vec<(&Endpoint, f64)> = Vec::new();
         let endpoints: Vec<_> = endpoints.collect();
-        let stalled = self.is_stalled(&endpoints, ask, now);
-        let mut able = false;
-        // Earliest time at which an endpoint takes requests, if all are passed over until some time.
-        let mut opens = Millis::MAX;
-        for &e in &endpoints {
+        let found = self.candidates(&endpoints, ask, now);
+        if !found.able {
+            return Err(Refusal::Unavailable(absent_wait(&endpoints)));
+        }
+        let opens = found.opens;
+        found.best().ok_or_else(|| {
+            let wait = crate::base::jitter(RETURN);
+            Refusal::Overloaded(wait.max(opens - now))
+        })
+    }
+
+    /// Finds the endpoints that may get a request, and what each costs.
+    fn candidates<'e>(
+        &mut self,
+        endpoints: &[&'e Endpoint],
+        ask: &Ask<'_>,
+        now: Millis,
+    ) -> Candidates<'e> {
+        let mut found = Candidates::default();
+        let stalled = self.is_stalled(endpoints, ask, now);
+        for &e in endpoints {
             if !self.is_able(e, ask) {
                 continue;
             }
-            able = true;
+            found.able = true;
             let limit = self.limit(e, ask);
             let drain = if stalled {
                 Some(0.0)
@@ -270,51 +341,27 @@
                 self.drain_cost(e, ask, now)
             };
             let Some(drain) = drain else {
-                opens = now;
+                found.opens = now;
                 continue;
             };
             let view = self.views.entry(e.id.clone()).or_default();
             let closed = view.refusing.0.max(view.held);
-            opens = opens.min(closed);
+            found.opens = found.opens.min(closed);
             if closed > now || !view.breaker.allows(now) {
                 continue;
             }
-            let (load, slots) = (view.load(now, self.all_told), e.record.slots.max(1));
+            let load = view.load(now, self.all_told);
             if load >= limit {
                 continue;
             }
-            let far = f64::from(u8::from(e.record.zone != *ask.zone)) * ZONE_COST;
-            let share = f64::from(load) / f64::from(slots);
-            let read = ask
-                .read_rate
-                .map_or(0.0, |rate| f64::from(view.unread) / rate / READ_TIME);
-            let score = share + far + drain + read + view.failures * FAILURE_COST;
+            let cost = drain + view.cost(e, ask, load);
             if ask.homes.contains(&e.id) {
-                home.push((e, score));
+                found.home.push((e, cost));
             } else {
-                usable.push((e, score + AWAY_COST));
+                found.others.push((e, cost + AWAY_COST));
             }
         }
-        if !able {
-            let loading = |e: &&Endpoint| !e.record.draining && e.record.models.is_empty();
-            let wait = if endpoints.iter().any(loading) {
-                RETURN_LOADING
-            } else {
-                RETURN_ABSENT
-            };
-            return Err(Refusal::Unavailable(crate::base::jitter(wait)));
-        }
-        let others = (0..CHOICES.min(usable.len())).map(|i| {
-            let j = fastrand::usize(i..usable.len());
-            usable.swap(i, j);
-            usable[i]
-        });
-        let best = home.into_iter().chain(others);
-        let best = best.min_by(|a, b| a.1.total_cmp(&b.1));
-        best.map(|(e, _)| e).ok_or_else(|| {
-            let wait = crate::base::jitter(RETURN);
-            Refusal::Overloaded(wait.max(opens - now))
-        })
+        found
     }
 
     /// Returns whether an endpoint wants no request for now.
