refactor(gateway): one look at each turn, one end of a request in flight

A choice of an endpoint computed the turn of each endpoint twice, a request in flight kept its id in an option only to tell its two ends apart, the table of endpoints noted a change in two copies, and homes hashed each id at every comparison of a sort.

Change: turns are computed once and given to both questions; a request in flight keeps its outcome and ends when it is dropped; one method notes a change; the sort keeps its keys. Behaviour is unchanged.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -285,6 +285,27 @@
     }
 }
 
+/// Returns what it costs that a request delays its endpoint's load of a newer version at a turn: while it runs, the other
+/// slots stay empty. `None` if it would delay the load too much.
+fn drain_cost(turn: Option<Millis>, ask: &Ask<'_>, now: Millis) -> Option<f64> {
+    let Some(turn) = turn else {
+        return Some(0.0);
+    };
+    if now >= turn + LOADING {
+        return Some(LATE_COST);
+    }
+    let delay = now + ask.duration - turn;
+    let longest = if ask.returning {
+        OVERRUN_RETURNING
+    } else {
+        OVERRUN_MAX
+    };
+    if delay > longest {
+        return None;
+    }
+    Some(delay.0 as f64 / OVERRUN_MAX.0 as f64 * OVERRUN_COST)
+}
+
 /// Returns when a caller should return whose request no endpoint can run.
 fn absent_wait(endpoints: &[&Endpoint]) -> Millis {
     let loading = |e: &&Endpoint| !e.record.draining && e.record.models.is_empty();
@@ -328,19 +349,16 @@
         now: Millis,
     ) -> Candidates<'e> {
         let mut found = Candidates::default();
-        let stalled = self.is_stalled(endpoints, ask, now);
-        for &e in endpoints {
+        let turns: Vec<_> = endpoints.iter().map(|e| self.turn(e, ask)).collect();
+        let stalled = self.is_stalled(endpoints, &turns, ask, now);
+        for (&e, turn) in endpoints.iter().zip(turns) {
             if !self.is_able(e, ask) {
                 continue;
             }
             found.able = true;
             let limit = self.limit(e, ask);
-            let drain = if stalled {
-                Some(0.0)
-            } else {
-                self.drain_cost(e, ask, now)
-            };
-            let Some(drain) = drain else {
+            let turn = turn.filter(|_| !stalled);
+            let Some(drain) = drain_cost(turn, ask, now) else {
                 found.opens = now;
                 continue;
             };
@@ -405,18 +423,26 @@
     }
 
     /// Returns whether more hosts let their turn pass than took it: their copies are late, so nobody loads soon.
-    fn is_stalled(&self, endpoints: &[&Endpoint], ask: &Ask<'_>, now: Millis) -> bool {
-        let Some(newest) = ask.weights.and_then(|w| w.loads?.named.newest()) else {
+    fn is_stalled(
+        &self,
+        endpoints: &[&Endpoint],
+        turns: &[Option<Millis>],
+        ask: &Ask<'_>,
+        now: Millis,
+    ) -> bool {
+        let Some(wanted) = ask.weights else {
+            return false;
+        };
+        let Some(newest) = wanted.loads.and_then(|l| l.named.newest()) else {
             return false;
         };
         let (mut passed, mut taken) = (0, 0);
-        for e in endpoints {
-            match self.turn(e, ask) {
-                Some(turn) => passed += usize::from(now >= turn + LOADING),
+        for (e, turn) in endpoints.iter().zip(turns) {
+            match turn {
+                Some(turn) => passed += usize::from(now >= *turn + LOADING),
                 // It loads, or has loaded.
                 None => {
-                    let model = ask.weights.map_or("", |w| w.model);
-                    let version = self.version(e, model);
+                    let version = self.version(e, wanted.model);
                     taken += usize::from(version.is_none_or(|v| v >= newest));
                 }
             }
@@ -424,27 +450,6 @@
         passed > taken
     }
 
-    /// Returns what it costs that a request delays the endpoint's load of a newer version: while it runs, the other
-    /// slots stay empty. `None` if it would delay the load too much.
-    fn drain_cost(&self, e: &Endpoint, ask: &Ask<'_>, now: Millis) -> Option<f64> {
-        let Some(turn) = self.turn(e, ask) else {
-            return Some(0.0);
-        };
-        if now >= turn + LOADING {
-            return Some(LATE_COST);
-        }
-        let delay = now + ask.duration - turn;
-        let longest = if ask.returning {
-            OVERRUN_RETURNING
-        } else {
-            OVERRUN_MAX
-        };
-        if delay > longest {
-            return None;
-        }
-        Some(delay.0 as f64 / OVERRUN_MAX.0 as f64 * OVERRUN_COST)
-    }
-
     /// Returns how many requests an endpoint may have for one more to be sent.
     fn limit(&self, e: &Endpoint, ask: &Ask<'_>) -> u32 {
         let slots = e.record.slots.max(1);
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -325,7 +325,8 @@
 #[derive(Debug)]
 pub(super) struct InFlight {
     ctx: Rc<Context>,
-    id: Option<EndpointId>,
+    id: EndpointId,
+    outcome: Outcome,
     /// Prompt tokens that the endpoint has yet to read.
     prompt: u32,
 }
@@ -336,7 +337,8 @@
         ctx.balance.borrow_mut().begin(&id, prompt, ctx.now());
         Self {
             ctx: ctx.clone(),
-            id: Some(id),
+            id,
+            outcome: Outcome::Abandoned,
             prompt,
         }
     }
@@ -344,26 +346,20 @@
     /// Notes that the endpoint has read the prompt.
     pub(super) fn has_read(&mut self) {
         let prompt = std::mem::take(&mut self.prompt);
-        if let Some(id) = &self.id {
-            self.ctx.balance.borrow_mut().has_read(id, prompt);
-        }
+        let mut balance = self.ctx.balance.borrow_mut();
+        balance.has_read(&self.id, prompt);
     }
 
     /// Ends the request with a verdict on the endpoint.
     pub(super) fn end(mut self, outcome: Outcome) {
-        self.has_read();
-        if let Some(id) = self.id.take() {
-            self.ctx.end(&id, outcome);
-        }
+        self.outcome = outcome;
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.has_read();
-        if let Some(id) = self.id.take() {
-            self.ctx.end(&id, Outcome::Abandoned);
-        }
+        self.ctx.end(&self.id, self.outcome);
     }
 }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -327,9 +327,7 @@
             models: std::mem::replace(&mut known.record.models, news.models.clone()),
             until: now + RECORD_LAG,
         });
-        known.rehash(&mut self.sum);
-        self.changes += 1;
-        known.changed = self.changes;
+        known.note_change(&mut self.sum, &mut self.changes);
         Some(known.id.clone())
     }
 
@@ -347,9 +345,7 @@
             return false;
         }
         known.record.draining = true;
-        known.rehash(&mut self.sum);
-        self.changes += 1;
-        known.changed = self.changes;
+        known.note_change(&mut self.sum, &mut self.changes);
         true
     }
 
@@ -417,6 +413,13 @@
         self.hash = hash;
     }
 
+    /// Takes a change of the record into the sum of all hashes and the count of changes.
+    fn note_change(&mut self, sum: &mut u64, changes: &mut u64) {
+        self.rehash(sum);
+        *changes += 1;
+        self.changed = *changes;
+    }
+
     /// Returns the version of a model that the endpoint has loaded.
     pub fn weights(&self, model: &str) -> Option<WeightVersion> {
         self.record
--- a/src/gateway/homes.rs
+++ b/src/gateway/homes.rs
@@ -45,7 +45,7 @@
         let Some(mine) = owners.iter().position(|p| *p == me) else {
             continue;
         };
-        endpoints.sort_unstable_by_key(|e| rendezvous(b"home", e.id.0.as_bytes()));
+        endpoints.sort_by_cached_key(|e| rendezvous(b"home", e.id.0.as_bytes()));
         let own = endpoints.iter().skip(mine).step_by(owners.len());
         out.extend(own.map(|e| e.id.clone()));
     }
