--- a/tests/endpoint_word.rs
+++ b/tests/endpoint_word.rs
@@ -9,11 +9,9 @@
 };
 use sesamewing::{
     base::{HashMap, Millis},
-    gateway::{Catalog, EndpointId, EndpointRecord, EngineSpeed, Fleet, Revision, Topic},
+    gateway::{Catalog, EngineSpeed, Topic},
 };
 
-const NOW: Millis = Millis(100_000);
-
 /// Adds a header to each response of a script.
 fn with_header(script: Vec<Step>, line: &str) -> Vec<Step> {
     let add = |text: String| text.replacen("\r\n", &format!("\r\n{line}\r\n"), 1);
@@ -70,40 +68,6 @@
     });
 }
 
-fn record(born: u64, sequence: u64) -> EndpointRecord {
-    EndpointRecord {
-        service: "llm".parse().expect("a valid name"),
-        addr: "10.0.0.1:80".parse().expect("a valid address"),
-        zone: "a".parse().expect("a valid name"),
-        slots: 4,
-        draining: false,
-        cold: Millis::ZERO,
-        models: Vec::new(),
-        revision: Revision { born, sequence },
-    }
-}
-
-/// Guards against a record from before the endpoint's word that makes it usable again, and against a restarted endpoint
-/// that stays left out.
-#[test]
-fn records_do_not_undo_leaving() {
-    let id: EndpointId = "e".parse().expect("any text is an id");
-    let (mut fleet, mut other) = (Fleet::default(), Fleet::default());
-    fleet.apply(&id, Some(record(1, 1)), NOW);
-    other.apply(&id, Some(record(1, 1)), NOW);
-    assert!(fleet.leave(&id, NOW));
-    assert!(!fleet.leave(&id, NOW), "once is enough");
-    let draining = |f: &Fleet| f.get(&id).is_some_and(|e| e.record.draining);
-    fleet.apply(&id, Some(record(1, 2)), NOW);
-    assert!(draining(&fleet));
-    // Other entries learn it from a datagram.
-    let told = other.leave_told(&fleet.leaving(NOW), NOW);
-    assert!(told.len() == 1 && told[0] == id);
-    assert!(draining(&other));
-    fleet.apply(&id, Some(record(2, 1)), NOW);
-    assert!(!draining(&fleet));
-}
-
 /// A catalog whose endpoints are engines with weights.
 fn engines() -> Catalog {
     let mut out = catalog();
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -60,6 +60,15 @@
     }
 }
 
+/// The same request that must begin on a version or a newer one.
+fn beginning_at<'a>(plain: &Ask<'a>, oldest: WeightVersion) -> Ask<'a> {
+    let wanted = plain.weights.expect("a model is asked for");
+    Ask {
+        weights: Some(Wanted { oldest, ..wanted }),
+        ..plain.clone()
+    }
+}
+
 fn all(fleet: &Fleet) -> impl Iterator<Item = &Endpoint> {
     fleet.iter()
 }
@@ -148,14 +157,7 @@
     let (mut balance, fleet, home) = (Balance::default(), fleet(2), zone("a"));
     let none = HashSet::default();
     let plain = ask(&home, &none);
-    let wanted = plain.weights.expect("a model is asked for");
-    let newer = Ask {
-        weights: Some(Wanted {
-            oldest: WeightVersion(2),
-            ..wanted
-        }),
-        ..plain.clone()
-    };
+    let newer = beginning_at(&plain, WeightVersion(2));
     let refused = balance.pick(all(&fleet), &newer, NOW);
     assert!(matches!(refused, Err(Refusal::Unavailable(_))));
     // A response shows the new version before the record does.
@@ -304,14 +306,7 @@
 fn callers_return_when_loads_may_be_done() {
     let (home, none) = (zone("a"), HashSet::default());
     let plain = ask(&home, &none);
-    let wanted = plain.weights.expect("a model is asked for");
-    let newer = Ask {
-        weights: Some(Wanted {
-            oldest: WeightVersion(2),
-            ..wanted
-        }),
-        ..plain
-    };
+    let newer = beginning_at(&plain, WeightVersion(2));
     let mean_wait = |fleet: &Fleet| {
         let mut balance = Balance::default();
         let waits = (0..100).map(|_| match balance.pick(all(fleet), &newer, NOW) {
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -150,3 +150,25 @@
     // News of an earlier run of the endpoint says nothing.
     assert!(fleet.hear(&news(9, None), Millis(9100)).is_none());
 }
+
+/// Guards against a record from before the endpoint's word that makes it usable again, and against a restarted endpoint
+/// that stays left out.
+#[test]
+fn records_do_not_undo_leaving() {
+    let id = id("e");
+    let now = Millis(1000);
+    let (mut fleet, mut other) = (Fleet::default(), Fleet::default());
+    fleet.apply(&id, Some(record(1, 1)), now);
+    other.apply(&id, Some(record(1, 1)), now);
+    assert!(fleet.leave(&id, now));
+    assert!(!fleet.leave(&id, now), "once is enough");
+    let draining = |f: &Fleet| f.get(&id).is_some_and(|e| e.record.draining);
+    fleet.apply(&id, Some(record(1, 2)), now);
+    assert!(draining(&fleet));
+    // Other entries learn it from a datagram.
+    let told = other.leave_told(&fleet.leaving(now), now);
+    assert!(told.len() == 1 && told[0] == id);
+    assert!(draining(&other));
+    fleet.apply(&id, Some(record(2, 1)), now);
+    assert!(!draining(&fleet));
+}
