refactor(gateway): judging responses and knowing one endpoint's load are modules of their own

Three closures read a header as text beside the function that accept.rs had for it.

Change: judge.rs and view.rs take the second jobs, moved as they were; one function in headers.rs reads a header as text. Behaviour is unchanged.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -18,6 +18,7 @@
     catalog::{Catalog, Route, WorkspaceSpec},
     context::Context,
     events::EventId,
+    headers::text,
     reply::Reject,
     Headers,
 };
@@ -69,10 +70,6 @@
     }
 }
 
-fn text<'h>(headers: &'h HeaderMap, name: &HeaderName) -> Option<&'h str> {
-    headers.get(name)?.to_str().ok()
-}
-
 fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     text(headers, name)?.trim().parse().ok()
 }
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -21,27 +21,16 @@
     named::Named,
     record::WeightVersion,
     turns::Turns,
+    view::{Load, Outcome, View},
 };
-use crate::{
-    base::{HashMap, HashSet, Millis, Zone},
-    decide::route::Breaker,
-};
+use crate::base::{HashMap, HashSet, Millis, Zone};
 
 /// Random endpoints among which the best is chosen, so that entries with the same view do not choose the same endpoint.
 const CHOICES: usize = 4;
 
-/// Cost of another zone, as a share of an endpoint's slots.
-const ZONE_COST: f64 = 0.12;
-
 /// Cost of an endpoint of which another entry is the home, as a share of its slots.
 const AWAY_COST: f64 = 0.25;
 
-/// Time to read the prompts that an endpoint has yet to read that costs as much as all of its slots.
-const READ_TIME: f64 = 250.0;
-
-/// Cost of an endpoint whose recent requests all failed, as a share of its slots.
-const FAILURE_COST: f64 = 3.0;
-
 /// Time by which a request may outlast the turn of its endpoint to load, and by which one of a returning caller may, who
 /// cannot come back once more.
 const OVERRUN_MAX: Millis = Millis(250);
@@ -60,19 +49,6 @@
 /// Cost of an endpoint whose host seems to lack a copy: it may load at any moment.
 const LATE_COST: f64 = 1.5;
 
-/// Weight of the newest outcome in the share of failures.
-const FAILURE_WEIGHT: f64 = 0.15;
-
-/// Time for which an endpoint that turned a request away is passed over; doubles up to the longest.
-const REFUSAL: Millis = Millis(120);
-const REFUSAL_MAX: Millis = Millis(480);
-
-/// Age at which the load that an endpoint reported is no longer used.
-const REPORT_LIFETIME: Millis = Millis(2000);
-
-/// Age at which the requests that another entry told are no longer counted.
-const TOLD_LIFETIME: Millis = Millis(1200);
-
 /// Part of an engine's slots, as a divisor, that stays free where a request has to begin at once.
 const BEGIN_SHARE: u32 = 5;
 
@@ -90,76 +66,6 @@
 /// take seconds, and callers wait no longer than a third of their time.
 const RETURN_ABSENT: Millis = Millis(1800);
 
-/// Load that an endpoint reports in its responses.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that run at once.
-    pub slots: u32,
-}
-
-impl std::str::FromStr for Load {
-    type Err = std::num::ParseIntError;
-
-    /// Parses `running,waiting,slots`.
-    fn from_str(s: &str) -> Result<Self, Self::Err> {
-        let mut parts = s.split(',').map(|p| p.trim().parse());
-        let mut next = || parts.next().unwrap_or(Ok(0));
-        Ok(Self {
-            running: next()?,
-            waiting: next()?,
-            slots: next()?,
-        })
-    }
-}
-
-impl std::fmt::Display for Load {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{},{},{}", self.running, self.waiting, self.slots)
-    }
-}
-
-/// How a request at an endpoint ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// A whole response.
-    Served,
-    /// The endpoint did not run it and said so.
-    Refused,
-    /// The endpoint failed it, or its response was broken.
-    Failed,
-    /// The endpoint cannot be reached or is silent.
-    Unreachable,
-    /// The caller or its deadline ended it.
-    Abandoned,
-}
-
-/// What an entry knows of the load of one endpoint.
-#[derive(Debug, Default)]
-struct View {
-    /// Requests of this entry in progress.
-    own: u32,
-    /// Prompt tokens of these that the endpoint has yet to read.
-    unread: u32,
-    /// Requests of others when the endpoint last reported, and when that was.
-    others: u32,
-    reported: Option<Millis>,
-    /// Requests of each other entry that told them, and when it did.
-    told: Vec<(SocketAddr, u16, Millis)>,
-    /// Recent share of failures, 0 to 1.
-    failures: f64,
-    /// End of the time for which the endpoint is passed over, and the length of that time.
-    refusing: (Millis, Millis),
-    /// End of the time for which the endpoint wants no request; nothing but its end lifts it.
-    held: Millis,
-    breaker: Breaker,
-    /// Newest version of weights seen in its responses.
-    version: WeightVersion,
-}
-
 /// Loads of a newer version that are to come.
 #[derive(Clone, Copy, Debug)]
 pub struct Loads<'a> {
@@ -222,33 +128,6 @@
     all_told: bool,
 }
 
-impl View {
-    /// Returns the requests at the endpoint: those of this entry, and those of others as far as they are known.
-    fn load(&self, now: Millis, all_told: bool) -> u32 {
-        let told: u32 = self
-            .told
-            .iter()
-            .filter(|t| now < t.2 + TOLD_LIFETIME)
-            .map(|t| u32::from(t.1))
-            .sum();
-        let fresh = self.reported.is_some_and(|at| now < at + REPORT_LIFETIME);
-        if all_told || !fresh {
-            return self.own + told;
-        }
-        self.own + told.max(self.others)
-    }
-
-    /// Returns what a request costs at the endpoint with a load, as a share of its slots.
-    fn cost(&self, e: &Endpoint, ask: &Ask<'_>, load: u32) -> f64 {
-        let share = f64::from(load) / f64::from(e.record.slots.max(1));
-        let far = f64::from(u8::from(e.record.zone != *ask.zone)) * ZONE_COST;
-        let read = ask
-            .read_rate
-            .map_or(0.0, |rate| f64::from(self.unread) / rate / READ_TIME);
-        share + far + read + self.failures * FAILURE_COST
-    }
-}
-
 /// Endpoints that may get a request, with their costs.
 #[derive(Debug)]
 struct Candidates<'e> {
@@ -469,15 +348,13 @@
     /// Notes that a request with a prompt of some tokens is sent.
     pub fn begin(&mut self, id: &EndpointId, prompt: u32, now: Millis) {
         let view = self.views.entry(id.clone()).or_default();
-        view.own += 1;
-        view.unread += prompt;
-        view.breaker.begin(now);
+        view.begin(prompt, now);
     }
 
     /// Notes that an endpoint has read the prompt of a request.
     pub fn has_read(&mut self, id: &EndpointId, prompt: u32) {
         if let Some(view) = self.views.get_mut(id) {
-            view.unread = view.unread.saturating_sub(prompt);
+            view.has_read(prompt);
         }
     }
 
@@ -492,13 +369,7 @@
         let Some(view) = self.views.get_mut(id) else {
             return;
         };
-        if let Some(load) = load {
-            view.others = (load.running + load.waiting).saturating_sub(view.own);
-            view.reported = Some(now);
-        }
-        if let Some(version) = version {
-            view.version = view.version.max(version);
-        }
+        view.report(load, version, now);
     }
 
     /// Takes the requests in progress that another entry told; those that it does not name it does not have.
@@ -528,31 +399,7 @@
         let Some(view) = self.views.get_mut(id) else {
             return;
         };
-        view.own = view.own.saturating_sub(1);
-        let mut failure = |failed: f64| {
-            view.failures += (failed - view.failures) * FAILURE_WEIGHT;
-        };
-        match outcome {
-            Outcome::Served => {
-                failure(0.0);
-                view.breaker.success();
-                view.refusing = Default::default();
-            }
-            Outcome::Refused => {
-                let time = view.refusing.1.times(2).clamp(REFUSAL, REFUSAL_MAX);
-                view.refusing = (now + time, time);
-                view.breaker.release();
-            }
-            Outcome::Failed => {
-                failure(1.0);
-                view.breaker.release();
-            }
-            Outcome::Unreachable => {
-                failure(1.0);
-                view.breaker.failure(now);
-            }
-            Outcome::Abandoned => view.breaker.release(),
-        }
+        view.end(outcome, now);
     }
 
     /// Notes that an endpoint says that it takes requests again.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use super::{
-    balance::{Balance, Outcome},
+    balance::Balance,
     catalog::{Catalog, CatalogVersion},
     fleet::{EndpointId, Fleet},
     homes::homes,
@@ -19,6 +19,7 @@
     named::Named,
     record::WeightVersion,
     turns::Turns,
+    view::Outcome,
     Bounds, GatewaySettings, Headers,
 };
 use crate::{
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -1,6 +1,11 @@
 //! Names of the headers between callers, entries and endpoints.
 
-use hyper::header::HeaderName;
+use hyper::header::{AsHeaderName, HeaderMap, HeaderName};
+
+/// Returns the value of a header as text.
+pub(super) fn text(headers: &HeaderMap, name: impl AsHeaderName) -> Option<&str> {
+    headers.get(name)?.to_str().ok()
+}
 
 /// Header names; [`Default`] has the project's own.
 #[derive(Clone, Debug)]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod headers;
 mod homes;
 mod intents;
+mod judge;
 mod log_event;
 mod members;
 mod metrics;
@@ -33,10 +34,11 @@
 mod settings;
 mod stream;
 mod turns;
+mod view;
 
 pub use assignment::Assignment;
 pub(crate) use assignment::{ASSIGNMENT_PATH, ASSIGNMENT_WAIT};
-pub use balance::{Ask, Balance, Load, Loads, Outcome, Refusal, Wanted};
+pub use balance::{Ask, Balance, Loads, Refusal, Wanted};
 pub use catalog::{
     CallerLimits, Catalog, CatalogVersion, EngineSpeed, OriginSpec, Repeat, Route, ServiceSpec,
     ServiceWeights, WorkspaceSpec,
@@ -61,3 +63,4 @@
 pub use run::run;
 pub use settings::{Bounds, GatewaySettings, Listen};
 pub use turns::Turns;
+pub use view::{Load, Outcome};
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,12 +12,13 @@
 
 use super::{
     accept::Job,
-    balance::Outcome,
     catalog::Repeat,
     context::{Context, Running},
     events::Events,
-    forward::{attempt, keep, may_repeat, Attempt, Attempts, Begun, Target},
+    forward::{attempt, may_repeat, Attempt, Attempts, Begun, Target},
+    judge::keep,
     log_event, metrics,
+    view::Outcome,
 };
 use crate::{base::Millis, emit};
 
