feat(gateway): log and count limits that endpoints name

Cause: the response header that names a limit was not decoded. Change: the adapter names the header; an entry decodes it into `RequestRate`, keeps the limit with its age, and logs it when it is named, changed or withdrawn (SW461) and for each request to such an endpoint (SW462); a counter sums these requests. A response without a limit withdraws it only if its request was sent after the newest response that named it. No decision depends on it yet.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -6,6 +6,7 @@
 mod id;
 mod jitter;
 mod lock;
+mod request_rate;
 mod unit;
 
 pub use clock::{wall_ms, Clock, ManualClock, Millis, SystemClock};
@@ -16,4 +17,5 @@
 };
 pub use jitter::jitter;
 pub use lock::lock;
+pub use request_rate::RequestRate;
 pub use unit::{Percent, Rate, Size, UnitError};
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -12,6 +12,7 @@
     catalog::{Catalog, CatalogVersion},
     desired::DesiredVersions,
     endpoint_table::{EndpointId, EndpointTable},
+    limits::Limits,
     load_balancer::LoadBalancer,
     load_view::Outcome,
     log_event,
@@ -62,6 +63,8 @@
     pub(super) operator_wake: Notify,
     pub(super) endpoints: RefCell<EndpointTable>,
     pub(super) balancer: RefCell<LoadBalancer>,
+    /// Limits of the request rate that endpoints named.
+    pub(super) limits: RefCell<Limits>,
     pub(super) members: RefCell<Membership>,
     pub(super) desired: RefCell<HashMap<Rc<str>, DesiredVersions>>,
     /// Load schedule of each service, for its newest desired versions and the endpoints since the last change.
@@ -112,6 +115,7 @@
             operator_wake: Notify::new(),
             endpoints: RefCell::default(),
             balancer: RefCell::default(),
+            limits: RefCell::default(),
             members: RefCell::new(members),
             desired: RefCell::default(),
             schedules: RefCell::default(),
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -17,6 +17,7 @@
     followers::endpoint_changed,
     forward::{Attempt, Attempts, StreamingResponse, Target},
     headers::text,
+    limits::Observation,
     load_view::{Outcome, ReportedLoad},
     log_event,
 };
@@ -68,6 +69,34 @@
     }
 }
 
+/// Records the limit of the request rate that a response names, or that it shows to be withdrawn.
+fn record_limit(ctx: &Context, target: &Target, head: &Parts) {
+    let names = &ctx.headers;
+    let observation = match text(&head.headers, &names.limit).map(str::parse) {
+        Some(Ok(rate)) => Observation::Named {
+            rate,
+            at: ctx.now(),
+        },
+        // Only a response of the endpoint itself can show that it no longer names a limit.
+        None if head.status.is_success() && head.headers.contains_key(&names.proof) => {
+            Observation::Withdrawn { at: target.sent_at }
+        }
+        None => return,
+        Some(Err(e)) => {
+            emit!(log_event::RECORD, "endpoint={} reason=\"{e}\"", target.id);
+            return;
+        }
+    };
+    let changed = ctx.limits.borrow_mut().record(&target.id, observation);
+    if changed {
+        emit!(
+            log_event::LIMIT,
+            "endpoint={} {observation} source=response",
+            target.id
+        );
+    }
+}
+
 /// Evaluates the response to an attempt and records the load and version that the endpoint reports in it.
 pub(super) async fn evaluate(
     ctx: &Rc<Context>,
@@ -93,6 +122,7 @@
         return Attempt::Lost;
     }
     apply_status_headers(ctx, &target.id, &head);
+    record_limit(ctx, &target, &head);
     let load_text = text(&head.headers, &names.load);
     let load = load_text.and_then(|v| v.parse::<ReportedLoad>().ok());
     let version = text(&head.headers, &names.versions).and_then(|v| v.trim().parse().ok());
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -43,6 +43,8 @@
     pub(super) connection: Connection,
     /// Largest number of idle connections to the endpoint.
     pub(super) idle_max: usize,
+    /// When the request is sent.
+    pub(super) sent_at: Millis,
     /// When the response must have begun, because a newer version of the weights is enforced from about then on.
     pub(super) begin_by: Option<Millis>,
 }
@@ -132,17 +134,34 @@
         return Ok(Attempt::NotSent);
     }
     attempts.sent += 1;
+    count_limited(ctx, job, &id);
     let target = Target {
         id,
         addr,
         flight,
         connection,
         idle_max: choice.idle_max,
+        sent_at: ctx.now(),
         begin_by: choice.begin_by,
     };
     Ok(send(ctx, job, attempts, target, last, choice.expected).await)
 }
 
+/// Logs and counts a request that is sent to an endpoint with a limit of its request rate.
+fn count_limited(ctx: &Context, job: &Job, id: &EndpointId) {
+    let Some(limit) = ctx.limits.borrow().get(id) else {
+        return;
+    };
+    ctx.metrics.limited.inc();
+    emit!(
+        log_event::LIMITED,
+        "id={} endpoint={id} limit={} age={}",
+        job.id(),
+        limit.rate,
+        ctx.now() - limit.at
+    );
+}
+
 /// Returns why a request must not be sent after all to the endpoint that was chosen for it; `None` if it may be sent.
 /// The state can have changed since the choice, because opening a connection takes time or the process was paused.
 fn withhold_reason(
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -30,6 +30,9 @@
     pub proof: HeaderName,
     /// Present in a response if the endpoint is draining.
     pub leaving: HeaderName,
+    /// Requests per second that the endpoint takes from all entries together; present in each response while the
+    /// endpoint limits them.
+    pub limit: HeaderName,
     /// Load that the endpoint reports in a response: running requests, waiting requests, slots.
     pub load: HeaderName,
     /// Version of the weights that produced a response.
@@ -58,6 +61,7 @@
             not_run: name("x-not-run"),
             proof: name("x-endpoint-proof"),
             leaving: name("x-endpoint-leaving"),
+            limit: name("x-endpoint-limit"),
             load: name("x-endpoint-load"),
             versions: name("x-weight-version"),
             model: name("x-model"),
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -31,6 +31,12 @@
     /// This entry begins or stops reading the store, or gets the endpoint table from another entry.
     READER = 460, "gateway-reader", Info,
         "the entry reads the store itself or gets the endpoint table from another one", "check the heartbeats of the zone's entries";
+    /// An endpoint's limit of its request rate was named, changed or withdrawn.
+    LIMIT = 461, "gateway-limit", Info,
+        "an endpoint named, changed or withdrew the limit of its request rate", "check the load of the endpoint";
+    /// A request was sent to an endpoint that limits its request rate.
+    LIMITED = 462, "gateway-limited", Info,
+        "a request was sent to an endpoint that limits its request rate", "none";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -44,6 +44,8 @@
     pub(super) attempts: Family<OutcomeLabel, Counter>,
     pub(super) streams: Family<OutcomeLabel, Counter>,
     pub(super) retries: Counter,
+    /// Requests sent to endpoints that limited their request rate.
+    pub(super) limited: Counter,
     /// Time to a complete response, in seconds.
     pub(super) response: Family<ServiceLabel, Histogram>,
     /// Time to the first event of a stream, in seconds.
@@ -67,6 +69,7 @@
             attempts: Family::default(),
             streams: Family::default(),
             retries: Counter::default(),
+            limited: Counter::default(),
             response: Family::new_with_constructor(latency_histogram),
             first: Family::new_with_constructor(latency_histogram),
             left_out: Counter::default(),
@@ -78,6 +81,8 @@
             r.register("gateway_attempts", help, out.attempts.clone());
             r.register("gateway_streams", "Steps of streams", out.streams.clone());
             r.register("gateway_retries", "Further attempts", out.retries.clone());
+            let help = "Requests sent to endpoints that limit their request rate";
+            r.register("gateway_limited_requests", help, out.limited.clone());
             let help = "Time to a whole response";
             r.register("gateway_response_seconds", help, out.response.clone());
             let help = "Time to the first event of a stream";
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod forward;
 mod gossip;
 mod headers;
+mod limits;
 mod load_balancer;
 mod load_view;
 mod log_event;
@@ -52,6 +53,7 @@
 pub use events::{EventError, EventId, Events};
 pub use follow::{follow, Follower};
 pub use headers::Headers;
+pub use limits::{Limit, Limits, Observation};
 pub use load_balancer::{EndpointQuery, LoadBalancer, PendingLoads, Refusal, WeightRequirement};
 pub use load_view::{Outcome, ReportedLoad};
 pub use members::{
--- a/tests/text_forms.rs
+++ b/tests/text_forms.rs
@@ -3,7 +3,7 @@
 use assert_matches::assert_matches;
 use proptest::prelude::*;
 use sesamewing::{
-    base::{Digest, Millis, Percent, ProcessName, Rate, RequestId, Size},
+    base::{Digest, Millis, Percent, ProcessName, Rate, RequestId, RequestRate, Size},
     kernel::NodePath,
 };
 
@@ -69,3 +69,20 @@
         let _ = s.parse::<ProcessName>();
     }
 }
+
+/// Guards against limits that are read too high, and against text that is taken for a limit.
+#[test]
+fn request_rates_are_decimal() {
+    for (text, parts) in [
+        ("2.4", 2400),
+        (" 0.05", 50),
+        ("12", 12_000),
+        ("1.9999", 1999),
+    ] {
+        assert_eq!(text.parse(), Ok(RequestRate(parts)));
+    }
+    for text in ["", "-1", "NaN", "inf", "2/s", "1e12"] {
+        assert_matches!(text.parse::<RequestRate>(), Err(_), "{text}");
+    }
+    assert_eq!(RequestRate(2300).to_string(), "2.3");
+}
