--- a/tests/endpoint_word.rs
+++ b/tests/endpoint_word.rs
@@ -5,7 +5,8 @@
 use gateway_support::{
     addr,
     gateway::{
-        arrivals, catalog, request, respond, with_gateway, with_store, CALLERS, HELD, MODEL,
+        arrivals, catalog, request, respond, with_gateway, with_header, with_store, CALLERS, HELD,
+        MODEL,
     },
     header, send_request, MemoryStore, Step,
 };
@@ -14,18 +15,6 @@
     gateway::{Catalog, EngineSpeed, Topic},
 };
 
-/// Adds a header to each response of a script.
-fn with_header(script: Vec<Step>, line: &str) -> Vec<Step> {
-    let add = |text: String| text.replacen("\r\n", &format!("\r\n{line}\r\n"), 1);
-    script
-        .into_iter()
-        .map(|step| match step {
-            Step::Send(text) => Step::Send(add(text)),
-            step => step,
-        })
-        .collect()
-}
-
 /// Guards against requests to an endpoint that reported in a response that it is draining.
 #[test]
 fn draining_endpoints_get_no_requests() {
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -24,17 +24,23 @@
 /// Port for callers' requests.
 pub const CALLERS: u16 = 8001;
 
+/// Returns the settings of the first entry.
 pub fn settings() -> GatewaySettings {
+    settings_of(1)
+}
+
+/// Returns the settings of the entry on host `n`.
+pub fn settings_of(n: u8) -> GatewaySettings {
     GatewaySettings {
         name: "entry".parse().expect("a valid name"),
         zone: "a".parse().expect("a valid name"),
         region: "r".parse().expect("a valid name"),
         listen: Listen {
-            callers: addr(1, CALLERS),
-            readiness: Some(addr(1, 8002)),
-            directory: Some(addr(1, 8003)),
-            metrics: Some(addr(1, 8005)),
-            peers: addr(1, 8004),
+            callers: addr(n, CALLERS),
+            readiness: Some(addr(n, 8002)),
+            directory: Some(addr(n, 8003)),
+            metrics: Some(addr(n, 8005)),
+            peers: addr(n, 8004),
         },
         seeds: Vec::new(),
         bounds: Bounds::default(),
@@ -100,6 +106,18 @@
     ))]
 }
 
+/// Adds a header to each response of a script.
+pub fn with_header(script: Vec<Step>, line: &str) -> Vec<Step> {
+    let add = |text: String| text.replacen("\r\n", &format!("\r\n{line}\r\n"), 1);
+    script
+        .into_iter()
+        .map(|step| match step {
+            Step::Send(text) => Step::Send(add(text)),
+            step => step,
+        })
+        .collect()
+}
+
 /// Returns a script that refuses a request as not run.
 pub fn refusal() -> Vec<Step> {
     let text = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
@@ -148,23 +166,28 @@
             store.write(Topic::Endpoints, &format!("e{i}"), &value);
         }
         store.write(Topic::Operator, "config", "1");
-        let run = gateway::run::<_, TestDecode>(
-            || Ok(settings()),
-            Headers::default(),
-            store.clone(),
-            LeftOut::default(),
-        );
-        tokio::task::spawn_local(run);
-        while !send_request(addr(1, 8002), "GET /ready HTTP/1.0\r\n\r\n", 300)
-            .await
-            .contains(" 200 ")
-        {
-            tokio::time::sleep(Millis(20).duration()).await;
-        }
+        start_entry(1, store.clone()).await;
         test(seen, store).await;
     });
 }
 
+/// Starts the entry on host `n` and waits until it is ready.
+pub async fn start_entry(n: u8, store: MemoryStore) {
+    let run = gateway::run::<_, TestDecode>(
+        move || Ok(settings_of(n)),
+        Headers::default(),
+        store,
+        LeftOut::default(),
+    );
+    tokio::task::spawn_local(run);
+    while !send_request(addr(n, 8002), "GET /ready HTTP/1.0\r\n\r\n", 300)
+        .await
+        .contains(" 200 ")
+    {
+        tokio::time::sleep(Millis(20).duration()).await;
+    }
+}
+
 /// Returns the number of requests that reached the endpoints.
 pub fn arrivals(seen: &[Rc<Seen>]) -> usize {
     seen.iter().map(|s| s.requests.borrow().len()).sum()
