fix(gateway): entries that join without the store get to know the others

Callers saw nothing yet: an entry that starts while the store is away knows its seeds alone, and the others learn of it late or, in deployments of up to 16 entries, never, until the store is back. Cause: entries that send to all others relay no heartbeats, and in larger deployments the reply to a new entry depends on a random draw. What all entries have to share, such as a limit of an endpoint, is then decided by each part alone. Change: while an entry is new, datagrams relay heartbeats also in small deployments, those of new entries first but at most half; an entry that is new gets the next datagram from those that it sent to. Result: `joining_entries_learn_of_the_others` failed before (the seed's datagram held its own heartbeat only) and passes.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -50,9 +50,10 @@
         };
         let now = ctx.now();
         ctx.merge_desired(datagram.desired);
-        if let Some(sender) = datagram.heartbeats.first() {
+        let sender = datagram.heartbeats.first().map(|h| h.peer);
+        if let Some(sender) = sender {
             let mut balance = ctx.balancer.borrow_mut();
-            balance.merge_peer_load(sender.peer, &datagram.in_flight, now);
+            balance.merge_peer_load(sender, &datagram.in_flight, now);
         }
         merge_leaving(&ctx, &datagram.leaving);
         let mut members = ctx.members.borrow_mut();
@@ -65,6 +66,9 @@
                 ctx.peer_ahead.notify_waiters();
             }
         }
+        if let Some(sender) = sender {
+            members.note_sender(sender, now);
+        }
     }
 }
 
@@ -105,7 +109,7 @@
             tokio::time::sleep(remaining).await;
         }
         let (targets, all) = {
-            let members = ctx.members.borrow();
+            let mut members = ctx.members.borrow_mut();
             (members.gossip_targets(ctx.now()), members.sends_to_all())
         };
         ctx.balancer.borrow_mut().set_peers_complete(all);
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -2,7 +2,7 @@
 //!
 //! Each entry announces itself in the store once and then sends a heartbeat several times a second: to all entries
 //! while they are few, otherwise to some of its zone and a few random ones of others, together with the newest
-//! heartbeats that it has of other entries. An entry whose heartbeat count does not increase is left out of the
+//! heartbeats that it has of other entries; so it does for a while after an entry joined. An entry whose heartbeat count does not increase is left out of the
 //! directory.
 
 use std::net::SocketAddr;
@@ -133,6 +133,8 @@
     pub heartbeat: Heartbeat,
     /// Time at which this entry received that heartbeat or announcement.
     last_seen: Millis,
+    /// Time at which this entry first received a heartbeat or the announcement of the entry's present process.
+    joined: Millis,
     /// Whether a heartbeat arrived, not only the announcement in the store.
     sends_heartbeats: bool,
     /// End of the backoff after the entry did not send its endpoint table.
@@ -147,6 +149,7 @@
             rank: rank(heartbeat.peer),
             heartbeat,
             last_seen: now,
+            joined: now,
             sends_heartbeats,
             backoff_until: Millis::ZERO,
         }
@@ -180,6 +183,8 @@
     /// Rank of this entry; see [`rank`].
     rank: u64,
     others: HashMap<SocketAddr, Member>,
+    /// Entries that joined lately and sent a datagram since the last one of this entry.
+    joining: HashSet<SocketAddr>,
 }
 
 impl Membership {
@@ -189,6 +194,7 @@
             rank: rank(me.peer),
             me,
             others: HashMap::default(),
+            joining: HashSet::default(),
         }
     }
 
@@ -225,32 +231,55 @@
             return false;
         }
         let changed = known.heartbeat.status.ready != heartbeat.status.ready || !known.is_live(now);
+        if known.heartbeat.boot != heartbeat.boot {
+            known.joined = now;
+        }
         known.heartbeat = heartbeat;
         known.last_seen = now;
         known.sends_heartbeats = true;
         changed
     }
 
+    /// Notes that a datagram of an entry arrived. One that joined lately gets the next datagram, whatever its zone, because
+    /// it may know only the entries to which it sends.
+    pub fn note_sender(&mut self, peer: SocketAddr, now: Millis) {
+        let member = self.others.get(&peer);
+        if member.is_some_and(|m| now < m.joined + JOIN_GRACE) {
+            self.joining.insert(peer);
+        }
+    }
+
     /// Returns the heartbeats for the next datagram: a new one of this entry, then the most recently received ones of
     /// others. Also removes entries without a heartbeat for `RETENTION`.
     pub fn next_heartbeats(&mut self, status: Status, now: Millis) -> Vec<Heartbeat> {
         self.me.count += 1;
         self.me.status = status;
         self.others.retain(|_, m| now < m.last_seen + RETENTION);
-        if self.sends_to_all() {
+        if self.sends_to_all() && !self.is_joining(now) {
             return vec![self.me.clone()];
         }
         let mut newest: Vec<_> = self
             .others
             .values()
-            .filter(|m| m.sends_heartbeats)
+            .filter(|m| m.sends_heartbeats && m.is_live(now))
             .collect();
         newest.sort_unstable_by_key(|m| std::cmp::Reverse(m.last_seen));
-        let others = newest.into_iter().filter(|m| m.is_live(now));
-        let heartbeats = others.take(RELAY_MAX).map(|m| m.heartbeat.clone());
+        // Entries that joined lately come first, but do not displace all others.
+        let (joining, settled): (Vec<&Member>, Vec<&Member>) = newest
+            .into_iter()
+            .partition(|m| now < m.joined + JOIN_GRACE);
+        let share = (RELAY_MAX / 2).max(RELAY_MAX.saturating_sub(settled.len()));
+        let relayed = joining.into_iter().take(share).chain(settled);
+        let heartbeats = relayed.take(RELAY_MAX).map(|m| m.heartbeat.clone());
         std::iter::once(self.me.clone()).chain(heartbeats).collect()
     }
 
+    /// Returns whether another entry joined lately. It and the rest of the entries may not know of each other, because
+    /// neither could read the announcements in the store.
+    fn is_joining(&self, now: Millis) -> bool {
+        self.others.values().any(|m| now < m.joined + JOIN_GRACE)
+    }
+
     /// Returns whether each entry sends its datagrams to all others.
     pub fn sends_to_all(&self) -> bool {
         self.others.len() < SEND_ALL_MAX
@@ -258,7 +287,8 @@
 
     /// Chooses the entries that get the next datagram. If not all do, an entry that timed out is among them, so that
     /// the two sides of a healed network partition find each other.
-    pub fn gossip_targets(&self, now: Millis) -> Vec<SocketAddr> {
+    pub fn gossip_targets(&mut self, now: Millis) -> Vec<SocketAddr> {
+        let joining = std::mem::take(&mut self.joining);
         let peer = |m: &&Member| m.heartbeat.peer;
         if self.sends_to_all() {
             return self.others.values().map(|m| m.heartbeat.peer).collect();
@@ -273,6 +303,9 @@
         if !timed_out.is_empty() {
             out.push(timed_out[fastrand::usize(..timed_out.len())].heartbeat.peer);
         }
+        out.extend(joining);
+        out.sort_unstable();
+        out.dedup();
         out
     }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -242,7 +242,7 @@
         "state=draining running={}",
         ctx.running.get()
     );
-    let targets = ctx.members.borrow().gossip_targets(ctx.now());
+    let targets = ctx.members.borrow_mut().gossip_targets(ctx.now());
     send_gossip(ctx, socket, &targets).await;
     tokio::time::sleep(DRAIN_ACCEPT_TIME.duration()).await;
     closing.send_replace(true);
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -106,6 +106,29 @@
     assert!(heartbeats.len() <= 17, "{}", heartbeats.len());
 }
 
+/// Guards against an entry that starts while the store is away: it knows only its seed, and nobody else knows of it.
+#[test]
+fn joining_entries_learn_of_the_others() {
+    for count in [3, 60] {
+        let mut seed = members();
+        for host in 2..count {
+            seed.merge(heartbeat(host, "a", 1), Millis(100));
+        }
+        let later = Millis(60_000);
+        for host in 2..count {
+            seed.merge(heartbeat(host, "a", 2), later);
+        }
+        let joined = heartbeat(200, "z", 1);
+        seed.merge(joined.clone(), later);
+        seed.note_sender(joined.peer, later);
+        assert!(seed.gossip_targets(later).contains(&joined.peer));
+        let sent = seed.next_heartbeats(status(1), later);
+        assert!(sent.contains(&joined), "{count}: the others hear of it");
+        let others = sent.iter().filter(|h| h.peer != joined.peer);
+        assert!(others.count() > 1, "{count}: it hears of the others");
+    }
+}
+
 fn reader_heartbeat(host: u8, zone: &str, count: u64) -> Heartbeat {
     let status = Status {
         reads_store: true,
