fix(gateway): keep an endpoint's limit over all entries together

Cause: entries did not read the limit at all. Class of the fault: a bound on a sum that each process could at best keep by itself. With more entries than requests that the limit allows, one request of each is already too many, so that equal shares, rounded up, do not keep it either. Change: each request to a limited endpoint needs a permit. For each endpoint one entry, the same in the view of all, issues permits from a token bucket that starts empty, so that a change of the issuer adds nothing. An issuer grants the share of the limit that corresponds to the entries that it hears, which bounds the sum over the parts of a partition. Limits and withdrawals are gossiped with their age; a late response withdraws nothing. An entry that gets no permit closes the endpoint until another may be granted: requests go elsewhere, or are rejected at once with that time as `Retry-After`, spread over the callers that were told so. Retries, resumed streams and requests whose connection took long to open pass the same check. Permits expire after 1 s. A limit below 0.05 a second still gets one request in 20 s, so that its withdrawal is noticed.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 pub mod lease;
 pub mod limit;
 pub mod member;
+pub mod permit;
 pub mod retry;
 pub mod rollout;
 pub mod route;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,24 +1,25 @@
 //! State that all requests of an entry share.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
 };
 
 use bytes::Bytes;
-use tokio::sync::Notify;
+use tokio::{net::UdpSocket, sync::Notify};
 
 use super::{
     catalog::{Catalog, CatalogVersion},
     desired::DesiredVersions,
     endpoint_table::{EndpointId, EndpointTable},
-    limits::Limits,
+    limits::{LimitReport, Limits},
     load_balancer::LoadBalancer,
     load_view::Outcome,
     log_event,
     members::{DesiredAge, Membership},
     metrics::GatewayMetrics,
     ownership::owned_endpoints,
+    permits::Permits,
     record::WeightVersion,
     schedule::LoadSchedule,
     Bounds, GatewaySettings, Headers,
@@ -65,6 +66,9 @@
     pub(super) balancer: RefCell<LoadBalancer>,
     /// Limits of the request rate that endpoints named.
     pub(super) limits: RefCell<Limits>,
+    pub(super) permits: RefCell<Permits>,
+    /// Socket for datagrams to other entries; set before the entry is ready.
+    pub(super) socket: OnceCell<Rc<UdpSocket>>,
     pub(super) members: RefCell<Membership>,
     pub(super) desired: RefCell<HashMap<Rc<str>, DesiredVersions>>,
     /// Load schedule of each service, for its newest desired versions and the endpoints since the last change.
@@ -116,6 +120,8 @@
             endpoints: RefCell::default(),
             balancer: RefCell::default(),
             limits: RefCell::default(),
+            permits: RefCell::default(),
+            socket: OnceCell::new(),
             members: RefCell::new(members),
             desired: RefCell::default(),
             schedules: RefCell::default(),
@@ -223,6 +229,38 @@
         }
     }
 
+    /// Merges limits of endpoints that another entry reported.
+    pub(super) fn merge_limits(&self, reports: &[LimitReport]) {
+        let now = self.now();
+        for report in reports {
+            if !self.limits.borrow_mut().merge(report, now) {
+                continue;
+            }
+            let limit = report.rate.map_or("none".to_owned(), |r| r.to_string());
+            emit!(
+                log_event::LIMIT,
+                "endpoint={:08x} limit={limit} age={} source=entry",
+                report.endpoint.0,
+                report.age
+            );
+        }
+    }
+
+    /// Drops limits and issuers that are no longer needed.
+    pub(super) fn expire_limits(&self, now: Millis) {
+        let mut limits = self.limits.borrow_mut();
+        if limits.is_empty() {
+            return;
+        }
+        let table = self.endpoints.borrow();
+        let present: HashSet<_> = table.iter().map(|e| e.id.hash()).collect();
+        limits.expire(|endpoint| present.contains(&endpoint), now);
+        let mut permits = self.permits.borrow_mut();
+        permits
+            .issuers
+            .retain(|endpoint| limits.by_hash(endpoint).is_some());
+    }
+
     /// Returns the desired versions for gossip: those that may not be enforced yet at every entry.
     pub(super) fn desired_ages(&self) -> Vec<DesiredAge> {
         let now = self.now();
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -87,7 +87,8 @@
             return;
         }
     };
-    let changed = ctx.limits.borrow_mut().record(&target.id, observation);
+    let now = ctx.now();
+    let changed = ctx.limits.borrow_mut().record(&target.id, observation, now);
     if changed {
         emit!(
             log_event::LIMIT,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,7 +9,7 @@
 use super::{
     accept::Job,
     catalog::Repeat,
-    choose::choose,
+    choose::{choose, Choice},
     context::{Context, InFlight},
     endpoint_table::EndpointId,
     evaluate::evaluate,
@@ -17,6 +17,7 @@
     load_balancer::Refusal,
     load_view::Outcome,
     log_event,
+    permits::{self, Permit},
     record::WeightVersion,
     reply::Reject,
 };
@@ -25,6 +26,9 @@
 /// Longest time to open a connection to an endpoint.
 const CONNECT_TIMEOUT: Millis = Millis(400);
 
+/// Largest number of endpoints for which one attempt asks for a permit.
+const PERMIT_REQUESTS_MAX: u32 = 3;
+
 /// Least time before the deadline for another attempt; with less, an endpoint could not finish any request.
 const REMAINING_MIN: Millis = Millis(10);
 
@@ -97,6 +101,27 @@
     }
 }
 
+/// Chooses an endpoint and obtains the permit for the request if the endpoint limits its request rate.
+///
+/// # Errors
+///
+/// Returns why no endpoint may get the request.
+async fn choose_permitted(
+    ctx: &Context,
+    job: &Job,
+    attempts: &Attempts,
+) -> Result<(Choice, Permit), Refusal> {
+    for _ in 0..PERMIT_REQUESTS_MAX {
+        let choice = choose(ctx, job, attempts, ctx.now())?;
+        if let Some(permit) = permits::obtain(ctx, &choice.id).await {
+            return Ok((choice, permit));
+        }
+    }
+    permits::close_limited(ctx, &job.service);
+    let choice = choose(ctx, job, attempts, ctx.now())?;
+    Ok((choice, Permit::Unlimited))
+}
+
 /// Chooses an endpoint and sends the request to it. `last` is the last event of the stream that the caller has, if the
 /// endpoint is to continue a stream.
 pub(super) async fn attempt(
@@ -105,8 +130,8 @@
     attempts: &mut Attempts,
     last: Option<EventId>,
 ) -> Result<Attempt, Refusal> {
+    let (choice, permit) = choose_permitted(ctx, job, attempts).await?;
     let now = ctx.now();
-    let choice = choose(ctx, job, attempts, now)?;
     let (id, addr) = (choice.id, choice.addr);
     attempts.tried.push(id.clone());
     let flight = InFlight::begin(ctx, id.clone(), job.prompt_tokens);
@@ -124,7 +149,7 @@
             return Ok(Attempt::NotSent);
         }
     };
-    if let Some(reason) = withhold_reason(ctx, &id, choice.begin_by) {
+    if let Some(reason) = withhold_reason(ctx, &id, choice.begin_by, permit) {
         emit!(
             log_event::ATTEMPT,
             "id={} endpoint={id} outcome=not-sent reason=\"{reason}\"",
@@ -168,8 +193,12 @@
     ctx: &Context,
     id: &EndpointId,
     begin_by: Option<Millis>,
+    permit: Permit,
 ) -> Option<&'static str> {
     let now = ctx.now();
+    if !permit.allows(ctx.limits.borrow().get(id), now) {
+        return Some("the endpoint limits its request rate");
+    }
     if begin_by.is_some_and(|at| at <= now) {
         return Some("a newer version of the weights is enforced");
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -13,13 +13,16 @@
     log_event,
     members::{EndpointHash, Gossip, Message, HEARTBEAT_INTERVAL},
     operator_records::Decode,
-    serve,
+    permits, serve,
 };
 use crate::{base::Millis, emit, http::get};
 
 /// Largest datagram, in bytes.
 const DATAGRAM_MAX: usize = 8 << 10;
 
+/// Largest number of limits in a datagram; keeps it below the smallest usual packet size.
+const LIMITS_MAX: usize = 80;
+
 /// Timeout of a query to another entry; a large catalog takes a while to arrive where many entries query it.
 const QUERY_TIMEOUT: Millis = Millis(1000);
 
@@ -30,8 +33,8 @@
 pub(super) async fn receive(ctx: Rc<Context>, socket: Rc<UdpSocket>) {
     let mut data = vec![0; DATAGRAM_MAX];
     loop {
-        let len = match socket.recv_from(&mut data).await {
-            Ok((len, _)) => len,
+        let (len, from) = match socket.recv_from(&mut data).await {
+            Ok(received) => received,
             Err(e) => {
                 log::debug!("cannot receive a datagram: {e}");
                 continue;
@@ -43,6 +46,18 @@
                 apply_update(&ctx, &update);
                 continue;
             }
+            Ok(Message::Limits(reports)) => {
+                ctx.merge_limits(&reports);
+                continue;
+            }
+            Ok(Message::PermitRequest(request)) => {
+                permits::answer(&ctx, &socket, request, from).await;
+                continue;
+            }
+            Ok(Message::PermitReply(reply)) => {
+                ctx.permits.borrow_mut().resolve(&reply);
+                continue;
+            }
             Err(e) => {
                 emit!(log_event::RECORD, "topic=beats reason=\"{e}\"");
                 continue;
@@ -83,16 +98,21 @@
         in_flight: ctx.balancer.borrow().in_flight(),
         leaving: ctx.endpoints.borrow().leaving(ctx.now()),
     };
-    let data = match postcard::to_stdvec(&Message::Gossip(datagram)) {
+    send_to_all(socket, &Message::Gossip(datagram), targets).await;
+}
+
+/// Sends a datagram to other entries. Lost datagrams are not sent again.
+pub(super) async fn send_to_all(socket: &UdpSocket, message: &Message, targets: &[SocketAddr]) {
+    let data = match postcard::to_stdvec(message) {
         Ok(data) => data,
         Err(e) => {
-            log::warn!("cannot encode a heartbeat datagram: {e}");
+            log::warn!("cannot encode a datagram: {e}");
             return;
         }
     };
     for target in targets {
         if let Err(e) = socket.send_to(&data, target).await {
-            log::debug!("cannot send a heartbeat to {target}: {e}");
+            log::debug!("cannot send a datagram to {target}: {e}");
         }
     }
 }
@@ -114,6 +134,15 @@
         };
         ctx.balancer.borrow_mut().set_peers_complete(all);
         send_gossip(&ctx, &socket, &targets).await;
+        send_limits(&ctx, &socket, &targets).await;
+    }
+}
+
+/// Tells other entries which limits endpoints named or withdrew.
+async fn send_limits(ctx: &Context, socket: &UdpSocket, targets: &[SocketAddr]) {
+    let reports = ctx.limits.borrow_mut().reports(ctx.now());
+    for part in reports.chunks(LIMITS_MAX) {
+        send_to_all(socket, &Message::Limits(part.to_vec()), targets).await;
     }
 }
 
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -10,6 +10,7 @@
 //! | callers retry after a rejection | may wait in an endpoint's queue beyond its slots, and may delay a load for longer |
 //! | an endpoint rejects requests | skipped for a short backoff that doubles |
 //! | an endpoint sends `Retry-After` | paused until then, whatever else is reported of it |
+//! | an endpoint limits its request rate | closed after each denied permit until another may be granted |
 //! | an endpoint fails part of its requests | its cost grows, so that it is used only when the others are loaded |
 //! | an endpoint is lost | its circuit breaker opens |
 
@@ -134,29 +135,25 @@
 }
 
 /// Endpoints that may get a request, each with its cost.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Candidates<'e> {
     /// Endpoints that this entry owns.
     owned: Vec<(&'e Endpoint, f64)>,
     others: Vec<(&'e Endpoint, f64)>,
     /// Whether any endpoint can run the request, now or later.
     any_capable: bool,
-    /// Earliest time at which a capable endpoint is no longer skipped; [`Millis::MAX`] if there is none.
-    available_at: Millis,
+    /// Capable endpoint that is expected to take requests first, and when it does.
+    available: Option<(&'e Endpoint, Millis)>,
 }
 
-impl Default for Candidates<'_> {
-    fn default() -> Self {
-        Self {
-            owned: Vec::new(),
-            others: Vec::new(),
-            any_capable: false,
-            available_at: Millis::MAX,
+impl<'e> Candidates<'e> {
+    /// Notes when a capable endpoint is expected to take requests again.
+    fn note_available(&mut self, e: &'e Endpoint, at: Millis) {
+        if self.available.is_none_or(|(_, first)| at < first) {
+            self.available = Some((e, at));
         }
     }
-}
 
-impl<'e> Candidates<'e> {
     /// Returns the cheapest of the owned endpoints and of up to [`CHOICES`] random others.
     fn best(mut self) -> Option<&'e Endpoint> {
         let others = (0..CHOICES.min(self.others.len())).map(|i| {
@@ -219,11 +216,21 @@
         if !found.any_capable {
             return Err(Refusal::Unavailable(unavailable_retry_after(&endpoints)));
         }
-        let available_at = found.available_at;
-        found.best().ok_or_else(|| {
-            let wait = crate::base::jitter(RETRY_AFTER);
-            Refusal::Overloaded(wait.max(available_at - now))
-        })
+        let available = found.available;
+        found.best().ok_or_else(|| self.overloaded(available, now))
+    }
+
+    /// Returns the refusal of a request while no endpoint takes it; `available` is the endpoint that is expected to take
+    /// requests first.
+    fn overloaded(&mut self, available: Option<(&Endpoint, Millis)>, now: Millis) -> Refusal {
+        let wait = crate::base::jitter(RETRY_AFTER);
+        let Some((e, at)) = available else {
+            return Refusal::Overloaded(wait);
+        };
+        if let Some(view) = self.views.get_mut(&e.id) {
+            view.closure.count_rejected(now);
+        }
+        Refusal::Overloaded(wait.max(at - now))
     }
 
     /// Collects the endpoints that may get a request now, with their costs.
@@ -247,12 +254,12 @@
             let limit = self.limit(e, query);
             let start = start.filter(|_| !stalled);
             let Some(drain) = drain_cost(start, query, now) else {
-                found.available_at = now;
+                found.note_available(e, now);
                 continue;
             };
             let view = self.views.entry(e.id.clone()).or_default();
-            let skipped_until = view.backoff.0.max(view.paused_until);
-            found.available_at = found.available_at.min(skipped_until);
+            let skipped_until = view.skipped_until();
+            found.note_available(e, view.expected_at(now));
             if skipped_until > now || !view.breaker.allows(now) {
                 continue;
             }
@@ -282,6 +289,13 @@
         }
     }
 
+    /// Keeps requests from an endpoint that limits its request rate until another permit may be granted. `interval` is
+    /// the mean time between two permits for this entry.
+    pub fn close(&mut self, id: &EndpointId, until: Millis, interval: Millis) {
+        let view = self.views.entry(id.clone()).or_default();
+        view.closure.extend(until, interval);
+    }
+
     fn is_capable(&self, e: &Endpoint, query: &EndpointQuery<'_>) -> bool {
         if e.record.draining || query.tried.contains(&e.id) {
             return false;
--- a/src/gateway/load_view.rs
+++ b/src/gateway/load_view.rs
@@ -75,6 +75,46 @@
     Abandoned,
 }
 
+/// Time in which an endpoint that limits its request rate gets no requests of this entry.
+#[derive(Debug, Default)]
+pub(super) struct Closure {
+    /// Time at which a permit may be granted again.
+    until: Millis,
+    /// Mean time between two permits for this entry.
+    interval: Millis,
+    /// Requests that this entry rejected in this closure, and whose callers may return.
+    rejected: u64,
+}
+
+impl Closure {
+    /// Begins or extends the closure; it is never shortened.
+    pub(super) fn extend(&mut self, until: Millis, interval: Millis) {
+        if until > self.until {
+            *self = Self {
+                until,
+                interval,
+                rejected: 0,
+            };
+        }
+    }
+
+    /// Counts a rejected request, so that callers are told to return one after the other.
+    pub(super) fn count_rejected(&mut self, now: Millis) {
+        if self.until > now {
+            self.rejected += 1;
+        }
+    }
+
+    /// Returns when the endpoint is expected to take a request beyond those that were rejected; in the past if it is not
+    /// closed.
+    fn expected_at(&self, now: Millis) -> Millis {
+        if self.until <= now {
+            return self.until;
+        }
+        self.until + self.interval.times(self.rejected)
+    }
+}
+
 /// Load of one endpoint as this entry knows it.
 #[derive(Debug, Default)]
 pub(super) struct LoadView {
@@ -93,12 +133,27 @@
     pub(super) backoff: (Millis, Millis),
     /// Time until which the endpoint asked to get no requests; a served request does not end this pause early.
     pub(super) paused_until: Millis,
+    /// Closure after a denied permit.
+    pub(super) closure: Closure,
     pub(super) breaker: Breaker,
     /// Newest version of weights that a response of the endpoint reported.
     pub(super) version: WeightVersion,
 }
 
 impl LoadView {
+    /// Returns the time until which the endpoint gets no requests.
+    pub(super) fn skipped_until(&self) -> Millis {
+        self.backoff
+            .0
+            .max(self.paused_until)
+            .max(self.closure.until)
+    }
+
+    /// Returns when the endpoint is expected to take a further request; not before [`LoadView::skipped_until`].
+    pub(super) fn expected_at(&self, now: Millis) -> Millis {
+        self.skipped_until().max(self.closure.expected_at(now))
+    }
+
     /// Returns the requests at the endpoint: those of this entry, and those of other entries as far as they are known.
     pub(super) fn load(&self, now: Millis, peers_complete: bool) -> u32 {
         let peer_load: u32 = self
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -37,6 +37,9 @@
     /// A request was sent to an endpoint that limits its request rate.
     LIMITED = 462, "gateway-limited", Info,
         "a request was sent to an endpoint that limits its request rate", "none";
+    /// An endpoint with a limit of its request rate gets no request of this entry for some time.
+    DENIED = 463, "gateway-denied", Info,
+        "no permit for a request to an endpoint that limits its request rate; the endpoint is skipped for a while", "check the load of the endpoint";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -11,10 +11,15 @@
 
 use super::{
     endpoint_table::{EndpointUpdate, TableDigest},
+    limits::LimitReport,
     ownership::ReadyEntry,
+    permits::{PermitReply, PermitRequest},
     CatalogVersion, WeightVersion,
 };
-use crate::base::{rendezvous, HashMap, HashSet, Millis, Zone};
+use crate::{
+    base::{rendezvous, HashMap, HashSet, Millis, Zone},
+    decide::permit::Fleet,
+};
 
 /// Interval of the datagrams to other entries.
 pub(super) const HEARTBEAT_INTERVAL: Millis = Millis(250);
@@ -33,6 +38,10 @@
 /// Heartbeat timeout: time without a newer heartbeat after which an entry counts as failed.
 const TIMEOUT: Millis = Millis(1800);
 
+/// Heartbeat timeout of the issuer of permits where heartbeats are relayed: some are late there by more than
+/// [`TIMEOUT`], and an entry that misses those of the issuer would issue permits beside it.
+const RELAYED_TIMEOUT: Millis = Millis(5000);
+
 /// Join grace period: time for which an announced entry counts as live before its first heartbeat.
 const JOIN_GRACE: Millis = Millis(2500);
 
@@ -50,6 +59,12 @@
 /// Time without a newer heartbeat after which a zone reader is no longer relied on; a few heartbeat intervals.
 const READER_TIMEOUT: Millis = Millis(800);
 
+/// Largest difference between the starts of entries that started together, as when the whole deployment starts.
+const SAME_START: Millis = Millis(2000);
+
+/// Number of heartbeats after which an entry has learned of all others by theirs.
+const SETTLED_HEARTBEATS: u64 = 10;
+
 /// Backoff before an entry that did not send its endpoint table is queried again.
 const QUERY_BACKOFF: Millis = Millis(1500);
 
@@ -118,6 +133,12 @@
     Gossip(Gossip),
     /// Sent by an agent, to the entries that read the store.
     Endpoint(EndpointUpdate),
+    /// Sent by another entry: limits that endpoints named or withdrew.
+    Limits(Vec<LimitReport>),
+    /// Sent by another entry to the issuer of an endpoint's permits.
+    PermitRequest(PermitRequest),
+    /// Sent by the issuer.
+    PermitReply(PermitReply),
 }
 
 impl Heartbeat {
@@ -139,7 +160,7 @@
     sends_heartbeats: bool,
     /// End of the backoff after the entry did not send its endpoint table.
     backoff_until: Millis,
-    /// Result of [`rank`], kept because [`Membership::is_zone_reader`] compares the ranks of a whole zone.
+    /// Result of [`rank`], kept because the ranks of many entries are compared at a time.
     rank: u64,
 }
 
@@ -161,7 +182,12 @@
         } else {
             JOIN_GRACE
         };
-        now < self.last_seen + limit
+        self.is_heard(limit, now)
+    }
+
+    /// Returns whether a heartbeat, or the announcement until then, arrived within `time`.
+    fn is_heard(&self, time: Millis, now: Millis) -> bool {
+        now < self.last_seen + time
     }
 
     /// Returns whether the entry can be relied on for the state of the store.
@@ -410,6 +436,44 @@
         ready.map(entry).collect()
     }
 
+    /// Returns the entry that issues the permits of an endpoint, among the ready ones; this entry if none is ready.
+    ///
+    /// An entry that joins or leaves changes the issuer only of the endpoints whose issuer it becomes or was. One that
+    /// has just started does not issue permits as long as there are others, because it may not know them all yet.
+    pub fn issuer(&self, endpoint: EndpointHash, now: Millis) -> SocketAddr {
+        let timeout = if self.sends_to_all() {
+            TIMEOUT
+        } else {
+            RELAYED_TIMEOUT
+        };
+        let live = self.others.values().filter(|m| m.is_heard(timeout, now));
+        let others = live.map(|m| (&m.heartbeat, m.rank));
+        let all = others.chain([(&self.me, self.rank)]);
+        let ready: Vec<_> = all.filter(|(h, _)| h.status.ready).collect();
+        let first_boot = ready.iter().map(|(h, _)| h.boot).min().unwrap_or(0);
+        let nearest = ready.iter().min_by_key(|(h, rank)| {
+            let later = h.boot > first_boot + SAME_START.0;
+            let starting = later && h.count < SETTLED_HEARTBEATS;
+            (starting, *rank as u32 ^ endpoint.0)
+        });
+        nearest.map_or(self.me.peer, |(h, _)| h.peer)
+    }
+
+    /// Returns how many of the entries that may send requests this one hears. Entries that were drained do not count,
+    /// and neither do those that never sent a heartbeat.
+    pub fn fleet(&self, now: Millis) -> Fleet {
+        let (mut live, mut known) = (1, 1);
+        for m in self.others.values().filter(|m| m.sends_heartbeats) {
+            if m.is_live(now) {
+                live += 1;
+                known += 1;
+            } else if m.heartbeat.status.ready {
+                known += 1;
+            }
+        }
+        Fleet { live, known }
+    }
+
     /// Returns up to `max` addresses for a caller of `zone`: entries of the zone if at least `NEAR_MIN` are ready,
     /// else of all zones; in random order.
     pub fn addresses(&self, zone: &str, max: usize, now: Millis) -> Vec<SocketAddr> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod metrics;
 mod operator_records;
 mod ownership;
+mod permits;
 mod record;
 mod reply;
 mod run;
@@ -53,7 +54,7 @@
 pub use events::{EventError, EventId, Events};
 pub use follow::{follow, Follower};
 pub use headers::Headers;
-pub use limits::{Limit, Limits, Observation};
+pub use limits::{Limit, LimitReport, Limits, Observation};
 pub use load_balancer::{EndpointQuery, LoadBalancer, PendingLoads, Refusal, WeightRequirement};
 pub use load_view::{Outcome, ReportedLoad};
 pub use members::{
@@ -61,6 +62,7 @@
 };
 pub use operator_records::{Decode, OperatorFollower, OperatorSink};
 pub use ownership::{owned_endpoints, ReadyEntry};
+pub use permits::{Grant, Issuers, PermitId, PermitReply, PermitRequest};
 pub use record::{
     EndpointRecord, OperatorRecord, Record, RecordStore, Records, Revision, StoreError, Topic,
     WeightVersion,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -112,7 +112,7 @@
     let socket = UdpSocket::bind(ctx.settings.listen.peers)
         .await
         .wrap_err("cannot bind the gossip socket; check the settings")?;
-    let socket = Rc::new(socket);
+    let socket = ctx.socket.get_or_init(|| Rc::new(socket)).clone();
     spawn_local(receive(ctx.clone(), socket.clone()));
     spawn_local(send_periodically(ctx.clone(), socket.clone()));
     spawn_local(follow_peers::<D>(ctx.clone()));
@@ -221,6 +221,7 @@
         }
         ctx.update_ownership();
         ctx.pool.sweep(now);
+        ctx.expire_limits(now);
         let fleet = ctx.endpoints.borrow();
         ctx.balancer
             .borrow_mut()
