fix(gateway): retries of all entries together stay within the budget

Callers saw nothing yet: where many entries share the burst of a service's retry budget, all of them together may send more retries than the bound allows, for example 410 entries 410 retries in the first requests of a storm, 336 allowed. Each entry kept its part of a bound on a sum, and a part below one retry was rounded up to one. The part was also fixed at the first request, when an entry may know few others, and an entry that restarts gets its part again. Change: a part of the burst may be less than a retry; one is then allowed with the probability that corresponds to the balance, and paid back from later requests. The part follows the number of known entries, and half of the burst is kept for entries that restart. Result: `shared_bursts_are_not_rounded_up` failed with the formula before (410 of 336 at 410 entries with one failed request each) and passes.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -16,20 +16,28 @@
 use crate::{base::Percent, wire::NotRun};
 
 /// Parts that make up a token, so that a percentage of a token is a whole number.
-const TOKEN_PARTS: u32 = 100;
+const TOKEN_PARTS: i32 = 100;
 
 /// Tokens that a budget holds at most by default: limits the burst of retries after a time without failures.
 pub const BURST_TOKENS: u32 = 10;
 
+/// Smallest number of processes among which a burst is divided, for a process that does not know all others yet.
+const PROCESSES_MIN: u32 = 4;
+
+/// Parts of a burst for each process: one for itself, and one for the process that replaces it after a restart.
+const BURSTS_PER_PROCESS: u32 = 2;
+
 /// Limits retries to a share of the requests: each request adds a share of a token, each retry takes a whole one.
 ///
-/// After `n` requests there were at most `n * share + burst` retries.
+/// After `n` requests there were at most `n * share + burst` retries. Where several processes share a burst, the part of
+/// each can be less than a token. It is not rounded up, because the sum over the processes would exceed the burst; a retry
+/// is then allowed with the probability that corresponds to the balance.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    /// Balance, in parts of a token.
-    parts: u32,
+    /// Balance, in parts of a token; negative by less than a token after a retry that was allowed by chance.
+    parts: i32,
     /// Largest value of `parts`.
-    limit: u32,
+    limit: i32,
 }
 
 impl Default for RetryBudget {
@@ -41,26 +49,58 @@
 impl RetryBudget {
     /// Creates a full budget that holds at most `burst` tokens.
     pub fn with_burst(burst: u32) -> Self {
-        let limit = burst.saturating_mul(TOKEN_PARTS);
+        Self::filled(burst_parts(burst, 1))
+    }
+
+    /// Creates a full budget of one of `processes` processes that share a burst of `burst` tokens.
+    pub fn shared(burst: u32, processes: u32) -> Self {
+        Self::filled(shared_parts(burst, processes))
+    }
+
+    fn filled(limit: i32) -> Self {
         Self {
             parts: limit,
             limit,
         }
     }
 
+    /// Changes the number of processes that share a burst of `burst` tokens.
+    pub fn share_among(&mut self, burst: u32, processes: u32) {
+        self.limit = shared_parts(burst, processes);
+        self.parts = self.parts.min(self.limit);
+    }
+
     /// Adds a request's share of a token.
     pub fn record_request(&mut self, share: Percent) {
-        self.parts = (self.parts + u32::from(share.0)).min(self.limit);
+        self.parts = (self.parts + i32::from(share.0)).min(self.limit);
     }
 
     /// Takes a token; returns `false` if none is left or a `share` of 0 % forbids retries.
     pub fn try_take(&mut self, share: Percent) -> bool {
-        if share.0 == 0 || self.parts < TOKEN_PARTS {
+        if share.0 == 0 || self.parts < self.needed() {
             return false;
         }
         self.parts -= TOKEN_PARTS;
         true
     }
+
+    /// Returns the balance with which a retry is allowed.
+    fn needed(&self) -> i32 {
+        if self.limit >= TOKEN_PARTS {
+            return TOKEN_PARTS;
+        }
+        fastrand::i32(1..=TOKEN_PARTS)
+    }
+}
+
+/// Returns a process's part of a burst that `processes` processes share, in parts of a token.
+fn shared_parts(burst: u32, processes: u32) -> i32 {
+    burst_parts(burst, processes.max(PROCESSES_MIN) * BURSTS_PER_PROCESS)
+}
+
+fn burst_parts(burst: u32, divisor: u32) -> i32 {
+    let parts = u64::from(burst) * TOKEN_PARTS as u64 / u64::from(divisor);
+    i32::try_from(parts).unwrap_or(i32::MAX)
 }
 
 /// Why an attempt brought no complete response.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -43,9 +43,6 @@
 /// Number of newest desired versions that have a load schedule; hosts skip versions older than these.
 const SCHEDULED_VERSIONS: usize = 3;
 
-/// Smallest number of entries among which the deployment's burst of retries is divided.
-const BUDGET_SHARES_MIN: u32 = 8;
-
 /// Shared state of an entry.
 #[derive(Debug)]
 pub(super) struct Context {
@@ -359,11 +356,11 @@
     fn budget<T>(&self, service: &Service, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let bounds = self.bounds.get();
-        let shares = BUDGET_SHARES_MIN.max(self.members.borrow().count() as u32 * 3 / 2);
-        let burst = (bounds.retry_burst / shares).max(1);
+        let (burst, entries) = (bounds.retry_burst, self.members.borrow().count() as u32);
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::with_burst(burst));
+            .or_insert_with(|| RetryBudget::shared(burst, entries));
+        budget.share_among(burst, entries);
         f(budget)
     }
 
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -40,6 +40,29 @@
     );
 }
 
+/// Load pattern: all requests of a service fail at all entries. Guards against parts of a shared burst that are rounded up,
+/// so that the retries of many entries exceed the bound over all of them, and against no retries at all.
+#[test]
+fn shared_bursts_are_not_rounded_up() {
+    let (share, burst) = (Percent(20), 254);
+    for processes in [1, 9, 48, 410] {
+        for requests in [1, 3, 10, 40] {
+            let mut budgets = vec![RetryBudget::shared(burst, processes); processes as usize];
+            let mut retries = 0;
+            for _ in 0..requests {
+                for budget in &mut budgets {
+                    budget.record_request(share);
+                    retries += u32::from(budget.try_take(share));
+                }
+            }
+            let allowed = processes * requests / 5 + burst;
+            let what = format!("{processes} processes, {requests} requests each");
+            assert!(retries <= allowed, "{what}: {retries}, {allowed} allowed");
+            assert!(retries >= processes * requests / 10, "{what}: {retries}");
+        }
+    }
+}
+
 /// Guards against a retry of a non-repeatable request that may have run, and against a second start of a response that
 /// was delivered in part.
 #[test]
