feat(gateway): count replies to permit requests, log endpoints by id

Callers saw nothing; the on-call engineer could not see how often an issuer denies permits or does not reply, and a limit that came from another entry was logged by the hash of the endpoint. Change: counter `gateway_permits` by outcome; SW461 names the endpoint's id also for limits of other entries; numbers of permit requests are random, so that a late reply to an earlier process matches none; an issuer is waited for 80 ms instead of 120 ms.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -234,10 +234,12 @@
                 continue;
             }
             let limit = report.rate.map_or("none".to_owned(), |r| r.to_string());
+            let table = self.endpoints.borrow();
+            let known = table.iter().find(|e| e.id.hash() == report.endpoint);
+            let endpoint = known.map_or("?", |e| &e.id.0);
             emit!(
                 log_event::LIMIT,
-                "endpoint={:08x} limit={limit} age={} source=entry",
-                report.endpoint.0,
+                "endpoint={endpoint} limit={limit} age={} source=entry",
                 report.age
             );
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -46,6 +46,8 @@
     pub(super) retries: Counter,
     /// Requests sent to endpoints that limited their request rate.
     pub(super) limited: Counter,
+    /// Replies to requests for permits.
+    permits: Family<OutcomeLabel, Counter>,
     /// Time to a complete response, in seconds.
     pub(super) response: Family<ServiceLabel, Histogram>,
     /// Time to the first event of a stream, in seconds.
@@ -70,6 +72,7 @@
             streams: Family::default(),
             retries: Counter::default(),
             limited: Counter::default(),
+            permits: Family::default(),
             response: Family::new_with_constructor(latency_histogram),
             first: Family::new_with_constructor(latency_histogram),
             left_out: Counter::default(),
@@ -83,6 +86,8 @@
             r.register("gateway_retries", "Further attempts", out.retries.clone());
             let help = "Requests sent to endpoints that limit their request rate";
             r.register("gateway_limited_requests", help, out.limited.clone());
+            let help = "Replies to requests for permits; `none` if the issuer did not reply";
+            r.register("gateway_permits", help, out.permits.clone());
             let help = "Time to a whole response";
             r.register("gateway_response_seconds", help, out.response.clone());
             let help = "Time to the first event of a stream";
@@ -93,6 +98,11 @@
         out
     }
 
+    /// Counts the reply to a request for a permit.
+    pub(super) fn count_permit(&self, outcome: &'static str) {
+        self.permits.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format, after bringing the count of left-out log lines up to date.
     pub(super) fn encode(&self) -> String {
         let new = self.lines.count().saturating_sub(self.left_out.get());
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -21,7 +21,7 @@
 };
 
 /// Time after which an issuer that has not answered is not waited for.
-const REPLY_TIMEOUT: Millis = Millis(120);
+const REPLY_TIMEOUT: Millis = Millis(80);
 
 /// Time for which an endpoint gets no requests of this entry after its issuer did not answer or was not the issuer: time
 /// for a heartbeat to change the view of one of them.
@@ -34,7 +34,7 @@
 /// Time from the request for a permit in which it must be used.
 const LIFETIME: Millis = Millis(1000);
 
-/// Number of a permit request, unique in a process.
+/// Number of a permit request. It is random, so that a late reply to an earlier process of the same host matches none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PermitId(pub u64);
 
@@ -144,14 +144,12 @@
 pub(super) struct Permits {
     pub(super) issuers: Issuers,
     pending: HashMap<PermitId, oneshot::Sender<Grant>>,
-    requested: u64,
 }
 
 impl Permits {
     /// Registers a request for a permit; the receiver gets the reply.
     fn register(&mut self) -> (PermitId, oneshot::Receiver<Grant>) {
-        self.requested += 1;
-        let id = PermitId(self.requested);
+        let id = PermitId(fastrand::u64(..));
         let (sender, receiver) = oneshot::channel();
         self.pending.insert(id, sender);
         (id, receiver)
@@ -180,6 +178,7 @@
     } else {
         request(ctx, issuer, endpoint, limit).await
     };
+    ctx.metrics.count_permit(grant.map_or("none", Grant::name));
     let (wait, interval) = match grant {
         Some(Grant::Granted) => {
             let until = start + LIFETIME;
