refactor(gateway): one job a file for messages, issuers and permits

Callers see no difference. Change: message.rs holds the datagrams, issuer.rs the issuers' decisions, permits.rs what talks to other entries; the hash of an endpoint's id stands beside the id, so that endpoint_table.rs no longer needs members.rs. What concerns limits left context.rs and forward.rs. Log lines on permits name the request's id. Requests for permits whose callers left are dropped. Tests for closed endpoints in `gateway_balance`.

--- a/src/gateway/assignment.rs
+++ b/src/gateway/assignment.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{context::Context, members::DesiredAge, OriginSpec, WeightVersion};
+use super::{context::Context, message::DesiredAge, OriginSpec, WeightVersion};
 use crate::base::{rendezvous, Millis, Service, Zone};
 
 /// Path of the assignment of a service's agents at an entry; followed by the service, the agent's zone and the tag of
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -12,11 +12,12 @@
     catalog::{Catalog, CatalogVersion},
     desired::DesiredVersions,
     endpoint_table::{EndpointId, EndpointTable},
-    limits::{LimitReport, Limits},
+    limits::Limits,
     load_balancer::LoadBalancer,
     load_view::Outcome,
     log_event,
-    members::{DesiredAge, Membership},
+    members::Membership,
+    message::DesiredAge,
     metrics::GatewayMetrics,
     ownership::owned_endpoints,
     permits::Permits,
@@ -226,40 +227,6 @@
         }
     }
 
-    /// Merges limits of endpoints that another entry reported.
-    pub(super) fn merge_limits(&self, reports: &[LimitReport]) {
-        let now = self.now();
-        for report in reports {
-            if !self.limits.borrow_mut().merge(report, now) {
-                continue;
-            }
-            let limit = report.rate.map_or("none".to_owned(), |r| r.to_string());
-            let table = self.endpoints.borrow();
-            let known = table.iter().find(|e| e.id.hash() == report.endpoint);
-            let endpoint = known.map_or("?", |e| &e.id.0);
-            emit!(
-                log_event::LIMIT,
-                "endpoint={endpoint} limit={limit} age={} source=entry",
-                report.age
-            );
-        }
-    }
-
-    /// Drops limits and issuers that are no longer needed.
-    pub(super) fn expire_limits(&self, now: Millis) {
-        let mut limits = self.limits.borrow_mut();
-        if limits.is_empty() {
-            return;
-        }
-        let table = self.endpoints.borrow();
-        let present: HashSet<_> = table.iter().map(|e| e.id.hash()).collect();
-        limits.expire(|endpoint| present.contains(&endpoint), now);
-        let mut permits = self.permits.borrow_mut();
-        permits
-            .issuers
-            .retain(|endpoint| limits.by_hash(endpoint).is_some());
-    }
-
     /// Returns the desired versions for gossip: those that may not be enforced yet at every entry.
     pub(super) fn desired_ages(&self) -> Vec<DesiredAge> {
         let now = self.now();
--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -4,10 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{
-    members::EndpointHash,
-    record::{EndpointRecord, Revision, WeightVersion},
-};
+use super::record::{EndpointRecord, Revision, WeightVersion};
 use crate::base::{rendezvous, HashMap, HashSet, Millis, Service};
 
 /// Time that endpoints get, after an outage of the store, to renew records that expired during it.
@@ -26,6 +23,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndpointId(pub Rc<str>);
 
+/// Hash of an endpoint's id; 32 bits, because each datagram lists every endpoint with requests in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EndpointHash(pub u32);
+
 impl EndpointId {
     /// Returns the hash of the id that stands for it in datagrams.
     pub fn hash(&self) -> EndpointHash {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -113,7 +113,7 @@
 ) -> Result<(Choice, Permit), Refusal> {
     for _ in 0..PERMIT_REQUESTS_MAX {
         let choice = choose(ctx, job, attempts, ctx.now())?;
-        if let Some(permit) = permits::obtain(ctx, &choice.id).await {
+        if let Some(permit) = permits::obtain(ctx, job, &choice.id).await {
             return Ok((choice, permit));
         }
     }
@@ -159,7 +159,7 @@
         return Ok(Attempt::NotSent);
     }
     attempts.sent += 1;
-    count_limited(ctx, job, &id);
+    permits::count_sent(ctx, job, &id);
     let target = Target {
         id,
         addr,
@@ -172,21 +172,6 @@
     Ok(send(ctx, job, attempts, target, last, choice.expected).await)
 }
 
-/// Logs and counts a request that is sent to an endpoint with a limit of its request rate.
-fn count_limited(ctx: &Context, job: &Job, id: &EndpointId) {
-    let Some(limit) = ctx.limits.borrow().get(id) else {
-        return;
-    };
-    ctx.metrics.limited.inc();
-    emit!(
-        log_event::LIMITED,
-        "id={} endpoint={id} limit={} age={}",
-        job.id(),
-        limit.rate,
-        ctx.now() - limit.at
-    );
-}
-
 /// Returns why a request must not be sent after all to the endpoint that was chosen for it; `None` if it may be sent.
 /// The state can have changed since the choice, because opening a connection takes time or the process was paused.
 fn withhold_reason(
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -8,10 +8,11 @@
 use super::{
     compression::decompress,
     context::Context,
-    endpoint_table::{Change, EndpointUpdate, TableDelta, TableDigest},
+    endpoint_table::{Change, EndpointHash, EndpointUpdate, TableDelta, TableDigest},
     followers::{apply_catalog, endpoint_changed},
     log_event,
-    members::{EndpointHash, Gossip, Message, HEARTBEAT_INTERVAL},
+    members::HEARTBEAT_INTERVAL,
+    message::{Gossip, Message},
     operator_records::Decode,
     permits, serve,
 };
@@ -47,7 +48,7 @@
                 continue;
             }
             Ok(Message::Limits(reports)) => {
-                ctx.merge_limits(&reports);
+                permits::merge_limits(&ctx, &reports);
                 continue;
             }
             Ok(Message::PermitRequest(request)) => {
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{endpoint_table::EndpointId, members::EndpointHash};
+use super::endpoint_table::{EndpointHash, EndpointId};
 use crate::base::{HashMap, Millis, RequestRate};
 
 /// Time for which a change is repeated to other entries: a few gossip intervals, because datagrams are lost.
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -18,9 +18,8 @@
 
 use super::{
     desired::DesiredVersions,
-    endpoint_table::{Endpoint, EndpointId},
+    endpoint_table::{Endpoint, EndpointHash, EndpointId},
     load_view::{LoadView, Outcome, ReportedLoad},
-    members::EndpointHash,
     record::WeightVersion,
     schedule::LoadSchedule,
 };
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -1,20 +1,18 @@
 //! Membership of the entries, by heartbeats that they exchange in datagrams.
 //!
 //! Each entry announces itself in the store once and then sends a heartbeat several times a second: to all entries
-//! while they are few, otherwise to some of its zone and a few random ones of others, together with the newest
-//! heartbeats that it has of other entries; so it does for a while after an entry joined. An entry whose heartbeat count does not increase is left out of the
-//! directory.
+//! while they are few, otherwise to some of its zone and a few random ones of others. Datagrams also relay the newest
+//! heartbeats of other entries if they do not go to all, or if an entry joined lately. An entry whose heartbeat count does
+//! not increase is left out of the directory.
 
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use super::{
-    endpoint_table::{EndpointUpdate, TableDigest},
-    limits::LimitReport,
+    endpoint_table::{EndpointHash, TableDigest},
     ownership::ReadyEntry,
-    permits::{PermitReply, PermitRequest},
-    CatalogVersion, WeightVersion,
+    CatalogVersion,
 };
 use crate::{
     base::{rendezvous, HashMap, HashSet, Millis, Zone},
@@ -98,49 +96,6 @@
     pub status: Status,
 }
 
-/// A desired version of weights and the time since it became desired.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DesiredAge {
-    /// Model name.
-    pub model: String,
-    /// Version of the model's weights.
-    pub version: WeightVersion,
-    /// Time since the process that read the operator's record did so.
-    pub age: Millis,
-}
-
-/// Hash of an endpoint's id; 32 bits, because each datagram lists every endpoint with requests in flight.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct EndpointHash(pub u32);
-
-/// Content of a datagram from one entry to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Gossip {
-    /// Heartbeat of the sender, then relayed heartbeats of other entries.
-    pub heartbeats: Vec<Heartbeat>,
-    /// Desired versions that may not be enforced yet.
-    pub desired: Vec<DesiredAge>,
-    /// The sender's requests in flight at each endpoint.
-    pub in_flight: Vec<(EndpointHash, u16)>,
-    /// Endpoints that announced lately that they are leaving.
-    pub leaving: Vec<EndpointHash>,
-}
-
-/// A datagram to an entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// Sent by another entry.
-    Gossip(Gossip),
-    /// Sent by an agent, to the entries that read the store.
-    Endpoint(EndpointUpdate),
-    /// Sent by another entry: limits that endpoints named or withdrew.
-    Limits(Vec<LimitReport>),
-    /// Sent by another entry to the issuer of an endpoint's permits.
-    PermitRequest(PermitRequest),
-    /// Sent by the issuer.
-    PermitReply(PermitReply),
-}
-
 impl Heartbeat {
     fn order(&self) -> (u64, u64) {
         (self.boot, self.count)
--- /dev/null
+++ b/src/gateway/message.rs
@@ -0,0 +1,51 @@
+//! Datagrams between entries, and from agents to entries.
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    endpoint_table::{EndpointHash, EndpointUpdate},
+    issuer::{PermitReply, PermitRequest},
+    limits::LimitReport,
+    members::Heartbeat,
+    record::WeightVersion,
+};
+use crate::base::Millis;
+
+/// A desired version of weights and the time since it became desired.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DesiredAge {
+    /// Model name.
+    pub model: String,
+    /// Version of the model's weights.
+    pub version: WeightVersion,
+    /// Time since the process that read the operator's record did so.
+    pub age: Millis,
+}
+
+/// Content of a datagram from one entry to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// Heartbeat of the sender, then relayed heartbeats of other entries.
+    pub heartbeats: Vec<Heartbeat>,
+    /// Desired versions that may not be enforced yet.
+    pub desired: Vec<DesiredAge>,
+    /// The sender's requests in flight at each endpoint.
+    pub in_flight: Vec<(EndpointHash, u16)>,
+    /// Endpoints that announced lately that they are leaving.
+    pub leaving: Vec<EndpointHash>,
+}
+
+/// A datagram to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Sent by another entry.
+    Gossip(Gossip),
+    /// Sent by an agent, to the entries that read the store.
+    Endpoint(EndpointUpdate),
+    /// Sent by another entry: limits that endpoints named or withdrew.
+    Limits(Vec<LimitReport>),
+    /// Sent by another entry to the issuer of an endpoint's permits.
+    PermitRequest(PermitRequest),
+    /// Sent by the issuer.
+    PermitReply(PermitReply),
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,11 +21,13 @@
 mod forward;
 mod gossip;
 mod headers;
+mod issuer;
 mod limits;
 mod load_balancer;
 mod load_view;
 mod log_event;
 mod members;
+mod message;
 mod metrics;
 mod operator_records;
 mod ownership;
@@ -49,20 +51,20 @@
 pub use desired::DesiredVersions;
 pub use directory::Directory;
 pub use endpoint_table::{
-    Change, Endpoint, EndpointId, EndpointTable, EndpointUpdate, TableDelta, TableDigest, RENEWAL,
+    Change, Endpoint, EndpointHash, EndpointId, EndpointTable, EndpointUpdate, TableDelta,
+    TableDigest, RENEWAL,
 };
 pub use events::{EventError, EventId, Events};
 pub use follow::{follow, Follower};
 pub use headers::Headers;
+pub use issuer::{Grant, Issuers, PermitId, PermitReply, PermitRequest};
 pub use limits::{Limit, LimitReport, Limits, Observation};
 pub use load_balancer::{EndpointQuery, LoadBalancer, PendingLoads, Refusal, WeightRequirement};
 pub use load_view::{Outcome, ReportedLoad};
-pub use members::{
-    DesiredAge, EndpointHash, Gossip, Heartbeat, Member, Membership, Message, Status,
-};
+pub use members::{Heartbeat, Member, Membership, Status};
+pub use message::{DesiredAge, Gossip, Message};
 pub use operator_records::{Decode, OperatorFollower, OperatorSink};
 pub use ownership::{owned_endpoints, ReadyEntry};
-pub use permits::{Grant, Issuers, PermitId, PermitReply, PermitRequest};
 pub use record::{
     EndpointRecord, OperatorRecord, Record, RecordStore, Records, Revision, StoreError, Topic,
     WeightVersion,
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -3,20 +3,20 @@
 
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, sync::oneshot};
 
 use super::{
+    accept::Job,
     context::Context,
-    endpoint_table::EndpointId,
+    endpoint_table::{EndpointHash, EndpointId},
     gossip::send_to_all,
+    issuer::{Grant, Issuers, PermitId, PermitReply, PermitRequest},
     limits::{Limit, LimitReport},
     log_event,
-    members::{EndpointHash, Membership, Message},
+    message::Message,
 };
 use crate::{
-    base::{HashMap, Millis, Service},
-    decide::permit::{PermitDecision, PermitIssuer},
+    base::{HashMap, HashSet, Millis, Service},
     emit,
 };
 
@@ -34,53 +34,6 @@
 /// Time from the request for a permit in which it must be used.
 const LIFETIME: Millis = Millis(1000);
 
-/// Number of a permit request. It is random, so that a late reply to an earlier process of the same host matches none.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct PermitId(pub u64);
-
-/// Request of an entry for a permit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PermitRequest {
-    /// Number of the request.
-    pub id: PermitId,
-    /// Limit of the endpoint as the entry knows it.
-    pub limit: LimitReport,
-}
-
-/// Reply of an issuer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PermitReply {
-    /// Number of the request.
-    pub id: PermitId,
-    /// Decision on it.
-    pub grant: Grant,
-}
-
-/// Decision of an issuer on a request for a permit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Grant {
-    /// One request may be sent.
-    Granted,
-    /// No permit is left.
-    Denied {
-        /// Time after which the entry may ask again.
-        wait: Millis,
-        /// Mean time between two permits for one entry.
-        interval: Millis,
-    },
-    /// The entry that was asked does not issue the endpoint's permits.
-    NotIssuer,
-}
-
-impl From<PermitDecision> for Grant {
-    fn from(decision: PermitDecision) -> Self {
-        match decision {
-            PermitDecision::Granted => Self::Granted,
-            PermitDecision::Denied { wait, interval } => Self::Denied { wait, interval },
-        }
-    }
-}
-
 /// Why a request may be sent to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Permit {
@@ -103,42 +56,6 @@
     }
 }
 
-/// Issuers of one entry, by the hashes of the endpoints' ids.
-#[derive(Debug, Default)]
-pub struct Issuers(HashMap<EndpointHash, PermitIssuer>);
-
-impl Issuers {
-    /// Decides on a request of an entry for a permit under the `limit` that this entry knows.
-    pub fn decide(
-        &mut self,
-        endpoint: EndpointHash,
-        limit: Option<Limit>,
-        members: &Membership,
-        from: SocketAddr,
-        now: Millis,
-    ) -> Grant {
-        if members.issuer(endpoint, now) != members.me().peer {
-            return Grant::NotIssuer;
-        }
-        // The limit was withdrawn after what the other entry knows; the next gossip tells it.
-        let Some(limit) = limit else {
-            return Grant::Granted;
-        };
-        let issuer = self
-            .0
-            .entry(endpoint)
-            .or_insert_with(|| PermitIssuer::new(now));
-        issuer
-            .request(from, limit.rate, members.fleet(now), now)
-            .into()
-    }
-
-    /// Drops the issuers of endpoints that have no limit.
-    pub fn retain(&mut self, limited: impl Fn(EndpointHash) -> bool) {
-        self.0.retain(|endpoint, _| limited(*endpoint));
-    }
-}
-
 /// Issuers of this entry, and its requests for permits that have no reply yet.
 #[derive(Debug, Default)]
 pub(super) struct Permits {
@@ -155,6 +72,11 @@
         (id, receiver)
     }
 
+    /// Drops requests for permits whose callers have left.
+    fn drop_abandoned(&mut self) {
+        self.pending.retain(|_, sender| !sender.is_closed());
+    }
+
     /// Passes a reply to the request that waits for it; ignored if none does.
     pub(super) fn resolve(&mut self, reply: &PermitReply) {
         if let Some(sender) = self.pending.remove(&reply.id) {
@@ -165,7 +87,7 @@
 
 /// Obtains a permit for one request to an endpoint; `None` if the endpoint takes no request now. The endpoint is then
 /// closed for this entry until it may ask again.
-pub(super) async fn obtain(ctx: &Context, id: &EndpointId) -> Option<Permit> {
+pub(super) async fn obtain(ctx: &Context, job: &Job, id: &EndpointId) -> Option<Permit> {
     let Some(limit) = ctx.limits.borrow().get(id) else {
         return Some(Permit::Unlimited);
     };
@@ -191,7 +113,8 @@
     ctx.balancer.borrow_mut().close(id, now + wait, interval);
     emit!(
         log_event::DENIED,
-        "endpoint={id} limit={} age={} issuer={issuer} grant={} wait={wait}",
+        "id={} endpoint={id} limit={} age={} issuer={issuer} grant={} wait={wait}",
+        job.id(),
         limit.rate,
         now - limit.at,
         grant.map_or("none", Grant::name)
@@ -213,15 +136,19 @@
     }
 }
 
-impl Grant {
-    /// Returns the name for logs.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Granted => "granted",
-            Self::Denied { .. } => "denied",
-            Self::NotIssuer => "not-issuer",
-        }
-    }
+/// Logs and counts a request that is sent to an endpoint with a limit of its request rate.
+pub(super) fn count_sent(ctx: &Context, job: &Job, id: &EndpointId) {
+    let Some(limit) = ctx.limits.borrow().get(id) else {
+        return;
+    };
+    ctx.metrics.limited.inc();
+    emit!(
+        log_event::LIMITED,
+        "id={} endpoint={id} limit={} age={}",
+        job.id(),
+        limit.rate,
+        ctx.now() - limit.at
+    );
 }
 
 /// Asks another entry for a permit; `None` if it does not reply in time.
@@ -254,7 +181,7 @@
     request: PermitRequest,
     from: SocketAddr,
 ) {
-    ctx.merge_limits(std::slice::from_ref(&request.limit));
+    merge_limits(ctx, std::slice::from_ref(&request.limit));
     let grant = decide(ctx, request.limit.endpoint, from);
     let reply = Message::PermitReply(PermitReply {
         id: request.id,
@@ -272,3 +199,38 @@
         .issuers
         .decide(endpoint, limit, &members, from, ctx.now())
 }
+
+/// Merges limits of endpoints that another entry reported.
+pub(super) fn merge_limits(ctx: &Context, reports: &[LimitReport]) {
+    let now = ctx.now();
+    for report in reports {
+        if !ctx.limits.borrow_mut().merge(report, now) {
+            continue;
+        }
+        let limit = report.rate.map_or("none".to_owned(), |r| r.to_string());
+        let table = ctx.endpoints.borrow();
+        let known = table.iter().find(|e| e.id.hash() == report.endpoint);
+        let endpoint = known.map_or("?", |e| &e.id.0);
+        emit!(
+            log_event::LIMIT,
+            "endpoint={endpoint} limit={limit} age={} source=entry",
+            report.age
+        );
+    }
+}
+
+/// Drops limits, issuers and requests for permits that are no longer needed.
+pub(super) fn expire_limits(ctx: &Context) {
+    ctx.permits.borrow_mut().drop_abandoned();
+    let mut limits = ctx.limits.borrow_mut();
+    if limits.is_empty() {
+        return;
+    }
+    let table = ctx.endpoints.borrow();
+    let present: HashSet<_> = table.iter().map(|e| e.id.hash()).collect();
+    limits.expire(|endpoint| present.contains(&endpoint), ctx.now());
+    let mut permits = ctx.permits.borrow_mut();
+    permits
+        .issuers
+        .retain(|endpoint| limits.by_hash(endpoint).is_some());
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -21,6 +21,7 @@
     members::{Heartbeat, Membership, Status},
     metrics::GatewayMetrics,
     operator_records::{Decode, OperatorFollower},
+    permits::expire_limits,
     record::{Record, RecordStore, Topic},
     serve, GatewaySettings, Headers,
 };
@@ -221,7 +222,7 @@
         }
         ctx.update_ownership();
         ctx.pool.sweep(now);
-        ctx.expire_limits(now);
+        expire_limits(&ctx);
         let fleet = ctx.endpoints.borrow();
         ctx.balancer
             .borrow_mut()
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -346,3 +346,39 @@
     let refused = LoadBalancer::default().pick(rollout.table.iter(), &long, NOW);
     assert!(matches!(refused, Err(Refusal::Overloaded(t)) if t < Millis(1000)));
 }
+
+/// Pattern: the only endpoint limits its request rate. Guards against requests before another permit may be granted,
+/// against callers that are told to return all at once, and against an endpoint that stays closed.
+#[test]
+fn closed_endpoints_space_out_returns() {
+    let (mut balancer, table, own_zone) = (LoadBalancer::default(), table(1), zone("a"));
+    let none = HashSet::default();
+    let (wait, interval) = (Millis(400), Millis(1000));
+    balancer.close(&name(0), NOW + wait, interval);
+    for i in 0..4 {
+        let rejected = balancer.pick(all(&table), &query(&own_zone, &none), NOW);
+        let Err(Refusal::Overloaded(retry)) = rejected else {
+            panic!("{rejected:?}");
+        };
+        assert!(retry >= wait + interval.times(i), "{i}: {retry}");
+    }
+    // A shorter closure does not replace a longer one.
+    balancer.close(&name(0), NOW + Millis(1), Millis::ZERO);
+    let mut pick = |now| {
+        balancer
+            .pick(all(&table), &query(&own_zone, &none), now)
+            .is_ok()
+    };
+    assert!(!pick(NOW + Millis(399)));
+    assert!(pick(NOW + wait));
+}
+
+/// Pattern: one endpoint limits its request rate, others do not. Guards against rejections while others are free.
+#[test]
+fn closed_endpoints_leave_the_others() {
+    let (mut balancer, table, own_zone) = (LoadBalancer::default(), table(4), zone("a"));
+    let none = HashSet::default();
+    balancer.close(&name(0), NOW + Millis(400), Millis(1000));
+    let (sent, _) = fill(&mut balancer, &table, &query(&own_zone, &none));
+    assert_eq!(sent, 3 * SLOTS);
+}
