fix(gateway): requests for permits do not grow with the number of entries

Callers saw nothing; an issuer got up to 168 requests for permits a second at 48 entries and a limit of 12 a second (model), which is 20 KB/s of the 13 KB/s that an entry may spend for control. Cause: an entry that was denied asked again after a mean of a sixteenth of an interval for each entry, and entries that waited longer than eight intervals no longer counted as asking. Change: the issuer aims at 40 requests a second, or at one and a half times the limit if that is more; an entry counts as asking for 15 s.

--- a/src/decide/permit.rs
+++ b/src/decide/permit.rs
@@ -20,15 +20,15 @@
 /// Lowest rate at which permits are granted. Without requests, nobody would learn that a limit was raised or withdrawn.
 const RATE_MIN: RequestRate = RequestRate(50);
 
-/// Requests for each permit that the issuer aims at. Processes whose requests are denied ask again over a time that
-/// grows with their number.
-const REQUESTS_PER_PERMIT: u64 = 8;
+/// Requests for permits that an issuer aims at, in thousandths per second: processes whose requests are denied ask again
+/// over a time that grows with their number, so that a large deployment costs its issuer no more than a small one.
+const REQUESTS_AIM: u64 = 40_000;
 
 /// Shortest time after which a process asks again.
 const WAIT_MIN: Millis = Millis(20);
 
-/// Time for which a process counts as asking after its last request, in intervals between two permits.
-const ASKING_INTERVALS: u64 = 8;
+/// Time for which a process counts as asking after its last request; most that were denied have asked again by then.
+const ASKING_TIME: Millis = Millis(15_000);
 
 /// Processes that share a limit, as the issuer knows them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,7 +84,7 @@
     ) -> PermitDecision {
         let rate = granted_rate(rate, fleet);
         let interval = PERMIT / rate;
-        self.record(from, Millis(interval), now);
+        self.record(from, now);
         self.refill(rate, now);
         if self.credit >= PERMIT {
             self.credit -= PERMIT;
@@ -92,7 +92,9 @@
         }
         let next = (PERMIT - self.credit).div_ceil(rate);
         let asking = self.asking.len() as u64;
-        let spread = (asking - 1) * interval / REQUESTS_PER_PERMIT;
+        // Half as many more requests than permits, so that hardly any permit expires where the rate is high.
+        let aim = REQUESTS_AIM.max(rate + rate / 2);
+        let spread = (asking - 1) * 2 * PERMIT / aim;
         PermitDecision::Denied {
             wait: WAIT_MIN.max(Millis(next + fastrand::u64(0..=spread))),
             interval: Millis(interval * asking),
@@ -108,10 +110,9 @@
     }
 
     /// Records that a process asks, and drops those that no longer do.
-    fn record(&mut self, from: SocketAddr, interval: Millis, now: Millis) {
-        let lifetime = interval.times(ASKING_INTERVALS);
+    fn record(&mut self, from: SocketAddr, now: Millis) {
         self.asking
-            .retain(|(peer, at)| *peer != from && now < *at + lifetime);
+            .retain(|(peer, at)| *peer != from && now < *at + ASKING_TIME);
         self.asking.push((from, now));
     }
 }
--- a/tests/limit_permits.rs
+++ b/tests/limit_permits.rs
@@ -88,6 +88,8 @@
     now: Millis,
     /// Times of the requests that reached the endpoint after the entries had learned of the limit.
     arrived: Vec<Millis>,
+    /// Requests for permits that reached an issuer.
+    asked: usize,
     /// Steps between two requests of the callers of one entry.
     pace: usize,
 }
@@ -99,6 +101,7 @@
             rate: Some(rate),
             now: START,
             arrived: Vec::new(),
+            asked: 0,
             pace: 3.max(count / 14),
         };
         // Entries know each other before the endpoint names its limit.
@@ -144,6 +147,7 @@
         if !self.reachable(i, j) {
             return None;
         }
+        self.asked += 1;
         let limit = self.entries[i].limits.by_hash(endpoint().hash())?;
         let report = LimitReport {
             endpoint: endpoint().hash(),
@@ -407,3 +411,33 @@
     let granted = zero.request(peer(0), RequestRate(0), fleet, START + wait);
     assert_eq!(granted, PermitDecision::Granted);
 }
+
+/// Bytes of a permit request and its reply, with the headers of UDP and IP.
+const EXCHANGE_BYTES: usize = 120;
+
+/// Bytes a second that an entry may spend for control.
+const CONTROL_BYTES: usize = 13_000;
+
+/// Load pattern: all entries want more than the endpoint takes. Guards against requests for permits whose number grows with
+/// that of the entries, so that the issuer spends more than it may.
+#[test]
+fn permit_requests_are_bounded() {
+    let seconds = 10;
+    for rate in RATES {
+        for count in COUNTS {
+            let mut model = Model::new(count, rate);
+            model.run(Millis(5000));
+            model.asked = 0;
+            model.run(Millis::from_secs(seconds as u64));
+            let bytes = model.asked * EXCHANGE_BYTES / seconds;
+            println!(
+                "{count} entries, limit {rate}: {} a second",
+                model.asked / seconds
+            );
+            assert!(
+                bytes <= CONTROL_BYTES,
+                "{count} entries, limit {rate}: {bytes} B/s"
+            );
+        }
+    }
+}
