fix(gateway): requests below a high limit of an endpoint are not denied

Callers saw nothing yet; beside a limit of 50 requests a second, some requests would go elsewhere or be rejected although the endpoint takes them. Cause: an issuer kept at most two permits, whatever the limit, so that requests that came close together found none. Change: it keeps two permits and those of 100 ms. The sum over a change of the issuer stays below one and a half times the limit.

--- a/src/decide/permit.rs
+++ b/src/decide/permit.rs
@@ -14,9 +14,12 @@
 /// Credit of one permit, in millionths of a request.
 const PERMIT: u64 = 1_000_000;
 
-/// Most permits that are kept for a burst.
+/// Most permits that are kept for a burst: this number, and those of [`BURST_TIME`].
 const BURST: u64 = 2;
 
+/// Time whose permits are kept for a burst beyond [`BURST`], so that requests below a high limit are seldom denied.
+const BURST_TIME: Millis = Millis(100);
+
 /// Lowest rate at which permits are granted. Without requests, nobody would learn that a limit was raised or withdrawn.
 const RATE_MIN: RequestRate = RequestRate(50);
 
@@ -56,7 +59,7 @@
 /// Issuer of the permits of one rate limit.
 #[derive(Clone, Debug)]
 pub struct PermitIssuer {
-    /// Credit in millionths of a request; at most that of [`BURST`] permits.
+    /// Credit in millionths of a request; at most that of [`BURST`] permits and of [`BURST_TIME`].
     credit: u64,
     /// Time up to which credit was added; never decreases.
     refilled: Millis,
@@ -105,7 +108,8 @@
     fn refill(&mut self, rate: u64, now: Millis) {
         // Thousandths of a request per second are millionths per millisecond.
         let gained = rate.saturating_mul((now - self.refilled).0);
-        self.credit = self.credit.saturating_add(gained).min(BURST * PERMIT);
+        let most = BURST * PERMIT + rate * BURST_TIME.0;
+        self.credit = self.credit.saturating_add(gained).min(most);
         self.refilled = self.refilled.max(now);
     }
 
--- a/tests/limit_permits.rs
+++ b/tests/limit_permits.rs
@@ -412,6 +412,25 @@
     assert_eq!(granted, PermitDecision::Granted);
 }
 
+/// Load pattern: requests arrive at random, at less than half of the limit. Guards against requests that are denied
+/// although the endpoint takes them.
+#[test]
+fn requests_below_a_high_limit_are_granted() {
+    let fleet = Fleet { live: 1, known: 1 };
+    let mut random = fastrand::Rng::with_seed(1);
+    for (rate, pause) in [(50_000, 45), (400_000, 6)] {
+        let mut issuer = PermitIssuer::new(START);
+        let (mut now, mut denied) = (START + Millis(5000), 0);
+        let count = 2000;
+        for _ in 0..count {
+            now += Millis((-random.f64().ln() * f64::from(pause)) as u64);
+            let decision = issuer.request(peer(0), RequestRate(rate), fleet, now);
+            denied += usize::from(decision != PermitDecision::Granted);
+        }
+        assert!(denied * 100 <= count, "{rate}: {denied} of {count} denied");
+    }
+}
+
 /// Bytes of a permit request and its reply, with the headers of UDP and IP.
 const EXCHANGE_BYTES: usize = 120;
 
