feat(gateway): log and count requests whose connections ended, with their parts

The logs did not tell whether a part of the prompts, load, or the endpoints were at fault, because neither the parts of a prompt nor the progress of each response at an end of an endpoint was logged.

Change: SW464 and the counter gateway_dropped_requests. The parts that a prompt shares with others are read from the header that lists them; no decision depends on them.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -19,6 +19,7 @@
     context::Context,
     events::EventId,
     headers::text,
+    prompt::{shared_parts, PartId},
     reply::Reject,
     Headers,
 };
@@ -50,6 +51,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) model: Option<Rc<str>>,
+    /// Parts of the prompt that other requests may share.
+    pub(super) parts: Vec<PartId>,
     /// Number of tokens in the prompt; 0 if unknown.
     pub(super) prompt_tokens: u32,
     /// Largest number of tokens that the output may have; 0 if unknown.
@@ -178,6 +181,7 @@
         .ok_or(Reject::Malformed)?;
     let time_left = header_number(&headers, &names.deadline).map_or(DEADLINE_DEFAULT, Millis);
     let model = text(&headers, &names.model).map(Rc::from);
+    let parts = shared_parts(text(&headers, &names.parts).unwrap_or_default());
     let mut tokens = text(&headers, &names.tokens)
         .unwrap_or_default()
         .split(',')
@@ -203,6 +207,7 @@
         headers,
         body,
         model,
+        parts,
         prompt_tokens,
         output_max,
         output_hint,
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -13,6 +13,7 @@
 use super::{
     accept::Job,
     context::Context,
+    dropped::{note_dropped, Ending, Progress},
     endpoint_table::{Change, EndpointId},
     followers::endpoint_changed,
     forward::{Attempt, Attempts, StreamingResponse, Target},
@@ -224,6 +225,8 @@
                 job.id(),
                 target.id
             );
+            let ending = Ending::of(&*e);
+            note_dropped(ctx, job, &target.id, Progress::Body, ending);
             target.flight.end(Outcome::Failed);
             return Attempt::Lost;
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -11,6 +11,7 @@
     catalog::Repeat,
     choose::{choose, Choice},
     context::{Context, InFlight},
+    dropped::{note_dropped, Ending, Progress},
     endpoint_table::EndpointId,
     evaluate::evaluate,
     events::EventId,
@@ -272,7 +273,8 @@
         Ok(Ok(res)) => res,
         Ok(Err(mut e)) => {
             let unsent = e.take_message().is_some();
-            let text = e.into_error().to_string();
+            let error = e.into_error();
+            let text = error.to_string();
             let outcome = if unsent { "not-sent" } else { "lost" };
             emit!(
                 log_event::ATTEMPT,
@@ -287,6 +289,8 @@
                 target.flight.end(Outcome::Abandoned);
                 return Attempt::NotSent;
             }
+            let ending = Ending::of(&error);
+            note_dropped(ctx, job, &target.id, Progress::Sent, ending);
             target.flight.end(Outcome::Unreachable);
             return Attempt::Lost;
         }
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -41,6 +41,9 @@
     pub model: HeaderName,
     /// Number of prompt tokens and largest number of output tokens, separated by a comma.
     pub tokens: HeaderName,
+    /// Parts of the prompt in order, as comma-separated `ID:TOKENS`, with ids in hexadecimal. Requests share parts; the
+    /// last part is the request's own.
+    pub parts: HeaderName,
     /// Number of output tokens that the caller expects.
     pub hint: HeaderName,
     /// Id of the last event that the caller has of the stream that it resumes.
@@ -66,6 +69,7 @@
             versions: name("x-weight-version"),
             model: name("x-model"),
             tokens: name("x-tokens"),
+            parts: name("x-prompt-parts"),
             hint: name("x-length-hint"),
             last_event: name("last-event-id"),
         }
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -40,6 +40,9 @@
     /// An endpoint with a limit of its request rate gets no request of this entry for some time.
     DENIED = 463, "gateway-denied", Info,
         "no permit for a request to an endpoint that limits its request rate; the endpoint is skipped for a while", "check the load of the endpoint";
+    /// The connection of a request in flight ended without a complete response.
+    DROPPED = 464, "gateway-dropped", Info,
+        "the connection of a request in flight ended without a complete response", "compare the parts of the prompts that were in flight at several ends of endpoints";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -30,6 +30,12 @@
     pub(super) outcome: &'static str,
 }
 
+/// Label of a request whose connection ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ProgressLabel {
+    progress: &'static str,
+}
+
 /// Label of latency histograms.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(super) struct ServiceLabel {
@@ -46,6 +52,8 @@
     pub(super) retries: Counter,
     /// Requests sent to endpoints that limited their request rate.
     pub(super) limited: Counter,
+    /// Requests in flight whose connections ended, by the progress of their responses.
+    dropped: Family<ProgressLabel, Counter>,
     /// Replies to requests for permits.
     permits: Family<OutcomeLabel, Counter>,
     /// Time to a complete response, in seconds.
@@ -72,6 +80,7 @@
             streams: Family::default(),
             retries: Counter::default(),
             limited: Counter::default(),
+            dropped: Family::default(),
             permits: Family::default(),
             response: Family::new_with_constructor(latency_histogram),
             first: Family::new_with_constructor(latency_histogram),
@@ -86,6 +95,9 @@
             r.register("gateway_retries", "Further attempts", out.retries.clone());
             let help = "Requests sent to endpoints that limit their request rate";
             r.register("gateway_limited_requests", help, out.limited.clone());
+            let help =
+                "Requests in flight whose connections ended, by the progress of their responses";
+            r.register("gateway_dropped_requests", help, out.dropped.clone());
             let help = "Replies to requests for permits; `none` if the issuer did not reply";
             r.register("gateway_permits", help, out.permits.clone());
             let help = "Time to a whole response";
@@ -98,6 +110,12 @@
         out
     }
 
+    /// Counts a request in flight whose connection ended.
+    pub(super) fn count_dropped(&self, progress: &'static str) {
+        let label = ProgressLabel { progress };
+        self.dropped.get_or_create(&label).inc();
+    }
+
     /// Counts the reply to a request for a permit.
     pub(super) fn count_permit(&self, outcome: &'static str) {
         self.permits.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod context;
 mod desired;
 mod directory;
+mod dropped;
 mod endpoint_table;
 mod evaluate;
 mod events;
@@ -32,6 +33,7 @@
 mod operator_records;
 mod ownership;
 mod permits;
+mod prompt;
 mod record;
 mod reply;
 mod run;
@@ -65,6 +67,7 @@
 pub use message::{DesiredAge, Gossip, Message};
 pub use operator_records::{Decode, OperatorFollower, OperatorSink};
 pub use ownership::{owned_endpoints, ReadyEntry};
+pub use prompt::{shared_parts, PartId, PartIdError};
 pub use record::{
     EndpointRecord, OperatorRecord, Record, RecordStore, Records, Revision, StoreError, Topic,
     WeightVersion,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,6 +14,7 @@
     accept::Job,
     catalog::Repeat,
     context::{Context, Running},
+    dropped::{note_dropped, Ending, Progress},
     evaluate::keep_connection,
     events::Events,
     forward::{attempt, may_repeat, Attempt, Attempts, StreamingResponse, Target},
@@ -40,6 +41,19 @@
     target: Target,
     headers: HeaderMap,
     body: Incoming,
+    /// Whether a whole event arrived.
+    begun: bool,
+}
+
+impl From<StreamingResponse> for Source {
+    fn from(response: StreamingResponse) -> Self {
+        Self {
+            target: response.target,
+            headers: response.head.headers,
+            body: response.body,
+            begun: false,
+        }
+    }
 }
 
 /// State of a stream that is forwarded to a caller.
@@ -83,11 +97,7 @@
             last_progress: ctx.now(),
             job,
             attempts,
-            source: Some(Source {
-                target: response.target,
-                headers: response.head.headers,
-                body: response.body,
-            }),
+            source: Some(response.into()),
             begun: false,
             cut: false,
             _running: running,
@@ -111,6 +121,7 @@
                 ReadResult::Events(data) => {
                     if let Some(source) = &mut self.source {
                         source.target.flight.prompt_read();
+                        source.begun = true;
                     }
                     if !self.begun {
                         self.begun = true;
@@ -203,8 +214,14 @@
                 tokio::time::timeout(timeout.min(left).duration(), source.body.frame()).await;
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(_))) => return ReadResult::Broken("connection lost"),
-                Ok(None) if self.events.is_partial() => return ReadResult::Broken("partial event"),
+                Ok(Some(Err(e))) => {
+                    self.note_dropped(Ending::of(&e));
+                    return ReadResult::Broken("connection lost");
+                }
+                Ok(None) if self.events.is_partial() => {
+                    self.note_dropped(Ending::Closed);
+                    return ReadResult::Broken("partial event");
+                }
                 Ok(None) => return ReadResult::End,
                 Err(_) if timeout < left => return ReadResult::Broken("silent"),
                 Err(_) => return ReadResult::DeadlinePassed,
@@ -220,6 +237,19 @@
         }
     }
 
+    /// Logs and counts that the connection of the present source ended.
+    fn note_dropped(&self, ending: Ending) {
+        let Some(source) = &self.source else {
+            return;
+        };
+        let progress = if source.begun {
+            Progress::Body
+        } else {
+            Progress::Head
+        };
+        note_dropped(&self.ctx, &self.job, &source.target.id, progress, ending);
+    }
+
     /// Continues the stream at another endpoint, after the last event that was forwarded.
     ///
     /// # Errors
@@ -237,11 +267,7 @@
             let result = attempt(&self.ctx, &self.job, &mut self.attempts, last).await;
             match result {
                 Ok(Attempt::Streaming(response)) => {
-                    self.source = Some(Source {
-                        target: response.target,
-                        headers: response.head.headers,
-                        body: response.body,
-                    });
+                    self.source = Some((*response).into());
                     self.last_progress = self.ctx.now();
                     self.log("resumed", "-");
                     return Ok(());
