--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -1,6 +1,7 @@
 //! An in-memory store, scripted endpoints and a raw HTTP client for tests of the gateway and of staging.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod fragile;
 pub mod gateway;
 
 use std::{
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -14,7 +14,10 @@
     assert_eq!(ids("5c1e07a2:800,91bd:4,e4:250"), [0x91bd, 0x5c1e_07a2]);
     assert_eq!(ids("00aB:1, ab:7 ,AB,f:1"), [0xab]);
     let long = "f".repeat(40);
-    assert_eq!(ids(&format!("{long}:1,1:1")), ids(&format!("0{long}:1,1:1")));
+    assert_eq!(
+        ids(&format!("{long}:1,1:1")),
+        ids(&format!("0{long}:1,1:1"))
+    );
 }
 
 /// Guards against a request's own part that is blamed in place of a shared one, and against text that is not an id.
