fix(gateway): quarantine parts of prompts that end endpoints

What callers saw: one request in twenty ended the endpoint that answered it, with all other streams there; entries sent it on, and then the next ones, until most endpoints were away. Callers with sound requests were rejected.

Cause: an end of an endpoint was blamed on the endpoint alone. Nothing looked at what the ended endpoints had in common, so the cause travelled with the requests: by the entry's own retries, the callers' retries, and new requests.

Change: entries note the parts of the prompts that were in flight at each end, tell each other within a few ms, and quarantine a part after two ends at which the answer had begun without an event, or three at which nothing had arrived, if a request was sent after one of them was known and none was answered since. Requests with it get 503 with the time of the next probe; one entry for all grants probes. Ends and answers are ordered by what was known when, not by clocks. One answered request clears a part.

--- a/src/base/clock.rs
+++ b/src/base/clock.rs
@@ -171,8 +171,8 @@
     }
 }
 
-/// Returns the wall-clock time in milliseconds since the Unix epoch; used only for display, request ids and the
-/// end of credits.
+/// Returns the wall-clock time in milliseconds since the Unix epoch; used only for display, request ids, the
+/// end of credits, and as the lower bound of counters that must outlast a process.
 pub fn wall_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- /dev/null
+++ b/src/decide/quarantine/probe.rs
@@ -0,0 +1,97 @@
+//! Schedule of the probes of a quarantined part.
+
+use serde::{Deserialize, Serialize};
+
+use crate::base::Millis;
+
+/// Time from the quarantine to the first probe, so that a part that was accused wrongly is soon cleared.
+const FIRST_PROBE: Millis = Millis(1500);
+
+/// Longest time between two probes.
+const INTERVAL_MAX: Millis = Millis(3_600_000);
+
+/// Factor of the interval after a probe that ended its endpoint: each one costs all requests in flight there.
+const FAILED_FACTOR: u64 = 20;
+
+/// Factor of the interval after a probe without a result.
+const OPEN_FACTOR: u64 = 2;
+
+/// Number of probes so far. Of two reports, the greater one is the newer one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ProbeProgress {
+    /// Probes that ended their endpoints.
+    pub failed: u32,
+    /// Probes granted since the last one that failed.
+    pub granted: u32,
+}
+
+impl ProbeProgress {
+    /// Returns the time until the next probe.
+    fn interval(self) -> Millis {
+        let failed = FAILED_FACTOR.saturating_pow(self.failed);
+        let open = OPEN_FACTOR.saturating_pow(self.granted);
+        FIRST_PROBE.times(failed).times(open).min(INTERVAL_MAX)
+    }
+}
+
+/// Schedule of the probes of one part, as one process knows it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ProbeSchedule {
+    pub(super) progress: ProbeProgress,
+    /// Time at which the next probe is due.
+    pub(super) next: Millis,
+}
+
+impl ProbeSchedule {
+    pub(super) fn new(now: Millis) -> Self {
+        let progress = ProbeProgress::default();
+        Self {
+            progress,
+            next: now + progress.interval(),
+        }
+    }
+
+    /// Counts a probe if one is due; returns whether it is.
+    pub(super) fn grant(&mut self, now: Millis) -> bool {
+        if now < self.next {
+            return false;
+        }
+        let granted = self.progress.granted + 1;
+        self.set(
+            ProbeProgress {
+                granted,
+                ..self.progress
+            },
+            now,
+        );
+        true
+    }
+
+    /// Records another end of an endpoint with the part in flight; after a granted probe, that is the probe's result.
+    pub(super) fn record_end(&mut self, now: Millis) {
+        if self.progress.granted == 0 {
+            return;
+        }
+        let failed = self.progress.failed + 1;
+        self.set(ProbeProgress { failed, granted: 0 }, now);
+    }
+
+    /// Merges the progress that another process knows; returns whether it is newer.
+    pub(super) fn merge(&mut self, progress: ProbeProgress, now: Millis) -> bool {
+        if progress <= self.progress {
+            return false;
+        }
+        self.set(progress, now);
+        true
+    }
+
+    /// Puts the next probe off, because the process that grants probes denied one.
+    pub(super) fn postpone(&mut self, until: Millis) {
+        self.next = self.next.max(until);
+    }
+
+    fn set(&mut self, progress: ProbeProgress, now: Millis) {
+        self.progress = progress;
+        self.next = now + progress.interval();
+    }
+}
--- /dev/null
+++ b/src/decide/quarantine/suspect.rs
@@ -0,0 +1,165 @@
+//! Evidence against one part.
+
+use super::{
+    evidence::{End, EndId, Generation, PartReport, Strength},
+    part::PartKey,
+    probe::ProbeSchedule,
+};
+use crate::base::Millis;
+
+/// Weight of the evidence from which on a part may be quarantined: two strong ends, or three weak ones.
+const WEIGHT_MIN: u32 = 6;
+const STRONG: u32 = 3;
+const WEAK: u32 = 2;
+
+/// Time for which the evidence against a part that used to be answered must last: other requests with it are probably in
+/// flight, and their answers clear it.
+pub(super) const SETTLE_TIME: Millis = Millis(500);
+
+/// The same, if another part has as much evidence from the same ends.
+pub(super) const SETTLE_TIED: Millis = Millis(2000);
+
+/// Largest number of ends that are kept for a part.
+const ENDS_MAX: usize = 16;
+
+/// Largest number of ends in a report; keeps datagrams small.
+const REPORTED_MAX: usize = 8;
+
+/// What one process knows of a part that was in flight at an end of an endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct Suspect {
+    /// Ends after `cleared`, in the order of their generations; at most [`ENDS_MAX`], each id once.
+    ends: Vec<End>,
+    /// Newest end after which a request with the part was answered, or that another part explains.
+    pub(super) cleared: Generation,
+    /// Whether requests with the part were answered before.
+    pub(super) served: bool,
+    /// Time since which there has been an end after `cleared`.
+    pub(super) since: Millis,
+    /// Probes, while the part is quarantined.
+    pub(super) probes: Option<ProbeSchedule>,
+    /// Time from which on other processes are told of the last change.
+    pub(super) changed: Millis,
+    /// Whether another process may know of the part.
+    pub(super) shared: bool,
+    /// Time at which the part was last in flight at an end, or in a request that was judged while it was quarantined.
+    pub(super) used: Millis,
+}
+
+impl Suspect {
+    pub(super) fn new(served: bool, now: Millis) -> Self {
+        Self {
+            ends: Vec::new(),
+            cleared: Generation::default(),
+            served,
+            since: now,
+            probes: None,
+            changed: now,
+            shared: false,
+            used: now,
+        }
+    }
+
+    /// Returns the ends that count.
+    pub(super) fn ends(&self) -> &[End] {
+        &self.ends
+    }
+
+    /// Returns whether an end counts against the part.
+    pub(super) fn has(&self, id: EndId) -> bool {
+        self.ends.iter().any(|e| e.id == id)
+    }
+
+    /// Returns whether all ends of this part are also ends of the other one.
+    pub(super) fn is_within(&self, other: &Self) -> bool {
+        self.ends.iter().all(|e| other.has(e.id))
+    }
+
+    /// Returns the newest generation that is known.
+    pub(super) fn newest(&self) -> Generation {
+        let last = self.ends.last().map(|e| e.generation);
+        last.unwrap_or_default().max(self.cleared)
+    }
+
+    /// Adds an end, or what another process knows of an end; returns whether that changed anything.
+    pub(super) fn add(&mut self, end: End, now: Millis) -> bool {
+        if end.generation <= self.cleared {
+            return false;
+        }
+        if let Some(known) = self.ends.iter_mut().find(|e| e.id == end.id) {
+            let before = *known;
+            known.generation = known.generation.max(end.generation);
+            known.after = known.after.max(end.after);
+            known.strength = known.strength.max(end.strength);
+            let changed = *known != before;
+            self.ends.sort_by_key(|e| e.generation);
+            return changed;
+        }
+        if self.ends.is_empty() {
+            self.since = now;
+        }
+        self.used = now;
+        let at = self
+            .ends
+            .partition_point(|e| e.generation <= end.generation);
+        self.ends.insert(at, end);
+        if self.ends.len() > ENDS_MAX {
+            self.ends.remove(0);
+        }
+        if let Some(probes) = &mut self.probes {
+            probes.record_end(now);
+        }
+        true
+    }
+
+    /// Removes an end that another part explains, or with `only_weak` one that another part explains better.
+    pub(super) fn remove(&mut self, id: EndId, only_weak: bool) {
+        self.ends
+            .retain(|e| e.id != id || (only_weak && e.strength == Strength::Strong));
+    }
+
+    /// Removes the ends up to a generation, after which a request with the part was answered; returns whether any was
+    /// removed.
+    pub(super) fn clear(&mut self, upto: Generation, now: Millis) -> bool {
+        if upto <= self.cleared {
+            return false;
+        }
+        let before = self.ends.len();
+        self.cleared = upto;
+        self.ends.retain(|e| e.generation > upto);
+        self.since = now;
+        self.ends.len() < before
+    }
+
+    /// Removes all ends, because another part explains them.
+    pub(super) fn forgive(&mut self, now: Millis) {
+        self.clear(self.newest(), now);
+    }
+
+    /// Returns the weight of the ends that count.
+    pub(super) fn weight(&self) -> u32 {
+        let weight = |e: &End| match e.strength {
+            Strength::Strong => STRONG,
+            Strength::Weak => WEAK,
+        };
+        self.ends.iter().map(weight).sum()
+    }
+
+    /// Returns whether the evidence suffices, apart from other parts that may explain the same ends.
+    pub(super) fn is_accused(&self) -> bool {
+        let repeated = self.ends.iter().any(|e| e.after > self.cleared);
+        repeated && self.weight() >= WEIGHT_MIN
+    }
+
+    /// Returns what other processes are told.
+    pub(super) fn report(&self, part: PartKey) -> PartReport {
+        let older = self.ends.len().saturating_sub(REPORTED_MAX);
+        PartReport {
+            part,
+            cleared: self.cleared,
+            ends: self.ends[older..].to_vec(),
+            served: self.served,
+            probes: self.probes.map(|p| p.progress),
+        }
+    }
+}
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -19,11 +19,14 @@
     context::Context,
     events::EventId,
     headers::text,
-    prompt::{shared_parts, PartId},
+    prompt::shared_parts,
     reply::Reject,
     Headers,
 };
-use crate::base::{rendezvous, Millis, Service};
+use crate::{
+    base::{rendezvous, Millis, Service},
+    decide::quarantine::PartKey,
+};
 
 /// Deadline of requests without a deadline header, counted from their arrival.
 const DEADLINE_DEFAULT: Millis = Millis(30_000);
@@ -52,7 +55,7 @@
     pub(super) body: Bytes,
     pub(super) model: Option<Rc<str>>,
     /// Parts of the prompt that other requests may share.
-    pub(super) parts: Vec<PartId>,
+    pub(super) parts: Vec<PartKey>,
     /// Number of tokens in the prompt; 0 if unknown.
     pub(super) prompt_tokens: u32,
     /// Largest number of tokens that the output may have; 0 if unknown.
@@ -196,6 +199,8 @@
     }
     let body = read_body(body, &catalog).await?;
     let service = route.service(rendezvous(b"split", id.as_bytes())).clone();
+    let parts = parts.into_iter().map(|id| PartKey::new(&service, id));
+    let parts = parts.collect();
     let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
     Ok(Job {
         retrying: time_left + RETRY_DEADLINE_GAP < route.timeout,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -27,7 +27,7 @@
 };
 use crate::{
     base::{Clock, HashMap, HashSet, Millis, Service, SystemClock},
-    decide::retry::RetryBudget,
+    decide::{quarantine::Quarantine, retry::RetryBudget},
     emit,
     http::Pool,
 };
@@ -65,6 +65,10 @@
     /// Limits of the request rate that endpoints named.
     pub(super) limits: RefCell<Limits>,
     pub(super) permits: RefCell<Permits>,
+    /// Parts of prompts that were in flight when endpoints ended.
+    pub(super) quarantine: RefCell<Quarantine>,
+    /// Makes this entry tell others of a change of `quarantine`.
+    pub(super) quarantine_news: Notify,
     /// Socket for datagrams to other entries; set before the entry is ready.
     pub(super) socket: OnceCell<Rc<UdpSocket>>,
     pub(super) members: RefCell<Membership>,
@@ -119,6 +123,8 @@
             balancer: RefCell::default(),
             limits: RefCell::default(),
             permits: RefCell::default(),
+            quarantine: RefCell::new(Quarantine::new(clock.now())),
+            quarantine_news: Notify::new(),
             socket: OnceCell::new(),
             members: RefCell::new(members),
             desired: RefCell::default(),
--- a/src/gateway/dropped.rs
+++ b/src/gateway/dropped.rs
@@ -2,8 +2,10 @@
 
 use std::{error::Error, fmt, io};
 
-use super::{accept::Job, context::Context, endpoint_table::EndpointId, log_event};
-use crate::emit;
+use super::{
+    accept::Job, context::Context, endpoint_table::EndpointId, log_event, screen::record_end,
+};
+use crate::{decide::quarantine::Generation, emit};
 
 /// Progress of a response when its connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -12,7 +14,9 @@
     Sent,
     /// Its head had arrived, but no whole event.
     Head,
-    /// Events, or a part of a plain body, had arrived.
+    /// One piece with whole events had arrived.
+    Event,
+    /// Several pieces with events, or a part of a plain body, had arrived.
     Body,
 }
 
@@ -22,6 +26,7 @@
         match self {
             Self::Sent => "sent",
             Self::Head => "head",
+            Self::Event => "event",
             Self::Body => "body",
         }
     }
@@ -63,11 +68,13 @@
     }
 }
 
-/// Logs and counts a request in flight whose connection ended.
+/// Logs and counts a request in flight whose connection ended, and records what that says of the parts of its prompt.
+/// `known` are the generations of the parts from the time at which the request was sent.
 pub(super) fn note_dropped(
     ctx: &Context,
     job: &Job,
     endpoint: &EndpointId,
+    known: &[Generation],
     progress: Progress,
     ending: Ending,
 ) {
@@ -80,4 +87,5 @@
         progress.name(),
         parts.join(",")
     );
+    record_end(ctx, job, endpoint, known, progress, ending);
 }
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -20,7 +20,7 @@
     headers::text,
     limits::Observation,
     load_view::{Outcome, ReportedLoad},
-    log_event,
+    log_event, screen,
 };
 use crate::{base::Millis, emit, http::Connection};
 
@@ -214,6 +214,7 @@
     head: Parts,
     body: Incoming,
 ) -> Attempt {
+    let known = screen::generations(ctx, job);
     let left = job.deadline - ctx.now();
     let read = Limited::new(body, RESPONSE_MAX).collect();
     let body = match tokio::time::timeout(left.duration(), read).await {
@@ -226,7 +227,7 @@
                 target.id
             );
             let ending = Ending::of(&*e);
-            note_dropped(ctx, job, &target.id, Progress::Body, ending);
+            note_dropped(ctx, job, &target.id, &target.known, Progress::Body, ending);
             target.flight.end(Outcome::Failed);
             return Attempt::Lost;
         }
@@ -236,6 +237,9 @@
         }
     };
     let status = head.status;
+    if status.is_success() {
+        screen::record_served(ctx, job, &known);
+    }
     let mut res = Response::new(Full::new(body));
     *res.status_mut() = status;
     *res.headers_mut() = response_headers(&head.headers);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -21,8 +21,9 @@
     permits::{self, Permit},
     record::WeightVersion,
     reply::Reject,
+    screen::{self, Pass},
 };
-use crate::{base::Millis, emit, http::Connection};
+use crate::{base::Millis, decide::quarantine::Generation, emit, http::Connection};
 
 /// Longest time to open a connection to an endpoint.
 const CONNECT_TIMEOUT: Millis = Millis(400);
@@ -50,6 +51,8 @@
     pub(super) idle_max: usize,
     /// When the request is sent.
     pub(super) sent_at: Millis,
+    /// Ends of endpoints that were known then of the parts of the prompt.
+    pub(super) known: Vec<Generation>,
     /// When the response must have begun, because a newer version of the weights is enforced from about then on.
     pub(super) begin_by: Option<Millis>,
 }
@@ -90,6 +93,8 @@
     pub(super) sent: u32,
     /// Version of the weights on which the response began.
     pub(super) version: Option<WeightVersion>,
+    /// Why the next attempt may be sent.
+    pub(super) pass: Pass,
 }
 
 impl Attempts {
@@ -98,6 +103,7 @@
             tried: Vec::new(),
             sent: 0,
             version: None,
+            pass: Pass::Clear,
         }
     }
 }
@@ -123,13 +129,32 @@
     Ok((choice, Permit::Unlimited))
 }
 
-/// Chooses an endpoint and sends the request to it. `last` is the last event of the stream that the caller has, if the
-/// endpoint is to continue a stream.
+/// Chooses an endpoint and sends the request to it, unless a part of its prompt is quarantined. `last` is the last event
+/// of the stream that the caller has, if the endpoint is to continue a stream.
+///
+/// # Errors
+///
+/// Returns why no endpoint may get the request.
 pub(super) async fn attempt(
     ctx: &Rc<Context>,
     job: &Job,
     attempts: &mut Attempts,
     last: Option<EventId>,
+) -> Result<Attempt, Refusal> {
+    attempts.pass = screen::admit(ctx, job, attempts).await?;
+    let result = send_to_chosen(ctx, job, attempts, last).await;
+    if !matches!(result, Ok(Attempt::NotSent)) {
+        // A probe is sent once.
+        attempts.pass = Pass::Clear;
+    }
+    result
+}
+
+async fn send_to_chosen(
+    ctx: &Rc<Context>,
+    job: &Job,
+    attempts: &mut Attempts,
+    last: Option<EventId>,
 ) -> Result<Attempt, Refusal> {
     let (choice, permit) = choose_permitted(ctx, job, attempts).await?;
     let now = ctx.now();
@@ -150,7 +175,10 @@
             return Ok(Attempt::NotSent);
         }
     };
-    if let Some(reason) = withhold_reason(ctx, &id, choice.begin_by, permit) {
+    let screened = attempts.pass == Pass::Probe || screen::is_clear(ctx, job);
+    let reason = withhold_reason(ctx, &id, choice.begin_by, permit);
+    let reason = reason.or((!screened).then_some("a part of the prompt is quarantined"));
+    if let Some(reason) = reason {
         emit!(
             log_event::ATTEMPT,
             "id={} endpoint={id} outcome=not-sent reason=\"{reason}\"",
@@ -168,6 +196,7 @@
         connection,
         idle_max: choice.idle_max,
         sent_at: ctx.now(),
+        known: screen::generations(ctx, job),
         begin_by: choice.begin_by,
     };
     Ok(send(ctx, job, attempts, target, last, choice.expected).await)
@@ -290,7 +319,7 @@
                 return Attempt::NotSent;
             }
             let ending = Ending::of(&error);
-            note_dropped(ctx, job, &target.id, Progress::Sent, ending);
+            note_dropped(ctx, job, &target.id, &target.known, Progress::Sent, ending);
             target.flight.end(Outcome::Unreachable);
             return Attempt::Lost;
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,7 +14,7 @@
     members::HEARTBEAT_INTERVAL,
     message::{Gossip, Message},
     operator_records::Decode,
-    permits, serve,
+    permits, screen, serve,
 };
 use crate::{base::Millis, emit, http::get};
 
@@ -55,6 +55,14 @@
                 permits::answer(&ctx, &socket, request, from).await;
                 continue;
             }
+            Ok(Message::Parts(reports)) => {
+                screen::merge(&ctx, &reports);
+                continue;
+            }
+            Ok(Message::ProbeRequest(request)) => {
+                screen::answer(&ctx, &socket, request, from).await;
+                continue;
+            }
             Ok(Message::PermitReply(reply)) => {
                 ctx.permits.borrow_mut().resolve(&reply);
                 continue;
@@ -136,6 +144,7 @@
         ctx.balancer.borrow_mut().set_peers_complete(all);
         send_gossip(&ctx, &socket, &targets).await;
         send_limits(&ctx, &socket, &targets).await;
+        screen::send_reports(&ctx, &socket, &targets).await;
     }
 }
 
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -122,6 +122,8 @@
     Unavailable(Millis),
     /// Every endpoint that could run the request is loaded, about to load weights, or skipped after failures.
     Overloaded(Millis),
+    /// Endpoints ended while they answered requests that share a part of the prompt.
+    Quarantined(Millis),
 }
 
 /// Load views of all endpoints that this entry has sent requests to or considered.
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -43,6 +43,12 @@
     /// The connection of a request in flight ended without a complete response.
     DROPPED = 464, "gateway-dropped", Info,
         "the connection of a request in flight ended without a complete response", "compare the parts of the prompts that were in flight at several ends of endpoints";
+    /// A part of prompts was quarantined or released.
+    QUARANTINE = 465, "gateway-quarantine", Warn,
+        "a part of prompts was quarantined because endpoints ended with it in flight, or released", "look for the requests with the part among the gateway-dropped lines";
+    /// A request with a quarantined part was rejected, or asked to be a probe.
+    SCREENED = 466, "gateway-screened", Info,
+        "a request with a quarantined part was rejected, or permission was asked to send it as a probe", "see the gateway-quarantine line of the part";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -270,17 +270,12 @@
     /// the two sides of a healed network partition find each other.
     pub fn gossip_targets(&mut self, now: Millis) -> Vec<SocketAddr> {
         let joining = std::mem::take(&mut self.joining);
-        let peer = |m: &&Member| m.heartbeat.peer;
+        let mut out = self.random_targets(now);
         if self.sends_to_all() {
-            return self.others.values().map(|m| m.heartbeat.peer).collect();
+            return out;
         }
-        let (mut live, timed_out): (Vec<_>, Vec<_>) =
-            self.others.values().partition(|m| m.is_live(now));
-        fastrand::shuffle(&mut live);
-        let near = live.iter().filter(|m| m.heartbeat.zone == self.me.zone);
-        let mut out: Vec<_> = near.take(ZONE_FANOUT).map(peer).collect();
-        let far = live.iter().filter(|m| m.heartbeat.zone != self.me.zone);
-        out.extend(far.take(REMOTE_FANOUT).map(peer));
+        let others = self.others.values();
+        let timed_out: Vec<_> = others.filter(|m| !m.is_live(now)).collect();
         if !timed_out.is_empty() {
             out.push(timed_out[fastrand::usize(..timed_out.len())].heartbeat.peer);
         }
@@ -290,6 +285,21 @@
         out
     }
 
+    /// Chooses the entries that get a datagram: all others while they are few, else some random live ones.
+    pub fn random_targets(&self, now: Millis) -> Vec<SocketAddr> {
+        let peer = |m: &&Member| m.heartbeat.peer;
+        if self.sends_to_all() {
+            return self.others.values().map(|m| m.heartbeat.peer).collect();
+        }
+        let mut live: Vec<_> = self.others.values().filter(|m| m.is_live(now)).collect();
+        fastrand::shuffle(&mut live);
+        let near = live.iter().filter(|m| self.is_near(m));
+        let mut out: Vec<_> = near.take(ZONE_FANOUT).map(peer).collect();
+        let far = live.iter().filter(|m| !self.is_near(m));
+        out.extend(far.take(REMOTE_FANOUT).map(peer));
+        out
+    }
+
     fn is_near(&self, m: &Member) -> bool {
         m.heartbeat.zone == self.me.zone
     }
@@ -391,11 +401,17 @@
         ready.map(entry).collect()
     }
 
-    /// Returns the entry that issues the permits of an endpoint, among the ready ones; this entry if none is ready.
-    ///
-    /// An entry that joins or leaves changes the issuer only of the endpoints whose issuer it becomes or was. One that
-    /// has just started does not issue permits as long as there are others, because it may not know them all yet.
+    /// Returns the entry that issues the permits of an endpoint; see [`Self::coordinator`].
     pub fn issuer(&self, endpoint: EndpointHash, now: Millis) -> SocketAddr {
+        self.coordinator(endpoint.0, now)
+    }
+
+    /// Returns the entry that decides for all others on a matter, among the ready ones; this entry if none is ready.
+    /// `key` is a hash of the matter.
+    ///
+    /// An entry that joins or leaves changes the coordinator only of the matters whose coordinator it becomes or was. One
+    /// that has just started does not decide as long as there are others, because it may not know them all yet.
+    pub fn coordinator(&self, key: u32, now: Millis) -> SocketAddr {
         let timeout = if self.sends_to_all() {
             TIMEOUT
         } else {
@@ -409,7 +425,7 @@
         let nearest = ready.iter().min_by_key(|(h, rank)| {
             let later = h.boot > first_boot + SAME_START.0;
             let starting = later && h.count < SETTLED_HEARTBEATS;
-            (starting, *rank as u32 ^ endpoint.0)
+            (starting, *rank as u32 ^ key)
         });
         nearest.map_or(self.me.peer, |(h, _)| h.peer)
     }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -4,12 +4,12 @@
 
 use super::{
     endpoint_table::{EndpointHash, EndpointUpdate},
-    issuer::{PermitReply, PermitRequest},
+    issuer::{PermitId, PermitReply, PermitRequest},
     limits::LimitReport,
     members::Heartbeat,
     record::WeightVersion,
 };
-use crate::base::Millis;
+use crate::{base::Millis, decide::quarantine::PartReport};
 
 /// A desired version of weights and the time since it became desired.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +35,15 @@
     pub leaving: Vec<EndpointHash>,
 }
 
+/// Request of an entry for permission to send a probe of a quarantined part; the reply is a [`PermitReply`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeRequest {
+    /// Number of the request.
+    pub id: PermitId,
+    /// What the entry knows of the part.
+    pub report: PartReport,
+}
+
 /// A datagram to an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -46,6 +55,10 @@
     Limits(Vec<LimitReport>),
     /// Sent by another entry to the issuer of an endpoint's permits.
     PermitRequest(PermitRequest),
-    /// Sent by the issuer.
+    /// Sent by the issuer of permits, or by the entry that grants probes.
     PermitReply(PermitReply),
+    /// Sent by another entry: parts of prompts that were in flight when endpoints ended.
+    Parts(Vec<PartReport>),
+    /// Sent by another entry to the one that grants the probes of a part.
+    ProbeRequest(ProbeRequest),
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -54,6 +54,12 @@
     pub(super) limited: Counter,
     /// Requests in flight whose connections ended, by the progress of their responses.
     dropped: Family<ProgressLabel, Counter>,
+    /// Requests rejected because of a quarantined part.
+    pub(super) quarantined: Counter,
+    /// Parts that were quarantined or released.
+    quarantines: Family<OutcomeLabel, Counter>,
+    /// Replies to requests for probes.
+    probes: Family<OutcomeLabel, Counter>,
     /// Replies to requests for permits.
     permits: Family<OutcomeLabel, Counter>,
     /// Time to a complete response, in seconds.
@@ -81,6 +87,9 @@
             retries: Counter::default(),
             limited: Counter::default(),
             dropped: Family::default(),
+            quarantined: Counter::default(),
+            quarantines: Family::default(),
+            probes: Family::default(),
             permits: Family::default(),
             response: Family::new_with_constructor(latency_histogram),
             first: Family::new_with_constructor(latency_histogram),
@@ -98,6 +107,16 @@
             let help =
                 "Requests in flight whose connections ended, by the progress of their responses";
             r.register("gateway_dropped_requests", help, out.dropped.clone());
+            let help = "Requests rejected because of a quarantined part of the prompt";
+            r.register(
+                "gateway_quarantined_requests",
+                help,
+                out.quarantined.clone(),
+            );
+            let help = "Parts of prompts that were quarantined or released";
+            r.register("gateway_quarantines", help, out.quarantines.clone());
+            let help = "Replies to requests for probes; `none` if no entry replied";
+            r.register("gateway_probes", help, out.probes.clone());
             let help = "Replies to requests for permits; `none` if the issuer did not reply";
             r.register("gateway_permits", help, out.permits.clone());
             let help = "Time to a whole response";
@@ -116,6 +135,17 @@
         self.dropped.get_or_create(&label).inc();
     }
 
+    /// Counts a part that was quarantined or released.
+    pub(super) fn count_quarantine(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.quarantines.get_or_create(&label).inc();
+    }
+
+    /// Counts the reply to a request for a probe.
+    pub(super) fn count_probe(&self, outcome: &'static str) {
+        self.probes.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts the reply to a request for a permit.
     pub(super) fn count_permit(&self, outcome: &'static str) {
         self.permits.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod reply;
 mod run;
 mod schedule;
+mod screen;
 mod serve;
 mod settings;
 mod stream;
@@ -64,10 +65,10 @@
 pub use load_balancer::{EndpointQuery, LoadBalancer, PendingLoads, Refusal, WeightRequirement};
 pub use load_view::{Outcome, ReportedLoad};
 pub use members::{Heartbeat, Member, Membership, Status};
-pub use message::{DesiredAge, Gossip, Message};
+pub use message::{DesiredAge, Gossip, Message, ProbeRequest};
 pub use operator_records::{Decode, OperatorFollower, OperatorSink};
 pub use ownership::{owned_endpoints, ReadyEntry};
-pub use prompt::{shared_parts, PartId, PartIdError};
+pub use prompt::shared_parts;
 pub use record::{
     EndpointRecord, OperatorRecord, Record, RecordStore, Records, Revision, StoreError, Topic,
     WeightVersion,
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -98,7 +98,13 @@
     let grant = if issuer == me {
         Some(decide(ctx, endpoint, me))
     } else {
-        request(ctx, issuer, endpoint, limit).await
+        let limit = LimitReport {
+            endpoint,
+            rate: Some(limit.rate),
+            age: start - limit.at,
+        };
+        let request = |id| Message::PermitRequest(PermitRequest { id, limit });
+        ask(ctx, issuer, request).await
     };
     ctx.metrics.count_permit(grant.map_or("none", Grant::name));
     let (wait, interval) = match grant {
@@ -151,24 +157,15 @@
     );
 }
 
-/// Asks another entry for a permit; `None` if it does not reply in time.
-async fn request(
+/// Sends a request to another entry and waits for its decision; `None` if it does not reply in time.
+pub(super) async fn ask(
     ctx: &Context,
-    issuer: SocketAddr,
-    endpoint: EndpointHash,
-    limit: Limit,
+    to: SocketAddr,
+    request: impl FnOnce(PermitId) -> Message,
 ) -> Option<Grant> {
     let socket = ctx.socket.get()?.clone();
     let (id, reply) = ctx.permits.borrow_mut().register();
-    let message = Message::PermitRequest(PermitRequest {
-        id,
-        limit: LimitReport {
-            endpoint,
-            rate: Some(limit.rate),
-            age: ctx.now() - limit.at,
-        },
-    });
-    send_to_all(&socket, &message, &[issuer]).await;
+    send_to_all(&socket, &request(id), &[to]).await;
     let grant = tokio::time::timeout(REPLY_TIMEOUT.duration(), reply).await;
     ctx.permits.borrow_mut().pending.remove(&id);
     grant.ok()?.ok()
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -15,6 +15,7 @@
         match refusal {
             Refusal::Unavailable(t) => Self::Unavailable(t),
             Refusal::Overloaded(t) => Self::Overloaded(t),
+            Refusal::Quarantined(t) => Self::Quarantined(t),
         }
     }
 }
@@ -46,6 +47,9 @@
     /// Every endpoint that can run the request is at its load limit; the request was not run.
     #[error("not run, all endpoints are loaded; retry after {0}")]
     Overloaded(Millis),
+    /// Endpoints ended while they answered requests that share a part of the prompt; the request was not run.
+    #[error("not run, a part of the prompt ends endpoints; retry after {0}")]
+    Quarantined(Millis),
     /// The endpoints that were tried refused the request or could not be reached; it was not run.
     #[error("not run, the endpoints turned it away; retry after {0}")]
     Refused(Millis),
@@ -66,9 +70,11 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Starting(_) | Self::Unavailable(_) | Self::Overloaded(_) | Self::Refused(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Starting(_)
+            | Self::Unavailable(_)
+            | Self::Overloaded(_)
+            | Self::Quarantined(_)
+            | Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -85,6 +91,7 @@
             Self::Starting(_) => "starting",
             Self::Unavailable(_) => "no-endpoint",
             Self::Overloaded(_) => "overloaded",
+            Self::Quarantined(_) => "quarantined",
             Self::Refused(_) => "turned-away",
             Self::Lost => "lost",
             Self::TimedOut => "timed-out",
@@ -94,9 +101,11 @@
     /// Returns the time after which the caller should retry; `None` if a retry is useless or may run the request twice.
     fn retry_after(self) -> Option<Millis> {
         match self {
-            Self::Starting(t) | Self::Unavailable(t) | Self::Overloaded(t) | Self::Refused(t) => {
-                Some(t)
-            }
+            Self::Starting(t)
+            | Self::Unavailable(t)
+            | Self::Overloaded(t)
+            | Self::Quarantined(t)
+            | Self::Refused(t) => Some(t),
             _ => None,
         }
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -23,6 +23,7 @@
     operator_records::{Decode, OperatorFollower},
     permits::expire_limits,
     record::{Record, RecordStore, Topic},
+    screen::send_news,
     serve, GatewaySettings, Headers,
 };
 use crate::{
@@ -116,6 +117,7 @@
     let socket = ctx.socket.get_or_init(|| Rc::new(socket)).clone();
     spawn_local(receive(ctx.clone(), socket.clone()));
     spawn_local(send_periodically(ctx.clone(), socket.clone()));
+    spawn_local(send_news(ctx.clone(), socket.clone()));
     spawn_local(follow_peers::<D>(ctx.clone()));
     spawn_local(mirror_table(ctx.clone()));
     let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
@@ -223,6 +225,7 @@
         ctx.update_ownership();
         ctx.pool.sweep(now);
         expire_limits(&ctx);
+        ctx.quarantine.borrow_mut().expire(now);
         let fleet = ctx.endpoints.borrow();
         ctx.balancer
             .borrow_mut()
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -18,10 +18,11 @@
     evaluate::keep_connection,
     events::Events,
     forward::{attempt, may_repeat, Attempt, Attempts, StreamingResponse, Target},
+    load_balancer::Refusal,
     load_view::Outcome,
-    log_event, metrics,
+    log_event, metrics, screen,
 };
-use crate::{base::Millis, emit};
+use crate::{base::Millis, decide::quarantine::Generation, emit};
 
 /// Longest time between two events before another endpoint continues the stream. Endpoints pause for a few hundred
 /// milliseconds while they read long prompts; callers give up after about two seconds.
@@ -41,8 +42,10 @@
     target: Target,
     headers: HeaderMap,
     body: Incoming,
-    /// Whether a whole event arrived.
-    begun: bool,
+    /// How far its response has come.
+    progress: Progress,
+    /// Ends of endpoints that were known of the parts of the prompt when the first event arrived.
+    known: Vec<Generation>,
 }
 
 impl From<StreamingResponse> for Source {
@@ -51,7 +54,8 @@
             target: response.target,
             headers: response.head.headers,
             body: response.body,
-            begun: false,
+            progress: Progress::Head,
+            known: Vec::new(),
         }
     }
 }
@@ -119,10 +123,7 @@
         loop {
             match self.read().await {
                 ReadResult::Events(data) => {
-                    if let Some(source) = &mut self.source {
-                        source.target.flight.prompt_read();
-                        source.begun = true;
-                    }
+                    self.note_events();
                     if !self.begun {
                         self.begun = true;
                         self.log("first-event", "-");
@@ -136,6 +137,7 @@
                     return Some(Ok(data));
                 }
                 ReadResult::End => {
+                    self.note_served();
                     self.close(Outcome::Served);
                     self.log("served", "-");
                     return None;
@@ -237,17 +239,38 @@
         }
     }
 
+    /// Notes that whole events arrived from the present source.
+    fn note_events(&mut self) {
+        let Some(source) = &mut self.source else {
+            return;
+        };
+        source.target.flight.prompt_read();
+        if source.progress == Progress::Head {
+            source.progress = Progress::Event;
+            source.known = screen::generations(&self.ctx, &self.job);
+            return;
+        }
+        self.note_served();
+    }
+
+    /// Records once for each source that its endpoint answers the request without ending.
+    fn note_served(&mut self) {
+        let Some(source) = &mut self.source else {
+            return;
+        };
+        if source.progress == Progress::Event {
+            source.progress = Progress::Body;
+            screen::record_served(&self.ctx, &self.job, &source.known);
+        }
+    }
+
     /// Logs and counts that the connection of the present source ended.
     fn note_dropped(&self, ending: Ending) {
         let Some(source) = &self.source else {
             return;
         };
-        let progress = if source.begun {
-            Progress::Body
-        } else {
-            Progress::Head
-        };
-        note_dropped(&self.ctx, &self.job, &source.target.id, progress, ending);
+        let (id, known) = (&source.target.id, &source.target.known);
+        note_dropped(&self.ctx, &self.job, id, known, source.progress, ending);
     }
 
     /// Continues the stream at another endpoint, after the last event that was forwarded.
@@ -273,6 +296,7 @@
                     return Ok(());
                 }
                 Ok(_) => {}
+                Err(Refusal::Quarantined(_)) => return Err("quarantined"),
                 Err(_) if self.ctx.now() + RESUME_RETRY >= self.job.deadline => {
                     return Err("no endpoint has room");
                 }
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -1,6 +1,6 @@
 //! Parts of a prompt that requests share, from the header that lists them.
 
-use sesamewing::gateway::{shared_parts, PartId};
+use sesamewing::{decide::quarantine::PartId, gateway::shared_parts};
 
 fn ids(list: &str) -> Vec<u64> {
     let mut ids: Vec<_> = shared_parts(list).into_iter().map(|id| id.0).collect();
