fix(gateway): count ends with a common cause once, and release parts that little is left against

A sound part was quarantined for up to 14 s where many endpoints ended at one moment and some ended again: each end of that moment counted, the time without answers was taken as evidence although no endpoint answered anything, a part stayed quarantined after most of its ends were cleared, and a probe that ended with its endpoint for another reason put the next one off by 30 s.

Change: ends of one moment count once unless a request was sent when an earlier one was known. A part that used to be answered is quarantined only if other requests were answered meanwhile, or after 5 s. A quarantine ends when the ends that are left do not suffice, or when another entry knows that the part used to be answered and there was no time for an answer. Probes without a clear result are repeated twice at the first interval.

--- a/src/decide/quarantine/evidence.rs
+++ b/src/decide/quarantine/evidence.rs
@@ -9,7 +9,7 @@
 pub struct EndId(pub u32);
 
 /// Position of an end in the causal order of the ends of one part: higher than those of all ends of the part that the
-/// observing process knew. Zero is before the first one.
+/// observing process knew, and no lower than its time of day in Unix milliseconds. Zero is before the first one.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! - several endpoints ended while it was in flight, and no request with it was answered since,
 //! - the ends have no common cause, such as the loss of a rack: one of them hit a request that was sent when an earlier one
-//!   was known already, or there are more of them over a longer time, and
+//!   was known already, or there are more of them at different moments,
+//! - if requests with the part used to be answered, there was time for an answer while others were answered, and
 //! - no other part explains the same ends better.
 //!
 //! Requests with a quarantined part are rejected, except a single probe from time to time, for which one process grants
--- a/src/decide/quarantine/probe.rs
+++ b/src/decide/quarantine/probe.rs
@@ -13,8 +13,10 @@
 /// Factor of the interval after a probe that ended its endpoint: each one costs all requests in flight there.
 const FAILED_FACTOR: u64 = 20;
 
-/// Factor of the interval after a probe without a result.
-const OPEN_FACTOR: u64 = 2;
+/// Factor of the interval after a probe without a clear result, and number of such probes before it grows: the endpoint
+/// may have refused the probe, or ended for another reason.
+const OPEN_FACTOR: u64 = 3;
+const OPEN_PROBES: u32 = 2;
 
 /// Number of probes so far. Of two reports, the greater one is the newer one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -29,7 +31,7 @@
     /// Returns the time until the next probe.
     fn interval(self) -> Millis {
         let failed = FAILED_FACTOR.saturating_pow(self.failed);
-        let open = OPEN_FACTOR.saturating_pow(self.granted);
+        let open = OPEN_FACTOR.saturating_pow(self.granted.saturating_sub(OPEN_PROBES));
         FIRST_PROBE.times(failed).times(open).min(INTERVAL_MAX)
     }
 }
@@ -67,7 +69,7 @@
         true
     }
 
-    /// Records another end of an endpoint with the part in flight; after a granted probe, that is the probe's result.
+    /// Records an end of an endpoint that points strongly to the part; after a granted probe, that is the probe's result.
     pub(super) fn record_end(&mut self, now: Millis) {
         if self.progress.granted == 0 {
             return;
--- a/src/decide/quarantine/suspect.rs
+++ b/src/decide/quarantine/suspect.rs
@@ -12,19 +12,26 @@
 const STRONG: u32 = 3;
 const WEAK: u32 = 2;
 
-/// Weight from which on ends that were observed over [`SPREAD_TIME`] suffice, although no request was sent after one of
-/// them was known: under load, requests wait at endpoints for longer than it takes to end many of them.
-const WEIGHT_SPREAD: u32 = 9;
+/// Weight that suffices although no request was sent after one of the ends was known: under load, requests wait at
+/// endpoints for longer than it takes to end many of them.
+const WEIGHT_ALONE: u32 = 9;
 
-/// Time beyond which ends have no common cause, such as the loss of a rack.
-const SPREAD_TIME: Millis = Millis(200);
+/// Time within which ends may have a common cause, such as the loss of a rack, and count as one.
+const MOMENT: Millis = Millis(50);
 
 /// Time for which the evidence against a part that used to be answered must last: other requests with it are probably in
 /// flight, and their answers clear it.
 pub(super) const SETTLE_TIME: Millis = Millis(500);
 
 /// The same, if another part has as much evidence from the same ends.
-pub(super) const SETTLE_TIED: Millis = Millis(2000);
+const SETTLE_TIED: Millis = Millis(2000);
+
+/// Number of other requests that must have been answered meanwhile: while endpoints answer nothing at all, the lack of
+/// answers says nothing of a part.
+const OTHERS_MIN: u64 = 5;
+
+/// Time after which the evidence suffices without answers to other requests, because all requests may hold the part.
+const SETTLE_ALONE: Millis = Millis(5000);
 
 /// Largest number of ends that are kept for a part.
 const ENDS_MAX: usize = 16;
@@ -42,9 +49,9 @@
     /// Whether requests with the part were answered before.
     pub(super) served: bool,
     /// Time since which there has been an end after `cleared`.
-    pub(super) since: Millis,
-    /// Time at which the newest end became known.
-    latest: Millis,
+    since: Millis,
+    /// Requests that this process knew to be answered at that time, whatever parts they held.
+    answers: u64,
     /// Probes, while the part is quarantined.
     pub(super) probes: Option<ProbeSchedule>,
     /// Time from which on other processes are told of the last change.
@@ -62,7 +69,7 @@
             cleared: Generation::default(),
             served,
             since: now,
-            latest: now,
+            answers: 0,
             probes: None,
             changed: now,
             shared: false,
@@ -92,7 +99,8 @@
     }
 
     /// Adds an end, or what another process knows of an end; returns whether that changed anything.
-    pub(super) fn add(&mut self, end: End, now: Millis) -> bool {
+    /// `answers` is the number of requests that this process knows to be answered.
+    pub(super) fn add(&mut self, end: End, answers: u64, now: Millis) -> bool {
         if end.generation <= self.cleared {
             return false;
         }
@@ -107,9 +115,9 @@
         }
         if self.ends.is_empty() {
             self.since = now;
+            self.answers = answers;
         }
         self.used = now;
-        self.latest = now;
         let at = self
             .ends
             .partition_point(|e| e.generation <= end.generation);
@@ -117,7 +125,8 @@
         if self.ends.len() > ENDS_MAX {
             self.ends.remove(0);
         }
-        if let Some(probes) = &mut self.probes {
+        let strong = end.strength == Strength::Strong;
+        if let Some(probes) = self.probes.as_mut().filter(|_| strong) {
             probes.record_end(now);
         }
         true
@@ -147,21 +156,41 @@
         self.clear(self.newest(), now);
     }
 
-    /// Returns the weight of the ends that count.
+    /// Returns the weight of the ends that count. Of ends that may have a common cause, only the strongest one does:
+    /// those of one moment, unless a request was sent when an earlier one was known.
     pub(super) fn weight(&self) -> u32 {
-        let weight = |e: &End| match e.strength {
-            Strength::Strong => STRONG,
-            Strength::Weak => WEAK,
-        };
-        self.ends.iter().map(weight).sum()
+        let mut total = 0;
+        let mut strongest = 0;
+        let mut moment: Option<Generation> = None;
+        for end in &self.ends {
+            let same = moment
+                .is_some_and(|first| end.after < first && end.generation.0 < first.0 + MOMENT.0);
+            if !same {
+                total += strongest;
+                strongest = 0;
+                moment = Some(end.generation);
+            }
+            strongest = strongest.max(match end.strength {
+                Strength::Strong => STRONG,
+                Strength::Weak => WEAK,
+            });
+        }
+        total + strongest
     }
 
     /// Returns whether the evidence suffices, apart from other parts that may explain the same ends.
     pub(super) fn is_accused(&self) -> bool {
         let repeated = self.ends.iter().any(|e| e.after > self.cleared);
-        let spread = self.latest >= self.since + SPREAD_TIME;
         let weight = self.weight();
-        (repeated && weight >= WEIGHT_MIN) || (spread && weight >= WEIGHT_SPREAD)
+        (repeated && weight >= WEIGHT_MIN) || weight >= WEIGHT_ALONE
+    }
+
+    /// Returns whether requests with the part would have been answered by now if it were sound. `answers` is the number of
+    /// requests that this process knows to be answered, and `tied` says that another part has as much evidence.
+    pub(super) fn is_settled(&self, answers: u64, tied: bool, now: Millis) -> bool {
+        let time = if tied { SETTLE_TIED } else { SETTLE_TIME };
+        let others = answers >= self.answers + OTHERS_MIN;
+        now >= self.since + time && (others || now >= self.since + SETTLE_ALONE)
     }
 
     /// Returns whether the ends suffice if another process has quarantined the part.
--- a/src/decide/quarantine/table.rs
+++ b/src/decide/quarantine/table.rs
@@ -5,7 +5,7 @@
     part::PartKey,
     probe::ProbeSchedule,
     served::ServedParts,
-    suspect::{Suspect, SETTLE_TIED, SETTLE_TIME},
+    suspect::{Suspect, SETTLE_TIME},
 };
 use crate::base::{HashMap, Millis};
 
@@ -96,6 +96,8 @@
     /// end does not count.
     strong: HashMap<EndId, Millis>,
     served: ServedParts,
+    /// Number of requests with any parts that were answered.
+    answers: u64,
     /// Changes since the last call of [`Self::take_changes`].
     changes: Vec<Change>,
     /// Time at which quarantined parts were last repeated.
@@ -110,6 +112,7 @@
             suspects: HashMap::default(),
             strong: HashMap::default(),
             served: ServedParts::default(),
+            answers: 0,
             changes: Vec::new(),
             repeated: now,
             started: now,
@@ -172,6 +175,7 @@
         now: Millis,
     ) {
         let served = self.was_served(part, now);
+        let answers = self.answers;
         let Some(suspect) = self.suspect(part, served, now) else {
             return;
         };
@@ -186,7 +190,7 @@
             strength,
         };
         let fresh = suspect.ends().is_empty();
-        if !suspect.add(end, now) {
+        if !suspect.add(end, answers, now) {
             return;
         }
         // An answer to another request will probably clear a part that used to be answered: others need not hear of it.
@@ -201,6 +205,7 @@
     /// Records that a request was answered. `known` are the generations of its parts from the time at which its answer
     /// began.
     pub fn record_served(&mut self, parts: &[PartKey], known: &[Generation], now: Millis) {
+        self.answers += u64::from(!parts.is_empty());
         for (i, &part) in parts.iter().enumerate() {
             self.served.note(part, now);
             let Some(suspect) = self.suspects.get_mut(&part) else {
@@ -213,7 +218,7 @@
             }
             suspect.changed = now;
             let forget = suspect.ends().is_empty() && !suspect.shared;
-            self.release_if_cleared(part);
+            self.release_if_weak(part);
             if forget {
                 self.suspects.remove(&part);
             }
@@ -236,24 +241,29 @@
         for end in &ends {
             self.note_strength(end.id, end.strength, now);
         }
+        let answers = self.answers;
         let Some(suspect) = self.suspect(part, served, now) else {
             return;
         };
         let mut changed = !suspect.shared;
         suspect.shared = true;
         changed |= served && !report.served;
+        let learned = served && !suspect.served;
         suspect.served |= served;
         changed |= suspect.clear(report.cleared, now);
         // The other process lacks an answer.
         changed |= report.cleared < suspect.cleared && !report.ends.is_empty();
         for end in ends {
-            changed |= suspect.add(end, now);
+            changed |= suspect.add(end, answers, now);
         }
         if changed {
             suspect.changed = now;
         }
-        self.release_if_cleared(part);
-        if report.probes.is_some() {
+        self.release_if_weak(part);
+        if learned {
+            self.reconsider(part, now);
+        }
+        if report.probes.is_some() && report.served == served {
             self.adopt(part, now);
         }
         self.settle(part, now);
@@ -274,6 +284,7 @@
         }
         let mut verdict = Verdict::Allowed;
         for &part in parts {
+            self.release_if_weak(part);
             self.evaluate(part, now);
             let Some(suspect) = self.suspects.get_mut(&part) else {
                 continue;
@@ -463,6 +474,18 @@
         }
     }
 
+    /// Releases a quarantined part of which this process has learned that it used to be answered, if there was no time
+    /// for an answer yet.
+    fn reconsider(&mut self, part: PartKey, now: Millis) {
+        let answers = self.answers;
+        let Some(suspect) = self.suspects.get(&part) else {
+            return;
+        };
+        if suspect.probes.is_some() && !suspect.is_settled(answers, false, now) {
+            self.release(part);
+        }
+    }
+
     /// Quarantines a part that another process has quarantined, if this process knows enough of the same ends.
     fn adopt(&mut self, part: PartKey, now: Millis) {
         let suspect = self.suspects.get(&part);
@@ -502,11 +525,7 @@
             }
             tied = true;
         }
-        if !served {
-            return true;
-        }
-        let time = if tied { SETTLE_TIED } else { SETTLE_TIME };
-        now >= suspect.since + time
+        !served || suspect.is_settled(self.answers, tied, now)
     }
 
     /// Removes the ends that a quarantined part explains from the evidence against others, and releases others that it
@@ -533,23 +552,29 @@
             }
         }
         for other in released {
-            self.release_if_cleared(other);
+            self.release_if_weak(other);
         }
     }
 
-    /// Ends the quarantine of a part against which nothing counts any more.
-    fn release_if_cleared(&mut self, part: PartKey) {
-        let Some(suspect) = self.suspects.get_mut(&part) else {
+    /// Ends the quarantine of a part if the ends that count do not suffice any more.
+    fn release_if_weak(&mut self, part: PartKey) {
+        let Some(suspect) = self.suspects.get(&part) else {
             return;
         };
-        if suspect.probes.is_none() || !suspect.ends().is_empty() {
-            return;
+        if suspect.probes.is_some() && !suspect.is_confirmed() {
+            self.release(part);
         }
+    }
+
+    fn release(&mut self, part: PartKey) {
+        let Some(suspect) = self.suspects.get_mut(&part) else {
+            return;
+        };
         suspect.probes = None;
         self.changes.push(Change {
             part,
             kind: ChangeKind::Released,
-            ends: 0,
+            ends: suspect.ends().len(),
             served: suspect.served,
         });
     }
