fix(gateway): streams without length or chunks that end before an event are cut

What callers saw: nothing yet; by a test. An endpoint that ends its connection after the head of a stream without a length or chunks, and before any event, looked like one that had answered: the caller got a complete, empty stream.

Cause: the end of such a connection was taken for the end of the stream unless it came inside an event.

Change: an open-ended stream without a whole event is broken off; it is continued elsewhere, and the parts of its prompt are noted like at any other end.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::{
     body::{Frame, Incoming},
-    header::HeaderMap,
+    header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 
 use super::{
@@ -77,6 +77,11 @@
     _running: Running,
 }
 
+/// Returns whether a response has neither a length nor chunks, so that it ends with its connection.
+fn is_open_ended(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Result of reading the source.
 enum ReadResult {
     Events(Bytes),
@@ -238,6 +243,11 @@
                     self.note_dropped(Ending::Closed);
                     return ReadResult::Broken("partial event");
                 }
+                // Without a length or chunks, an end of the connection is all that tells the end of the stream.
+                Ok(None) if source.progress == Progress::Head && is_open_ended(&source.headers) => {
+                    self.note_dropped(Ending::Closed);
+                    return ReadResult::Broken("no event");
+                }
                 Ok(None) => return ReadResult::End,
                 Err(_) if timeout < left => return ReadResult::Broken("silent"),
                 Err(_) => return ReadResult::DeadlinePassed,
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -176,6 +176,8 @@
     AwaitClose,
     /// Waits for some milliseconds.
     Pause(u64),
+    /// Resets the connection.
+    Reset,
     /// Reads the next request on the connection; `{id}` remains the id of the first one.
     Next,
 }
@@ -232,6 +234,11 @@
                                 return;
                             }
                         }
+                        Step::Reset => {
+                            let socket = socket2::SockRef::from(&stream);
+                            let _ = socket.set_linger(Some(Duration::ZERO));
+                            return;
+                        }
                         Step::Pause(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
                         Step::Next => match read_request(&mut stream).await {
                             Some(request) => seen.requests.borrow_mut().push(request),
