refactor(gateway): no cycles among the modules

Eleven files around gateway/context.rs used each other in a circle, and thirteen with the quarantine; load_balancer and load_view did too. A newcomer could read none of them alone.

Change: types in files of their own: attempt.rs (attempts and their results), ending.rs (how connections end), permit_requests.rs (permits that wait for a reply), endpoint_query.rs (what an endpoint is chosen by); datagram.rs sends to other entries. No logic is changed.

Measured: a script that follows the use lines finds no cycle in src/gateway (13 and 2 files before); all tests pass.

--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,89 @@
+//! State of the attempts to have one request served by endpoints, and their results.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{body::Incoming, http::response::Parts, Response};
+
+use super::{context::InFlight, endpoint_table::EndpointId, record::WeightVersion};
+use crate::{base::Millis, decide::quarantine::Generation, http::Connection};
+
+/// The endpoint of an attempt, and the connection to it.
+#[derive(Debug)]
+pub(super) struct Target {
+    pub(super) id: EndpointId,
+    pub(super) addr: SocketAddr,
+    pub(super) flight: InFlight,
+    pub(super) connection: Connection,
+    /// Largest number of idle connections to the endpoint.
+    pub(super) idle_max: usize,
+    /// When the request is sent.
+    pub(super) sent_at: Millis,
+    /// Ends of endpoints that were known then of the parts of the prompt.
+    pub(super) known: Vec<Generation>,
+    /// Whether the request is a probe of a quarantined part.
+    pub(super) probe: bool,
+    /// When the response must have begun, because a newer version of the weights is enforced from about then on.
+    pub(super) begin_by: Option<Millis>,
+}
+
+/// A response that is forwarded while its body arrives.
+#[derive(Debug)]
+pub(super) struct StreamingResponse {
+    pub(super) target: Target,
+    pub(super) head: Parts,
+    pub(super) body: Incoming,
+}
+
+/// Result of an attempt.
+#[derive(Debug)]
+pub(super) enum Attempt {
+    /// The endpoint runs the request and streams the response.
+    Streaming(Box<StreamingResponse>),
+    /// A complete response to forward.
+    Complete(Response<Full<Bytes>>),
+    /// The endpoint did not run the request and said so.
+    NotRun,
+    /// The request was not sent.
+    NotSent,
+    /// The request was sent, and no usable response arrived; it may have run.
+    Lost,
+    /// The deadline passed after the request was sent.
+    TimedOut,
+    /// A complete response with a server error.
+    Failed(Response<Full<Bytes>>),
+}
+
+/// Progress of a request over its attempts.
+#[derive(Debug)]
+pub(super) struct Attempts {
+    /// Endpoints that were tried and are not chosen again for the request.
+    pub(super) tried: Vec<EndpointId>,
+    /// Number of attempts that were sent.
+    pub(super) sent: u32,
+    /// Version of the weights on which the response began.
+    pub(super) version: Option<WeightVersion>,
+    /// Why the next attempt may be sent.
+    pub(super) pass: Pass,
+}
+
+impl Attempts {
+    pub(super) fn new() -> Self {
+        Self {
+            tried: Vec::new(),
+            sent: 0,
+            version: None,
+            pass: Pass::Clear,
+        }
+    }
+}
+
+/// Why a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Pass {
+    /// No part of its prompt is quarantined.
+    Clear,
+    /// It is a probe of a quarantined part.
+    Probe,
+}
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -4,10 +4,11 @@
 
 use super::{
     accept::Job,
+    attempt::Attempts,
     context::Context,
+    endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement},
     endpoint_table::EndpointId,
-    forward::Attempts,
-    load_balancer::{EndpointQuery, PendingLoads, Refusal, WeightRequirement},
+    load_balancer::Refusal,
     record::WeightVersion,
 };
 use crate::base::Millis;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -20,7 +20,7 @@
     message::DesiredAge,
     metrics::GatewayMetrics,
     ownership::owned_endpoints,
-    permits::Permits,
+    permit_requests::Permits,
     record::WeightVersion,
     schedule::LoadSchedule,
     Bounds, GatewaySettings, Headers,
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -12,11 +12,12 @@
 
 use super::{
     accept::Job,
+    attempt::{Attempt, Attempts, StreamingResponse, Target},
     context::Context,
-    dropped::{note_dropped, Ending, Progress},
+    dropped::note_dropped,
+    ending::{Ending, Progress},
     endpoint_table::{Change, EndpointId},
     followers::endpoint_changed,
-    forward::{Attempt, Attempts, StreamingResponse, Target},
     headers::text,
     limits::Observation,
     load_view::{Outcome, ReportedLoad},
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -4,14 +4,16 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{body::Incoming, header::HeaderValue, http::response::Parts, Request, Response};
+use hyper::{header::HeaderValue, Request};
 
 use super::{
     accept::Job,
+    attempt::{Attempt, Attempts, Pass, Target},
     catalog::Repeat,
     choose::{choose, Choice},
     context::{Context, InFlight},
-    dropped::{note_dropped, Ending, Progress},
+    dropped::note_dropped,
+    ending::{Ending, Progress},
     endpoint_table::EndpointId,
     evaluate::evaluate,
     events::EventId,
@@ -21,9 +23,9 @@
     permits::{self, Permit},
     record::WeightVersion,
     reply::Reject,
-    screen::{self, Pass},
+    screen,
 };
-use crate::{base::Millis, decide::quarantine::Generation, emit, http::Connection};
+use crate::{base::Millis, emit, http::Connection};
 
 /// Longest time to open a connection to an endpoint.
 const CONNECT_TIMEOUT: Millis = Millis(400);
@@ -40,76 +42,6 @@
 /// Attempt timeout as a multiple of the route's latency objective, for attempts that may be repeated.
 const ATTEMPT_TIMEOUT_OBJECTIVES: u64 = 3;
 
-/// The endpoint of an attempt, and the connection to it.
-#[derive(Debug)]
-pub(super) struct Target {
-    pub(super) id: EndpointId,
-    pub(super) addr: SocketAddr,
-    pub(super) flight: InFlight,
-    pub(super) connection: Connection,
-    /// Largest number of idle connections to the endpoint.
-    pub(super) idle_max: usize,
-    /// When the request is sent.
-    pub(super) sent_at: Millis,
-    /// Ends of endpoints that were known then of the parts of the prompt.
-    pub(super) known: Vec<Generation>,
-    /// Whether the request is a probe of a quarantined part.
-    pub(super) probe: bool,
-    /// When the response must have begun, because a newer version of the weights is enforced from about then on.
-    pub(super) begin_by: Option<Millis>,
-}
-
-/// A response that is forwarded while its body arrives.
-#[derive(Debug)]
-pub(super) struct StreamingResponse {
-    pub(super) target: Target,
-    pub(super) head: Parts,
-    pub(super) body: Incoming,
-}
-
-/// Result of an attempt.
-#[derive(Debug)]
-pub(super) enum Attempt {
-    /// The endpoint runs the request and streams the response.
-    Streaming(Box<StreamingResponse>),
-    /// A complete response to forward.
-    Complete(Response<Full<Bytes>>),
-    /// The endpoint did not run the request and said so.
-    NotRun,
-    /// The request was not sent.
-    NotSent,
-    /// The request was sent, and no usable response arrived; it may have run.
-    Lost,
-    /// The deadline passed after the request was sent.
-    TimedOut,
-    /// A complete response with a server error.
-    Failed(Response<Full<Bytes>>),
-}
-
-/// Progress of a request over its attempts.
-#[derive(Debug)]
-pub(super) struct Attempts {
-    /// Endpoints that were tried and are not chosen again for the request.
-    pub(super) tried: Vec<EndpointId>,
-    /// Number of attempts that were sent.
-    pub(super) sent: u32,
-    /// Version of the weights on which the response began.
-    pub(super) version: Option<WeightVersion>,
-    /// Why the next attempt may be sent.
-    pub(super) pass: Pass,
-}
-
-impl Attempts {
-    pub(super) fn new() -> Self {
-        Self {
-            tried: Vec::new(),
-            sent: 0,
-            version: None,
-            pass: Pass::Clear,
-        }
-    }
-}
-
 /// Chooses an endpoint and obtains the permit for the request if the endpoint limits its request rate.
 ///
 /// # Errors
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -8,6 +8,7 @@
 use super::{
     compression::decompress,
     context::Context,
+    datagram::send_to_all,
     endpoint_table::{Change, EndpointHash, EndpointUpdate, TableDelta, TableDigest},
     followers::{apply_catalog, endpoint_changed},
     log_event,
@@ -110,22 +111,6 @@
     send_to_all(socket, &Message::Gossip(datagram), targets).await;
 }
 
-/// Sends a datagram to other entries. Lost datagrams are not sent again.
-pub(super) async fn send_to_all(socket: &UdpSocket, message: &Message, targets: &[SocketAddr]) {
-    let data = match postcard::to_stdvec(message) {
-        Ok(data) => data,
-        Err(e) => {
-            log::warn!("cannot encode a datagram: {e}");
-            return;
-        }
-    };
-    for target in targets {
-        if let Err(e) = socket.send_to(&data, target).await {
-            log::debug!("cannot send a datagram to {target}: {e}");
-        }
-    }
-}
-
 pub(super) async fn send_periodically(ctx: Rc<Context>, socket: Rc<UdpSocket>) {
     send_gossip(&ctx, &socket, &ctx.settings.seeds).await;
     loop {
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -17,13 +17,12 @@
 use std::net::SocketAddr;
 
 use super::{
-    desired::DesiredVersions,
+    endpoint_query::EndpointQuery,
     endpoint_table::{Endpoint, EndpointHash, EndpointId},
     load_view::{LoadView, Outcome, ReportedLoad},
     record::WeightVersion,
-    schedule::LoadSchedule,
 };
-use crate::base::{HashMap, HashSet, Millis, Zone};
+use crate::base::{HashMap, Millis};
 
 /// Number of endpoints, drawn at random from those that this entry does not own, that compete with the owned ones. The
 /// draw keeps entries with the same view from all choosing the same endpoint.
@@ -70,51 +69,6 @@
 /// and callers wait no longer than a third of their deadline.
 const RETRY_AFTER_UNAVAILABLE: Millis = Millis(1800);
 
-/// Loads of a newer version that the hosts of a service have still to begin.
-#[derive(Clone, Copy, Debug)]
-pub struct PendingLoads<'a> {
-    /// Scheduled load start of each host.
-    pub schedule: &'a LoadSchedule,
-    /// Versions that became desired, with their times.
-    pub desired: &'a DesiredVersions,
-    /// Time after which a desired version is enforced: requests may then no longer begin on older ones.
-    pub bound: Millis,
-}
-
-/// Weights that an endpoint must have loaded to run a request.
-#[derive(Clone, Copy, Debug)]
-pub struct WeightRequirement<'a> {
-    /// Model name.
-    pub model: &'a str,
-    /// Pending loads of a newer version; `None` if no version is desired.
-    pub pending: Option<PendingLoads<'a>>,
-    /// Oldest version on which the request may begin if a slot is free at once.
-    pub oldest: WeightVersion,
-    /// Oldest version on which the request may begin after waiting in the endpoint's queue.
-    pub oldest_queued: WeightVersion,
-}
-
-/// Properties of a request, and of the entry that forwards it, by which its endpoint is chosen.
-#[derive(Clone, Debug)]
-pub struct EndpointQuery<'a> {
-    /// Availability zone of the entry.
-    pub zone: &'a Zone,
-    /// Required weights; `None` for services without engines.
-    pub weights: Option<WeightRequirement<'a>>,
-    /// The one version on which a broken stream may be continued; `None` if the request has not streamed anything.
-    pub exact: Option<WeightVersion>,
-    /// Endpoints to which this request was sent before.
-    pub tried: &'a [EndpointId],
-    /// Endpoints that this entry owns; see [`owned_endpoints`](super::owned_endpoints()).
-    pub owned: &'a HashSet<EndpointId>,
-    /// Prompt tokens that an endpoint reads in a millisecond; `None` for services without engines.
-    pub read_rate: Option<f64>,
-    /// Whether the caller retries after a rejection.
-    pub retrying: bool,
-    /// Estimated time for which the request occupies a slot.
-    pub duration: Millis,
-}
-
 /// Why no endpoint gets a request; holds the time after which the caller should retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
--- a/src/gateway/load_view.rs
+++ b/src/gateway/load_view.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{endpoint_table::Endpoint, load_balancer::EndpointQuery, record::WeightVersion};
+use super::{endpoint_query::EndpointQuery, endpoint_table::Endpoint, record::WeightVersion};
 use crate::{base::Millis, decide::route::Breaker};
 
 /// Time in milliseconds that an endpoint needs to read its unread prompts at which these cost as much as a full set of
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,13 +7,17 @@
 
 mod accept;
 mod assignment;
+mod attempt;
 mod catalog;
 mod choose;
 mod compression;
 mod context;
+mod datagram;
 mod desired;
 mod directory;
 mod dropped;
+mod ending;
+mod endpoint_query;
 mod endpoint_table;
 mod evaluate;
 mod events;
@@ -32,6 +36,7 @@
 mod metrics;
 mod operator_records;
 mod ownership;
+mod permit_requests;
 mod permits;
 mod prompt;
 mod record;
@@ -53,6 +58,7 @@
 pub use compression::{compress, decompress};
 pub use desired::DesiredVersions;
 pub use directory::Directory;
+pub use endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement};
 pub use endpoint_table::{
     Change, Endpoint, EndpointHash, EndpointId, EndpointTable, EndpointUpdate, TableDelta,
     TableDigest, RENEWAL,
@@ -62,7 +68,7 @@
 pub use headers::Headers;
 pub use issuer::{Grant, Issuers, PermitId, PermitReply, PermitRequest};
 pub use limits::{Limit, LimitReport, Limits, Observation};
-pub use load_balancer::{EndpointQuery, LoadBalancer, PendingLoads, Refusal, WeightRequirement};
+pub use load_balancer::{LoadBalancer, Refusal};
 pub use load_view::{Outcome, ReportedLoad};
 pub use members::{Heartbeat, Member, Membership, Status};
 pub use message::{DesiredAge, Gossip, Message, ProbeRequest};
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -3,20 +3,20 @@
 
 use std::net::SocketAddr;
 
-use tokio::{net::UdpSocket, sync::oneshot};
+use tokio::net::UdpSocket;
 
 use super::{
     accept::Job,
     context::Context,
+    datagram::send_to_all,
     endpoint_table::{EndpointHash, EndpointId},
-    gossip::send_to_all,
-    issuer::{Grant, Issuers, PermitId, PermitReply, PermitRequest},
+    issuer::{Grant, PermitId, PermitReply, PermitRequest},
     limits::{Limit, LimitReport},
     log_event,
     message::Message,
 };
 use crate::{
-    base::{HashMap, HashSet, Millis, Service},
+    base::{HashSet, Millis, Service},
     emit,
 };
 
@@ -56,35 +56,6 @@
     }
 }
 
-/// Issuers of this entry, and its requests for permits that have no reply yet.
-#[derive(Debug, Default)]
-pub(super) struct Permits {
-    pub(super) issuers: Issuers,
-    pending: HashMap<PermitId, oneshot::Sender<Grant>>,
-}
-
-impl Permits {
-    /// Registers a request for a permit; the receiver gets the reply.
-    fn register(&mut self) -> (PermitId, oneshot::Receiver<Grant>) {
-        let id = PermitId(fastrand::u64(..));
-        let (sender, receiver) = oneshot::channel();
-        self.pending.insert(id, sender);
-        (id, receiver)
-    }
-
-    /// Drops requests for permits whose callers have left.
-    fn drop_abandoned(&mut self) {
-        self.pending.retain(|_, sender| !sender.is_closed());
-    }
-
-    /// Passes a reply to the request that waits for it; ignored if none does.
-    pub(super) fn resolve(&mut self, reply: &PermitReply) {
-        if let Some(sender) = self.pending.remove(&reply.id) {
-            let _ = sender.send(reply.grant);
-        }
-    }
-}
-
 /// Obtains a permit for one request to an endpoint; `None` if the endpoint takes no request now. The endpoint is then
 /// closed for this entry until it may ask again.
 pub(super) async fn obtain(ctx: &Context, job: &Job, id: &EndpointId) -> Option<Permit> {
@@ -167,7 +138,7 @@
     let (id, reply) = ctx.permits.borrow_mut().register();
     send_to_all(&socket, &request(id), &[to]).await;
     let grant = tokio::time::timeout(REPLY_TIMEOUT.duration(), reply).await;
-    ctx.permits.borrow_mut().pending.remove(&id);
+    ctx.permits.borrow_mut().withdraw(id);
     grant.ok()?.ok()
 }
 
--- a/src/gateway/screen.rs
+++ b/src/gateway/screen.rs
@@ -7,12 +7,12 @@
 
 use super::{
     accept::Job,
+    attempt::{Attempts, Pass},
     choose::choose,
     context::Context,
-    dropped::{Ending, Progress},
+    datagram::send_to_all,
+    ending::{Ending, Progress},
     endpoint_table::EndpointId,
-    forward::Attempts,
-    gossip::send_to_all,
     issuer::{Grant, PermitReply},
     load_balancer::Refusal,
     log_event,
@@ -40,15 +40,6 @@
 /// Shortest `Retry-After` of a request with a quarantined part.
 const RETRY_AFTER_MIN: Millis = Millis(1000);
 
-/// Why a request may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Pass {
-    /// No part of its prompt is quarantined.
-    Clear,
-    /// It is a probe of a quarantined part.
-    Probe,
-}
-
 /// Returns the newest ends that are known of the parts of a request's prompt.
 pub(super) fn generations(ctx: &Context, job: &Job) -> Vec<Generation> {
     ctx.quarantine.borrow().generations(&job.parts)
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -14,10 +14,11 @@
 use super::{
     accept::{accept, Job},
     assignment::{self, ASSIGNMENT_PATH},
+    attempt::{Attempt, Attempts},
     context::{Context, Running},
     directory::Directory,
     evaluate::response_headers,
-    forward::{forward, Attempt, Attempts},
+    forward::forward,
     log_event,
     metrics::{RequestLabels, ServiceLabel},
     reply::Reject,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,12 +12,14 @@
 
 use super::{
     accept::Job,
+    attempt::{Attempt, Attempts, StreamingResponse, Target},
     catalog::Repeat,
     context::{Context, Running},
-    dropped::{note_dropped, Ending, Progress},
+    dropped::note_dropped,
+    ending::{Ending, Progress},
     evaluate::keep_connection,
     events::Events,
-    forward::{attempt, may_repeat, Attempt, Attempts, StreamingResponse, Target},
+    forward::{attempt, may_repeat},
     load_balancer::Refusal,
     load_view::Outcome,
     log_event, metrics, screen,
