fix(gateway): an entry that alone lost the store believes removals at once

Cause: after an outage of the store, removals are tentative for 2.3 s, because endpoints could not renew their records. An entry that alone had lost the store did the same, and another one copied its table.

Change: the entry asks the heartbeats: if another entry has read the store without a gap for 2.3 s, the outage was its own and removals apply. Without such heartbeats, as when it was cut off from the others too, nothing changes.

--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -7,7 +7,7 @@
 use super::{
     catalog::Catalog,
     context::Context,
-    endpoint_table::{Change, EndpointId},
+    endpoint_table::{Change, EndpointId, RENEWAL},
     follow::Follower,
     log_event,
     members::Heartbeat,
@@ -169,7 +169,12 @@
     }
 
     fn store_recovered(&self) {
-        self.0.endpoints.borrow_mut().store_recovered(self.0.now());
+        let now = self.0.now();
+        if self.0.members.borrow().store_was_up(RENEWAL, now) {
+            emit!(log_event::STORE, "topic=Endpoints outcome=own-outage");
+        } else {
+            self.0.endpoints.borrow_mut().store_recovered(now);
+        }
         self.0.operator_wake.notify_waiters();
     }
 }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -113,6 +113,8 @@
     joined: Millis,
     /// Whether a heartbeat arrived, not only the announcement in the store.
     sends_heartbeats: bool,
+    /// Time since which the entry's heartbeats have said, without a gap, that it reads the store.
+    reads_since: Option<Millis>,
     /// End of the backoff after the entry did not send its endpoint table.
     backoff_until: Millis,
     /// Result of [`rank`], kept because the ranks of many entries are compared at a time.
@@ -123,6 +125,7 @@
     fn new(heartbeat: Heartbeat, sends_heartbeats: bool, now: Millis) -> Self {
         Self {
             rank: rank(heartbeat.peer),
+            reads_since: heartbeat.status.reads_store.then_some(now),
             heartbeat,
             last_seen: now,
             joined: now,
@@ -215,6 +218,10 @@
         if known.heartbeat.boot != heartbeat.boot {
             known.joined = now;
         }
+        let gap = now >= known.last_seen + READER_TIMEOUT || known.heartbeat.boot != heartbeat.boot;
+        let since = known.reads_since.filter(|_| !gap);
+        let reads = heartbeat.status.reads_store;
+        known.reads_since = reads.then(|| since.unwrap_or(now));
         known.heartbeat = heartbeat;
         known.last_seen = now;
         known.sends_heartbeats = true;
@@ -313,6 +320,13 @@
         readers.filter(|m| m.rank < self.rank).count() < self.readers_per_zone()
     }
 
+    /// Returns whether another entry has read the store for `time`, so that an outage which this entry saw in that time
+    /// was not one of the store.
+    pub fn store_was_up(&self, time: Millis, now: Millis) -> bool {
+        let reads = |m: &Member| m.reads_since.is_some_and(|at| at + time <= now);
+        self.others.values().any(|m| m.is_reader(now) && reads(m))
+    }
+
     /// Returns how many entries of each zone have to read the store.
     fn readers_per_zone(&self) -> usize {
         let others = self.others.values().map(|m| &m.heartbeat.zone);
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -215,3 +215,34 @@
     members.back_off(addr(2, 1), Millis(150));
     assert_eq!(peer(&members), Some(addr(3, 1)));
 }
+
+/// Guards against an entry that alone lost the store, and takes removals for expired records of endpoints that could not
+/// renew them; and against one that drops such records after an outage of the store.
+#[test]
+fn outage_of_one_entry_is_told_from_that_of_the_store() {
+    let reading = |count, reads_store| Heartbeat {
+        status: Status {
+            reads_store,
+            ..status(count)
+        },
+        ..heartbeat(2, "a", count)
+    };
+    let outage = Millis(2300);
+    let mut members = members();
+    for count in 1..=10 {
+        members.merge(reading(count, true), Millis(count * 250));
+    }
+    assert!(members.store_was_up(outage, Millis(2600)));
+    // The other entry lost the store too, and has just got it back.
+    members.merge(reading(11, false), Millis(2750));
+    members.merge(reading(12, true), Millis(3000));
+    assert!(!members.store_was_up(outage, Millis(3100)));
+    // It may have lost the store while nothing was heard of it.
+    for count in 13..=24 {
+        members.merge(reading(count, true), Millis(count * 250));
+    }
+    assert!(members.store_was_up(outage, Millis(6000)));
+    assert!(!members.store_was_up(outage, Millis(7000)));
+    members.merge(reading(25, true), Millis(7100));
+    assert!(!members.store_was_up(outage, Millis(7200)));
+}
