refactor(gateway): text forms for the ids of the quarantine

The house rules ask for Display and FromStr on newtypes; EndId, Generation and PartKey had none or half of it. Log lines go on naming the id of the part.

--- a/src/decide/quarantine/evidence.rs
+++ b/src/decide/quarantine/evidence.rs
@@ -1,5 +1,7 @@
 //! What processes tell each other of the ends of endpoints.
 
+use std::{fmt, num::ParseIntError, str::FromStr};
+
 use serde::{Deserialize, Serialize};
 
 use super::{part::PartKey, probe::ProbeProgress};
@@ -8,6 +10,21 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndId(pub u32);
 
+impl fmt::Display for EndId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+impl FromStr for EndId {
+    type Err = ParseIntError;
+
+    /// Parses hexadecimal digits.
+    fn from_str(s: &str) -> Result<Self, ParseIntError> {
+        u32::from_str_radix(s, 16).map(Self)
+    }
+}
+
 /// Position of an end in the causal order of the ends of one part: higher than those of all ends of the part that the
 /// observing process knew, and no lower than its time of day in Unix milliseconds. Zero is before the first one.
 #[derive(
@@ -15,6 +32,20 @@
 )]
 pub struct Generation(pub u64);
 
+impl fmt::Display for Generation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Generation {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, ParseIntError> {
+        s.parse().map(Self)
+    }
+}
+
 /// How strongly an end points to a part that was in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Strength {
--- a/src/decide/quarantine/part.rs
+++ b/src/decide/quarantine/part.rs
@@ -67,8 +67,19 @@
 }
 
 impl fmt::Display for PartKey {
-    /// Writes the part's id only; log lines name the service beside it where it is known.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.part.fmt(f)
+        write!(f, "{}@{:08x}", self.part, self.service)
+    }
+}
+
+impl FromStr for PartKey {
+    type Err = PartIdError;
+
+    /// Parses the id of a part, `@`, and the hash of a service's name, both in hexadecimal.
+    fn from_str(s: &str) -> Result<Self, PartIdError> {
+        let (part, service) = s.split_once('@').ok_or(PartIdError)?;
+        let service = u32::from_str_radix(service, 16).map_err(|_| PartIdError)?;
+        let part = part.parse()?;
+        Ok(Self { service, part })
     }
 }
--- a/src/gateway/dropped.rs
+++ b/src/gateway/dropped.rs
@@ -21,7 +21,7 @@
     ending: Ending,
 ) {
     ctx.metrics.count_dropped(progress.name());
-    let parts: Vec<_> = job.parts.iter().map(ToString::to_string).collect();
+    let parts: Vec<_> = job.parts.iter().map(|p| p.part.to_string()).collect();
     emit!(
         log_event::DROPPED,
         "id={} endpoint={endpoint} progress={} ending={ending} parts={}",
--- a/src/gateway/screen.rs
+++ b/src/gateway/screen.rs
@@ -92,8 +92,9 @@
     ctx.metrics.quarantined.inc();
     emit!(
         log_event::SCREENED,
-        "id={} part={part} service={} outcome=rejected wait={wait}",
+        "id={} part={} service={} outcome=rejected wait={wait}",
         job.id(),
+        part.part,
         job.service
     );
     Err(Refusal::Quarantined(wait.max(RETRY_AFTER_MIN)))
@@ -121,8 +122,9 @@
     ctx.metrics.count_probe(name);
     emit!(
         log_event::SCREENED,
-        "id={} part={part} service={} outcome=probe grant={name} coordinator={coordinator}",
+        "id={} part={} service={} outcome=probe grant={name} coordinator={coordinator}",
         job.id(),
+        part.part,
         job.service
     );
     let wait = match grant {
@@ -257,7 +259,8 @@
         ctx.metrics.count_quarantine(kind);
         emit!(
             log_event::QUARANTINE,
-            "part={part} service={} change={kind} ends={ends} served={served} source={source}",
+            "part={} service={} change={kind} ends={ends} served={served} source={source}",
+            part.part,
             service_name(ctx, part)
         );
     }
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -1,6 +1,9 @@
 //! Parts of a prompt that requests share, from the header that lists them.
 
-use sesamewing::{decide::quarantine::PartId, gateway::shared_parts};
+use sesamewing::{
+    decide::quarantine::{EndId, Generation, PartId, PartKey},
+    gateway::shared_parts,
+};
 
 fn ids(list: &str) -> Vec<u64> {
     let mut ids: Vec<_> = shared_parts(list).into_iter().map(|id| id.0).collect();
@@ -38,3 +41,15 @@
     let found = (0..400).any(|_| shared_parts(&list).contains(&PartId(500)));
     assert!(found, "the part in the middle is never considered");
 }
+
+/// Guards against text forms in logs that do not lead back to what they stand for.
+#[test]
+fn text_forms_round_trip() {
+    let service = "pool".parse().expect("a valid name");
+    let key = PartKey::new(&service, PartId(0x5c1e));
+    assert_eq!(key.to_string().parse(), Ok(key));
+    assert_eq!(EndId(7).to_string().parse(), Ok(EndId(7)));
+    assert_eq!(Generation(9).to_string().parse(), Ok(Generation(9)));
+    assert!("5c1e".parse::<PartKey>().is_err());
+    assert!("5c1e@x".parse::<PartKey>().is_err());
+}
