--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -22,8 +22,10 @@
 mod served;
 mod suspect;
 mod table;
+mod verdict;
 
 pub use evidence::{End, EndId, Generation, PartReport, Strength};
 pub use part::{PartId, PartIdError, PartKey};
 pub use probe::ProbeProgress;
-pub use table::{Change, ChangeKind, ProbeGrant, Quarantine, Verdict};
+pub use table::{Change, ChangeKind, ProbeGrant, Quarantine};
+pub use verdict::Verdict;
