--- a/src/gateway/screen.rs
+++ b/src/gateway/screen.rs
@@ -239,7 +239,8 @@
     wake_gossip(ctx);
 }
 
-/// Logs the parts that were quarantined or released, and cancels requests in flight with the former. `source` says how this entry learned of it.
+/// Logs the parts that were quarantined or released, and cancels requests in flight with the former. `source` says how
+/// this entry learned of it.
 fn apply_changes(ctx: &Context, source: &str) {
     let changes = ctx.quarantine.borrow_mut().take_changes();
     for Change {
