feat(gateway): log requests that are dropped before their response is whole

SW467 names the request, its progress, the time that its deadline left, and which of the two it was. No decision changes.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -97,6 +97,8 @@
     /// Time at which the process started.
     pub(super) started: Millis,
     pub(super) draining: Cell<bool>,
+    /// Whether the process ends now, so that its remaining tasks are dropped.
+    pub(super) ended: Cell<bool>,
     /// Requests of callers in progress.
     pub(super) running: Cell<u32>,
 }
@@ -142,6 +144,7 @@
             gossip_soon: Notify::new(),
             peer_ahead: Notify::new(),
             draining: Cell::default(),
+            ended: Cell::default(),
             running: Cell::default(),
         })
     }
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -49,6 +49,9 @@
     /// A request with a quarantined part was rejected, or asked to be a probe.
     SCREENED = 466, "gateway-screened", Info,
         "a request with a quarantined part was rejected, or permission was asked to send it as a probe", "see the gateway-quarantine line of the part";
+    /// A request ended without a whole response because its caller left or the process ended.
+    ABANDONED = 467, "gateway-abandoned", Info,
+        "a request ended without a whole response because its caller left or the process ended", "for reason=process-end, compare its deadline with the grace period";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! entries and to agents; entries run no consensus protocol. Everything here runs on one thread, because an entry host
 //! has one small core; tasks share state without locks.
 
+mod abandoned;
 mod accept;
 mod assignment;
 mod attempt;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -254,6 +254,7 @@
     let end = start + ctx.bounds.get().grace - EXIT_MARGIN;
     let left = end - ctx.now();
     let ended = tokio::time::timeout(left.duration(), &mut callers).await;
+    ctx.ended.set(true);
     emit!(
         log_event::PROCESS,
         "state=stopped running={} whole={}",
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,6 +12,7 @@
 };
 
 use super::{
+    abandoned::Awaited,
     accept::{accept, Job},
     assignment::{self, ASSIGNMENT_PATH},
     attempt::{Attempt, Attempts},
@@ -102,7 +103,10 @@
 ) -> CallerResponse<impl Stream<Item = Result<Frame<Bytes>, Cut>>> {
     ctx.count_request(&job.service);
     let mut attempts = Attempts::new();
-    match forward(ctx, &job, &mut attempts).await {
+    let awaited = Awaited::new(ctx, &job);
+    let result = forward(ctx, &job, &mut attempts).await;
+    awaited.begun();
+    match result {
         Ok(Attempt::Streaming(response)) => {
             let mut res = Response::new(());
             *res.status_mut() = response.head.status;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -11,6 +11,7 @@
 };
 
 use super::{
+    abandoned::log_abandoned,
     accept::Job,
     attempt::{Attempt, Attempts, StreamingResponse, Target},
     catalog::Repeat,
@@ -76,6 +77,8 @@
     last_progress: Millis,
     /// Whether the stream ended with an error.
     cut: bool,
+    /// Whether the stream ended completely.
+    whole: bool,
     _running: Running,
 }
 
@@ -113,6 +116,7 @@
             source: Some(response.into()),
             begun: false,
             cut: false,
+            whole: false,
             _running: running,
         }
     }
@@ -148,6 +152,7 @@
                 ReadResult::End => {
                     self.note_served();
                     self.close(Outcome::Served);
+                    self.whole = true;
                     self.log("served", "-");
                     return None;
                 }
@@ -331,3 +336,13 @@
         }
     }
 }
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.cut || self.whole {
+            return;
+        }
+        let progress = self.events.last().unwrap_or_default().to_string();
+        log_abandoned(&self.ctx, &self.job, &progress);
+    }
+}
