fix(gateway): a stopping entry accepts only what can end before its process

Class of the fault: work is accepted without a check that it can end within the time that is left.

Change: StopPlan (decide/stop.rs, no I/O) holds when the entry closes its sockets and when the process exits. Once the process was told to stop, a request is accepted only if its deadline is not after the exit; others are rejected at once as not run, to be retried at another entry after about 60 ms. Responses that begin after the signal say that the connection closes, also those to requests from before it. A grace period that is shorter than the time to accept connections shortens that time.

A response ends at its deadline, so the bound holds whatever the load is.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,3 +13,4 @@
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod stop;
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -25,7 +25,7 @@
 };
 use crate::{
     base::{rendezvous, Millis, Service},
-    decide::quarantine::PartKey,
+    decide::{quarantine::PartKey, stop},
 };
 
 /// Deadline of requests without a deadline header, counted from their arrival.
@@ -198,13 +198,17 @@
         headers.insert(&names.workspace, value);
     }
     let body = read_body(body, &catalog).await?;
+    let deadline = start + time_left.min(route.timeout);
+    if ctx.stop.get().is_some_and(|plan| !plan.admits(deadline)) {
+        return Err(Reject::Stopping(crate::base::jitter(stop::RETRY_AFTER)));
+    }
     let service = route.service(rendezvous(b"split", id.as_bytes())).clone();
     let parts = parts.into_iter().map(|id| PartKey::new(&service, id));
     let parts = parts.collect();
     let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
     Ok(Job {
         retrying: time_left + RETRY_DEADLINE_GAP < route.timeout,
-        deadline: start + time_left.min(route.timeout),
+        deadline,
         id,
         service,
         method: head.method,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -27,7 +27,7 @@
 };
 use crate::{
     base::{Clock, HashMap, HashSet, Millis, Service, SystemClock},
-    decide::{quarantine::Quarantine, retry::RetryBudget},
+    decide::{quarantine::Quarantine, retry::RetryBudget, stop::StopPlan},
     emit,
     http::Pool,
 };
@@ -96,7 +96,8 @@
     pub(super) peer_ahead: Notify,
     /// Time at which the process started.
     pub(super) started: Millis,
-    pub(super) draining: Cell<bool>,
+    /// Plan of the stop in progress; `None` until the process is told to stop.
+    pub(super) stop: Cell<Option<StopPlan>>,
     /// Whether the process ends now, so that its remaining tasks are dropped.
     pub(super) ended: Cell<bool>,
     /// Requests of callers in progress.
@@ -143,7 +144,7 @@
             changed: Notify::new(),
             gossip_soon: Notify::new(),
             peer_ahead: Notify::new(),
-            draining: Cell::default(),
+            stop: Cell::default(),
             ended: Cell::default(),
             running: Cell::default(),
         })
@@ -166,7 +167,12 @@
 
     /// Returns whether callers may be sent to this entry.
     pub(super) fn is_ready(&self) -> bool {
-        !self.draining.get() && self.is_informed()
+        !self.is_stopping() && self.is_informed()
+    }
+
+    /// Returns whether the process was told to stop.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stop.get().is_some()
     }
 
     /// Returns whether this entry has an endpoint table and a catalog.
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -41,6 +41,9 @@
     /// This entry has no catalog or no endpoint table yet; the request was not run.
     #[error("not run, this entry is starting; retry after {0}")]
     Starting(Millis),
+    /// This entry is stopping and exits before the request's deadline; the request was not run.
+    #[error("not run, this entry is stopping; retry at another entry after {0}")]
+    Stopping(Millis),
     /// No endpoint of the service can run the request; it was not run.
     #[error("not run, no endpoint can run it; retry after {0}")]
     Unavailable(Millis),
@@ -71,6 +74,7 @@
             Self::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Starting(_)
+            | Self::Stopping(_)
             | Self::Unavailable(_)
             | Self::Overloaded(_)
             | Self::Quarantined(_)
@@ -89,6 +93,7 @@
             Self::RequestTimeout => "slow",
             Self::TooLarge => "too-large",
             Self::Starting(_) => "starting",
+            Self::Stopping(_) => "stopping",
             Self::Unavailable(_) => "no-endpoint",
             Self::Overloaded(_) => "overloaded",
             Self::Quarantined(_) => "quarantined",
@@ -102,6 +107,7 @@
     fn retry_after(self) -> Option<Millis> {
         match self {
             Self::Starting(t)
+            | Self::Stopping(t)
             | Self::Unavailable(t)
             | Self::Overloaded(t)
             | Self::Quarantined(t)
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -28,6 +28,7 @@
 };
 use crate::{
     base::{wall_ms, Millis},
+    decide::stop::StopPlan,
     emit,
     http::{listen, ServeOptions},
     observe::LeftOut,
@@ -42,13 +43,6 @@
 /// Interval between attempts to announce this entry in the store.
 const ANNOUNCE_RETRY: Millis = Millis(700);
 
-/// Time for which a draining entry still accepts connections: three times as long as callers cache a response of the
-/// directory, with a margin.
-const DRAIN_ACCEPT_TIME: Millis = Millis(3200);
-
-/// Time before the end of the grace period at which the process exits even if requests are in progress.
-const EXIT_MARGIN: Millis = Millis(400);
-
 /// Runs an entry until SIGTERM. `load` reads the settings at the start and on each SIGHUP, and `lines` counts the log
 /// lines that were left out under load.
 ///
@@ -128,7 +122,7 @@
             _ = hangup.recv() => ctx.reload(&mut load),
         }
     }
-    drain(&ctx, &socket, &closing, callers).await;
+    stop(&ctx, &socket, &closing, callers).await;
     Ok(())
 }
 
@@ -233,26 +227,28 @@
     }
 }
 
-/// Drains the process: other entries stop naming it to callers, then connections close after their responses.
-async fn drain(
+/// Stops the process: other entries stop naming it to callers, then connections close after their responses.
+async fn stop(
     ctx: &Rc<Context>,
     socket: &UdpSocket,
     closing: &watch::Sender<bool>,
     mut callers: tokio::task::JoinHandle<()>,
 ) {
-    let start = ctx.now();
-    ctx.draining.set(true);
+    let now = ctx.now();
+    let plan = StopPlan::new(ctx.bounds.get().grace, now);
+    ctx.stop.set(Some(plan));
     emit!(
         log_event::PROCESS,
-        "state=draining running={}",
-        ctx.running.get()
+        "state=draining running={} close={} exit={}",
+        ctx.running.get(),
+        plan.close() - now,
+        plan.exit() - now
     );
     let targets = ctx.members.borrow_mut().gossip_targets(ctx.now());
     send_gossip(ctx, socket, &targets).await;
-    tokio::time::sleep(DRAIN_ACCEPT_TIME.duration()).await;
+    tokio::time::sleep((plan.close() - ctx.now()).duration()).await;
     closing.send_replace(true);
-    let end = start + ctx.bounds.get().grace - EXIT_MARGIN;
-    let left = end - ctx.now();
+    let left = plan.exit() - ctx.now();
     let ended = tokio::time::timeout(left.duration(), &mut callers).await;
     ctx.ended.set(true);
     emit!(
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -45,7 +45,6 @@
     req: Request<Incoming>,
 ) -> Response<Either<Full<Bytes>, StreamBody<impl Stream<Item = Result<Frame<Bytes>, Cut>>>>> {
     let running = Running::begin(&ctx);
-    let draining = ctx.draining.get();
     let mut res = match accept(&ctx, req).await {
         Ok(job) => run(&ctx, job, running).await,
         Err(reject) => {
@@ -54,7 +53,7 @@
         }
     }
     .into_response();
-    if draining {
+    if ctx.is_stopping() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
     }
