fix(gateway): tell all entries of a planned stop at once

What callers saw: they were sent to an entry that was about to exit, for longer than it accepts connections; the more entries, the longer.

Cause: the entry told its next gossip targets only, 12 of its zone and 3 others once there are more than 16; the rest heard of it by relay. Connections are accepted for three times the caching time of the directory, which assumes that all directories stop naming the entry within 0.2 s.

Change: the heartbeat that says so goes to all known entries.

Evidence: in the model, 264 of 410 entries still named the stopping one after 0.2 s (test directories_learn_of_stop_at_once failed so); none does now at 2, 9, 48 and 410. Cost: one datagram for each other entry at a stop.

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -292,11 +292,16 @@
         out
     }
 
+    /// Returns all other entries, live or not.
+    pub fn all_peers(&self) -> Vec<SocketAddr> {
+        self.others.keys().copied().collect()
+    }
+
     /// Chooses the entries that get a datagram: all others while they are few, else some random live ones.
     pub fn random_targets(&self, now: Millis) -> Vec<SocketAddr> {
         let peer = |m: &&Member| m.heartbeat.peer;
         if self.sends_to_all() {
-            return self.others.values().map(|m| m.heartbeat.peer).collect();
+            return self.all_peers();
         }
         let mut live: Vec<_> = self.others.values().filter(|m| m.is_live(now)).collect();
         fastrand::shuffle(&mut live);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -244,7 +244,8 @@
         plan.close() - now,
         plan.exit() - now
     );
-    let targets = ctx.members.borrow_mut().gossip_targets(ctx.now());
+    // All at once: each entry that does not know of the stop goes on sending callers here.
+    let targets = ctx.members.borrow().all_peers();
     send_gossip(ctx, socket, &targets).await;
     tokio::time::sleep((plan.close() - ctx.now()).duration()).await;
     closing.send_replace(true);
--- a/tests/stop_plan.rs
+++ b/tests/stop_plan.rs
@@ -176,8 +176,7 @@
     /// Sends SIGTERM to an entry.
     fn stop(&mut self, i: usize) {
         self.entries[i].plan = Some(StopPlan::new(GRACE, self.now));
-        let now = self.now;
-        let targets = self.entries[i].members.gossip_targets(now);
+        let targets = self.entries[i].members.all_peers();
         self.send(i, &targets);
     }
 
@@ -323,6 +322,28 @@
     assert!(seen.whole > 10 && seen.rejected > 0, "{seen:?}");
 }
 
+/// Guards against entries that go on naming a stopping one to callers, who then come to it for longer than it accepts
+/// connections: three times their caching time from the last response of the directory.
+#[test]
+fn directories_learn_of_stop_at_once() {
+    for n in [2, 9, 48, 410] {
+        let mut model = Model::new(n);
+        model.run(Millis(3000), |_| {});
+        model.stop(0);
+        let signalled = model.now;
+        model.run(Millis(200), |_| {});
+        let names = |e: &Entry| {
+            (0..ZONES).any(|z| {
+                let zone = format!("z{z}");
+                let named = e.members.addresses(&zone, n, signalled + Millis(200));
+                named.contains(&peer(0))
+            })
+        };
+        let late = model.entries[1..].iter().filter(|e| names(e)).count();
+        assert_eq!(late, 0, "{late} of {n} entries name the stopping one");
+    }
+}
+
 /// Guards against a grace period that is shorter than the usual time to accept connections.
 #[test]
 fn short_grace_is_kept() {
