fix(gateway): handle signals before anything else in an entry

What operators saw: nothing yet; found by reading. A SIGHUP that arrives while an entry starts ends the process, because the handlers were installed after the settings were read and the sockets bound. They are installed first now. The time from the start of the program to its main function remains; no test, as neither moment can be told from outside.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -55,6 +55,9 @@
     store: S,
     lines: LeftOut,
 ) -> eyre::Result<()> {
+    // Before anything else: until the signals are handled, each of them ends the process.
+    let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
     let settings = load()?;
     let me = Heartbeat {
         peer: settings.listen.peers,
@@ -114,8 +117,6 @@
     spawn_local(send_news(ctx.clone(), socket.clone()));
     spawn_local(follow_peers::<D>(ctx.clone()));
     spawn_local(mirror_table(ctx.clone()));
-    let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
-    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
     loop {
         tokio::select! {
             _ = term.recv() => break,
