fix(http): callers may read a response with pauses

Cause: accepted connections had the limit of connections to endpoints, 1.2 s without an acknowledgement. The kernel counts a closed receive window too.

Change: 10 s for accepted connections, longer than the deadlines of requests; 1.2 s stays for connections that a process opens itself.

Evidence: paused_caller_gets_whole_response failed with a reset after 12,288 of 1,048,576 bytes; it passes. gateway_http and planned_stop pass.

--- a/src/http/connect.rs
+++ b/src/http/connect.rs
@@ -24,15 +24,16 @@
 /// A connection on which one request at a time is sent.
 pub type Connection = SendRequest<Full<Bytes>>;
 
-/// Sets the options that make a silent peer visible.
+/// Sets the options that make a silent peer visible: the kernel ends the connection after `silence` without an
+/// acknowledgement, or with a receive window that stays closed.
 ///
 /// # Errors
 ///
 /// Returns the error of the system call.
-pub fn harden(stream: &TcpStream) -> io::Result<()> {
+pub(super) fn harden(stream: &TcpStream, silence: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(SILENCE))?;
+    socket.set_tcp_user_timeout(Some(silence))?;
     let probes = TcpKeepalive::new()
         .with_time(PROBE)
         .with_interval(PROBE)
@@ -49,7 +50,7 @@
     let stream = tokio::time::timeout(limit.duration(), TcpStream::connect(addr))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    harden(&stream)?;
+    harden(&stream, SILENCE)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(BUFFER)
         .handshake(TokioIo::new(stream))
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,6 +6,6 @@
 mod server;
 
 pub use call::{call, call_once, get, CallError, BODY_MAX};
-pub use connect::{connect, harden, Connection};
+pub use connect::{connect, Connection};
 pub use pool::Pool;
 pub use server::{listen, Listener, ServeOptions};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,6 +1,6 @@
 //! Accepts connections and serves them until the process drains.
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc};
+use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
@@ -22,6 +22,10 @@
 /// had arrived by then have their responses.
 const SETTLE: Millis = Millis(100);
 
+/// Time without an acknowledgement, or with a closed receive window, after which the kernel ends an accepted connection.
+/// Longer than the deadline of a request, because a peer may read its response with pauses.
+const PEER_SILENCE: Duration = Duration::from_secs(10);
+
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -111,7 +115,7 @@
                     continue;
                 }
             };
-            if let Err(e) = harden(&stream) {
+            if let Err(e) = harden(&stream, PEER_SILENCE) {
                 log::debug!("the peer is gone before it was served: {e}");
                 continue;
             }
