fix(http): read what has arrived before a connection closes

What callers saw: requests on kept connections that had arrived at a stopping entry, and were closed without a response.

Cause: when the time to read after the start of a shutdown is over, a select without an order closed the connection in half of the cases although a request was there to be read, if the process had got no processor in that time.

Change: the connection is polled first.

Evidence: requests_that_wait_behind_load_are_answered failed with 29 of 60 requests answered; it passes.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -134,7 +134,9 @@
             tokio::task::spawn_local(async move {
                 let _alive = alive;
                 tokio::pin!(connection);
+                // The connection first, so that a request that has arrived by then is read before the connection closes.
                 let ended = tokio::select! {
+                    biased;
                     ended = connection.as_mut() => Some(ended),
                     () = settle(closing) => None,
                 };
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use std::io::Write;
+use std::{io::Write, time::Duration};
 
 use bytes::Bytes;
 use gateway_support::{addr, run_local};
@@ -74,3 +74,44 @@
         serving.await.expect("the server ends");
     });
 }
+
+/// Time for which the process gets no processor, within the time in which it still reads after the shutdown began.
+const STALL: Duration = Duration::from_millis(200);
+
+/// Guards against requests that are on kept-alive connections when the time to read them is over and get no response,
+/// because the process got no processor in that time.
+#[test]
+fn requests_that_wait_behind_load_are_answered() {
+    run_local(async {
+        let at = addr(1, 8100);
+        let (closing, closed) = watch::channel(false);
+        let handler = |_| async { Response::new(Full::new(Bytes::from_static(b"yes"))) };
+        let listener = listen(at).expect("a free address");
+        tokio::task::spawn_local(listener.serve(ServeOptions::default, handler, closed));
+        let mut callers = Vec::new();
+        for _ in 0..CALLERS {
+            let mut caller = TcpStream::connect(at).await.expect("a connection");
+            caller
+                .write_all(REQUEST)
+                .await
+                .expect("the request is sent");
+            let mut part = [0; 1024];
+            assert!(caller.read(&mut part).await.is_ok_and(|n| n > 0));
+            callers.push(caller);
+        }
+        closing.send_replace(true);
+        tokio::time::sleep(Millis(20).duration()).await;
+        for caller in &callers {
+            let socket = SockRef::from(caller);
+            (&*socket).write_all(REQUEST).expect("the request is sent");
+        }
+        std::thread::sleep(STALL);
+        let mut answered = 0;
+        for caller in &mut callers {
+            let mut out = Vec::new();
+            let _ = caller.read_to_end(&mut out).await;
+            answered += usize::from(out.ends_with(b"yes"));
+        }
+        assert_eq!(answered, callers.len());
+    });
+}
