fix(platform): keep the other records of a page with an odd item

What callers saw: nothing by itself; with one odd item in the list, no entry could read any page, so the endpoints were never found, or an endpoint whose value could not be read was taken as removed.

Cause: a page was decoded as a whole, so a key or value of another type, a number out of range, bytes that are no UTF-8 or a name that occurs twice failed all of it. A value that is no base64 became None, which removes the key. A page without items, or one that repeats its last key, ended the list early or was read again without end.

Change: base::json splits text without decoding it; each item is decoded by itself, keys are bytes, and a value that cannot be read becomes an empty one, which no decoder accepts.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -5,6 +5,7 @@
 mod hash;
 mod id;
 mod jitter;
+pub mod json;
 mod lock;
 mod request_rate;
 mod unit;
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -24,7 +24,7 @@
 pub struct Record {
     /// Key within the topic.
     pub key: Bytes,
-    /// Encoded value; `None` removes the key.
+    /// Encoded value; `None` removes the key. Empty if the store's response did not contain it in a readable form.
     pub value: Option<Bytes>,
 }
 
