fix(gateway): read all records if the log is unreadable from an offset

What callers saw: from then on, entries and agents that read the store knew no newer endpoint, configuration or version.

Cause: a read that failed was repeated from the same offset without end, also if its response is malformed, or larger than a call accepts (8 MiB; a read asks for up to 1,000 records).

Change: after a malformed response, or while the store counts as lost, the newest record of each key is read, which comes in pages. After an outage this was done already, with one read more.

Measured: the test failed for both errors (last call "replace a" instead of "replace a,b") and passes now.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -117,6 +117,10 @@
             }
             Err(e) => {
                 state.record_failure(topic, clock.now(), &e);
+                if state.lost || matches!(e, StoreError::Malformed(_)) {
+                    // The log may remain unreadable from this offset on, for example if the response is too large.
+                    state.offset = None;
+                }
                 tokio::time::sleep(jitter(READ_RETRY).duration()).await;
             }
         }
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -102,3 +102,55 @@
         assert_eq!(*calls, ["replace a", "regained ", "replace a,b,c,d"]);
     });
 }
+
+/// A store whose log cannot be read from its first record on, although the newest records can be.
+#[derive(Clone)]
+struct BrokenLog {
+    store: MemoryStore,
+    error: StoreError,
+}
+
+impl RecordStore for BrokenLog {
+    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+        self.store.newest(topic).await
+    }
+
+    async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
+        let read = self.store.read(topic, from, wait).await?;
+        if read.records.is_empty() {
+            return Ok(read);
+        }
+        Err(self.error.clone())
+    }
+
+    async fn append(&self, topic: Topic, record: &Record) -> Result<(), StoreError> {
+        self.store.append(topic, record).await
+    }
+}
+
+/// Guards against a topic that is no longer followed because the response from one offset on cannot be read: it is
+/// malformed, or so large that it does not arrive.
+#[test]
+fn unreadable_log_is_passed_over() {
+    let errors = [
+        (StoreError::Malformed("truncated".to_owned()), Millis(800)),
+        (StoreError::Unknown("too large".to_owned()), Millis(4000)),
+    ];
+    for (error, limit) in errors {
+        run_local(async {
+            let store = BrokenLog {
+                store: MemoryStore::default(),
+                error,
+            };
+            let calls = Rc::new(CallLog::default());
+            let topic = Topic::Endpoints;
+            store.store.write(topic, "a", "1");
+            tokio::task::spawn_local(follow(store.clone(), topic, Millis::ZERO, calls.clone()));
+            tokio::time::sleep(Millis(60).duration()).await;
+            store.store.write(topic, "b", "1");
+            tokio::time::sleep(limit.duration()).await;
+            let calls = calls.0.borrow();
+            assert_eq!(calls.last().map(String::as_str), Some("replace a,b"));
+        });
+    }
+}
