fix(gateway): follow a topic again after a panic

A panic in a local task does not end the process: the runtime drops the task. An entry or agent whose follower panicked stayed alive, ready and blind.

Change: `follow` catches the panic, logs it, and reads all records again after 1 s.

Measured: the test failed (only "replace a", nothing after the panic) and passes now.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,6 +1,8 @@
 //! Follows a compacted topic of the store.
 
-use std::{future::Future, rc::Rc};
+use std::{convert::Infallible, future::Future, panic::AssertUnwindSafe, rc::Rc};
+
+use futures_util::FutureExt;
 
 use super::{
     log_event,
@@ -20,6 +22,9 @@
 /// Time without a successful read, beyond the usual time between reads, after which the store counts as lost.
 const STORE_TIMEOUT: Millis = Millis(1500);
 
+/// Pause after a panic of a follower, before all records are read again.
+const PANIC_RETRY: Millis = Millis(1000);
+
 /// Applies the records of a compacted topic.
 pub trait Follower {
     /// Applies one record.
@@ -55,13 +60,31 @@
 }
 
 /// Follows a topic and never returns. Each read waits up to `wait` for new records; the follower's pause separates
-/// reads.
+/// reads. If the follower panics, all records are read again.
 pub async fn follow<S: RecordStore>(
     store: S,
     topic: Topic,
     wait: Millis,
     follower: Rc<impl Follower>,
 ) {
+    loop {
+        let run = follow_topic(&store, topic, wait, &*follower);
+        if AssertUnwindSafe(run).catch_unwind().await.is_err() {
+            emit!(
+                log_event::RECORD,
+                "topic={topic:?} reason=\"a record made the follower panic; all records are read again\""
+            );
+            tokio::time::sleep(PANIC_RETRY.duration()).await;
+        }
+    }
+}
+
+async fn follow_topic<S: RecordStore>(
+    store: &S,
+    topic: Topic,
+    wait: Millis,
+    follower: &impl Follower,
+) -> Infallible {
     let clock = SystemClock::start();
     let mut state = FollowState {
         offset: None,
@@ -95,7 +118,7 @@
                 state.offset = None;
             }
             Ok((records, all)) => {
-                state.record_success(topic, clock.now(), &*follower);
+                state.record_success(topic, clock.now(), follower);
                 state.offset = Some(records.next);
                 if all {
                     follower.replace(records.records);
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -154,3 +154,47 @@
         });
     }
 }
+
+/// A follower that panics at one record.
+#[derive(Default)]
+struct Panicking(CallLog);
+
+impl Follower for Panicking {
+    fn apply(&self, record: Record) {
+        assert!(record.key != "odd", "an odd record");
+        self.0.apply(record);
+    }
+
+    fn replace(&self, records: Vec<Record>) {
+        self.0.replace(records);
+    }
+
+    fn store_recovered(&self) {}
+
+    fn pause(&self) -> Millis {
+        Millis(20)
+    }
+}
+
+/// Guards against a process that stays alive but no longer follows a topic after a record made its follower panic.
+#[test]
+fn panic_does_not_end_following() {
+    run_local(async {
+        let store = MemoryStore::default();
+        let calls = Rc::new(Panicking::default());
+        let topic = Topic::Endpoints;
+        store.write(topic, "a", "1");
+        let task = follow(store.clone(), topic, Millis::ZERO, calls.clone());
+        tokio::task::spawn_local(task);
+        tokio::time::sleep(Millis(60).duration()).await;
+        store.write(topic, "odd", "1");
+        tokio::time::sleep(Millis(60).duration()).await;
+        store.write(topic, "b", "1");
+        tokio::time::sleep(Millis(1500).duration()).await;
+        store.write(topic, "c", "1");
+        tokio::time::sleep(Millis(200).duration()).await;
+        let calls = calls.0 .0.borrow();
+        let expected = ["replace a", "replace a,odd,b", "take c"];
+        assert_eq!(*calls, expected);
+    });
+}
