fix(gateway): saturate sums of numbers that others name

What callers saw: their request ended with a closed connection in a debug build, as its task panicked; in a release build limits and loads wrapped, so that an endpoint with many slots could get a limit of 2 requests.

Cause: unchecked sums and products of the slots of a record, of the load and the keep-alive time in a response, of prompt lengths that callers name, and of the boot time of an entry; and the negation of a token bucket at its least level.

Measured: extreme_numbers_do_not_overflow failed ("attempt to add with overflow", load_view.rs), any_records_leave_the_sound_one too ("attempt to multiply with overflow", load_balancer.rs). Both pass now, the second with 300 cases. Any bytes in place of messages between entries and agents were harmless before as well.

--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -180,7 +180,7 @@
         .and_then(|v| v.split(',').next()?.trim().parse::<u64>().ok());
     // The endpoint closes the connection after the time that it states; the entry stops using it at 70 % of that, so
     // that no request is under way when it closes.
-    let time = seconds.map_or(IDLE_TIMEOUT, |s| Millis(s * 700).min(IDLE_TIMEOUT));
+    let time = seconds.map_or(IDLE_TIMEOUT, |s| Millis(s).times(700).min(IDLE_TIMEOUT));
     let expires = ctx.now() + time;
     ctx.pool
         .put(target.addr, target.connection, expires, target.idle_max);
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -314,11 +314,11 @@
     fn limit(&self, e: &Endpoint, query: &EndpointQuery<'_>) -> u32 {
         let slots = e.record.slots.max(1);
         let Some(required) = query.weights else {
-            return slots + slots * PLAIN_QUEUE_PER_SLOT;
+            return slots.saturating_add(slots.saturating_mul(PLAIN_QUEUE_PER_SLOT));
         };
         let waits = self.version(e, required.model) >= Some(required.oldest_queued);
         if waits && query.retrying {
-            slots + slots / RETRYING_DIVISOR
+            slots.saturating_add(slots / RETRYING_DIVISOR)
         } else if waits {
             slots
         } else {
--- a/src/gateway/load_view.rs
+++ b/src/gateway/load_view.rs
@@ -161,14 +161,15 @@
             .iter()
             .filter(|t| now < t.2 + PEER_LOAD_LIFETIME)
             .map(|t| u32::from(t.1))
-            .sum();
+            .fold(0, u32::saturating_add);
         let fresh = self
             .reported_at
             .is_some_and(|at| now < at + REPORT_LIFETIME);
         if peers_complete || !fresh {
-            return self.in_flight + peer_load;
+            return self.in_flight.saturating_add(peer_load);
         }
-        self.in_flight + peer_load.max(self.other_load)
+        self.in_flight
+            .saturating_add(peer_load.max(self.other_load))
     }
 
     /// Returns the cost of one more request at a load of `load` requests, as a share of the endpoint's slots.
@@ -184,7 +185,7 @@
     /// Counts a request that is sent; `prompt` is its length in tokens.
     pub(super) fn begin(&mut self, prompt: u32, now: Millis) {
         self.in_flight += 1;
-        self.unread_tokens += prompt;
+        self.unread_tokens = self.unread_tokens.saturating_add(prompt);
         self.breaker.begin(now);
     }
 
@@ -201,7 +202,8 @@
         now: Millis,
     ) {
         if let Some(load) = load {
-            self.other_load = (load.running + load.waiting).saturating_sub(self.in_flight);
+            let all = load.running.saturating_add(load.waiting);
+            self.other_load = all.saturating_sub(self.in_flight);
             self.reported_at = Some(now);
         }
         if let Some(version) = version {
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -442,7 +442,7 @@
         let ready: Vec<_> = all.filter(|(h, _)| h.status.ready).collect();
         let first_boot = ready.iter().map(|(h, _)| h.boot).min().unwrap_or(0);
         let nearest = ready.iter().min_by_key(|(h, rank)| {
-            let later = h.boot > first_boot + SAME_START.0;
+            let later = h.boot > first_boot.saturating_add(SAME_START.0);
             let starting = later && h.count < SETTLED_HEARTBEATS;
             (starting, *rank as u32 ^ key)
         });
--- a/src/net/pace.rs
+++ b/src/net/pace.rs
@@ -35,7 +35,7 @@
         let gain = rate.saturating_mul(elapsed);
         self.at = self.at.max(now);
         self.level = self.level.saturating_add(gain).min(self.burst);
-        let wait = (-self.level).max(0) / rate;
+        let wait = self.level.saturating_neg().max(0) / rate;
         let cost = i64::try_from(bytes)
             .unwrap_or(i64::MAX)
             .saturating_mul(1000);
