fix(gateway): let older records replace one that is not renewed

What callers saw: no request reached an endpoint under whose id another writer had once left a record with a start in the future or a large sequence number, although the endpoint had replaced that record in the store.

Cause: the table orders the records of an id by start and sequence, so that all later records of the endpoint counted as delayed ones, for good.

Change: an older record replaces one that was not renewed for 5 s (2.5 s in the copies of other entries, which get a record later than the reader). The time begins again after an outage of the store, in which nothing can be renewed. A record that says that the endpoint drains is never replaced by an older one of the same start. A tombstone still holds for 60 s.

--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -16,6 +16,12 @@
 /// Retention of the tombstone of a removed endpoint, which keeps a delayed older record from restoring the endpoint.
 const TOMBSTONE_RETENTION: Millis = Millis(60_000);
 
+/// Time without a renewal of a record after which an older one replaces it, because another writer may have left the
+/// newer one under the endpoint's id. Longer than the delay of a write. Copies of a table, which get a record later than
+/// the table that they copy, wait for a shorter time.
+const REVISION_TIMEOUT: Millis = Millis(5000);
+const REVISION_TIMEOUT_COPY: Millis = Millis(2500);
+
 /// Time for which gossip repeats that an endpoint is leaving: a few gossip intervals, because datagrams are lost.
 const LEAVING_GOSSIP: Millis = Millis(1500);
 
@@ -55,6 +61,8 @@
     pub id: EndpointId,
     /// Newest record, corrected by what the endpoint's agent and response headers reported since.
     pub record: EndpointRecord,
+    /// Time at which the record was last replaced or renewed.
+    renewed: Millis,
     /// Time at which a tentative removal of the endpoint takes effect; `None` if its record is present.
     removal: Option<Millis>,
     /// Value of the table's change counter when this endpoint last changed.
@@ -164,12 +172,19 @@
         now: Millis,
     ) -> Change {
         match record {
-            Some(record) => self.insert(id, record, now),
+            Some(record) => self.insert(id, record, REVISION_TIMEOUT, now),
             None => self.remove(id, now),
         }
     }
 
-    fn insert(&mut self, id: &EndpointId, mut record: EndpointRecord, now: Millis) -> Change {
+    /// Inserts a record; `timeout` is the time without a renewal after which an older one replaces the known one.
+    fn insert(
+        &mut self,
+        id: &EndpointId,
+        mut record: EndpointRecord,
+        timeout: Millis,
+        now: Millis,
+    ) -> Change {
         let born = record.revision.born;
         record.draining |= self.announced.get(id).is_some_and(|l| l.born == born);
         if self
@@ -185,6 +200,7 @@
             let mut endpoint = Endpoint {
                 id: id.clone(),
                 record,
+                renewed: now,
                 removal: None,
                 changed: self.changes,
                 hash: 0,
@@ -195,8 +211,15 @@
             return Change::Added;
         };
         if record.revision < known.record.revision {
-            return Change::Stale;
+            // Endpoints could not renew their records during an outage of the store.
+            let renewed = known.renewed.max(self.tentative_until);
+            // An endpoint that drains takes no requests again before its next start.
+            let drains = known.record.draining && born == known.record.revision.born;
+            if drains || now < renewed + timeout {
+                return Change::Stale;
+            }
         }
+        known.renewed = now;
         known.removal = None;
         match &known.overridden {
             Some(old) if old.models == record.models && now < old.until => {
@@ -312,7 +335,7 @@
             {
                 self.tombstones.remove(&id);
             }
-            let change = self.insert(&id, record, now);
+            let change = self.insert(&id, record, REVISION_TIMEOUT_COPY, now);
             changes.push((id, change));
         }
         for id in removed {
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -181,3 +181,85 @@
     table.apply(&id, Some(record(2, 1)), now);
     assert!(!draining(&table));
 }
+
+/// Guards against an endpoint that is kept out for good by a record that another writer left under its id with a start
+/// in the future, after the endpoint has replaced that record; and against entries that then differ.
+#[test]
+fn replaced_odd_record_gives_way() {
+    let odd = [
+        record(u64::MAX, 1),
+        record(u64::MAX, u64::MAX),
+        record(10, u64::MAX),
+    ];
+    for odd in odd {
+        let (mut table, mut copy) = (EndpointTable::default(), EndpointTable::default());
+        let e = id("e");
+        let mut now = Millis(1000);
+        table.apply(&e, Some(record(10, 5)), now);
+        copy.apply_delta(table.delta_since(None), now);
+        let odd = EndpointRecord {
+            slots: 77,
+            draining: odd.revision.born > 10,
+            ..odd
+        };
+        assert_eq!(table.apply(&e, Some(odd), now), Change::Updated);
+        // The copy gets this change later than the next one.
+        copy.apply_delta(table.delta_since(None), now + Millis(400));
+        let mut count = table.delta_since(None).count;
+        for sequence in 6..20 {
+            now += Millis(1000);
+            table.apply(&e, Some(record(10, sequence)), now);
+            let delta = table.delta_since(Some(count));
+            count = delta.count;
+            copy.apply_delta(delta, now + Millis(60));
+        }
+        for table in [&table, &copy] {
+            let known = table.get(&e).expect("an endpoint").record.clone();
+            assert_eq!((known.slots, known.draining), (4, false));
+        }
+        assert_eq!(table.digest(), copy.digest());
+    }
+}
+
+/// Guards against requests to a draining endpoint because an older record of the same start arrives late, for example
+/// after an outage of the store.
+#[test]
+fn older_records_do_not_undo_draining() {
+    let mut table = EndpointTable::default();
+    let e = id("e");
+    let draining = EndpointRecord {
+        draining: true,
+        ..record(10, 9)
+    };
+    table.apply(&e, Some(draining), Millis(1000));
+    table.store_recovered(Millis(9000));
+    let late = table.apply(&e, Some(record(10, 8)), Millis(9500));
+    assert_eq!(late, Change::Stale);
+    for at in [20_000, 30_000] {
+        table.apply(&e, Some(record(10, 8)), Millis(at));
+        assert!(table.get(&e).is_some_and(|e| e.record.draining));
+    }
+}
+
+/// Guards against a delayed write that replaces a newer record while the endpoint still renews that one.
+#[test]
+fn delayed_records_do_not_give_way() {
+    let mut table = EndpointTable::default();
+    let e = id("e");
+    for sequence in 6..30 {
+        let now = Millis(1000 * sequence);
+        let draining = EndpointRecord {
+            draining: true,
+            ..record(10, sequence)
+        };
+        table.apply(&e, Some(draining), now);
+        assert_eq!(
+            table.apply(&e, Some(record(10, sequence - 1)), now + Millis(900)),
+            Change::Stale
+        );
+        assert_eq!(
+            table.apply(&e, Some(record(9, 90)), now + Millis(950)),
+            Change::Stale
+        );
+    }
+}
