fix(gateway): pass on the restart of an endpoint

A record that differs from the known one only in the start of the endpoint changed the hash of the table but not its change counter: other entries did not get the new start, their tables differed from then on, and they ignored what the agent reported of the new run.

Measured: restarts_are_replicated failed (two digests differ) and passes now.

--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -231,18 +231,8 @@
         if known.record == record {
             return Change::Renewed;
         }
-        let revision = record.revision;
-        let same = EndpointRecord {
-            revision,
-            ..known.record.clone()
-        } == record;
         known.record = record;
-        known.rehash(&mut self.sum);
-        if same {
-            return Change::Renewed;
-        }
-        self.changes += 1;
-        known.changed = self.changes;
+        known.mark_changed(&mut self.sum, &mut self.changes);
         Change::Updated
     }
 
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -241,6 +241,19 @@
     }
 }
 
+/// Guards against entries that do not learn of the restart of an endpoint whose record is the same but for its start.
+#[test]
+fn restarts_are_replicated() {
+    let (mut table, mut copy) = (EndpointTable::default(), EndpointTable::default());
+    let e = id("e");
+    table.apply(&e, Some(record(10, 5)), Millis(1));
+    copy.apply_delta(table.delta_since(None), Millis(1));
+    let count = table.delta_since(None).count;
+    table.apply(&e, Some(record(20, 1)), Millis(2));
+    copy.apply_delta(table.delta_since(Some(count)), Millis(2));
+    assert_eq!(table.digest(), copy.digest());
+}
+
 /// Guards against a delayed write that replaces a newer record while the endpoint still renews that one.
 #[test]
 fn delayed_records_do_not_give_way() {
