fix(gateway): use no endpoint that an odd entry names

What callers saw: requests that went nowhere, or to an endpoint that could not tell that they were not for it.

A value that cannot be read left the endpoint of the id in use. The entry names no endpoint to use then, and an entry that starts later does not know the older record, so that tables differed. It is removed now, tentatively after an outage of the store, until its next record; that one has a later sequence number, so that the tombstone does not hold it back. 2. An id that no header can carry (empty, spaces, control characters, no ASCII) was used without the header that names the endpoint. 3. Port 0, unspecified, multicast and broadcast addresses were used, also by agents; 0.0.0.0 leads to the own host. So were addresses of entries, which would forward the request once more. 4. At most 64 models with names of up to 256 bytes are accepted.

--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -34,6 +34,14 @@
 pub struct EndpointHash(pub u32);
 
 impl EndpointId {
+    /// Returns the id that a key of the store stands for; `None` if no header could carry it unchanged, so that the
+    /// endpoint could not tell requests to it from those to another one.
+    pub fn from_key(key: &[u8]) -> Option<Self> {
+        let text = std::str::from_utf8(key).ok()?;
+        let valid = !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic());
+        valid.then(|| Self(text.into()))
+    }
+
     /// Returns the hash of the id that stands for it in datagrams.
     pub fn hash(&self) -> EndpointHash {
         EndpointHash(rendezvous(b"endpoint", self.0.as_bytes()) as u32)
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -12,7 +12,7 @@
     log_event,
     members::Heartbeat,
     operator_records::{Decode, OperatorSink},
-    record::{Record, WeightVersion},
+    record::{EndpointRecord, Record, WeightVersion},
 };
 use crate::{
     base::{HashSet, Millis},
@@ -70,24 +70,51 @@
 }
 
 /// Follower of the endpoints' records.
-pub(super) struct EndpointFollower<D>(pub(super) Rc<Context>, pub(super) PhantomData<D>);
+pub(super) struct EndpointFollower<D> {
+    ctx: Rc<Context>,
+    _decode: PhantomData<D>,
+}
 
 impl<D: Decode> EndpointFollower<D> {
+    pub(super) fn new(ctx: Rc<Context>) -> Self {
+        Self {
+            ctx,
+            _decode: PhantomData,
+        }
+    }
+
+    /// Applies a record. One that names no endpoint to use, as another writer may leave it, removes the endpoint that the
+    /// record before it named: an entry that starts later does not know that one.
     fn apply_record(&self, record: &Record) -> Option<EndpointId> {
-        let id = EndpointId(String::from_utf8_lossy(&record.key).into());
-        let decoded = match record.value.as_ref().map(|v| D::endpoint(v)) {
-            None => None,
-            Some(Ok(e)) => Some(e),
-            Some(Err(e)) => {
-                emit!(log_event::RECORD, "key={id} reason=\"{e}\"");
-                return Some(id);
-            }
+        let Some(id) = EndpointId::from_key(&record.key) else {
+            self.log_skipped(&record.key, "the key is no valid id of an endpoint");
+            return None;
         };
-        let now = self.0.now();
-        let change = self.0.endpoints.borrow_mut().apply(&id, decoded, now);
-        endpoint_changed(&self.0, &id, change);
+        let decoded = record.value.as_ref().map(|v| self.decode(v));
+        let decoded = decoded.and_then(|result| {
+            let skipped = |e: &String| self.log_skipped(&record.key, e);
+            result.inspect_err(skipped).ok()
+        });
+        let now = self.ctx.now();
+        let change = self.ctx.endpoints.borrow_mut().apply(&id, decoded, now);
+        endpoint_changed(&self.ctx, &id, change);
         Some(id)
     }
+
+    fn decode(&self, value: &[u8]) -> Result<EndpointRecord, String> {
+        let record = D::endpoint(value)?;
+        record.check().map_err(|e| e.to_string())?;
+        let listen = &self.ctx.settings.listen;
+        if listen.contains(record.addr) || self.ctx.members.borrow().is_entry(record.addr) {
+            return Err("the address is that of an entry".to_owned());
+        }
+        Ok(record)
+    }
+
+    fn log_skipped(&self, key: &[u8], reason: &str) {
+        let key = String::from_utf8_lossy(key);
+        emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
+    }
 }
 
 /// Updates everything that depends on the endpoint table after a change of an endpoint, and logs the change.
@@ -124,8 +151,8 @@
     }
 
     fn batch_applied(&self) {
-        if self.0.table_changed.get() {
-            self.0.notify_changed();
+        if self.ctx.table_changed.get() {
+            self.ctx.notify_changed();
         }
     }
 
@@ -135,25 +162,25 @@
             .filter_map(|r| self.apply_record(r))
             .collect();
         let missing = self
-            .0
+            .ctx
             .endpoints
             .borrow_mut()
-            .retain_present(&present, self.0.now());
+            .retain_present(&present, self.ctx.now());
         for id in missing {
-            let gone = self.0.endpoints.borrow().get(&id).is_none();
+            let gone = self.ctx.endpoints.borrow().get(&id).is_none();
             let change = if gone {
                 Change::Removed
             } else {
                 Change::Doubted
             };
-            endpoint_changed(&self.0, &id, change);
+            endpoint_changed(&self.ctx, &id, change);
         }
-        self.0.table_loaded.set(true);
-        self.0.table_changed.set(true);
+        self.ctx.table_loaded.set(true);
+        self.ctx.table_changed.set(true);
     }
 
     fn pause(&self) -> Millis {
-        if self.0.is_load_pending() {
+        if self.ctx.is_load_pending() {
             ENDPOINTS_PAUSE_LOADING
         } else {
             ENDPOINTS_PAUSE
@@ -161,21 +188,21 @@
     }
 
     fn read_succeeded(&self) {
-        self.0.next_read.set(self.0.now() + self.pause());
+        self.ctx.next_read.set(self.ctx.now() + self.pause());
     }
 
     fn should_read(&self) -> bool {
-        self.0.is_zone_reader()
+        self.ctx.is_zone_reader()
     }
 
     fn store_recovered(&self) {
-        let now = self.0.now();
-        if self.0.members.borrow().store_was_up(RENEWAL, now) {
+        let now = self.ctx.now();
+        if self.ctx.members.borrow().store_was_up(RENEWAL, now) {
             emit!(log_event::STORE, "topic=Endpoints outcome=own-outage");
         } else {
-            self.0.endpoints.borrow_mut().store_recovered(now);
+            self.ctx.endpoints.borrow_mut().store_recovered(now);
         }
-        self.0.operator_wake.notify_waiters();
+        self.ctx.operator_wake.notify_waiters();
     }
 }
 
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -192,6 +192,12 @@
         self.others.len() + 1
     }
 
+    /// Returns whether another entry listens at an address.
+    pub fn is_entry(&self, addr: SocketAddr) -> bool {
+        let listens = |m: &Member| m.heartbeat.callers == addr || m.heartbeat.peer == addr;
+        self.others.values().any(listens)
+    }
+
     /// Adds an entry from its announcement in the store; ignored if the entry is known.
     pub fn announce(&mut self, heartbeat: Heartbeat, now: Millis) {
         if heartbeat.peer == self.me.peer || self.others.contains_key(&heartbeat.peer) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -77,8 +77,8 @@
 pub use ownership::{owned_endpoints, ReadyEntry};
 pub use prompt::shared_parts;
 pub use record::{
-    EndpointRecord, OperatorRecord, Record, RecordStore, Records, Revision, StoreError, Topic,
-    WeightVersion,
+    EndpointRecord, OperatorRecord, Record, RecordFault, RecordStore, Records, Revision,
+    StoreError, Topic, WeightVersion,
 };
 pub use reply::Reject;
 pub use run::run;
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -1,6 +1,10 @@
 //! Decoded records of the platform's store.
 
-use std::{future::Future, net::SocketAddr, rc::Rc};
+use std::{
+    future::Future,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -125,6 +129,47 @@
     pub sequence: u64,
 }
 
+/// Largest number of models in an endpoint's record, and longest name of one in bytes. Every entry keeps the record and
+/// passes it on.
+const MODELS_MAX: usize = 64;
+const MODEL_NAME_MAX: usize = 256;
+
+/// Why a record that can be decoded names no endpoint to use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RecordFault {
+    /// No endpoint can have the address, or a connection to it would lead to this host.
+    #[error("no endpoint has this address; check the writer of the record")]
+    Address,
+    /// Too many models, or a name that is too long.
+    #[error("more than {MODELS_MAX} models, or a name longer than {MODEL_NAME_MAX} bytes; check the writer of the record")]
+    Models,
+}
+
+/// Returns whether an endpoint can have an address.
+fn is_usable(addr: SocketAddr) -> bool {
+    let ip = addr.ip().to_canonical();
+    let broadcast = matches!(ip, IpAddr::V4(v4) if v4.is_broadcast());
+    addr.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !broadcast
+}
+
+impl EndpointRecord {
+    /// Checks whether the record names an endpoint to use.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be one of an endpoint, or the list of models is too large.
+    pub fn check(&self) -> Result<(), RecordFault> {
+        if !is_usable(self.addr) {
+            return Err(RecordFault::Address);
+        }
+        let long = |m: &(Rc<str>, WeightVersion)| m.0.len() > MODEL_NAME_MAX;
+        if self.models.len() > MODELS_MAX || self.models.iter().any(long) {
+            return Err(RecordFault::Models);
+        }
+        Ok(())
+    }
+}
+
 /// State of an endpoint as its record in the store describes it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndpointRecord {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,6 +1,6 @@
 //! The entry process: sockets, followers of the store's topics, heartbeats and shutdown.
 
-use std::{cell::Cell, marker::PhantomData, net::SocketAddr, rc::Rc};
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use eyre::WrapErr;
@@ -83,7 +83,7 @@
     let (closing, closed) = watch::channel(false);
     let callers = serve_all(&ctx, &closed)?;
     let intents = Rc::new(OperatorFollower::<D, _>::new(ctx.clone()));
-    let endpoints = Rc::new(EndpointFollower::<D>(ctx.clone(), PhantomData));
+    let endpoints = Rc::new(EndpointFollower::<D>::new(ctx.clone()));
     let entries = Rc::new(EntryFollower {
         ctx: ctx.clone(),
         read: Cell::default(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -19,6 +19,14 @@
     pub peers: SocketAddr,
 }
 
+impl Listen {
+    /// Returns whether an address is among these.
+    pub fn contains(&self, addr: SocketAddr) -> bool {
+        let others = [self.readiness, self.directory, self.metrics];
+        addr == self.callers || addr == self.peers || others.contains(&Some(addr))
+    }
+}
+
 /// Limits that the deployment guarantees to callers and endpoints.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
--- a/src/staging/assignment.rs
+++ b/src/staging/assignment.rs
@@ -130,7 +130,8 @@
             }
         };
         let values = records.iter().filter_map(|r| r.value.as_ref());
-        let endpoints = values.filter_map(|v| D::endpoint(v).ok());
+        let decoded = values.filter_map(|v| D::endpoint(v).ok());
+        let endpoints = decoded.filter(|e| e.check().is_ok());
         let own = endpoints.filter(|e| e.service == self.settings.service);
         let hosts: Vec<_> = own.map(|e| (e.addr, e.zone)).collect();
         self.set_hosts(&hosts);
