fix(gateway): bound the log lines about skipped records

A value that cannot be decoded was logged whole where the reason contains it, and at each read of it; 1,024 lines wait in memory. A key with a line break wrote lines of its own.

Change: keys and reasons are excerpts of 160 characters on one line, at most five lines a second tell of skipped records of endpoints, and a line of an endpoint lists at most eight versions.

Measured: lines_of_skipped_records_are_bounded failed with a line of 1048623 bytes and passes now.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 pub mod event;
+mod excerpt;
 mod hash;
 mod id;
 mod jitter;
@@ -11,6 +12,7 @@
 mod unit;
 
 pub use clock::{wall_ms, Clock, ManualClock, Millis, SystemClock};
+pub use excerpt::Excerpt;
 pub use hash::{rendezvous, Digest, HashMap, HashSet};
 pub use id::{
     Attempt, Fence, IdError, Instance, Offset, ProcessName, RecordId, Region, RequestId, Service,
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -15,8 +15,9 @@
     record::{EndpointRecord, Record, WeightVersion},
 };
 use crate::{
-    base::{HashSet, Millis},
+    base::{Excerpt, HashSet, Millis},
     emit,
+    observe::LineRate,
 };
 
 /// Pause between reads of the endpoints, whose records change continually; short, because requests to a draining
@@ -30,6 +31,12 @@
 /// Pause between reads of the announcements of entries; most of their state arrives by heartbeat.
 const ENTRIES_PAUSE: Millis = Millis(2000);
 
+/// Log lines a second about records of endpoints that cannot be used.
+const SKIPPED_LINES: u32 = 5;
+
+/// Number of versions of weights in a log line.
+const LOGGED_VERSIONS: usize = 8;
+
 /// Puts a catalog in force unless a newer one already is, and logs it. `source` names the store or the sending entry.
 pub(super) fn apply_catalog(ctx: &Context, catalog: Catalog, raw: Bytes, source: &str) {
     let version = catalog.version;
@@ -57,6 +64,7 @@
     }
 
     fn malformed(&self, key: &str, reason: &str) {
+        let (key, reason) = (Excerpt(key), Excerpt(reason));
         emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
     }
 
@@ -72,6 +80,8 @@
 /// Follower of the endpoints' records.
 pub(super) struct EndpointFollower<D> {
     ctx: Rc<Context>,
+    /// Limits the log lines about records that cannot be used.
+    lines: LineRate,
     _decode: PhantomData<D>,
 }
 
@@ -79,6 +89,7 @@
     pub(super) fn new(ctx: Rc<Context>) -> Self {
         Self {
             ctx,
+            lines: LineRate::new(SKIPPED_LINES),
             _decode: PhantomData,
         }
     }
@@ -112,8 +123,11 @@
     }
 
     fn log_skipped(&self, key: &[u8], reason: &str) {
-        let key = String::from_utf8_lossy(key);
-        emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
+        if self.lines.admits() {
+            let key = String::from_utf8_lossy(key);
+            let (key, reason) = (Excerpt(&key), Excerpt(reason));
+            emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
+        }
     }
 }
 
@@ -132,7 +146,8 @@
     let fleet = ctx.endpoints.borrow();
     let record = fleet.get(id).map(|e| &e.record);
     let text = record.map_or_else(String::new, |r| {
-        let versions: Vec<_> = r.models.iter().map(|m| m.1.to_string()).collect();
+        let versions = r.models.iter().take(LOGGED_VERSIONS);
+        let versions: Vec<_> = versions.map(|m| m.1.to_string()).collect();
         format!(
             " service={} addr={} draining={} sequence={} weights={}",
             r.service,
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -18,7 +18,7 @@
     log_event, EndpointHost, Origin,
 };
 use crate::{
-    base::{Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
+    base::{Excerpt, Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
     emit,
     gateway::{
         follow, Catalog, Decode, OperatorFollower, OperatorSink, RecordStore, Topic, WeightVersion,
@@ -156,6 +156,7 @@
     }
 
     fn malformed(&self, key: &str, reason: &str) {
+        let (key, reason) = (Excerpt(key), Excerpt(reason));
         emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
     }
 
--- a/tests/odd_endpoints.rs
+++ b/tests/odd_endpoints.rs
@@ -179,3 +179,29 @@
 fn attempts() -> usize {
     LINES.with_borrow(|lines| lines.iter().filter(|l| l.starts_with("SW451")).count())
 }
+
+/// Guards against lines without bound for what is skipped: in size, in number, or broken into several lines.
+#[test]
+fn lines_of_skipped_records_are_bounded() {
+    collect_lines();
+    run_local(async {
+        let store = MemoryStore::default();
+        let long = "x".repeat(1 << 20);
+        let models = format!("1 plain {} a {long} 3", addr(10, 9000));
+        store.write(Topic::Endpoints, "models", &models);
+        start(&store).await;
+        for i in 0..500 {
+            let key = format!("a\nSW459 gateway-process: {i}");
+            store.write(Topic::Endpoints, &key, "?\n?");
+            store.write(Topic::Endpoints, "b", &format!("{i}{long}"));
+        }
+        store.write(Topic::Operator, &format!("m{long}"), &long);
+        tokio::time::sleep(APPLIED.duration()).await;
+    });
+    let lines = LINES.take();
+    let size = lines.iter().map(String::len).max().unwrap_or(0);
+    assert!(size <= 1024, "a line of {size} bytes");
+    assert!(lines.iter().all(|l| !l.contains('\n')), "a broken line");
+    let skipped = lines.iter().filter(|l| l.starts_with("SW456")).count();
+    assert!((1..=40).contains(&skipped), "{skipped} lines");
+}
