fix(staging): read a manifest again that cannot be copied

What callers saw: a host that did not load the desired version, because a number of its manifest was corrupted on the way from the origin.

Cause: version, chunk size and number of chunks were used unchecked.

Change: a manifest of another version than the requested one, without chunks, or with chunks of no byte or over 8 MiB is fetched again.

Measured: odd_manifest_is_not_used failed ("attempt to negate with overflow", pace.rs; "not done within 10 s") for a size of 2^64 - 1 and passes now; its later cases were not reached before.

--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -20,7 +20,7 @@
     EndpointHost, HostReport, Manifest, Origin,
 };
 use crate::{
-    base::{jitter, Clock, HashMap, Millis, SystemClock},
+    base::{jitter, Clock, Excerpt, HashMap, Millis, SystemClock},
     emit,
     gateway::{Decode, DesiredVersions, OriginSpec, RecordStore, WeightVersion},
     net::Pacer,
@@ -329,17 +329,17 @@
             }
         }
         let addr = self.origin_spec.borrow().as_ref().map(|o| o.addr)?;
-        match self
-            .origin
-            .manifest(addr, &target.model, target.version)
-            .await
-        {
-            Ok(manifest) => Some(manifest),
-            Err(e) => {
-                emit!(log_event::ORIGIN, "model={} reason=\"{e}\"", target.model);
-                None
-            }
-        }
+        let read = self.origin.manifest(addr, &target.model, target.version);
+        let checked = read.await.map_err(|e| e.to_string()).and_then(|manifest| {
+            let fault = manifest.check(target.version).err();
+            fault.map_or(Ok(manifest), |e| Err(e.to_string()))
+        });
+        checked
+            .inspect_err(|e| {
+                let (model, reason) = (&target.model, Excerpt(e));
+                emit!(log_event::ORIGIN, "model={model} reason=\"{reason}\"");
+            })
+            .ok()
     }
 
     /// Fetches a manifest from other hosts of the region, so that few hosts request it from the origin.
@@ -348,8 +348,9 @@
         let sources = self.peers.borrow().manifest_sources(&id);
         for addr in sources {
             let manifest = self.client.manifest(addr, model, version).await;
-            if manifest.is_some() {
-                return manifest;
+            let usable = manifest.filter(|m| m.check(Some(version)).is_ok());
+            if usable.is_some() {
+                return usable;
             }
         }
         None
--- a/src/staging/host.rs
+++ b/src/staging/host.rs
@@ -8,6 +8,7 @@
 use crate::{
     base::{Digest, Size},
     gateway::WeightVersion,
+    http::BODY_MAX,
 };
 
 /// Why a call to the endpoint or the origin failed.
@@ -109,6 +110,36 @@
     pub digests: Vec<Digest>,
 }
 
+/// Largest size of a chunk: that of the body of a response.
+const CHUNK_MAX: Size = Size(BODY_MAX as u64);
+
+/// Why a manifest cannot be used; it may have been corrupted in transit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum ManifestFault {
+    #[error("the manifest is of version {0}, not of the requested one; read it again")]
+    Version(WeightVersion),
+    #[error("the manifest names chunks of {0}; read it again")]
+    ChunkSize(Size),
+    #[error("the manifest lists no chunks; read it again")]
+    Empty,
+}
+
+impl Manifest {
+    /// Checks that the manifest is of the version that was requested, if one was, and that it can be copied.
+    pub(super) fn check(&self, version: Option<WeightVersion>) -> Result<(), ManifestFault> {
+        if version.is_some_and(|v| v != self.version) {
+            return Err(ManifestFault::Version(self.version));
+        }
+        if self.chunk == Size(0) || self.chunk > CHUNK_MAX {
+            return Err(ManifestFault::ChunkSize(self.chunk));
+        }
+        if self.digests.is_empty() {
+            return Err(ManifestFault::Empty);
+        }
+        Ok(())
+    }
+}
+
 /// The weight store that holds each version first.
 pub trait Origin: Clone + 'static {
     /// Reads the manifest of a version, or of the newest one if no version is given.
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -123,6 +123,8 @@
     gone: Cell<bool>,
     /// Version whose manifest is not available.
     hidden: Cell<u64>,
+    /// What the next manifest that is requested by version is replaced by.
+    odd: RefCell<Option<Manifest>>,
 }
 
 impl Origin for MemoryOrigin {
@@ -144,6 +146,9 @@
             if self.0.wrong.take() {
                 digests[5] = Digest([0; 32]);
             }
+            if let Some(odd) = self.0.odd.take() {
+                return Ok(odd);
+            }
         }
         Ok(Manifest {
             version,
@@ -329,6 +334,47 @@
     assert!(engines.iter().all(|e| e.0.bad_loads.get() == 0));
 }
 
+/// Guards against hosts that load another version, nothing, or never again copy in time, because a number of the manifest
+/// was corrupted in transit.
+#[test]
+fn odd_manifest_is_not_used() {
+    let digest = |c| Digest(Sha256::digest(content(2, c)).into());
+    let good = Manifest {
+        version: WeightVersion(2),
+        chunk: Size(CHUNK as u64),
+        digests: (0..CHUNKS).map(digest).collect(),
+    };
+    let sized = |bytes| Manifest {
+        chunk: Size(bytes),
+        ..good.clone()
+    };
+    let odd = [
+        sized(0),
+        sized(u64::MAX),
+        sized(1 << 40),
+        Manifest {
+            version: WeightVersion(7),
+            ..good.clone()
+        },
+        Manifest {
+            digests: Vec::new(),
+            ..good.clone()
+        },
+    ];
+    for odd in odd {
+        let text = format!("{odd:?}").chars().take(60).collect::<String>();
+        let engines: Vec<Engine> = (0..2).map(|_| Engine::default()).collect();
+        engines.iter().for_each(|e| e.0.loaded.set(1));
+        let origin = MemoryOrigin::default();
+        *origin.0.odd.borrow_mut() = Some(odd);
+        let loaded = || {
+            assert!(engines.iter().all(|e| e.0.bad_loads.get() == 0), "{text}");
+            engines.iter().all(|e| e.0.loaded.get() == 2)
+        };
+        with_agents(&engines, &origin, &[2], loaded);
+    }
+}
+
 /// Guards against a host that starts to copy only when its endpoint responds, which may be a second after the agent
 /// starts.
 #[test]
