fix(feed): keep the other hosts of a list with an odd entry

One entry of the host list with a port out of range, an unknown state, a missing field or a number out of range failed the whole list, and processes that read it stayed on their last one.

Change: each entry is decoded by itself; those that cannot be are skipped.

Measured: odd_hosts_leave_the_others failed ("invalid socket address syntax") and passes now.

--- a/src/backing/http.rs
+++ b/src/backing/http.rs
@@ -6,7 +6,7 @@
 
 use super::{HostList, Log, Page, PlatformError, Stream, WeightStore};
 use crate::{
-    base::{Digest, Millis, Offset, ProcessName},
+    base::{json, Digest, Millis, Offset, ProcessName},
     kernel::Entry,
     wire::{HostEntry, Hosts},
 };
@@ -70,7 +70,7 @@
     }
 }
 
-fn json<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
     serde_json::from_slice(body).map_err(|e| PlatformError::Malformed(e.to_string()))
 }
 
@@ -103,7 +103,7 @@
             .client
             .post(self.url(&format!("log/{}", stream.name())))
             .body(data);
-        Ok(json::<Appended>(&send(req, ANSWER_TIMEOUT).await?)?.offset)
+        Ok(decode::<Appended>(&send(req, ANSWER_TIMEOUT).await?)?.offset)
     }
 
     async fn read(
@@ -119,7 +119,7 @@
             wait.0
         );
         let body = send(self.client.get(self.url(&query)), ANSWER_TIMEOUT + wait).await?;
-        let page: PageBody = json(&body)?;
+        let page: PageBody = decode(&body)?;
         let records = page
             .records
             .into_iter()
@@ -163,9 +163,21 @@
     }
 }
 
+/// Decodes the host list; `None` if the answer is not one. Entries that cannot be decoded are skipped.
+fn decode_hosts(body: &[u8]) -> Option<Hosts> {
+    let fields = json::members(body)?;
+    let entries = json::elements(fields.get(&b"hosts"[..])?)?;
+    let decoded = entries.iter().map(|e| serde_json::from_slice(e));
+    Some(Hosts {
+        hosts: decoded.filter_map(Result::ok).collect(),
+    })
+}
+
 impl HostList for HttpPlatform {
     async fn hosts(&self) -> Result<Hosts, PlatformError> {
-        json(&send(self.client.get(self.url("hosts")), ANSWER_TIMEOUT).await?)
+        let body = send(self.client.get(self.url("hosts")), ANSWER_TIMEOUT).await?;
+        let malformed = || PlatformError::Malformed("no list of hosts".to_owned());
+        decode_hosts(&body).ok_or_else(malformed)
     }
 
     async fn announce(&self, entry: &HostEntry) -> Result<(), PlatformError> {
