fix(gateway): take a retry from the budget only when the request is sent again

A stream that looked for another endpoint took a retry every 60 ms, although no endpoint got its request.

Cause: the budget was charged before an endpoint was chosen, once for each try. Change: asking only looks at the budget; the retry is taken just before the request is sent, together with the check of the route's attempts. So that asking again does not raise the chance where the part of a shared burst is less than a token, the balance that a retry needs is drawn once for each retry. The state of the attempts is shared, for several attempts at a time.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -77,19 +77,41 @@
 
     /// Takes a token; returns `false` if none is left or a `share` of 0 % forbids retries.
     pub fn try_take(&mut self, share: Percent) -> bool {
-        if share.0 == 0 || self.parts < self.needed() {
-            return false;
+        self.try_take_drawn(share, RetryDraw::random())
+    }
+
+    /// Like [`RetryBudget::try_take`], for a retry that may ask several times.
+    pub fn try_take_drawn(&mut self, share: Percent, draw: RetryDraw) -> bool {
+        let allowed = self.allows(share, draw);
+        if allowed {
+            self.parts -= TOKEN_PARTS;
         }
-        self.parts -= TOKEN_PARTS;
-        true
+        allowed
+    }
+
+    /// Returns whether a token could be taken.
+    pub fn allows(&self, share: Percent, draw: RetryDraw) -> bool {
+        share.0 > 0 && self.parts >= self.needed(draw)
     }
 
     /// Returns the balance with which a retry is allowed.
-    fn needed(&self) -> i32 {
+    fn needed(&self, draw: RetryDraw) -> i32 {
         if self.limit >= TOKEN_PARTS {
             return TOKEN_PARTS;
         }
-        fastrand::i32(1..=TOKEN_PARTS)
+        draw.0
+    }
+}
+
+/// Balance, in parts of a token, with which one retry is allowed if the budget never holds a whole token. It is drawn once
+/// for each retry, so that one that asks again is no more likely to be allowed.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryDraw(i32);
+
+impl RetryDraw {
+    /// Draws a balance at random.
+    pub fn random() -> Self {
+        Self(fastrand::i32(1..=TOKEN_PARTS))
     }
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,13 +1,20 @@
 //! State of the attempts to have one request served by endpoints, and their results.
 
-use std::net::SocketAddr;
+use std::{
+    cell::{Cell, Ref, RefCell},
+    net::SocketAddr,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{body::Incoming, http::response::Parts, Response};
 
 use super::{context::InFlight, endpoint_table::EndpointId, record::WeightVersion};
-use crate::{base::Millis, decide::quarantine::Generation, http::Connection};
+use crate::{
+    base::Millis,
+    decide::{quarantine::Generation, retry::RetryDraw},
+    http::Connection,
+};
 
 /// The endpoint of an attempt, and the connection to it.
 #[derive(Debug)]
@@ -59,24 +66,42 @@
 #[derive(Debug)]
 pub(super) struct Attempts {
     /// Endpoints that were tried and are not chosen again for the request.
-    pub(super) tried: Vec<EndpointId>,
+    tried: RefCell<Vec<EndpointId>>,
     /// Number of attempts that were sent.
-    pub(super) sent: u32,
+    pub(super) sent: Cell<u32>,
     /// Version of the weights on which the response began.
-    pub(super) version: Option<WeightVersion>,
+    pub(super) version: Cell<Option<WeightVersion>>,
     /// Why the next attempt may be sent.
-    pub(super) pass: Pass,
+    pub(super) pass: Cell<Pass>,
+    /// Draw of the next retry.
+    pub(super) draw: Cell<RetryDraw>,
 }
 
 impl Attempts {
     pub(super) fn new() -> Self {
         Self {
-            tried: Vec::new(),
-            sent: 0,
-            version: None,
-            pass: Pass::Clear,
+            tried: RefCell::default(),
+            sent: Cell::new(0),
+            version: Cell::new(None),
+            pass: Cell::new(Pass::Clear),
+            draw: Cell::new(RetryDraw::random()),
         }
     }
+
+    /// Returns the endpoints that are not chosen again, in the order in which they were tried.
+    pub(super) fn tried(&self) -> Ref<'_, [EndpointId]> {
+        Ref::map(self.tried.borrow(), Vec::as_slice)
+    }
+
+    /// Excludes an endpoint from further attempts.
+    pub(super) fn exclude(&self, id: EndpointId) {
+        self.tried.borrow_mut().push(id);
+    }
+
+    /// Allows an endpoint to be chosen again, because the request was not sent to it.
+    pub(super) fn readmit(&self, id: &EndpointId) {
+        self.tried.borrow_mut().retain(|other| other != id);
+    }
 }
 
 /// Why a request may be sent.
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -81,11 +81,12 @@
         }
     });
     let owned = ctx.owned.borrow();
+    let tried = attempts.tried();
     let ask = EndpointQuery {
         zone: &ctx.settings.zone,
         weights,
-        exact: attempts.version,
-        tried: &attempts.tried,
+        exact: attempts.version.get(),
+        tried: &tried,
         owned: &owned,
         retrying: job.retrying,
         read_rate: engine.map(|e| e.prompt_rate),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -27,7 +27,11 @@
 };
 use crate::{
     base::{Clock, HashMap, HashSet, Millis, Service, SystemClock},
-    decide::{quarantine::Quarantine, retry::RetryBudget, stop::StopPlan},
+    decide::{
+        quarantine::Quarantine,
+        retry::{RetryBudget, RetryDraw},
+        stop::StopPlan,
+    },
     emit,
     http::Pool,
 };
@@ -356,9 +360,15 @@
         self.budget(service, |b| b.record_request(self.bounds.get().retries));
     }
 
+    /// Returns whether the budget of a service allows a retry.
+    pub(super) fn has_retry(&self, service: &Service, draw: RetryDraw) -> bool {
+        self.budget(service, |b| b.allows(self.bounds.get().retries, draw))
+    }
+
     /// Takes a retry from the budget of a service; returns whether there was one left.
-    pub(super) fn take_retry(&self, service: &Service) -> bool {
-        let taken = self.budget(service, |b| b.try_take(self.bounds.get().retries));
+    pub(super) fn take_retry(&self, service: &Service, draw: RetryDraw) -> bool {
+        let share = self.bounds.get().retries;
+        let taken = self.budget(service, |b| b.try_take_drawn(share, draw));
         if taken {
             self.metrics.retries.inc();
         }
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -104,7 +104,7 @@
 pub(super) async fn evaluate(
     ctx: &Rc<Context>,
     job: &Job,
-    attempts: &mut Attempts,
+    attempts: &Attempts,
     target: Target,
     res: Response<Incoming>,
 ) -> Attempt {
@@ -151,7 +151,7 @@
     let events =
         text(&head.headers, CONTENT_TYPE).is_some_and(|t| t.starts_with("text/event-stream"));
     if status.is_success() && (job.route.streaming || events) {
-        attempts.version = attempts.version.or(version);
+        attempts.version.set(attempts.version.get().or(version));
         return Attempt::Streaming(Box::new(StreamingResponse { target, head, body }));
     }
     read_response(ctx, job, target, head, body).await
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -25,7 +25,7 @@
     reply::Reject,
     screen,
 };
-use crate::{base::Millis, emit, http::Connection};
+use crate::{base::Millis, decide::retry::RetryDraw, emit, http::Connection};
 
 /// Longest time to open a connection to an endpoint.
 const CONNECT_TIMEOUT: Millis = Millis(400);
@@ -72,14 +72,13 @@
 pub(super) async fn attempt(
     ctx: &Rc<Context>,
     job: &Job,
-    attempts: &mut Attempts,
+    attempts: &Attempts,
     last: Option<EventId>,
 ) -> Result<Attempt, Refusal> {
-    attempts.pass = screen::admit(ctx, job, attempts).await?;
-    let result = send_to_chosen(ctx, job, attempts, last).await;
-    if !matches!(result, Ok(Attempt::NotSent)) {
-        // A probe is sent once.
-        attempts.pass = Pass::Clear;
+    let pass = screen::admit(ctx, job, attempts).await?;
+    let result = send_to_chosen(ctx, job, attempts, last, pass).await;
+    if matches!(result, Ok(Attempt::NotSent)) {
+        attempts.pass.set(pass);
     }
     result
 }
@@ -87,13 +86,14 @@
 async fn send_to_chosen(
     ctx: &Rc<Context>,
     job: &Job,
-    attempts: &mut Attempts,
+    attempts: &Attempts,
     last: Option<EventId>,
+    pass: Pass,
 ) -> Result<Attempt, Refusal> {
     let (choice, permit) = choose_permitted(ctx, job, attempts).await?;
     let now = ctx.now();
     let (id, addr) = (choice.id, choice.addr);
-    attempts.tried.push(id.clone());
+    attempts.exclude(id.clone());
     let flight = InFlight::begin(ctx, id.clone(), job.prompt_tokens);
     let limit = CONNECT_TIMEOUT.min(job.deadline - now);
     let connection = match open(ctx, job, addr, limit).await {
@@ -109,10 +109,11 @@
             return Ok(Attempt::NotSent);
         }
     };
-    let screened = attempts.pass == Pass::Probe || screen::is_clear(ctx, job);
+    let screened = pass == Pass::Probe || screen::is_clear(ctx, job);
     let reason = withhold_reason(ctx, &id, choice.begin_by, permit);
     let reason = reason.or((!screened).then_some("a part of the prompt is quarantined"));
-    if let Some(reason) = reason {
+    let reason = reason.map_or_else(|| count_attempt(ctx, job, attempts), Err);
+    if let Err(reason) = reason {
         emit!(
             log_event::ATTEMPT,
             "id={} endpoint={id} outcome=not-sent reason=\"{reason}\"",
@@ -121,7 +122,6 @@
         flight.end(Outcome::Abandoned);
         return Ok(Attempt::NotSent);
     }
-    attempts.sent += 1;
     permits::count_sent(ctx, job, &id);
     let target = Target {
         id,
@@ -131,7 +131,7 @@
         idle_max: choice.idle_max,
         sent_at: ctx.now(),
         known: screen::generations(ctx, job),
-        probe: attempts.pass == Pass::Probe,
+        probe: pass == Pass::Probe,
         begin_by: choice.begin_by,
     };
     Ok(send(ctx, job, attempts, target, last, choice.expected).await)
@@ -162,6 +162,26 @@
     }
 }
 
+/// Counts an attempt that is about to be sent; one beyond the first takes a retry from the budget.
+///
+/// # Errors
+///
+/// Returns why the request must not be sent once more.
+fn count_attempt(ctx: &Context, job: &Job, attempts: &Attempts) -> Result<(), &'static str> {
+    let sent = attempts.sent.get();
+    if sent > 0 {
+        if sent >= job.route.attempts {
+            return Err("the route allows no further attempt");
+        }
+        if !ctx.take_retry(&job.service, attempts.draw.get()) {
+            return Err("the retry budget is empty");
+        }
+        attempts.draw.set(RetryDraw::random());
+    }
+    attempts.sent.set(sent + 1);
+    Ok(())
+}
+
 async fn open(
     ctx: &Context,
     job: &Job,
@@ -211,7 +231,7 @@
 /// Returns the attempt timeout: how long the entry waits for the head of a response.
 pub(super) fn attempt_timeout(ctx: &Context, job: &Job, attempts: &Attempts) -> Millis {
     let left = job.deadline - ctx.now();
-    let further = job.route.repeat != Repeat::Once && attempts.sent < job.route.attempts;
+    let further = job.route.repeat != Repeat::Once && attempts.sent.get() < job.route.attempts;
     if !further {
         return left;
     }
@@ -222,7 +242,7 @@
 async fn send(
     ctx: &Rc<Context>,
     job: &Job,
-    attempts: &mut Attempts,
+    attempts: &Attempts,
     mut target: Target,
     last: Option<EventId>,
     expected: Option<WeightVersion>,
@@ -260,8 +280,8 @@
             );
             ctx.pool.forget(target.addr);
             if unsent {
-                attempts.sent -= 1;
-                attempts.tried.retain(|id| *id != target.id);
+                attempts.sent.set(attempts.sent.get() - 1);
+                attempts.readmit(&target.id);
                 target.flight.end(Outcome::Abandoned);
                 return Attempt::NotSent;
             }
@@ -288,17 +308,18 @@
     evaluate(ctx, job, attempts, target, res).await
 }
 
-/// Returns whether another attempt may follow one without a usable response, and takes it from the retry budget. `ran`
-/// says that the request may have run already.
+/// Returns whether another attempt may follow one without a usable response. `ran` says that the request may have run
+/// already.
 pub(super) fn may_repeat(ctx: &Context, job: &Job, attempts: &Attempts, ran: bool) -> bool {
     if ran && job.route.repeat == Repeat::Once {
         return false;
     }
-    if attempts.sent >= job.route.attempts || ctx.now() + REMAINING_MIN >= job.deadline {
+    let sent = attempts.sent.get();
+    if sent >= job.route.attempts || ctx.now() + REMAINING_MIN >= job.deadline {
         return false;
     }
     // The retry budget counts only requests that are sent again after one was sent.
-    attempts.sent == 0 || ctx.take_retry(&job.service)
+    sent == 0 || ctx.has_retry(&job.service, attempts.draw.get())
 }
 
 /// Mean `Retry-After` of the entry's response if endpoints refused the request or could not be reached.
@@ -315,7 +336,7 @@
 pub(super) async fn forward(
     ctx: &Rc<Context>,
     job: &Job,
-    attempts: &mut Attempts,
+    attempts: &Attempts,
 ) -> Result<Attempt, Reject> {
     let mut ran = false;
     let mut unsent = 0;
--- a/src/gateway/screen.rs
+++ b/src/gateway/screen.rs
@@ -73,7 +73,8 @@
 /// Returns the refusal of a request with a quarantined part, unless it becomes a probe of it. A request that could be a
 /// probe is refused without one if no endpoint would take it.
 pub(super) async fn admit(ctx: &Context, job: &Job, attempts: &Attempts) -> Result<Pass, Refusal> {
-    if attempts.pass == Pass::Probe {
+    // A probe that was not sent is still to be sent.
+    if attempts.pass.replace(Pass::Clear) == Pass::Probe {
         return Ok(Pass::Probe);
     }
     let verdict = ctx.quarantine.borrow_mut().judge(&job.parts, ctx.now());
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -101,9 +101,9 @@
     running: Running,
 ) -> CallerResponse<impl Stream<Item = Result<Frame<Bytes>, Cut>>> {
     ctx.count_request(&job.service);
-    let mut attempts = Attempts::new();
+    let attempts = Attempts::new();
     let awaited = Awaited::new(ctx, &job);
-    let result = forward(ctx, &job, &mut attempts).await;
+    let result = forward(ctx, &job, &attempts).await;
     awaited.begun();
     match result {
         Ok(Attempt::Streaming(response)) => {
@@ -136,7 +136,8 @@
 }
 
 fn log_ended(ctx: &Context, job: &Job, attempts: &Attempts, status: StatusCode, reason: &str) {
-    let endpoint = attempts.tried.last().map_or("-", |id| &*id.0);
+    let tried = attempts.tried();
+    let endpoint = tried.last().map_or("-", |id| &*id.0);
     emit!(
         log_event::ENDED,
         "id={} route={} service={} status={} reason=\"{reason}\" endpoint={endpoint} attempts={} late={} ms={} catalog={}",
@@ -144,7 +145,7 @@
         job.route.name,
         job.service,
         status.as_u16(),
-        attempts.sent,
+        attempts.sent.get(),
         job.retrying,
         (ctx.now() - job.start).0,
         ctx.catalog_version()
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -187,14 +187,14 @@
         self.ctx.metrics.streams.get_or_create(&label).inc();
         let ms = self.ctx.now() - self.job.start;
         let last = self.events.last().unwrap_or_default();
-        let endpoint = self.attempts.tried.last();
-        let endpoint = endpoint.map_or("-", |id| &*id.0);
+        let tried = self.attempts.tried();
+        let endpoint = tried.last().map_or("-", |id| &*id.0);
         emit!(
             log_event::STREAM,
             "id={} route={} endpoint={endpoint} event={last} attempts={} late={} ms={} prompt={} output={} hint={} outcome={outcome} reason={reason}",
             self.job.id(),
             self.job.route.name,
-            self.attempts.sent,
+            self.attempts.sent.get(),
             self.job.retrying,
             ms.0,
             self.job.prompt_tokens,
@@ -318,7 +318,7 @@
                 return Err("no attempt left");
             }
             let last = self.events.last();
-            let result = attempt(&self.ctx, &self.job, &mut self.attempts, last).await;
+            let result = attempt(&self.ctx, &self.job, &self.attempts, last).await;
             match result {
                 Ok(Attempt::Streaming(response)) => {
                     self.source = Some((*response).into());
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -173,14 +173,20 @@
 
 /// Starts the entry on host `n` and waits until it is ready.
 pub async fn start_entry(n: u8, store: MemoryStore) {
+    start_with(settings_of(n), store).await;
+}
+
+/// Starts an entry with some settings and waits until it is ready.
+pub async fn start_with(settings: GatewaySettings, store: MemoryStore) {
+    let ready = settings.listen.readiness.expect("a readiness address");
     let run = gateway::run::<_, TestDecode>(
-        move || Ok(settings_of(n)),
+        move || Ok(settings.clone()),
         Headers::default(),
         store,
         LeftOut::default(),
     );
     tokio::task::spawn_local(run);
-    while !send_request(addr(n, 8002), "GET /ready HTTP/1.0\r\n\r\n", 300)
+    while !send_request(ready, "GET /ready HTTP/1.0\r\n\r\n", 300)
         .await
         .contains(" 200 ")
     {
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -6,7 +6,8 @@
 use sesamewing::{
     base::{Millis, Percent},
     decide::retry::{
-        decide as decide_retry, AttemptFailure, Progress, RetryBudget, RetryDecision, BURST_TOKENS,
+        decide as decide_retry, AttemptFailure, Progress, RetryBudget, RetryDecision, RetryDraw,
+        BURST_TOKENS,
     },
     wire::{NotRun, Reply, RunOutcome},
 };
@@ -63,6 +64,20 @@
     }
 }
 
+/// Guards against a retry that is allowed because it asks often, where the part of a shared burst is less than a token.
+#[test]
+fn asking_again_does_not_raise_the_chance() {
+    let (share, runs) = (Percent(20), 2000);
+    let full = RetryBudget::shared(4, 8);
+    let taken = (0..runs).filter(|_| {
+        let (mut budget, draw) = (full.clone(), RetryDraw::random());
+        (0..50).any(|_| budget.allows(share, draw) && budget.try_take_drawn(share, draw))
+    });
+    // The part is a quarter of a token.
+    let taken = taken.count();
+    assert!(taken > runs / 6 && taken < runs / 3, "{taken} of {runs}");
+}
+
 /// Guards against a retry of a non-repeatable request that may have run, and against a second start of a response that
 /// was delivered in part.
 #[test]
