fix(gateway): end a silent response only when another one has begun in its place

Callers saw streams cut after a pause of 1.2 s, and 502 "the response of the endpoint was lost" after three objectives without a response, although the endpoints were still at work: a silent endpoint was closed first, and only then it turned out that no attempt, no retry and no endpoint with room was left.

Change: attempts of a request run side by side. A request without a response (race.rs) and a stream without an event (standby.rs, source.rs) keep the silent endpoint and read it on, while another attempt is made beside it if the route, the retry budget and the load allow one; without budget or room this is tried again at intervals. The first response, or the first endpoint with the next event, goes on; the others are closed, and count as failed if they were silent. The route's attempts and the retry budget are checked when an attempt is sent, a request that may run once has one attempt in flight at most, and a request that was sent and may have run is never answered as not run. A complete server error is kept as the answer for the case that no other response comes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,13 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, http::response::Parts, Response};
 
-use super::{context::InFlight, endpoint_table::EndpointId, record::WeightVersion};
+use tokio::sync::Notify;
+
+use super::{
+    context::{Context, InFlight},
+    endpoint_table::EndpointId,
+    record::WeightVersion,
+};
 use crate::{
     base::Millis,
     decide::{quarantine::Generation, retry::RetryDraw},
@@ -75,6 +81,12 @@
     pub(super) pass: Cell<Pass>,
     /// Draw of the next retry.
     pub(super) draw: Cell<RetryDraw>,
+    /// Endpoint whose response is forwarded.
+    pub(super) answered: RefCell<Option<EndpointId>>,
+    /// When another attempt may begin beside those in flight.
+    next_at: Cell<Millis>,
+    /// Wakes the wait for `next_at` when it changes.
+    changed: Notify,
 }
 
 impl Attempts {
@@ -85,6 +97,9 @@
             version: Cell::new(None),
             pass: Cell::new(Pass::Clear),
             draw: Cell::new(RetryDraw::random()),
+            answered: RefCell::default(),
+            next_at: Cell::new(Millis::MAX),
+            changed: Notify::new(),
         }
     }
 
@@ -93,6 +108,32 @@
         Ref::map(self.tried.borrow(), Vec::as_slice)
     }
 
+    /// Returns the endpoint whose response is forwarded, or else the one that was tried last.
+    pub(super) fn endpoint(&self) -> Option<EndpointId> {
+        let answered = self.answered.borrow().clone();
+        answered.or_else(|| self.tried().last().cloned())
+    }
+
+    /// Sets when another attempt may begin beside those in flight.
+    pub(super) fn schedule(&self, at: Millis) {
+        self.next_at.set(at);
+        self.changed.notify_one();
+    }
+
+    /// Waits until another attempt may begin beside those in flight.
+    pub(super) async fn due(&self, ctx: &Context) {
+        loop {
+            let wait = self.next_at.get() - ctx.now();
+            if wait == Millis::ZERO {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(wait.duration()) => {}
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
     /// Excludes an endpoint from further attempts.
     pub(super) fn exclude(&self, id: EndpointId) {
         self.tried.borrow_mut().push(id);
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -410,6 +410,15 @@
         balance.prompt_read(&self.id, prompt);
     }
 
+    /// Records whether the endpoint has been silent for long; a request that is dropped then counts as failed.
+    pub(super) fn set_silent(&mut self, silent: bool) {
+        self.outcome = if silent {
+            Outcome::Failed
+        } else {
+            Outcome::Abandoned
+        };
+    }
+
     /// Ends the request with its outcome at the endpoint.
     pub(super) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -154,7 +154,12 @@
         attempts.version.set(attempts.version.get().or(version));
         return Attempt::Streaming(Box::new(StreamingResponse { target, head, body }));
     }
-    read_response(ctx, job, target, head, body).await
+    let id = target.id.clone();
+    let result = read_response(ctx, job, target, head, body).await;
+    if matches!(result, Attempt::Complete(_) | Attempt::Failed(_)) {
+        attempts.answered.replace(Some(id));
+    }
+    result
 }
 
 /// Reads the body of a refusal, if it is short, and returns its connection to the pool.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,6 +1,6 @@
-//! Attempts to have one request served by endpoints, with retries.
+//! One attempt to have a request served by an endpoint.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{future::Future, net::SocketAddr, pin::pin, rc::Rc};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -22,7 +22,6 @@
     log_event,
     permits::{self, Permit},
     record::WeightVersion,
-    reply::Reject,
     screen,
 };
 use crate::{base::Millis, decide::retry::RetryDraw, emit, http::Connection};
@@ -36,10 +35,10 @@
 /// Least time before the deadline for another attempt; with less, an endpoint could not finish any request.
 const REMAINING_MIN: Millis = Millis(10);
 
-/// Lower bound of the attempt timeout, for attempts that may be repeated.
+/// Lower bound of the time after which another attempt may begin beside one without a response.
 const ATTEMPT_TIMEOUT_MIN: Millis = Millis(350);
 
-/// Attempt timeout as a multiple of the route's latency objective, for attempts that may be repeated.
+/// That time as a multiple of the route's latency objective.
 const ATTEMPT_TIMEOUT_OBJECTIVES: u64 = 3;
 
 /// Chooses an endpoint and obtains the permit for the request if the endpoint limits its request rate.
@@ -228,15 +227,48 @@
     req
 }
 
-/// Returns the attempt timeout: how long the entry waits for the head of a response.
-pub(super) fn attempt_timeout(ctx: &Context, job: &Job, attempts: &Attempts) -> Millis {
-    let left = job.deadline - ctx.now();
-    let further = job.route.repeat != Repeat::Once && attempts.sent.get() < job.route.attempts;
-    if !further {
-        return left;
-    }
+/// Returns how long an endpoint may take to begin its response before another attempt may begin beside it.
+fn attempt_timeout(job: &Job) -> Millis {
     let timeout = job.route.objective.times(ATTEMPT_TIMEOUT_OBJECTIVES);
-    timeout.max(ATTEMPT_TIMEOUT_MIN).min(left)
+    timeout.max(ATTEMPT_TIMEOUT_MIN)
+}
+
+/// Waits for the head of a response until the deadline, or until the endpoint must have begun; `None` then. An endpoint
+/// that is silent meanwhile is waited for on, because no other one has begun to respond in its place.
+async fn await_head<T>(
+    ctx: &Context,
+    job: &Job,
+    attempts: &Attempts,
+    target: &mut Target,
+    response: impl Future<Output = T>,
+) -> Option<T> {
+    let start = ctx.now();
+    let end = job.deadline.min(target.begin_by.unwrap_or(Millis::MAX));
+    let patience = attempt_timeout(job);
+    let mut response = pin!(response);
+    if job.route.repeat != Repeat::Once && start + patience < end {
+        attempts.schedule(start + patience);
+        if let Ok(head) = tokio::time::timeout(patience.duration(), &mut response).await {
+            return Some(head);
+        }
+        log_silent(job, target, patience);
+        target.flight.set_silent(true);
+    }
+    let limit = end - ctx.now();
+    let head = tokio::time::timeout(limit.duration(), response).await.ok();
+    if head.is_none() {
+        log_silent(job, target, end - start);
+    }
+    head
+}
+
+fn log_silent(job: &Job, target: &Target, waited: Millis) {
+    emit!(
+        log_event::ATTEMPT,
+        "id={} endpoint={} outcome=silent waited={waited}",
+        job.id(),
+        target.id
+    );
 }
 
 async fn send(
@@ -248,13 +280,11 @@
     expected: Option<WeightVersion>,
 ) -> Attempt {
     let req = request(ctx, job, &target, last, expected);
-    let now = ctx.now();
-    let begin_limit = target.begin_by.map_or(Millis::MAX, |at| at - now);
-    let limit = attempt_timeout(ctx, job, attempts).min(begin_limit);
-    let sent = tokio::time::timeout(limit.duration(), target.connection.try_send_request(req));
+    let response = target.connection.try_send_request(req);
+    let probe = target.probe;
     let sent = tokio::select! {
-        sent = sent => sent,
-        () = screen::condemned(ctx, job, target.probe) => {
+        sent = await_head(ctx, job, attempts, &mut target, response) => sent,
+        () = screen::condemned(ctx, job, probe) => {
             emit!(
                 log_event::ATTEMPT,
                 "id={} endpoint={} outcome=cancelled reason=\"a part of the prompt is quarantined\"",
@@ -266,8 +296,8 @@
         }
     };
     let res = match sent {
-        Ok(Ok(res)) => res,
-        Ok(Err(mut e)) => {
+        Some(Ok(res)) => res,
+        Some(Err(mut e)) => {
             let unsent = e.take_message().is_some();
             let error = e.into_error();
             let text = error.to_string();
@@ -290,13 +320,7 @@
             target.flight.end(Outcome::Unreachable);
             return Attempt::Lost;
         }
-        Err(_) => {
-            emit!(
-                log_event::ATTEMPT,
-                "id={} endpoint={} outcome=silent waited={limit}",
-                job.id(),
-                target.id
-            );
+        None => {
             target.flight.end(Outcome::Failed);
             return if ctx.now() + REMAINING_MIN >= job.deadline {
                 Attempt::TimedOut
@@ -305,71 +329,33 @@
             };
         }
     };
+    target.flight.set_silent(false);
     evaluate(ctx, job, attempts, target, res).await
 }
 
-/// Returns whether another attempt may follow one without a usable response. `ran` says that the request may have run
-/// already.
-pub(super) fn may_repeat(ctx: &Context, job: &Job, attempts: &Attempts, ran: bool) -> bool {
+/// Whether another attempt may be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Repetition {
+    /// It may be made now.
+    Allowed,
+    /// The retry budget is empty.
+    NoBudget,
+    /// The route or the deadline allows no other attempt.
+    Never,
+}
+
+/// Returns whether another attempt may be made. `ran` says that the request may have run already.
+pub(super) fn may_repeat(ctx: &Context, job: &Job, attempts: &Attempts, ran: bool) -> Repetition {
     if ran && job.route.repeat == Repeat::Once {
-        return false;
+        return Repetition::Never;
     }
     let sent = attempts.sent.get();
     if sent >= job.route.attempts || ctx.now() + REMAINING_MIN >= job.deadline {
-        return false;
+        return Repetition::Never;
     }
     // The retry budget counts only requests that are sent again after one was sent.
-    sent == 0 || ctx.has_retry(&job.service, attempts.draw.get())
-}
-
-/// Mean `Retry-After` of the entry's response if endpoints refused the request or could not be reached.
-const REFUSED_RETRY_AFTER: Millis = Millis(300);
-
-/// Largest number of attempts of one request that end before the request is sent.
-const UNSENT_MAX: usize = 4;
-
-/// Sends a request to endpoints until one of them responds or no further attempt is allowed.
-///
-/// # Errors
-///
-/// Returns the rejection with which the entry responds if it has no endpoint's response to forward.
-pub(super) async fn forward(
-    ctx: &Rc<Context>,
-    job: &Job,
-    attempts: &Attempts,
-) -> Result<Attempt, Reject> {
-    let mut ran = false;
-    let mut unsent = 0;
-    loop {
-        let result = match attempt(ctx, job, attempts, job.last_event).await {
-            Ok(result) => result,
-            Err(_) if ran => return Err(Reject::Lost),
-            Err(refusal) => return Err(refusal.into()),
-        };
-        let fallback = match result {
-            Attempt::Streaming(_) | Attempt::Complete(_) => return Ok(result),
-            Attempt::TimedOut => return Err(Reject::TimedOut),
-            Attempt::NotSent => {
-                unsent += 1;
-                None
-            }
-            Attempt::NotRun => None,
-            Attempt::Lost => {
-                ran = true;
-                None
-            }
-            Attempt::Failed(res) => {
-                ran = true;
-                Some(res)
-            }
-        };
-        if unsent < UNSENT_MAX && may_repeat(ctx, job, attempts, ran) {
-            continue;
-        }
-        return match fallback {
-            Some(res) => Ok(Attempt::Failed(res)),
-            None if ran => Err(Reject::Lost),
-            None => Err(Reject::Refused(crate::base::jitter(REFUSED_RETRY_AFTER))),
-        };
+    if sent == 0 || ctx.has_retry(&job.service, attempts.draw.get()) {
+        return Repetition::Allowed;
     }
+    Repetition::NoBudget
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 mod permit_requests;
 mod permits;
 mod prompt;
+mod race;
 mod record;
 mod reply;
 mod run;
@@ -47,6 +48,8 @@
 mod screen;
 mod serve;
 mod settings;
+mod source;
+mod standby;
 mod stream;
 mod zone_reader;
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -15,13 +15,13 @@
     abandoned::Awaited,
     accept::{accept, Job},
     assignment::{self, ASSIGNMENT_PATH},
-    attempt::{Attempt, Attempts},
+    attempt::Attempts,
     context::{Context, Running},
     directory::Directory,
     evaluate::response_headers,
-    forward::forward,
     log_event,
     metrics::{RequestLabels, ServiceLabel},
+    race::{forward, Answer},
     reply::Reject,
     stream::{Cut, Relay},
 };
@@ -106,14 +106,14 @@
     let result = forward(ctx, &job, &attempts).await;
     awaited.begun();
     match result {
-        Ok(Attempt::Streaming(response)) => {
+        Ok(Answer::Streaming(response)) => {
             let mut res = Response::new(());
             *res.status_mut() = response.head.status;
             *res.headers_mut() = response_headers(&response.head.headers);
             let relay = Relay::new(ctx, job, attempts, *response, running);
             CallerResponse::Stream(res.map(|()| relay.into_stream()))
         }
-        Ok(Attempt::Complete(res) | Attempt::Failed(res)) => {
+        Ok(Answer::Complete(res)) => {
             log_ended(ctx, &job, &attempts, res.status(), "answered");
             count_ended(ctx, job.service.as_str(), res.status(), "endpoint");
             let by_service = ServiceLabel {
@@ -126,7 +126,6 @@
                 .observe(time);
             CallerResponse::Full(res)
         }
-        Ok(_) => CallerResponse::Full(Reject::Lost.response()),
         Err(reject) => {
             log_ended(ctx, &job, &attempts, reject.status(), &reject.to_string());
             count_ended(ctx, job.service.as_str(), reject.status(), reject.reason());
@@ -136,8 +135,8 @@
 }
 
 fn log_ended(ctx: &Context, job: &Job, attempts: &Attempts, status: StatusCode, reason: &str) {
-    let tried = attempts.tried();
-    let endpoint = tried.last().map_or("-", |id| &*id.0);
+    let endpoint = attempts.endpoint();
+    let endpoint = endpoint.as_ref().map_or("-", |id| &*id.0);
     emit!(
         log_event::ENDED,
         "id={} route={} service={} status={} reason=\"{reason}\" endpoint={endpoint} attempts={} late={} ms={} catalog={}",
--- /dev/null
+++ b/src/gateway/source.rs
@@ -0,0 +1,163 @@
+//! An endpoint's response that supplies a stream of events.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    body::Incoming,
+    header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING},
+};
+
+use super::{
+    accept::Job,
+    attempt::{StreamingResponse, Target},
+    context::Context,
+    dropped::note_dropped,
+    ending::{Ending, Progress},
+    evaluate::keep_connection,
+    events::{EventId, Events},
+    load_view::Outcome,
+    screen,
+};
+use crate::{base::Millis, decide::quarantine::Generation};
+
+/// The response, and how far it has come.
+#[derive(Debug)]
+pub(super) struct Source {
+    pub(super) target: Target,
+    headers: HeaderMap,
+    body: Incoming,
+    events: Events,
+    progress: Progress,
+    /// Ends of endpoints that were known of the parts of the prompt when the first event arrived.
+    known: Vec<Generation>,
+    /// When the last whole event arrived, or the response began.
+    pub(super) heard_at: Millis,
+}
+
+/// Result of reading a source.
+#[derive(Debug)]
+pub(super) enum ReadResult {
+    /// Whole events that are new to the caller.
+    Events(Bytes),
+    /// The response is complete.
+    End,
+    /// No whole event arrived in time.
+    Silent,
+    /// The endpoint failed; the text is the reason for the log.
+    Broken(&'static str),
+    /// The request's deadline passed.
+    DeadlinePassed,
+    /// A part of the prompt was quarantined before the first event.
+    Quarantined,
+}
+
+/// Returns whether a response has neither a length nor chunks, so that it ends with its connection.
+fn is_open_ended(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
+impl Source {
+    /// Creates a source from a response whose caller has all events up to `last`.
+    pub(super) fn new(ctx: &Context, response: StreamingResponse, last: Option<EventId>) -> Self {
+        Self {
+            target: response.target,
+            headers: response.head.headers,
+            body: response.body,
+            events: Events::after(last),
+            progress: Progress::Head,
+            known: Vec::new(),
+            heard_at: ctx.now(),
+        }
+    }
+
+    /// Returns the last event that was read or that the caller had before.
+    pub(super) fn last(&self) -> Option<EventId> {
+        self.events.last()
+    }
+
+    /// Ends the response; after a complete one its connection returns to the pool.
+    pub(super) fn end(self, ctx: &Context, outcome: Outcome) {
+        let idle = self.target.end(outcome);
+        if outcome == Outcome::Served {
+            keep_connection(ctx, idle, &self.headers);
+        }
+    }
+
+    /// Reads until whole events arrive, `until` at the latest. Bytes that complete no event do not count.
+    pub(super) async fn read(&mut self, ctx: &Rc<Context>, job: &Job, until: Millis) -> ReadResult {
+        loop {
+            let now = ctx.now();
+            if now >= job.deadline {
+                return ReadResult::DeadlinePassed;
+            }
+            let wait = until.min(job.deadline) - now;
+            let frame = tokio::time::timeout(wait.duration(), self.body.frame());
+            let frame = tokio::select! {
+                frame = frame => frame,
+                () = screen::condemned(ctx, job, self.target.probe),
+                    if self.progress == Progress::Head =>
+                {
+                    return ReadResult::Quarantined;
+                }
+            };
+            let data = match frame {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(Some(Err(e))) => {
+                    self.note_dropped(ctx, job, Ending::of(&e));
+                    return ReadResult::Broken("connection lost");
+                }
+                Ok(None) if self.events.is_partial() => {
+                    self.note_dropped(ctx, job, Ending::Closed);
+                    return ReadResult::Broken("partial event");
+                }
+                // Without a length or chunks, an end of the connection is all that tells the end of the stream.
+                Ok(None) if self.progress == Progress::Head && is_open_ended(&self.headers) => {
+                    self.note_dropped(ctx, job, Ending::Closed);
+                    return ReadResult::Broken("no event");
+                }
+                Ok(None) => {
+                    self.note_served(ctx, job);
+                    return ReadResult::End;
+                }
+                Err(_) if until < job.deadline => return ReadResult::Silent,
+                Err(_) => return ReadResult::DeadlinePassed,
+            };
+            match self.events.push(&data) {
+                Ok(events) if events.is_empty() => {}
+                Ok(events) => {
+                    self.note_events(ctx, job);
+                    return ReadResult::Events(events);
+                }
+                Err(_) => return ReadResult::Broken("event missing"),
+            }
+        }
+    }
+
+    /// Notes that whole events arrived.
+    fn note_events(&mut self, ctx: &Rc<Context>, job: &Job) {
+        self.heard_at = ctx.now();
+        self.target.flight.prompt_read();
+        if self.progress == Progress::Head {
+            self.progress = Progress::Event;
+            self.known = screen::generations(ctx, job);
+            return;
+        }
+        self.note_served(ctx, job);
+    }
+
+    /// Records once that the endpoint answers the request without ending.
+    fn note_served(&mut self, ctx: &Rc<Context>, job: &Job) {
+        if self.progress == Progress::Event {
+            self.progress = Progress::Body;
+            screen::record_served(ctx, job, &self.known);
+        }
+    }
+
+    /// Logs and counts that the connection ended.
+    fn note_dropped(&self, ctx: &Rc<Context>, job: &Job, ending: Ending) {
+        let (id, known) = (&self.target.id, &self.target.known);
+        note_dropped(ctx, job, id, known, self.progress, ending);
+    }
+}
--- /dev/null
+++ b/src/gateway/standby.rs
@@ -0,0 +1,184 @@
+//! Finds the endpoint that sends the next event of a stream whose endpoint is silent or has failed.
+//!
+//! A silent endpoint is read on beside the endpoints that are to continue the stream: the one with the next event first
+//! goes on, and the others are closed.
+
+use std::rc::Rc;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+
+use super::{
+    accept::Job,
+    attempt::{Attempt, Attempts},
+    context::Context,
+    events::EventId,
+    forward::{attempt, may_repeat, Repetition},
+    load_balancer::Refusal,
+    load_view::Outcome,
+    race::RETRY_INTERVAL,
+    source::{ReadResult, Source},
+    stream::log_stream,
+};
+use crate::base::Millis;
+
+/// Longest time between two events before another endpoint may continue the stream. Endpoints pause for a few hundred
+/// milliseconds while they read long prompts; callers give up after about two seconds.
+pub(super) const EVENT_TIMEOUT: Millis = Millis(1200);
+
+/// A stream that waits for its next event.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting<'a> {
+    pub(super) ctx: &'a Rc<Context>,
+    pub(super) job: &'a Job,
+    pub(super) attempts: &'a Attempts,
+    /// Last event that the caller has.
+    pub(super) last: Option<EventId>,
+}
+
+/// The endpoint that goes on with a stream.
+#[derive(Debug)]
+pub(super) struct Next {
+    pub(super) source: Source,
+    /// Its next events, or the end of the stream.
+    pub(super) result: ReadResult,
+    /// Whether it is another endpoint than before.
+    pub(super) resumed: bool,
+}
+
+/// What an endpoint brought.
+enum Contribution {
+    Read(Box<Source>, ReadResult),
+    /// Its response cannot be used.
+    Unusable,
+    DeadlinePassed,
+    /// No endpoint may get the request now.
+    Refused(Refusal),
+}
+
+impl Waiting<'_> {
+    /// Reads the next events of an endpoint: of `source`, or else of one that is to continue the stream.
+    async fn contribution(self, number: u32, source: Option<Source>) -> (u32, Contribution) {
+        let mut source = match source {
+            Some(source) => Box::new(source),
+            None => match self.attempt().await {
+                Ok(source) => source,
+                Err(contribution) => return (number, contribution),
+            },
+        };
+        let result = source.read(self.ctx, self.job, self.job.deadline).await;
+        (number, Contribution::Read(source, result))
+    }
+
+    async fn attempt(self) -> Result<Box<Source>, Contribution> {
+        let Self { ctx, attempts, .. } = self;
+        attempts.schedule(Millis::MAX);
+        match attempt(ctx, self.job, attempts, self.last).await {
+            Ok(Attempt::Streaming(response)) => {
+                attempts.schedule(ctx.now() + EVENT_TIMEOUT);
+                Ok(Box::new(Source::new(ctx, *response, self.last)))
+            }
+            Ok(Attempt::TimedOut) => Err(Contribution::DeadlinePassed),
+            Ok(_) => Err(Contribution::Unusable),
+            Err(refusal) => Err(Contribution::Refused(refusal)),
+        }
+    }
+
+    /// Finds the endpoint that goes on with the stream; `present` is the one that is silent, if it did not fail.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for the log if no endpoint goes on.
+    pub(super) async fn next(self, present: Option<Source>) -> Result<Next, &'static str> {
+        let Self { ctx, attempts, .. } = self;
+        let mut race = FuturesUnordered::new();
+        let mut newest = 0;
+        if present.is_some() {
+            race.push(self.contribution(newest, present));
+        }
+        attempts.schedule(ctx.now());
+        loop {
+            let (number, contribution) = tokio::select! {
+                biased;
+                Some(contribution) = race.next() => contribution,
+                () = attempts.due(ctx) => {
+                    match may_repeat(ctx, self.job, attempts, true) {
+                        Repetition::Allowed => {
+                            newest += 1;
+                            race.push(self.contribution(newest, None));
+                        }
+                        _ if race.is_empty() => return Err("no attempt left"),
+                        Repetition::NoBudget => attempts.schedule(ctx.now() + RETRY_INTERVAL),
+                        Repetition::Never => attempts.schedule(Millis::MAX),
+                    }
+                    continue;
+                }
+            };
+            if let Contribution::Read(source, result) = contribution {
+                if matches!(result, ReadResult::Events(_) | ReadResult::End) {
+                    return Ok(Next {
+                        source: *source,
+                        result,
+                        resumed: number > 0,
+                    });
+                }
+                self.end(*source, &result);
+                match result {
+                    ReadResult::DeadlinePassed => return Err("deadline"),
+                    ReadResult::Quarantined => self.give_up(race.is_empty())?,
+                    _ => self.replace(number == newest || race.is_empty()),
+                }
+                continue;
+            }
+            match contribution {
+                Contribution::DeadlinePassed => return Err("deadline"),
+                Contribution::Refused(Refusal::Quarantined(_)) => self.give_up(race.is_empty())?,
+                Contribution::Refused(_) => self.try_later(race.is_empty())?,
+                _ => self.replace(number == newest || race.is_empty()),
+            }
+        }
+    }
+
+    /// Ends a response that did not go on.
+    fn end(self, source: Source, result: &ReadResult) {
+        let ReadResult::Broken(reason) = result else {
+            return source.end(self.ctx, Outcome::Abandoned);
+        };
+        let id = Some(&source.target.id);
+        log_stream(self, id, "broken", reason);
+        source.end(self.ctx, Outcome::Failed);
+    }
+
+    /// Looks for another endpoint at once, unless a newer attempt is in place of the one that ended.
+    fn replace(self, needed: bool) {
+        if needed {
+            self.attempts.schedule(self.ctx.now());
+        }
+    }
+
+    /// Looks for no other endpoint, because a part of the prompt is quarantined.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no endpoint is left to read.
+    fn give_up(self, none_left: bool) -> Result<(), &'static str> {
+        self.attempts.schedule(Millis::MAX);
+        if none_left {
+            return Err("quarantined");
+        }
+        Ok(())
+    }
+
+    /// Looks for another endpoint again a little later.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no endpoint is left to read and the deadline is near.
+    fn try_later(self, none_left: bool) -> Result<(), &'static str> {
+        let at = self.ctx.now() + RETRY_INTERVAL;
+        if none_left && at >= self.job.deadline {
+            return Err("no endpoint has room");
+        }
+        self.attempts.schedule(at);
+        Ok(())
+    }
+}
