fix(gateway): believe no refusal without an id on a reused connection

Callers were told 503 ("not run") for a request that an endpoint had been sent and may have run: on a kept connection, the endpoint wrote an earlier refusal once more, without the id of its request, and the entry took it for the response to the present request.

A connection now counts its requests. A refusal without an id is believed only on a connection that has carried no other request; otherwise the response counts as lost (502, or another attempt where the route allows it).

--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -42,11 +42,18 @@
 const REFUSAL_READ_TIMEOUT: Millis = Millis(20);
 
 /// Returns whether a response belongs to the request, by the echoed request id. On a reused connection, a late
-/// duplicate of an earlier response can arrive; it does not belong to the request even if it says "not run".
-fn matches_request(ctx: &Context, job: &Job, head: &HeaderMap, refused: bool) -> bool {
+/// duplicate of an earlier response can arrive; it does not belong to the request even if it says "not run". Without an
+/// id, a refusal is taken for that of the request only if the connection has carried no other.
+fn matches_request(
+    ctx: &Context,
+    job: &Job,
+    head: &HeaderMap,
+    refused: bool,
+    reused: bool,
+) -> bool {
     match head.get(&ctx.headers.request_id) {
         Some(id) => *id == job.id,
-        None => refused,
+        None => refused && !reused,
     }
 }
 
@@ -113,7 +120,8 @@
     let status = head.status;
     let refused =
         head.headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
-    if !matches_request(ctx, job, &head.headers, refused) {
+    let reused = target.connection.is_reused();
+    if !matches_request(ctx, job, &head.headers, refused, reused) {
         emit!(
             log_event::ATTEMPT,
             "id={} endpoint={} outcome=crossed status={}",
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -280,7 +280,7 @@
     expected: Option<WeightVersion>,
 ) -> Attempt {
     let req = request(ctx, job, &target, last, expected);
-    let response = target.connection.try_send_request(req);
+    let response = target.connection.send(req);
     let probe = target.probe;
     let sent = tokio::select! {
         sent = await_head(ctx, job, attempts, &mut target, response) => sent,
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -101,9 +101,9 @@
     let lost = |text: String| CallError::Lost(addr, text);
     let exchange = async {
         let res = conn
-            .send_request(req)
+            .send(req)
             .await
-            .map_err(|e| lost(e.to_string()))?;
+            .map_err(|e| lost(e.into_error().to_string()))?;
         let (head, body) = res.into_parts();
         let body = Limited::new(body, BODY_MAX)
             .collect()
--- a/src/http/connect.rs
+++ b/src/http/connect.rs
@@ -1,10 +1,17 @@
 //! Opens connections that notice a silent peer.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{future::Future, io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::{
+        http1::{self, SendRequest},
+        TrySendError,
+    },
+    Request, Response,
+};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -22,7 +29,42 @@
 const BUFFER: usize = 16 << 10;
 
 /// A connection on which one request at a time is sent.
-pub type Connection = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Number of requests that were sent on it, with the present one.
+    requests: u64,
+}
+
+impl Connection {
+    /// Returns whether the present request is not the first one, so that a response to an earlier one can arrive.
+    pub fn is_reused(&self) -> bool {
+        self.requests > 1
+    }
+
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no response arrives; it holds the request if nothing of it was sent.
+    pub fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> {
+        self.requests += 1;
+        self.sender.try_send_request(req)
+    }
+
+    /// Returns whether another request can be sent.
+    pub(super) fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Returns whether the connection has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
 
 /// Sets the options that make a silent peer visible: the kernel ends the connection after `silence` without an
 /// acknowledgement, or with a receive window that stays closed.
@@ -61,5 +103,8 @@
             log::trace!("connection to {addr} ended: {e}");
         }
     });
-    Ok(sender)
+    Ok(Connection {
+        sender,
+        requests: 0,
+    })
 }
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -1,6 +1,6 @@
 //! Runs a gateway over real sockets with scripted endpoints.
 
-use std::{future::Future, rc::Rc};
+use std::{future::Future, net::SocketAddr, rc::Rc};
 
 use sesamewing::{
     base::{HashMap, Millis},
@@ -12,7 +12,8 @@
 };
 
 use super::{
-    addr, endpoint, run_local, send_request, set_catalog, MemoryStore, Seen, Step, TestDecode,
+    addr, endpoint, endpoint_with, run_local, send_request, set_catalog, MemoryStore, Seen, Step,
+    TestDecode,
 };
 
 /// Model of the endpoints.
@@ -157,20 +158,48 @@
     test: impl FnOnce(Vec<Rc<Seen>>, MemoryStore) -> F,
 ) {
     run_local(async {
-        set_catalog(catalog);
         let mut seen = Vec::new();
         for (i, script) in scripts.into_iter().enumerate() {
-            let at = addr(10 + i as u8, 9000);
-            seen.push(endpoint(at, script).await);
-            let value = format!("plain {at} a {MODEL} {HELD}");
-            store.write(Topic::Endpoints, &format!("e{i}"), &value);
+            seen.push(endpoint(endpoint_addr(i), script).await);
         }
-        store.write(Topic::Operator, "config", "1");
-        start_entry(1, store.clone()).await;
+        start_gateway(store.clone(), catalog, seen.len()).await;
         test(seen, store).await;
     });
 }
 
+/// Runs a test against a gateway with `count` endpoints that choose their script by the request.
+pub fn with_endpoints<F: Future<Output = ()>>(
+    catalog: Catalog,
+    count: usize,
+    pick: impl Fn(&str) -> Vec<Step> + 'static,
+    test: impl FnOnce(Vec<Rc<Seen>>) -> F,
+) {
+    run_local(async {
+        let pick = Rc::new(pick);
+        let mut seen = Vec::new();
+        for i in 0..count {
+            seen.push(endpoint_with(endpoint_addr(i), pick.clone()).await);
+        }
+        start_gateway(MemoryStore::default(), catalog, count).await;
+        test(seen).await;
+    });
+}
+
+fn endpoint_addr(i: usize) -> SocketAddr {
+    addr(10 + i as u8, 9000)
+}
+
+/// Writes the records of a catalog and of endpoints, and starts an entry.
+async fn start_gateway(store: MemoryStore, catalog: Catalog, endpoints: usize) {
+    set_catalog(catalog);
+    for i in 0..endpoints {
+        let value = format!("plain {} a {MODEL} {HELD}", endpoint_addr(i));
+        store.write(Topic::Endpoints, &format!("e{i}"), &value);
+    }
+    store.write(Topic::Operator, "config", "1");
+    start_entry(1, store).await;
+}
+
 /// Starts the entry on host `n` and waits until it is ready.
 pub async fn start_entry(n: u8, store: MemoryStore) {
     start_with(settings_of(n), store).await;
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -214,17 +214,26 @@
 
 /// Starts an endpoint that runs a script after the first request of each connection, then closes it.
 pub async fn endpoint(addr: SocketAddr, script: Vec<Step>) -> Rc<Seen> {
+    endpoint_with(addr, Rc::new(move |_: &str| script.clone())).await
+}
+
+/// Like [`endpoint`], with a script that is chosen by the first request of each connection.
+pub async fn endpoint_with(
+    addr: SocketAddr,
+    pick: Rc<impl Fn(&str) -> Vec<Step> + 'static>,
+) -> Rc<Seen> {
     let listener = TcpListener::bind(addr).await.expect("a free address");
     let seen = Rc::new(Seen::default());
     let result = seen.clone();
     tokio::task::spawn_local(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let (seen, script) = (seen.clone(), script.clone());
+            let (seen, pick) = (seen.clone(), pick.clone());
             tokio::task::spawn_local(async move {
                 let Some(request) = read_request(&mut stream).await else {
                     return;
                 };
                 let id = header(&request, "x-request-id").unwrap_or_default();
+                let script = pick(&request);
                 seen.requests.borrow_mut().push(request);
                 for step in script {
                     match step {
