fix(gateway): forward only events that belong to the stream

Callers found three faults in streams whose endpoint failed: - a missing event: one that arrived together with a faulty one behind it was dropped, yet counted as forwarded, so that the next endpoint went on after it; - the text or the whole head of an error among their events, because events without an id were always forwarded; - a stream that looked complete although the second run had ended before the last event that the caller had, or had sent a comment only before its connection closed.

The splitter now returns the events before a fault and keeps the fault for the next read; an event without an id is a fault once the stream has had one with an id; an end counts only if the endpoint's own events reach the caller's last one. Comments are forwarded and count as no event. The end of a run that sends no event, with a length or chunks, stays the end of the stream: the endpoint was asked for what follows the last event and states that nothing does.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -29,6 +29,9 @@
     /// An event exceeds 1 MiB.
     #[error("an event exceeds 1 MiB; check the endpoint")]
     TooLarge,
+    /// An event has no id although earlier ones have.
+    #[error("an event after {0} has no id; check the endpoint")]
+    WithoutId(EventId),
     /// One or more events are missing.
     #[error("event {found} follows event {last}; check the endpoint")]
     Gap {
@@ -39,20 +42,37 @@
     },
 }
 
+impl EventError {
+    /// Returns the reason for the log.
+    pub(super) fn reason(self) -> &'static str {
+        match self {
+            Self::TooLarge => "event too large",
+            Self::WithoutId(_) => "event without id",
+            Self::Gap { .. } => "event missing",
+        }
+    }
+}
+
 /// Splits one stream into events, across all endpoints that produce parts of it.
 #[derive(Debug, Default)]
 pub struct Events {
     buffer: BytesMut,
     /// Last event that was forwarded or that the caller had before.
     last: Option<EventId>,
+    /// Last event of the present endpoint, forwarded or not.
+    source_last: Option<EventId>,
+    /// Whether the present endpoint has sent an event.
+    source_begun: bool,
+    /// Why the present endpoint's part of the stream ends here.
+    fault: Option<EventError>,
 }
 
 impl Events {
     /// Creates a splitter for a stream of which the caller already has all events up to `last`.
     pub fn after(last: Option<EventId>) -> Self {
         Self {
-            buffer: BytesMut::new(),
             last,
+            ..Self::default()
         }
     }
 
@@ -66,42 +86,90 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns whether the present endpoint has sent an event; comments are none.
+    pub fn has_source_begun(&self) -> bool {
+        self.source_begun
+    }
+
+    /// Returns whether the events of the present endpoint end before the last one that the caller has, so that its end
+    /// is not that of the stream.
+    pub fn is_source_behind(&self) -> bool {
+        self.source_last.is_some() && self.source_last < self.last
+    }
+
     /// Discards a partial event, because another endpoint continues the stream.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.source_last = None;
+        self.source_begun = false;
+        self.fault = None;
+    }
+
+    /// Returns why nothing after the last event that [`Events::push`] returned can be forwarded.
+    pub fn fault(&self) -> Option<EventError> {
+        self.fault
     }
 
     /// Adds received bytes and returns the bytes of whole events that are new to the caller; empty if there are none.
-    /// Events without an id are always returned.
+    /// Comments are always returned, events without an id as long as no event of the stream has had one.
     ///
     /// # Errors
     ///
-    /// Returns an error if an event is missing or too large.
+    /// Returns an error if an event is missing, too large or without an id, and no event precedes it in the bytes; if
+    /// one does, [`Events::fault`] returns the error.
     pub fn push(&mut self, data: &Bytes) -> Result<Bytes, EventError> {
         self.buffer.extend_from_slice(data);
         let mut new = BytesMut::new();
+        self.fault = self.split(&mut new).err();
+        match self.fault {
+            Some(e) if new.is_empty() => Err(e),
+            _ => Ok(new.freeze()),
+        }
+    }
+
+    /// Moves whole events from the buffer to `new`, up to the first fault.
+    fn split(&mut self, new: &mut BytesMut) -> Result<(), EventError> {
         while let Some(end) = event_end(&self.buffer) {
             let event = self.buffer.split_to(end);
-            let Some(id) = event_id(&event) else {
+            if self.admit(&event)? {
                 new.unsplit(event);
-                continue;
-            };
-            if self.last.is_some_and(|last| id <= last) {
-                continue;
-            }
-            if let Some(last) = self.last.filter(|last| id.0 > last.0 + 1) {
-                return Err(EventError::Gap { last, found: id });
             }
-            self.last = Some(id);
-            new.unsplit(event);
         }
         if self.buffer.remaining() > EVENT_MAX {
             return Err(EventError::TooLarge);
         }
-        Ok(new.freeze())
+        Ok(())
+    }
+
+    /// Returns whether an event is new to the caller, and records it as forwarded.
+    fn admit(&mut self, event: &[u8]) -> Result<bool, EventError> {
+        if is_comment(event) {
+            return Ok(true);
+        }
+        self.source_begun = true;
+        let Some(id) = event_id(event) else {
+            return self
+                .last
+                .map_or(Ok(true), |last| Err(EventError::WithoutId(last)));
+        };
+        self.source_last = Some(id);
+        if self.last.is_some_and(|last| id <= last) {
+            return Ok(false);
+        }
+        if let Some(last) = self.last.filter(|last| id.0 > last.0 + 1) {
+            return Err(EventError::Gap { last, found: id });
+        }
+        self.last = Some(id);
+        Ok(true)
     }
 }
 
+/// Returns whether all lines are comments, by which an endpoint keeps its connection open.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|&b| b == b'\n').map(<[u8]>::trim_ascii);
+    lines.all(|line| line.is_empty() || line[0] == b':')
+}
+
 /// Returns the length of the first event in bytes, with the empty line that ends it.
 fn event_end(data: &[u8]) -> Option<usize> {
     let mut line = 0;
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -87,6 +87,9 @@
 
     /// Reads until whole events arrive, `until` at the latest. Bytes that complete no event do not count.
     pub(super) async fn read(&mut self, ctx: &Rc<Context>, job: &Job, until: Millis) -> ReadResult {
+        if let Some(fault) = self.events.fault() {
+            return ReadResult::Broken(fault.reason());
+        }
         loop {
             let now = ctx.now();
             if now >= job.deadline {
@@ -113,10 +116,13 @@
                     return ReadResult::Broken("partial event");
                 }
                 // Without a length or chunks, an end of the connection is all that tells the end of the stream.
-                Ok(None) if self.progress == Progress::Head && is_open_ended(&self.headers) => {
+                Ok(None) if !self.events.has_source_begun() && is_open_ended(&self.headers) => {
                     self.note_dropped(ctx, job, Ending::Closed);
                     return ReadResult::Broken("no event");
                 }
+                Ok(None) if self.events.is_source_behind() => {
+                    return ReadResult::Broken("shorter run");
+                }
                 Ok(None) => {
                     self.note_served(ctx, job);
                     return ReadResult::End;
@@ -130,7 +136,7 @@
                     self.note_events(ctx, job);
                     return ReadResult::Events(events);
                 }
-                Err(_) => return ReadResult::Broken("event missing"),
+                Err(e) => return ReadResult::Broken(e.reason()),
             }
         }
     }
