fix(gateway): continue a stream only by a stream of the same weights

Callers found the text of an error of a second endpoint in the middle of their stream, or its end as that of the stream: any success with a proof was taken for the continuation, also with another content type, 206, encoded, or by other weights than those on which the stream began. At the start of a stream, a plain response was split as if it were events and cut.

A success is a stream of events only with status 200 and that content type; without a content type on routes of streams, as before. Other responses are forwarded whole if nothing has begun, and end the attempt otherwise, without a wait for their body. A success with a content encoding is not the endpoint's own and counts as lost.

tests/stream_errors.rs: other_content_is_not_forwarded, other_successes_do_not_end_a_stream (206), unproven_content_is_not_forwarded (encoded), other_weights_do_not_continue_a_stream and plain_responses_are_forwarded_whole failed before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -77,6 +77,8 @@
     pub(super) sent: Cell<u32>,
     /// Version of the weights on which the response began.
     pub(super) version: Cell<Option<WeightVersion>>,
+    /// Whether the response has begun as a stream, which only another stream of events can continue.
+    pub(super) streaming: Cell<bool>,
     /// Why the next attempt may be sent.
     pub(super) pass: Cell<Pass>,
     /// Draw of the next retry.
@@ -95,6 +97,7 @@
             tried: RefCell::default(),
             sent: Cell::new(0),
             version: Cell::new(None),
+            streaming: Cell::new(false),
             pass: Cell::new(Pass::Clear),
             draw: Cell::new(RetryDraw::random()),
             answered: RefCell::default(),
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -5,7 +5,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::{Body, Incoming},
-    header::{HeaderMap, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING},
+    header::{
+        HeaderMap, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER,
+        TRANSFER_ENCODING,
+    },
     http::response::Parts,
     Response, StatusCode,
 };
@@ -41,6 +44,9 @@
 /// Longest time for reading the body of a refusal.
 const REFUSAL_READ_TIMEOUT: Millis = Millis(20);
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Returns whether a response belongs to the request, by the echoed request id. On a reused connection, a late
 /// duplicate of an earlier response can arrive; it does not belong to the request even if it says "not run". Without an
 /// id, a refusal is taken for that of the request only if the connection has carried no other.
@@ -57,6 +63,20 @@
     }
 }
 
+/// Returns whether a successful response is the endpoint's own, unchanged: it bears the proof and is not encoded.
+fn is_genuine(ctx: &Context, headers: &HeaderMap) -> bool {
+    headers.contains_key(&ctx.headers.proof) && !headers.contains_key(CONTENT_ENCODING)
+}
+
+/// Returns whether a response is a stream of events. Without a content type, it is one on routes of streams.
+fn is_event_stream(job: &Job, head: &Parts) -> bool {
+    let kind = text(&head.headers, CONTENT_TYPE).map(|t| t.split(';').next().unwrap_or(t).trim());
+    let events = kind.map_or(job.route.streaming, |k| {
+        k.eq_ignore_ascii_case(EVENT_STREAM)
+    });
+    head.status == StatusCode::OK && events
+}
+
 /// Applies the status headers in which an endpoint reports that it is draining or accepts no requests for a while.
 fn apply_status_headers(ctx: &Rc<Context>, id: &EndpointId, head: &Parts) {
     let names = &ctx.headers;
@@ -152,14 +172,30 @@
         finish_refusal(ctx, target, &head, body).await;
         return Attempt::NotRun;
     }
-    if status.is_success() && !head.headers.contains_key(&names.proof) {
+    if status.is_success() && !is_genuine(ctx, &head.headers) {
+        target.flight.end(Outcome::Failed);
+        return Attempt::Lost;
+    }
+    let streams = is_event_stream(job, &head);
+    let other_version = attempts
+        .version
+        .get()
+        .zip(version)
+        .is_some_and(|(a, b)| a != b);
+    if attempts.streaming.get() && (!streams || other_version) {
+        emit!(
+            log_event::ATTEMPT,
+            "id={} endpoint={} outcome=unfit status={}",
+            job.id(),
+            target.id,
+            status.as_u16()
+        );
         target.flight.end(Outcome::Failed);
         return Attempt::Lost;
     }
-    let events =
-        text(&head.headers, CONTENT_TYPE).is_some_and(|t| t.starts_with("text/event-stream"));
-    if status.is_success() && (job.route.streaming || events) {
+    if streams {
         attempts.version.set(attempts.version.get().or(version));
+        attempts.streaming.set(true);
         return Attempt::Streaming(Box::new(StreamingResponse { target, head, body }));
     }
     let id = target.id.clone();
--- a/tests/stream_errors.rs
+++ b/tests/stream_errors.rs
@@ -125,6 +125,38 @@
     check_error("302", &respond("302 Found", "id: 3\ndata: boom\n\n"), 2);
 }
 
+/// Guards against a success without content that ends a stream as if it were complete.
+#[test]
+fn other_successes_do_not_end_a_stream() {
+    let empty = format!("HTTP/1.1 204 No Content\r\n{STREAM}\r\n\r\n");
+    check_error("204", &[Step::Send(empty)], 2);
+    check_error("206", &sized("206 Partial", STREAM, ""), 2);
+    let part = "id: 3\ndata: boom\n\n";
+    check_error("206 with an event", &sized("206 Partial", STREAM, part), 2);
+}
+
+/// Guards against a success that is no stream of events, in the middle of a stream.
+#[test]
+fn other_content_is_not_forwarded() {
+    for kind in ["application/json", "text/html", "text/plain"] {
+        let headers = STREAM.replace("text/event-stream", kind);
+        for body in ["boom", "boom\n\n", "id: 3\ndata: boom\n\n", ""] {
+            check_error(kind, &sized("200 OK", &headers, body), 2);
+        }
+        check_error(kind, &open_ended(&headers, "boom\n\n"), 2);
+    }
+}
+
+/// Guards against bytes of a response that is encoded or that bears no proof.
+#[test]
+fn unproven_content_is_not_forwarded() {
+    let part = "id: 3\ndata: boom\n\n";
+    let unproven = STREAM.replace("X-Endpoint-Proof: p\r\n", "");
+    check_error("no proof", &sized("200 OK", &unproven, part), 2);
+    let encoded = format!("{STREAM}\r\nContent-Encoding: gzip");
+    check_error("encoded", &sized("200 OK", &encoded, part), 2);
+}
+
 /// Guards against an error inside a stream of events that is forwarded as one of them.
 #[test]
 fn events_without_id_are_not_forwarded() {
@@ -165,6 +197,23 @@
     check_error("older event", &events(2..=2, "3\r\nid:\r\n0\r\n\r\n"), 2);
 }
 
+/// Guards against a continuation by other weights than those on which the stream began.
+#[test]
+fn other_weights_do_not_continue_a_stream() {
+    for begin in breaks() {
+        let begin = with_first_header(begin, "X-Weight-Version: 3");
+        let next = with_first_header(events(3..=LAST, LAST_CHUNK), "X-Weight-Version: 4");
+        let res = stream(&begin, &next, 2);
+        check_events(&res, 2, "weights");
+        assert!(!res.ends_with(LAST_CHUNK), "{res}");
+    }
+}
+
+fn with_first_header(mut script: Vec<Step>, line: &str) -> Vec<Step> {
+    let rest = script.split_off(1);
+    [with_header(script, line), rest].concat()
+}
+
 /// Guards against a run that restarts at the first event and is cut, or whose events come twice.
 #[test]
 fn restarted_runs_continue_a_stream() {
@@ -244,3 +293,15 @@
     assert!(res.contains(body.split_at(15).1), "{res}");
     assert!(res.ends_with(LAST_CHUNK), "{res}");
 }
+
+/// Guards against a response of an endpoint that is no stream, on a route of streams, and arrives in part.
+#[test]
+fn plain_responses_are_forwarded_whole() {
+    let json = STREAM.replace("text/event-stream", "application/json");
+    let res = stream(&sized("200 OK", &json, "{\"a\":1}"), &[], 1);
+    assert!(res.starts_with("HTTP/1.1 200"), "{res}");
+    assert!(res.ends_with("\r\n\r\n{\"a\":1}"), "{res}");
+    let cut = format!("HTTP/1.1 200 OK\r\n{json}\r\nContent-Length: 9\r\n\r\n{{}}");
+    let res = stream(&[Step::Send(cut)], &[], 1);
+    assert!(res.starts_with("HTTP/1.1 502"), "{res}");
+}
