fix(endpoint): send an engine's runs and orders on connections of their own

Refusals of engines bear no request id. On a kept connection, an earlier one that arrived once more was taken for that of the present request: it counted as not run although the engine had been sent it, so that another agent could run it again. A load seemed accepted in the same way.

Runs, resumes and orders use a client without idle connections; status, cancel and cache calls keep theirs. The price is one connection on the same host for each run.

tests/endpoint_errors.rs: earlier_refusals_refuse_no_request (Refused(503) for a request that was sent) and earlier_responses_accept_no_order (Ok(()) instead of Err(Stale)) failed before.

--- a/src/endpoint/engine.rs
+++ b/src/endpoint/engine.rs
@@ -33,6 +33,9 @@
 #[derive(Clone, Debug)]
 pub struct Engine {
     client: Client,
+    /// Sends calls with an effect: their refusals bear no id, so that one to an earlier call must not arrive in their
+    /// place.
+    effects: Client,
     base: String,
 }
 
@@ -105,6 +108,7 @@
     pub fn new(base: &str) -> Result<Self, EndpointError> {
         Ok(Self {
             client: http::client()?,
+            effects: http::unpooled()?,
             base: base.to_owned(),
         })
     }
@@ -179,7 +183,7 @@
 
     async fn run(&self, req: &RunRequest, limit: Millis) -> Result<EngineRun, EndpointError> {
         let http = self
-            .client
+            .effects
             .post(self.url("v1/completions"))
             .json(&body(req)?);
         self.answer(http, limit).await
@@ -192,7 +196,7 @@
         limit: Millis,
     ) -> Result<EngineRun, EndpointError> {
         let order = json!({"id": req.id, "from": from});
-        let http = self.client.post(self.url("v1/resume")).json(&order);
+        let http = self.effects.post(self.url("v1/resume")).json(&order);
         let run = self.answer(http, limit).await?;
         if run.head.status == StatusCode::NOT_FOUND.as_u16() {
             return Err(EndpointError::Missing);
@@ -226,7 +230,7 @@
         let size: usize = order.chunks.iter().map(Bytes::len).sum();
         let chunks = order.chunks.into_iter().map(Ok::<_, Infallible>);
         let http = self
-            .client
+            .effects
             .put(self.url("orders/load"))
             .header("Order-Version", order.version.as_str())
             .header("Order-Hash", order.whole.to_string())
--- a/src/endpoint/http.rs
+++ b/src/endpoint/http.rs
@@ -1,7 +1,7 @@
 //! What the HTTP adapters share.
 
 use bytes::{Bytes, BytesMut};
-use reqwest::{header::CONTENT_TYPE, redirect, Client, RequestBuilder, Response};
+use reqwest::{header::CONTENT_TYPE, redirect, Client, ClientBuilder, RequestBuilder, Response};
 
 use super::{EndpointError, Part};
 use crate::base::{Millis, RequestId};
@@ -16,11 +16,24 @@
 ///
 /// Redirects are answers like any other: to follow one would run a request twice.
 pub(super) fn client() -> Result<Client, EndpointError> {
+    build(builder())
+}
+
+/// Like [`client`], with a connection of its own for each request, on which no answer to an earlier one can arrive.
+pub(super) fn unpooled() -> Result<Client, EndpointError> {
+    build(builder().pool_max_idle_per_host(0))
+}
+
+fn builder() -> ClientBuilder {
     Client::builder()
         .connect_timeout(CONNECT_TIMEOUT.duration())
         .redirect(redirect::Policy::none())
         .retry(reqwest::retry::never())
         .no_proxy()
+}
+
+fn build(builder: ClientBuilder) -> Result<Client, EndpointError> {
+    builder
         .build()
         .map_err(|e| EndpointError::NotSent(e.to_string()))
 }
--- a/tests/endpoint_errors.rs
+++ b/tests/endpoint_errors.rs
@@ -11,8 +11,8 @@
 use assert_matches::assert_matches;
 use common::{daemon, http, within};
 use sesamewing::{
-    base::Millis,
-    endpoint::{Endpoint, EndpointError, Engine, Part, Plain, Run},
+    base::{Digest, Millis},
+    endpoint::{Endpoint, EndpointError, Engine, LoadOrder, Part, Plain, Run},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -109,3 +109,72 @@
     assert_matches!(error, Some(e) if !e.is_unsent());
     assert_eq!(seen.load(Ordering::SeqCst), 2);
 }
+
+/// Starts a server that responds to the first request of its first connection with `first`, to further ones on any
+/// connection with an earlier response, and to the first one of each other connection with `other`.
+async fn repeating(first: &'static str, earlier: &'static str, other: &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        for begin in std::iter::once(first).chain(std::iter::repeat(other)) {
+            let Ok((mut stream, _)) = listener.accept().await else {
+                return;
+            };
+            tokio::spawn(async move {
+                let mut data = vec![0; 4096];
+                let mut text = begin;
+                while let Ok(1..) = stream.read(&mut data).await {
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    text = earlier;
+                }
+            });
+        }
+    });
+    format!("http://{addr}")
+}
+
+/// Guards against "not run" for a request that an engine runs: on a kept connection, an earlier refusal arrives once
+/// more in the place of its answer.
+#[tokio::test]
+async fn earlier_refusals_refuse_no_request() {
+    let refusal = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+    let failed = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+    let base = repeating(refusal, refusal, failed).await;
+    let engine = Engine::new(&base).expect("an adapter");
+    let req = daemon::request(None, 1);
+    let error = within("a refusal", engine.run(&req, LIMIT)).await.err();
+    assert_eq!(error, Some(EndpointError::Refused(503)));
+    let error = within("an error", engine.run(&req, LIMIT)).await.err();
+    assert_matches!(error, Some(e) if !e.is_unsent());
+    let missing = "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n";
+    let base = repeating(missing, missing, failed).await;
+    let engine = Engine::new(&base).expect("an adapter");
+    let error = within("an answer", engine.resume(&req, 1, LIMIT))
+        .await
+        .err();
+    assert_eq!(error, Some(EndpointError::Missing));
+    let error = within("an error", engine.resume(&req, 1, LIMIT))
+        .await
+        .err();
+    assert_matches!(error, Some(e) if !e.is_unsent());
+}
+
+/// Guards against an order that seems done, because an earlier response arrives once more in its place.
+#[tokio::test]
+async fn earlier_responses_accept_no_order() {
+    let done = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let stale = "HTTP/1.1 409 No\r\nContent-Length: 0\r\n\r\n";
+    let base = repeating(done, done, stale).await;
+    let engine = Engine::new(&base).expect("an adapter");
+    assert_matches!(engine.status().await, Err(EndpointError::Malformed(_)));
+    let order = LoadOrder {
+        version: "v1".parse().expect("a name"),
+        whole: Digest::of(b""),
+        fence: Default::default(),
+        chunks: Vec::new(),
+    };
+    let answer = within("an answer", engine.load(order)).await;
+    assert_eq!(answer, Err(EndpointError::Stale));
+}
