--- a/tests/stream_errors.rs
+++ b/tests/stream_errors.rs
@@ -229,8 +229,9 @@
 #[test]
 fn whole_streams_end_at_an_endpoint_that_has_nothing_to_add() {
     let begin = events(1..=LAST, "");
+    let chunked = format!("{STREAM}\r\nTransfer-Encoding: chunked");
     let ends = [
-        events(1..=0, LAST_CHUNK),
+        open_ended(&chunked, LAST_CHUNK),
         sized("200 OK", STREAM, ""),
         events(1..=LAST, LAST_CHUNK),
     ];
