--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -216,3 +216,39 @@
     assert!(!text.contains("[DONE]"), "{text}");
     assert_eq!(world.runs(), 1);
 }
+
+/// Guards against the text of an error of a second endpoint in the middle of a stream, and against a stream that seems
+/// to end with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn errors_do_not_continue_a_stream() {
+    for error in [500, 404, 302, 204] {
+        let world = World::model(2).await;
+        for agent in &world.agents {
+            agent.frames(move |req| {
+                let resumed = req.resume > 0;
+                let text: &[&str] = if resumed {
+                    &["boom"]
+                } else {
+                    &["one ", "two "]
+                };
+                let mut frames = whole(req.id, Some(VERSION), req.resume, text);
+                if !resumed {
+                    frames.truncate(3);
+                } else if let Reply::Head {
+                    status, version, ..
+                } = &mut frames[0]
+                {
+                    *status = error;
+                    *version = version.take().filter(|_| error < 400);
+                }
+                frames
+            });
+        }
+        let resp = world.completion(true).send().await.unwrap();
+        let text = resp.text().await.unwrap();
+        assert!(text.contains("\"text\":\"two \""), "{error}: {text}");
+        assert!(text.contains("event: error"), "{error}: {text}");
+        assert!(!text.contains("boom"), "{error}: {text}");
+        assert!(!text.contains("[DONE]"), "{error}: {text}");
+    }
+}
