fix(gateway): let a request outlive the idle connection that it was sent on

Callers got 502 "the response of the endpoint was lost" if the endpoint closed an idle connection just when a request was sent on it and no other endpoint was there: the endpoint counted as tried, and as unreachable.

Change: after the end of a reused connection before any response, the endpoint may be chosen again, on a new connection, and no failure is recorded. Such a repetition takes an attempt of the route and a retry of the budget like any other. Requests that may run once are never sent on a reused connection (as before; now with a test).

Test: requests_outlive_idle_connections failed before with "HTTP/1.1 502 Bad Gateway"; now broken_endpoints (12), silent_endpoints, gateway_http and deadly_part pass.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -29,6 +29,8 @@
     pub(super) addr: SocketAddr,
     pub(super) flight: InFlight,
     pub(super) connection: Connection,
+    /// Whether the connection was idle before, so that the endpoint may close it just when the request is sent.
+    pub(super) reused: bool,
     /// Largest number of idle connections to the endpoint.
     pub(super) idle_max: usize,
     /// When the request is sent.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -95,8 +95,8 @@
     attempts.exclude(id.clone());
     let flight = InFlight::begin(ctx, id.clone(), job.prompt_tokens);
     let limit = CONNECT_TIMEOUT.min(job.deadline - now);
-    let connection = match open(ctx, job, addr, limit).await {
-        Ok(connection) => connection,
+    let (connection, reused) = match open(ctx, job, addr, limit).await {
+        Ok(opened) => opened,
         Err(e) => {
             emit!(
                 log_event::ATTEMPT,
@@ -127,6 +127,7 @@
         addr,
         flight,
         connection,
+        reused,
         idle_max: choice.idle_max,
         sent_at: ctx.now(),
         known: screen::generations(ctx, job),
@@ -181,18 +182,21 @@
     Ok(())
 }
 
+/// Opens a connection or takes an idle one; also returns whether it was idle.
 async fn open(
     ctx: &Context,
     job: &Job,
     addr: SocketAddr,
     limit: Millis,
-) -> std::io::Result<Connection> {
+) -> std::io::Result<(Connection, bool)> {
     // The endpoint may close an idle connection while the request is sent; whether the request ran is then unknown, and
     // this request must not be repeated.
-    if job.route.repeat == Repeat::Once {
-        return crate::http::connect(addr, limit).await;
+    if job.route.repeat != Repeat::Once {
+        if let Some(connection) = ctx.pool.take(addr, ctx.now()) {
+            return Ok((connection, true));
+        }
     }
-    ctx.pool.checkout(addr, ctx.now(), limit).await
+    Ok((crate::http::connect(addr, limit).await?, false))
 }
 
 /// Builds the request of one attempt.
@@ -317,6 +321,12 @@
             }
             let ending = Ending::of(&error);
             note_dropped(ctx, job, &target.id, &target.known, Progress::Sent, ending);
+            if target.reused && !error.is_parse() {
+                // The end of an idle connection says nothing of the endpoint, which may get the request once more.
+                attempts.readmit(&target.id);
+                target.flight.end(Outcome::Abandoned);
+                return Attempt::Lost;
+            }
             target.flight.end(Outcome::Unreachable);
             return Attempt::Lost;
         }
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -35,7 +35,8 @@
         }
     }
 
-    fn take(&self, addr: SocketAddr, now: Millis) -> Option<Connection> {
+    /// Takes the most recently used idle connection, if there is one.
+    pub fn take(&self, addr: SocketAddr, now: Millis) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&addr)?;
         while let Some(entry) = list.pop() {
--- a/tests/broken_endpoints.rs
+++ b/tests/broken_endpoints.rs
@@ -61,6 +61,48 @@
     });
 }
 
+/// Returns a script that closes a kept connection when the next request arrives on it.
+fn closes_kept_connections() -> Vec<Step> {
+    let mut script = respond("200 OK", "yes");
+    script.push(Step::Next);
+    script
+}
+
+/// Guards against an error to the caller because its request met the end of an idle connection at the only endpoint.
+#[test]
+fn requests_outlive_idle_connections() {
+    with_gateway(vec![closes_kept_connections()], |seen| async move {
+        for _ in 0..4 {
+            let res = send_request(addr(1, CALLERS), &request("/safe/x"), 1000).await;
+            assert!(res.ends_with("yes"), "{res}");
+        }
+        assert!(arrivals(&seen) > 4, "no connection was kept");
+    });
+}
+
+/// Guards against a request that may run once and meets the end of an idle connection, after which it is unknown whether
+/// it ran.
+#[test]
+fn non_idempotent_requests_use_no_idle_connections() {
+    with_gateway(vec![closes_kept_connections()], |seen| async move {
+        let kept = send_request(addr(1, CALLERS), &request("/safe/x"), 1000).await;
+        assert!(kept.ends_with("yes"), "{kept}");
+        let res = send_request(addr(1, CALLERS), &request("/once/x"), 1000).await;
+        assert!(res.ends_with("yes"), "{res}");
+        assert_eq!(arrivals(&seen), 2);
+    });
+}
+
+/// Guards against a request that is sent again and again to an endpoint that closes each connection without a response.
+#[test]
+fn closing_endpoints_get_no_more_than_the_attempts() {
+    with_gateway(vec![Vec::new()], |seen| async move {
+        let res = send_request(addr(1, CALLERS), &request("/safe/x"), 1000).await;
+        assert!(res.starts_with("HTTP/1.1 502"), "{res}");
+        assert_eq!(arrivals(&seen), 1);
+    });
+}
+
 /// Guards against a stalled stream that is never abandoned, because single bytes count as progress.
 #[test]
 fn trickling_streams_continue_elsewhere() {
