--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -1,7 +1,7 @@
 //! Sends a request to endpoints until one of them responds. A silent endpoint is waited for until another one has
 //! responded in its place, because it may still be at work.
 
-use std::rc::Rc;
+use std::{ops::ControlFlow, rc::Rc};
 
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -57,6 +57,26 @@
         }
     }
 
+    /// Records the result of an attempt; breaks with the answer to the request if there is one.
+    fn record(&mut self, result: Attempt) -> ControlFlow<Result<Answer, Reject>> {
+        match result {
+            Attempt::Streaming(res) => return ControlFlow::Break(Ok(Answer::Streaming(res))),
+            Attempt::Complete(res) => return ControlFlow::Break(Ok(Answer::Complete(res))),
+            Attempt::TimedOut => {
+                let failure = self.failure.take().map(Answer::Complete);
+                return ControlFlow::Break(failure.ok_or(Reject::TimedOut));
+            }
+            Attempt::NotSent => self.unsent += 1,
+            Attempt::NotRun => {}
+            Attempt::Lost => self.ran = true,
+            Attempt::Failed(res) => {
+                self.ran = true;
+                self.failure = Some(res);
+            }
+        }
+        ControlFlow::Continue(())
+    }
+
     fn may_repeat(&self, ctx: &Context, job: &Job, attempts: &Attempts, ran: bool) -> Repetition {
         if self.unsent >= UNSENT_MAX {
             return Repetition::Never;
@@ -65,6 +85,14 @@
     }
 }
 
+/// Returns when another attempt may begin beside those in flight, after one was refused.
+fn retry_at(ctx: &Context, refusal: Refusal) -> Millis {
+    match refusal {
+        Refusal::Quarantined(_) => Millis::MAX,
+        Refusal::Unavailable(_) | Refusal::Overloaded(_) => ctx.now() + RETRY_INTERVAL,
+    }
+}
+
 /// Makes the attempt with this number.
 async fn numbered(
     ctx: &Rc<Context>,
@@ -109,26 +137,14 @@
         };
         let (number, result) = result;
         match result {
-            Ok(Attempt::Streaming(res)) => return Ok(Answer::Streaming(res)),
-            Ok(Attempt::Complete(res)) => return Ok(Answer::Complete(res)),
-            Ok(Attempt::TimedOut) => {
-                let failure = ended.failure.map(Answer::Complete);
-                return failure.ok_or(Reject::TimedOut);
-            }
-            Ok(Attempt::NotSent) => ended.unsent += 1,
-            Ok(Attempt::NotRun) => {}
-            Ok(Attempt::Lost) => ended.ran = true,
-            Ok(Attempt::Failed(res)) => {
-                ended.ran = true;
-                ended.failure = Some(res);
+            Ok(result) => {
+                if let ControlFlow::Break(answer) = ended.record(result) {
+                    return answer;
+                }
             }
             Err(refusal) if race.is_empty() => return ended.answer(refusal.into()),
-            Err(Refusal::Quarantined(_)) => {
-                attempts.schedule(Millis::MAX);
-                continue;
-            }
-            Err(_) => {
-                attempts.schedule(ctx.now() + RETRY_INTERVAL);
+            Err(refusal) => {
+                attempts.schedule(retry_at(ctx, refusal));
                 continue;
             }
         }
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -7,14 +7,14 @@
 use gateway_support::{
     addr, endpoint,
     gateway::{
-        catalog, events, refusal, request, respond, route, settings, start_with, CALLERS, HELD,
-        MODEL,
+        arrivals, catalog, events, refusal, request, respond, route, settings, start_with, CALLERS,
+        HELD, MODEL,
     },
     header, run_local, send_request, set_catalog, MemoryStore, Seen, Step,
 };
 use sesamewing::{
     base::{HashMap, Millis, Percent},
-    gateway::{Catalog, Repeat, Topic},
+    gateway::{Catalog, GatewaySettings, Repeat, Topic},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -52,6 +52,42 @@
     Nothing,
 }
 
+/// Sets a catalog whose routes allow some attempts.
+fn set_attempts(attempts: u32) {
+    let mut catalog = Catalog {
+        routes: HashMap::default(),
+        ..catalog()
+    };
+    for (prefix, repeat) in [
+        ("/once/", Repeat::Once),
+        ("/safe/", Repeat::Idempotent),
+        ("/stream/", Repeat::Resume),
+    ] {
+        let mut route = route(prefix, repeat);
+        route.attempts = attempts;
+        catalog.add_route("h.example", route);
+    }
+    set_catalog(catalog);
+}
+
+/// Starts endpoints, each in a zone, and an entry, which chooses the endpoints of its own zone, `a`, first.
+async fn start_all(
+    settings: GatewaySettings,
+    endpoints: Vec<(&'static str, Vec<Step>)>,
+) -> Vec<Rc<Seen>> {
+    let store = MemoryStore::default();
+    let mut seen = Vec::new();
+    for (n, (zone, script)) in (10..).zip(endpoints) {
+        let at = addr(n, 9000);
+        let record = format!("plain {at} {zone} {MODEL} {HELD}");
+        store.write(Topic::Endpoints, &format!("e{n}"), &record);
+        seen.push(endpoint(at, script).await);
+    }
+    store.write(Topic::Operator, "config", "1");
+    start_with(settings, store).await;
+    seen
+}
+
 /// Endpoints of a test, in the order in which they are chosen.
 struct World {
     first: Rc<Seen>,
@@ -60,46 +96,23 @@
 
 impl World {
     async fn start(obstacle: Obstacle, first: Vec<Step>, other: Vec<Step>) -> Self {
-        let mut catalog = Catalog {
-            routes: HashMap::default(),
-            ..catalog()
-        };
         let attempts = if obstacle == Obstacle::Attempts { 1 } else { 2 };
-        for (prefix, repeat) in [
-            ("/once/", Repeat::Once),
-            ("/safe/", Repeat::Idempotent),
-            ("/stream/", Repeat::Resume),
-        ] {
-            let mut route = route(prefix, repeat);
-            route.attempts = attempts;
-            catalog.add_route("h.example", route);
-        }
-        set_catalog(catalog);
+        set_attempts(attempts);
         let mut settings = settings();
         if obstacle == Obstacle::Budget {
             settings.bounds.retries = Percent(0);
         }
-        let store = MemoryStore::default();
-        // Entries choose the endpoint of their own zone first.
-        let add = async |n, zone, script| {
-            let at = addr(n, 9000);
-            let record = format!("plain {at} {zone} {MODEL} {HELD}");
-            store.write(Topic::Endpoints, zone, &record);
-            endpoint(at, script).await
-        };
-        let first = add(10, "a", first).await;
-        let other = match obstacle {
-            Obstacle::Alone => None,
-            Obstacle::Refusing => Some(refusal()),
-            _ => Some(other),
-        };
-        let other = match other {
-            Some(script) => Some(add(11, "b", script).await),
-            None => None,
-        };
-        store.write(Topic::Operator, "config", "1");
-        start_with(settings, store.clone()).await;
-        Self { first, other }
+        let mut endpoints = vec![("a", first)];
+        match obstacle {
+            Obstacle::Alone => {}
+            Obstacle::Refusing => endpoints.push(("b", refusal())),
+            _ => endpoints.push(("b", other)),
+        }
+        let mut seen = start_all(settings, endpoints).await.into_iter();
+        Self {
+            first: seen.next().expect("an endpoint"),
+            other: seen.next(),
+        }
     }
 
     /// Sends a request, which the first endpoint gets.
@@ -135,7 +148,7 @@
     }
 
     fn other(&self) -> &Seen {
-        &self.other.as_ref().expect("another endpoint")
+        self.other.as_ref().expect("another endpoint")
     }
 }
 
@@ -184,6 +197,13 @@
     script
 }
 
+/// Returns a script that sends the head of a stream, and `tail`.
+fn without_events(tail: &str) -> Vec<Step> {
+    let mut script = events(1..=1, tail);
+    script.remove(1);
+    script
+}
+
 /// Returns a script that begins to respond late.
 fn slow_head(wait: u64, body: &str) -> Vec<Step> {
     let mut script = vec![Step::Pause(wait)];
@@ -256,7 +276,7 @@
 #[test]
 fn stream_goes_on_where_the_next_event_is() {
     run_local(async {
-        let mut other = events(2..=1, "");
+        let mut other = without_events("");
         other.push(Step::AwaitClose);
         let world = World::start(Obstacle::Nothing, paused_stream(LONG_PAUSE), other).await;
         let got = world.send(&request("/stream/x")).await;
@@ -269,11 +289,26 @@
     });
 }
 
+/// Guards against events that come twice, or not at all, because an endpoint goes on just when another one begins to
+/// continue its stream.
+#[test]
+fn events_at_the_switch_come_once() {
+    for pause in [1190, 1198, 1200, 1202, 1210] {
+        run_local(async {
+            // The other endpoint begins with the first event, which the caller has.
+            let other = events(1..=3, LAST_CHUNK);
+            let world = World::start(Obstacle::Nothing, paused_stream(pause), other).await;
+            let got = world.send(&request("/stream/x")).await;
+            got.assert_whole(3);
+        });
+    }
+}
+
 /// Guards against a stream that is cut because the endpoint that was to continue it broke off.
 #[test]
 fn stream_outlives_its_replacement() {
     run_local(async {
-        let other = events(2..=1, "9\r\nid: 2\ndat\r\n");
+        let other = without_events("9\r\nid: 2\ndat\r\n");
         let world = World::start(Obstacle::Nothing, paused_stream(LONG_PAUSE), other).await;
         let got = world.send(&request("/stream/x")).await;
         got.assert_whole(3);
@@ -405,3 +440,39 @@
         assert_eq!(world.others(), 0);
     });
 }
+
+/// Guards against a request that is left with silent endpoints although the route allows a third one.
+#[test]
+fn silent_replacement_is_replaced() {
+    run_local(async {
+        set_attempts(3);
+        let silent = ("a", vec![Step::AwaitClose]);
+        let last = ("b", respond("200 OK", "last"));
+        let seen = start_all(settings(), vec![silent.clone(), silent, last]).await;
+        let res = send_request(addr(1, CALLERS), &request("/safe/x"), 1500).await;
+        assert!(res.ends_with("last"), "{res}");
+        assert_eq!(arrivals(&seen), 3);
+        tokio::time::sleep(CLOSED.duration()).await;
+        assert_eq!((seen[0].closed.get(), seen[1].closed.get()), (1, 1));
+    });
+}
+
+/// Guards against a stream that is left with silent endpoints although the route allows a third one.
+#[test]
+fn silent_stream_is_continued_twice() {
+    run_local(async {
+        set_attempts(3);
+        let mut silent = events(1..=1, "");
+        silent.push(Step::AwaitClose);
+        let silent = ("a", silent);
+        let last = ("b", events(2..=3, LAST_CHUNK));
+        let seen = start_all(settings(), vec![silent.clone(), silent, last]).await;
+        let text = request("/stream/x").replace("2500", "3000");
+        let res = send_request(addr(1, CALLERS), &text, 3500).await;
+        for id in 1..=3 {
+            assert_eq!(res.matches(&format!("id: {id}\n")).count(), 1, "{res}");
+        }
+        assert!(res.ends_with(LAST_CHUNK), "{res}");
+        assert_eq!(arrivals(&seen), 3);
+    });
+}
