fix(gateway): do not count a look for room as a rejected caller

A request that waits for room at another endpoint looks every 60 ms.

Change: a look is a question of its own, which counts nothing and starts no attempt; a stream that has no endpoint left asks it too.

Test: looking_for_room_counts_no_rejection (new function, so it has no earlier result). 68 of 68 tests of silent_endpoints, gateway_http, broken_endpoints, channel_end, gateway_balance, endpoint_limit and deadly_part pass.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -8,7 +8,7 @@
     context::Context,
     endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement},
     endpoint_table::EndpointId,
-    load_balancer::Refusal,
+    load_balancer::{LoadBalancer, Refusal},
     record::WeightVersion,
 };
 use crate::base::Millis;
@@ -39,6 +39,15 @@
     pub(super) idle_max: usize,
 }
 
+/// Returns whether an endpoint may get a further attempt now. A request that asks this while it waits does not count as
+/// one that was turned away.
+pub(super) fn has_room(ctx: &Context, job: &Job, attempts: &Attempts) -> bool {
+    consult(ctx, job, attempts, |balancer, query, _| {
+        let table = ctx.endpoints.borrow();
+        balancer.has_room(table.of_service(&job.service), query, ctx.now())
+    })
+}
+
 /// Chooses the endpoint of an attempt.
 ///
 /// # Errors
@@ -50,6 +59,32 @@
     attempts: &Attempts,
     now: Millis,
 ) -> Result<Choice, Refusal> {
+    consult(ctx, job, attempts, |balancer, query, connections| {
+        let table = ctx.endpoints.borrow();
+        let e = balancer.pick(table.of_service(&job.service), query, now)?;
+        let model = query.weights.map(|w| w.model);
+        let version = model.and_then(|m| balancer.version(e, m));
+        let desired = ctx.desired.borrow();
+        let begin_by = version.and_then(|v| ctx.begin_by(desired.get(model?)?, v));
+        let oldest = query.weights.map(|w| w.oldest).unwrap_or_default();
+        let expected = version.filter(|_| oldest > WeightVersion::default());
+        Ok(Choice {
+            id: e.id.clone(),
+            addr: e.record.addr,
+            begin_by,
+            expected,
+            idle_max: idle_max(connections, ctx.members.borrow().count()),
+        })
+    })
+}
+
+/// Calls `ask` with the load balancer, the request's query, and the connections that an endpoint of its service accepts.
+fn consult<T>(
+    ctx: &Context,
+    job: &Job,
+    attempts: &Attempts,
+    ask: impl FnOnce(&mut LoadBalancer, &EndpointQuery<'_>, u32) -> T,
+) -> T {
     let (engine, connections) = {
         let catalog = ctx.catalog.borrow();
         let spec = catalog.as_ref().and_then(|c| c.services.get(&job.service));
@@ -82,7 +117,7 @@
     });
     let owned = ctx.owned.borrow();
     let tried = attempts.tried();
-    let ask = EndpointQuery {
+    let query = EndpointQuery {
         zone: &ctx.settings.zone,
         weights,
         exact: attempts.version.get(),
@@ -94,18 +129,5 @@
             e.duration(job.prompt_tokens, job.output_max, job.output_hint)
         }),
     };
-    let fleet = ctx.endpoints.borrow();
-    let mut balance = ctx.balancer.borrow_mut();
-    let e = balance.pick(fleet.of_service(&job.service), &ask, now)?;
-    let version = model.and_then(|m| balance.version(e, m));
-    let begin_by = version.and_then(|v| ctx.begin_by(named?, v));
-    let binds = weights.is_some_and(|w| w.oldest > WeightVersion::default());
-    let expected = version.filter(|_| binds);
-    Ok(Choice {
-        id: e.id.clone(),
-        addr: e.record.addr,
-        begin_by,
-        expected,
-        idle_max: idle_max(connections, ctx.members.borrow().count()),
-    })
+    ask(&mut ctx.balancer.borrow_mut(), &query, connections)
 }
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -175,6 +175,18 @@
         found.best().ok_or_else(|| self.overloaded(available, now))
     }
 
+    /// Returns whether an endpoint may get a request now.
+    pub fn has_room<'e>(
+        &mut self,
+        endpoints: impl Iterator<Item = &'e Endpoint>,
+        query: &EndpointQuery<'_>,
+        now: Millis,
+    ) -> bool {
+        let endpoints: Vec<_> = endpoints.collect();
+        let found = self.candidates(&endpoints, query, now);
+        !found.owned.is_empty() || !found.others.is_empty()
+    }
+
     /// Returns the refusal of a request while no endpoint takes it; `available` is the endpoint that is expected to take
     /// requests first.
     fn overloaded(&mut self, available: Option<(&Endpoint, Millis)>, now: Millis) -> Refusal {
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -11,6 +11,7 @@
 use super::{
     accept::Job,
     attempt::{Attempt, Attempts, StreamingResponse},
+    choose::has_room,
     context::Context,
     forward::{attempt, may_repeat, Repetition},
     load_balancer::Refusal,
@@ -77,11 +78,17 @@
         ControlFlow::Continue(())
     }
 
-    fn may_repeat(&self, ctx: &Context, job: &Job, attempts: &Attempts, ran: bool) -> Repetition {
+    /// Returns whether another attempt may be made beside those in flight, which may have run.
+    fn may_join(&self, ctx: &Context, job: &Job, attempts: &Attempts) -> Repetition {
         if self.unsent >= UNSENT_MAX {
             return Repetition::Never;
         }
-        may_repeat(ctx, job, attempts, ran)
+        may_repeat(ctx, job, attempts, true)
+    }
+
+    /// Returns whether another attempt may follow the last one.
+    fn may_repeat(&self, ctx: &Context, job: &Job, attempts: &Attempts) -> bool {
+        self.unsent < UNSENT_MAX && may_repeat(ctx, job, attempts, self.ran) == Repetition::Allowed
     }
 }
 
@@ -124,12 +131,14 @@
             biased;
             Some(result) = race.next() => result,
             () = attempts.due(ctx) => {
-                match ended.may_repeat(ctx, job, attempts, true) {
-                    Repetition::Allowed => {
+                match ended.may_join(ctx, job, attempts) {
+                    Repetition::Allowed if has_room(ctx, job, attempts) => {
                         newest += 1;
                         race.push(numbered(ctx, job, attempts, newest));
                     }
-                    Repetition::NoBudget => attempts.schedule(ctx.now() + RETRY_INTERVAL),
+                    Repetition::Allowed | Repetition::NoBudget => {
+                        attempts.schedule(ctx.now() + RETRY_INTERVAL);
+                    }
                     Repetition::Never => attempts.schedule(Millis::MAX),
                 }
                 continue;
@@ -155,7 +164,7 @@
             }
             continue;
         }
-        if ended.may_repeat(ctx, job, attempts, ended.ran) != Repetition::Allowed {
+        if !ended.may_repeat(ctx, job, attempts) {
             let wait = crate::base::jitter(REFUSED_RETRY_AFTER);
             return ended.answer(Reject::Refused(wait));
         }
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -10,6 +10,7 @@
 use super::{
     accept::Job,
     attempt::{Attempt, Attempts},
+    choose::has_room,
     context::Context,
     events::EventId,
     forward::{attempt, may_repeat, Repetition},
@@ -102,10 +103,11 @@
                 Some(contribution) = race.next() => contribution,
                 () = attempts.due(ctx) => {
                     match may_repeat(ctx, self.job, attempts, true) {
-                        Repetition::Allowed => {
+                        Repetition::Allowed if has_room(ctx, self.job, attempts) => {
                             newest += 1;
                             race.push(self.contribution(newest, None));
                         }
+                        Repetition::Allowed => self.try_later(race.is_empty())?,
                         _ if race.is_empty() => return Err("no attempt left"),
                         Repetition::NoBudget => attempts.schedule(ctx.now() + RETRY_INTERVAL),
                         Repetition::Never => attempts.schedule(Millis::MAX),
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -373,6 +373,25 @@
     assert!(pick(NOW + wait));
 }
 
+/// Pattern: a request waits beside a silent endpoint for room at another one that limits its request rate. Guards against
+/// counting each look as a rejected caller, after which callers are told to return much too late.
+#[test]
+fn looking_for_room_counts_no_rejection() {
+    let (mut balancer, table, own_zone) = (LoadBalancer::default(), table(1), zone("a"));
+    let none = HashSet::default();
+    let (wait, interval) = (Millis(400), Millis(1000));
+    balancer.close(&name(0), NOW + wait, interval);
+    for _ in 0..50 {
+        assert!(!balancer.has_room(all(&table), &query(&own_zone, &none), NOW));
+    }
+    let rejected = balancer.pick(all(&table), &query(&own_zone, &none), NOW);
+    assert!(
+        matches!(rejected, Err(Refusal::Overloaded(retry)) if retry < wait + interval),
+        "{rejected:?}"
+    );
+    assert!(balancer.has_room(all(&table), &query(&own_zone, &none), NOW + wait));
+}
+
 /// Pattern: one endpoint limits its request rate, others do not. Guards against rejections while others are free.
 #[test]
 fn closed_endpoints_leave_the_others() {
