fix(staging): order no load after SIGTERM

What users saw, by reading: an agent that stops could still order its endpoint to load. The endpoint then takes no requests for the load, while the agent that tells entries of the end of the load has gone.

Cause: the shutdown aborted the main loop, but the load waits for its scheduled start in a task of its own, which went on through the drain.

Change: the shutdown ends that task too. An order that was sent before stays in force; the next agent finds it in the endpoint's report.

Measured: no_load_is_ordered_after_the_signal failed before ("version 2 was ordered", 1 of 1 run) and passes now (1 run).

--- a/src/staging/load.rs
+++ b/src/staging/load.rs
@@ -47,7 +47,8 @@
         self.scheduled.set(None);
     }
 
-    fn cancel(&self) {
+    /// Ends the task that loads; an order that was sent stays in force.
+    pub(super) fn cancel(&self) {
         if let Some(task) = self.task.take() {
             task.abort();
         }
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -123,9 +123,12 @@
     })?;
     spawn_local(agent.clone().notify_entries(socket));
     spawn_local(agent.clone().refresh_peers());
-    let main = spawn_local(async move {
-        loop {
-            agent.reconcile().await;
+    let main = spawn_local({
+        let agent = agent.clone();
+        async move {
+            loop {
+                agent.reconcile().await;
+            }
         }
     });
     let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
@@ -139,6 +142,8 @@
     }
     emit!(log_event::COPY, "state=stopping");
     main.abort();
+    // A load that waits for its start has a task of its own.
+    agent.loader.cancel();
     closing.send_replace(true);
     // Other hosts fetch from another source what is not sent in time.
     let _ = tokio::time::timeout(DRAIN_TIMEOUT.duration(), serving).await;
--- /dev/null
+++ b/tests/agent_stop.rs
@@ -0,0 +1,233 @@
+//! Planned stops of agents, by signals to the test's own process.
+
+mod gateway_support;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap as RegionMap,
+    future::Future,
+    net::SocketAddr,
+    process::Command,
+    rc::Rc,
+    sync::{Mutex, PoisonError},
+};
+
+use bytes::Bytes;
+use gateway_support::{addr, run_local, send_request, set_catalog, MemoryStore, TestDecode};
+use sesamewing::{
+    base::{Digest, HashMap, Millis, Rate, Size},
+    gateway::{
+        Catalog, CatalogVersion, EngineSpeed, OriginSpec, ServiceSpec, ServiceWeights, Topic,
+        WeightVersion,
+    },
+    staging::{
+        self, AgentSettings, EndpointHost, HostError, HostReport, LoadResponse, Manifest, Origin,
+    },
+};
+use sha2::{Digest as _, Sha256};
+use tokio::task::{spawn_local, JoinHandle};
+
+const CHUNK: usize = 8 << 10;
+const PORT: u16 = 7000;
+
+/// Age of a desired version from which it is enforced; its load starts at 42 % of that.
+const BOUND: Millis = Millis(3000);
+
+/// Time after which an agent without entries reads the store.
+const READING: Millis = Millis(3000);
+
+/// Longest time until a copy of one chunk is complete.
+const COPY_MAX: Millis = Millis(1000);
+
+/// A signal reaches all agents of the process, so that one test runs at a time.
+static ONE_TEST: Mutex<()> = Mutex::new(());
+
+fn content(version: u64) -> Bytes {
+    Bytes::from(vec![version as u8; CHUNK])
+}
+
+/// Endpoint in memory with one chunk.
+#[derive(Clone, Default)]
+struct Engine(Rc<EngineState>);
+
+#[derive(Default)]
+struct EngineState {
+    staged: RefCell<HashMap<u32, Bytes>>,
+    loaded: Cell<u64>,
+    /// Time that the next read of a chunk takes.
+    read_time: Cell<Millis>,
+}
+
+impl EndpointHost for Engine {
+    async fn report(&self) -> Result<HostReport, HostError> {
+        Ok(HostReport {
+            models: vec![(Rc::from("m"), WeightVersion(self.0.loaded.get()))],
+            busy: false,
+            born: 1,
+        })
+    }
+
+    async fn staged(&self, _: &str) -> Result<Vec<u32>, HostError> {
+        Ok(self.0.staged.borrow().keys().copied().collect())
+    }
+
+    async fn read(&self, _: &str, chunk: u32) -> Result<Option<Bytes>, HostError> {
+        tokio::time::sleep(self.0.read_time.take().duration()).await;
+        Ok(self.0.staged.borrow().get(&chunk).cloned())
+    }
+
+    async fn stage(&self, _: &str, chunk: u32, data: Bytes) -> Result<(), HostError> {
+        self.0.staged.borrow_mut().insert(chunk, data);
+        Ok(())
+    }
+
+    async fn load(&self, _: &str, version: WeightVersion) -> Result<LoadResponse, HostError> {
+        self.0.loaded.set(version.0);
+        Ok(LoadResponse::Begun)
+    }
+}
+
+#[derive(Clone)]
+struct MemoryOrigin;
+
+impl Origin for MemoryOrigin {
+    async fn manifest(
+        &self,
+        _: SocketAddr,
+        _: &str,
+        version: Option<WeightVersion>,
+    ) -> Result<Manifest, HostError> {
+        let version = version.unwrap_or(WeightVersion(1));
+        Ok(Manifest {
+            version,
+            chunk: Size(CHUNK as u64),
+            digests: vec![Digest(Sha256::digest(content(version.0)).into())],
+        })
+    }
+
+    async fn chunk(
+        &self,
+        _: SocketAddr,
+        _: &str,
+        version: WeightVersion,
+        _: u32,
+    ) -> Result<Bytes, HostError> {
+        Ok(content(version.0))
+    }
+}
+
+fn catalog() -> Catalog {
+    let mut out = Catalog {
+        version: CatalogVersion(1),
+        ..Catalog::default()
+    };
+    let spec = ServiceSpec {
+        connections: 10,
+        engine: Some(EngineSpeed {
+            slots: 4,
+            step_ms: 7.0,
+            sequence_ms: 0.0,
+            prompt_rate: 30.0,
+        }),
+        weights: Some(ServiceWeights {
+            models: vec!["m".into()],
+        }),
+        origin: Some(OriginSpec {
+            addr: addr(15, 1),
+            zone: Some("a".parse().expect("a valid name")),
+        }),
+    };
+    let service = "llm".parse().expect("a valid name");
+    out.services.insert(service, spec);
+    out
+}
+
+fn settings() -> AgentSettings {
+    let zone = "a".parse().expect("a valid name");
+    let region = "r".parse().expect("a valid name");
+    AgentSettings {
+        name: "agent-1".parse().expect("a valid name"),
+        regions: RegionMap::from([("a".parse().expect("a valid name"), region)]),
+        zone,
+        service: "llm".parse().expect("a valid name"),
+        peer_addr: addr(1, PORT),
+        bound: BOUND,
+        link_rate: Rate(4_000_000),
+        prefetch: true,
+    }
+}
+
+/// Starts an agent on an endpoint that serves version 1, and makes version 2 desired; returns when the copy is complete,
+/// before its load starts.
+async fn copied(engine: &Engine) -> JoinHandle<eyre::Result<()>> {
+    set_catalog(catalog());
+    engine.0.loaded.set(1);
+    let store = MemoryStore::default();
+    store.write(Topic::Operator, "config", "1");
+    let value = format!("llm {} a m 1", addr(1, 9000));
+    store.write(Topic::Endpoints, "e1", &value);
+    let run = staging::run::<_, TestDecode, _, _>(
+        settings(),
+        store.clone(),
+        engine.clone(),
+        MemoryOrigin,
+    );
+    let agent = spawn_local(run);
+    tokio::time::sleep(READING.duration()).await;
+    store.write(Topic::Operator, "m", "2");
+    let copied = async {
+        while engine.0.staged.borrow().get(&0) != Some(&content(2)) {
+            tokio::time::sleep(Millis(10).duration()).await;
+        }
+    };
+    let copied = tokio::time::timeout(COPY_MAX.duration(), copied).await;
+    copied.expect("the copy is complete");
+    assert_eq!(engine.0.loaded.get(), 1, "the load has not started");
+    agent
+}
+
+/// Requests the chunk as another agent, from an endpoint that takes some time to read it.
+async fn upload(engine: &Engine, time: Millis) -> JoinHandle<String> {
+    engine.0.read_time.set(time);
+    let upload = spawn_local(async {
+        let request = "GET /chunk/m/2/0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        send_request(addr(1, PORT), request, 5000).await
+    });
+    tokio::time::sleep(Millis(100).duration()).await;
+    assert_eq!(
+        engine.0.read_time.get(),
+        Millis::ZERO,
+        "the upload is in progress"
+    );
+    upload
+}
+
+/// Sends a signal to this process.
+fn raise(signal: &str) {
+    let pid = std::process::id().to_string();
+    let status = Command::new("kill").args([signal, &pid]).status();
+    assert!(status.is_ok_and(|s| s.success()), "the signal is sent");
+}
+
+/// Runs one test at a time.
+fn run_alone(test: impl Future<Output = ()>) {
+    let _one = ONE_TEST.lock().unwrap_or_else(PoisonError::into_inner);
+    run_local(test);
+}
+
+/// Guards against an agent that orders a load while it stops: the endpoint takes no requests for the load, and no agent
+/// is there that tells entries when it takes them again.
+#[test]
+fn no_load_is_ordered_after_the_signal() {
+    run_alone(async {
+        let engine = Engine::default();
+        let agent = copied(&engine).await;
+        let upload = upload(&engine, Millis(1300)).await;
+        raise("-TERM");
+        let ended = agent.await.expect("the agent ends");
+        ended.expect("the agent ends without an error");
+        assert_eq!(engine.0.loaded.get(), 1, "version 2 was ordered");
+        let response = upload.await.expect("the upload ends");
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    });
+}
