fix(staging): wait for accepted uploads before an agent ends

What other agents saw, by reading: a chunk that a stopping agent sent slowly was cut 1.5 s after SIGTERM, although its receiver waits for it for 2.5 s; the bytes sent so far were lost and the chunk was fetched again elsewhere.

Cause: the drain was shorter than the time limit of a transfer.

Change: the drain lasts until the receivers of all accepted uploads have given up. It still ends as soon as no upload is in progress.

--- a/src/staging/exchange.rs
+++ b/src/staging/exchange.rs
@@ -34,7 +34,7 @@
 const RESPONSE_TIMEOUT: Millis = Millis(700);
 
 /// Time limit of the transfer of one chunk.
-const TRANSFER_TIMEOUT: Millis = Millis(2500);
+pub(super) const TRANSFER_TIMEOUT: Millis = Millis(2500);
 
 /// Serves the chunks and the manifest of this host to agents of other hosts.
 #[derive(Clone, Debug)]
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -13,7 +13,7 @@
 
 use super::{
     agent::Agent,
-    exchange::{ChunkServer, LINK_SHARE},
+    exchange::{ChunkServer, LINK_SHARE, TRANSFER_TIMEOUT},
     inventory::ChunkInventory,
     log_event, EndpointHost, Origin,
 };
@@ -36,8 +36,11 @@
 /// Interval between two reads of the list of hosts while a copy is in progress.
 const PEERS_INTERVAL: Millis = Millis(1000);
 
-/// Longest time that a stopping agent waits for uploads in progress.
-const DRAIN_TIMEOUT: Millis = Millis(1500);
+/// Longest time that a stopping agent waits for uploads in progress: until the receiver of the last one has given up.
+const DRAIN_TIMEOUT: Millis = Millis(TRANSFER_TIMEOUT.0 + ACCEPT_TIME.0);
+
+/// Time for which a stopping agent still accepts uploads, with a margin.
+const ACCEPT_TIME: Millis = Millis(300);
 
 /// Settings of an agent process.
 #[derive(Clone, Debug)]
@@ -145,7 +148,6 @@
     // A load that waits for its start has a task of its own.
     agent.loader.cancel();
     closing.send_replace(true);
-    // Other hosts fetch from another source what is not sent in time.
     let _ = tokio::time::timeout(DRAIN_TIMEOUT.duration(), serving).await;
     Ok(())
 }
--- a/tests/agent_stop.rs
+++ b/tests/agent_stop.rs
@@ -231,3 +231,26 @@
         assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     });
 }
+
+/// Guards against an agent that ends before an upload for which its receiver still waits, also when it gets further
+/// signals meanwhile.
+#[test]
+fn uploads_end_before_the_agent() {
+    run_alone(async {
+        let engine = Engine::default();
+        let agent = copied(&engine).await;
+        // Receivers wait for 2.5 s.
+        let upload = upload(&engine, Millis(2300)).await;
+        raise("-TERM");
+        tokio::time::sleep(Millis(200).duration()).await;
+        raise("-TERM");
+        raise("-HUP");
+        let ended = agent.await.expect("the agent ends");
+        ended.expect("the agent ends without an error");
+        // The response may be complete and not yet read.
+        tokio::time::sleep(Millis(50).duration()).await;
+        assert!(upload.is_finished(), "the agent ended before the upload");
+        let response = upload.await.expect("the upload ends");
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    });
+}
