fix(staging): handle signals before an agent binds its sockets

What users saw, by reading: a SIGHUP right after the start of an agent ended it, since the default action of the signal is to end the process; a SIGTERM skipped the drain.

Cause: the handlers were installed after the sockets were bound.

Change: they are installed first.

--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -82,6 +82,9 @@
     H: EndpointHost,
     O: Origin,
 {
+    // Without a handler, a signal that arrives before the sockets are bound ends the process.
+    let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
     let inventory = Rc::new(ChunkInventory::default());
     let clock = SystemClock::start();
     let rate = settings.link_rate.share(LINK_SHARE);
@@ -134,8 +137,6 @@
             }
         }
     });
-    let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
-    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
     loop {
         tokio::select! {
             _ = term.recv() => break,
--- a/tests/agent_stop.rs
+++ b/tests/agent_stop.rs
@@ -254,3 +254,20 @@
         assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     });
 }
+
+/// Guards against an agent that a SIGHUP ends because its handler is installed only after the sockets are bound.
+#[test]
+fn early_signals_do_not_kill() {
+    run_alone(async {
+        let _taken = tokio::net::TcpListener::bind(addr(1, PORT)).await;
+        let run = staging::run::<_, TestDecode, _, _>(
+            settings(),
+            MemoryStore::default(),
+            Engine::default(),
+            MemoryOrigin,
+        );
+        assert!(run.await.is_err(), "the address is in use");
+        raise("-HUP");
+        tokio::time::sleep(Millis(50).duration()).await;
+    });
+}
