test(entry): do not stall scripted agents when their feed is asked for

Callers saw nothing; no product code changes. Two tests failed once each beside load: broken_stream_continues_elsewhere (one agent ran twice) and silent_agent_is_given_up (504 instead of 200).

Cause: the entry asks each scripted agent for the control stream. The agent panicked, and printing the backtrace stalled the threads that all agents of the test share (0.24 s for a test that takes 0.03 s without a backtrace). Beside load the reports of the other agent came over 1.5 s late, so that it was suspect when the first one failed.

Change: a scripted agent ends the call without an item, as an agent without a place for another subscriber does. Other unexpected calls still panic.

--- a/tests/entry_support/agent.rs
+++ b/tests/entry_support/agent.rs
@@ -162,6 +162,8 @@
                     call.tx.closed().await;
                 }
             }
+            // Like an agent that has no place for a further subscriber.
+            wire::Call::Feed(_) => call.tx.finish(),
             other => panic!("unexpected call {other:?}"),
         }
     }
