fix(entry): wait for a suspect agent before a request is given up

Cause: an attempt needs an agent that accepts requests at that moment. A suspect agent reports again within seconds, or is gone 5 s after its last report.

Change: a request that may have run, or whose stream has begun, waits while an agent that it has not tried is suspect, at most until its deadline. Requests that have not run are still refused at once, so that callers go elsewhere.

--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -143,6 +143,11 @@
         !self.watched || now - self.last_seen < SUSPECT_AFTER
     }
 
+    /// Returns whether the agent's reports are late and still awaited, at most until [`GONE_AFTER`].
+    pub fn is_suspect(&self) -> bool {
+        self.watched && self.state == PeerState::Suspect
+    }
+
     /// Returns whether the agent is alive, serves and has confirmed the version.
     fn is_ready(&self, version: &Option<VersionName>) -> bool {
         self.accepts_requests() && self.report.as_ref().is_some_and(|r| r.version == *version)
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -24,6 +24,9 @@
 /// Pause before the only agent of a service is tried again.
 const AGAIN_PAUSE: Millis = Millis(50);
 
+/// Interval at which a request that waits for another agent looks for one.
+const REPLACEMENT_INTERVAL: Millis = Millis(50);
+
 /// Longest time to settle an attempt, and for the answer of one agent.
 const SETTLE_TIMEOUT: Millis = Millis(3000);
 
@@ -93,6 +96,22 @@
         table.choose(&query).cloned()
     }
 
+    /// Returns the agent for the next attempt. A request that may have run waits for a suspect agent, because its caller
+    /// could not tell whether to send it again.
+    async fn next_agent(&self) -> Option<Target> {
+        loop {
+            let agent = self.choose(&self.tried);
+            let waits = self.uncertain || self.delivered > 0;
+            if agent.is_some() || !waits || self.shared.now() >= self.job.deadline {
+                return agent;
+            }
+            if !self.shared.may_return(&self.job.service, &self.tried) {
+                return None;
+            }
+            tokio::time::sleep(REPLACEMENT_INTERVAL.duration()).await;
+        }
+    }
+
     /// Sends the request to the next agent, with further attempts while they fail at once.
     ///
     /// # Errors
@@ -100,7 +119,7 @@
     /// Returns the outcome if no further attempt may follow.
     pub(super) async fn open(&mut self) -> Result<Opened, Problem> {
         loop {
-            let Some(agent) = self.choose(&self.tried) else {
+            let Some(agent) = self.next_agent().await else {
                 return Err(self.none());
             };
             if self.tried.contains(&agent.name) {
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -156,6 +156,13 @@
         table.is_some_and(|t| t.accepting().next().is_some())
     }
 
+    /// Returns whether an agent of the service that is not among `tried` is suspect: it reports again soon or is gone.
+    pub(super) fn may_return(&self, service: &Service, tried: &[ProcessName]) -> bool {
+        let view = self.view();
+        let mut peers = view.members.peers();
+        peers.any(|p| p.service == *service && p.is_suspect() && !tried.contains(&p.host.name))
+    }
+
     /// Waits shortly after the start for the first agent of a service: callers know the address of an entry that
     /// restarts, and send requests before the reports of the agents have arrived.
     pub(super) async fn warmed(&self, service: &Service) {
--- a/tests/entry_http.rs
+++ b/tests/entry_http.rs
@@ -334,6 +334,26 @@
     );
 }
 
+/// Guards against a request that ends with 504 because the reports of the other agents are late for a moment when its own
+/// agent is lost, although there is time for another attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_reports_end_no_request() {
+    let world = World::model(2).await;
+    assert_eq!(world.completion(false).send().await.unwrap().status(), 200);
+    let first = usize::from(world.agents[0].runs().is_empty());
+    let other = &world.agents[1 - first];
+    other.mute(true);
+    world.routable(1).await;
+    world.agents[first].freeze();
+    let request = tokio::spawn(world.completion(false).send());
+    // The first agent is given up after 1.5 s.
+    tokio::time::sleep(std::time::Duration::from_millis(2500)).await;
+    other.mute(false);
+    let response = request.await.unwrap().unwrap();
+    assert_eq!(response.status(), 200);
+    assert_eq!(other.runs().len(), 1, "the other agent ran the request");
+}
+
 /// Guards against a list of entries that is not nearest first or names no lifetime.
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_are_listed_nearest_first() {
--- a/tests/entry_support/agent.rs
+++ b/tests/entry_support/agent.rs
@@ -36,6 +36,8 @@
     settled: Mutex<u32>,
     /// Whether the agent is silent, with its connections open.
     frozen: AtomicBool,
+    /// Whether the agent sends no reports; it still runs requests.
+    muted: AtomicBool,
 }
 
 /// Frames of a whole answer with one token for each text.
@@ -113,6 +115,7 @@
             settle: Mutex::default(),
             settled: Mutex::default(),
             frozen: AtomicBool::new(false),
+            muted: AtomicBool::new(false),
         });
         let shared = agent.clone();
         tokio::spawn(async move {
@@ -143,6 +146,9 @@
                     if self.is_frozen() {
                         std::future::pending::<()>().await;
                     }
+                    while self.muted.load(Ordering::SeqCst) {
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                    }
                     let report = rx.borrow_and_update().clone();
                     if call.tx.send(&report).await.is_err() {
                         return;
@@ -187,6 +193,11 @@
         self.frozen.store(true, Ordering::SeqCst);
     }
 
+    /// Stops reports, or sends them again.
+    pub fn mute(&self, muted: bool) {
+        self.muted.store(muted, Ordering::SeqCst);
+    }
+
     fn is_frozen(&self) -> bool {
         self.frozen.load(Ordering::SeqCst)
     }
