fix(gateway): repeat no request whose response has begun

What callers saw: nothing; endpoints ran requests twice, and the retry budget was used up.

Change: the arrival of a head takes the due attempt back.

Evidence: begun_response_is_not_repeated failed with 2 requests instead of 1; it passes.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -340,6 +340,8 @@
         }
     };
     target.flight.set_silent(false);
+    // The response has begun: no other attempt while the rest of it arrives.
+    attempts.schedule(Millis::MAX);
     evaluate(ctx, job, attempts, target, res).await
 }
 
