fix(gateway): a short grace period is used up to its last part

What callers saw: with a grace period of 1 s, the end of the process after 0.6 s cut responses (found by review). Cause: the margin before the end is 0.4 s for any grace period. Change: an eighth of the grace period at most.

Evidence: exit_is_in_the_last_sixth_of_the_grace_period failed with 600 ms of 1 s; it passes.

--- a/src/decide/stop.rs
+++ b/src/decide/stop.rs
@@ -6,8 +6,10 @@
 /// directory, with a margin.
 pub const ACCEPT_TIME: Millis = Millis(3200);
 
-/// Time before the end of the grace period at which the process exits even if requests are in progress.
+/// Time before the end of the grace period at which the process exits even if requests are in progress; at most a part of
+/// the grace period.
 pub const EXIT_MARGIN: Millis = Millis(400);
+const MARGIN_PART: u64 = 8;
 
 /// Mean `Retry-After` of requests that a stopping entry does not accept. Short, because other entries accept them; spread,
 /// because many callers are turned away at once.
@@ -25,7 +27,7 @@
 impl StopPlan {
     /// Plans the stop of a process that receives the signal at `now` and is killed after `grace`.
     pub fn new(grace: Millis, now: Millis) -> Self {
-        let exit = now + (grace - EXIT_MARGIN);
+        let exit = now + (grace - EXIT_MARGIN.min(Millis(grace.0 / MARGIN_PART)));
         Self {
             close: exit.min(now + ACCEPT_TIME),
             exit,
