fix(gateway): only events take a stream from an endpoint at work

What callers saw: a stream that was cut, or that looked complete without its last events, although its endpoint was only silent and went on (found by review).

Cause: among the endpoints that are to go on with a stream, the first one with any bytes or an end was taken: also with a comment, and with an end before any event.

Change: comments are forwarded from the present endpoint, are no progress, and decide nothing between endpoints. An end without an event is that of the stream only if no other endpoint is still at work on it.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -63,6 +63,8 @@
     source_last: Option<EventId>,
     /// Whether the present endpoint has sent an event.
     source_begun: bool,
+    /// Whether the last bytes completed an event that is new to the caller.
+    advanced: bool,
     /// Why the present endpoint's part of the stream ends here.
     fault: Option<EventError>,
 }
@@ -105,6 +107,11 @@
         self.fault = None;
     }
 
+    /// Returns whether the bytes that [`Events::push`] returned last hold an event, not only comments.
+    pub fn has_advanced(&self) -> bool {
+        self.advanced
+    }
+
     /// Returns why nothing after the last event that [`Events::push`] returned can be forwarded.
     pub fn fault(&self) -> Option<EventError> {
         self.fault
@@ -120,6 +127,7 @@
     pub fn push(&mut self, data: &Bytes) -> Result<Bytes, EventError> {
         self.buffer.extend_from_slice(data);
         let mut new = BytesMut::new();
+        self.advanced = false;
         self.fault = self.split(&mut new).err();
         match self.fault {
             Some(e) if new.is_empty() => Err(e),
@@ -148,9 +156,11 @@
         }
         self.source_begun = true;
         let Some(id) = event_id(event) else {
-            return self
-                .last
-                .map_or(Ok(true), |last| Err(EventError::WithoutId(last)));
+            if let Some(last) = self.last {
+                return Err(EventError::WithoutId(last));
+            }
+            self.advanced = true;
+            return Ok(true);
         };
         self.source_last = Some(id);
         if self.last.is_some_and(|last| id <= last) {
@@ -160,6 +170,7 @@
             return Err(EventError::Gap { last, found: id });
         }
         self.last = Some(id);
+        self.advanced = true;
         Ok(true)
     }
 }
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -22,6 +22,10 @@
 };
 use crate::{base::Millis, decide::quarantine::Generation};
 
+/// Longest time between two events before another endpoint may continue the stream. Endpoints pause for a few hundred
+/// milliseconds while they read long prompts; callers give up after about two seconds.
+pub(super) const EVENT_TIMEOUT: Millis = Millis(1200);
+
 /// The response, and how far it has come.
 #[derive(Debug)]
 pub(super) struct Source {
@@ -41,6 +45,8 @@
 pub(super) enum ReadResult {
     /// Whole events that are new to the caller.
     Events(Bytes),
+    /// Comments, by which an endpoint keeps its connection open; they are no progress.
+    Comments(Bytes),
     /// The response is complete.
     End,
     /// No whole event arrived in time.
@@ -77,6 +83,11 @@
         self.events.last()
     }
 
+    /// Returns whether the endpoint has sent an event.
+    pub(super) fn has_begun(&self) -> bool {
+        self.events.has_source_begun()
+    }
+
     /// Ends the response; after a complete one its connection returns to the pool.
     pub(super) fn end(self, ctx: &Context, outcome: Outcome) {
         let idle = self.target.end(outcome);
@@ -132,6 +143,9 @@
             };
             match self.events.push(&data) {
                 Ok(events) if events.is_empty() => {}
+                Ok(comments) if !self.events.has_advanced() => {
+                    return ReadResult::Comments(comments);
+                }
                 Ok(events) => {
                     self.note_events(ctx, job);
                     return ReadResult::Events(events);
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -17,15 +17,11 @@
     load_balancer::Refusal,
     load_view::Outcome,
     race::RETRY_INTERVAL,
-    source::{ReadResult, Source},
+    source::{ReadResult, Source, EVENT_TIMEOUT},
     stream::log_stream,
 };
 use crate::base::Millis;
 
-/// Longest time between two events before another endpoint may continue the stream. Endpoints pause for a few hundred
-/// milliseconds while they read long prompts; callers give up after about two seconds.
-pub(super) const EVENT_TIMEOUT: Millis = Millis(1200);
-
 /// A stream that waits for its next event.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting<'a> {
@@ -66,7 +62,10 @@
                 Err(contribution) => return (number, contribution),
             },
         };
-        let result = source.read(self.ctx, self.job, self.job.deadline).await;
+        let mut result = source.read(self.ctx, self.job, self.job.deadline).await;
+        while matches!(result, ReadResult::Comments(_)) {
+            result = source.read(self.ctx, self.job, self.job.deadline).await;
+        }
         (number, Contribution::Read(source, result))
     }
 
@@ -116,6 +115,12 @@
                 }
             };
             if let Contribution::Read(source, result) = contribution {
+                let empty = matches!(result, ReadResult::End) && !source.has_begun();
+                if empty && !race.is_empty() {
+                    // Another endpoint is still at work on the stream, so that this may not be its end.
+                    source.end(ctx, Outcome::Abandoned);
+                    continue;
+                }
                 if matches!(result, ReadResult::Events(_) | ReadResult::End) {
                     return Ok(Next {
                         source: *source,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -16,8 +16,8 @@
     events::EventId,
     load_view::Outcome,
     log_event, metrics,
-    source::{ReadResult, Source},
-    standby::{Next, Waiting, EVENT_TIMEOUT},
+    source::{ReadResult, Source, EVENT_TIMEOUT},
+    standby::{Next, Waiting},
 };
 use crate::emit;
 
@@ -118,6 +118,7 @@
                 self.note_begun();
                 Some(Ok(data))
             }
+            ReadResult::Comments(data) => Some(Ok(data)),
             ReadResult::DeadlinePassed => {
                 self.close(Outcome::Abandoned);
                 self.fail("deadline")
