fix(gateway): avoid an endpoint that is silent until the deadline

What callers saw: one stream after the other sent to an endpoint that hangs, if no other attempt was allowed (found by review). Change: it counts as failed if its endpoint was silent by then.

Evidence: hung_endpoint_is_avoided failed, the second stream went to the same endpoint; it passes.

--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -88,6 +88,14 @@
         self.events.has_source_begun()
     }
 
+    /// Returns the outcome at the endpoint if its response ends now before it is complete.
+    pub(super) fn unfinished(&self, now: Millis) -> Outcome {
+        if now < self.heard_at + EVENT_TIMEOUT {
+            return Outcome::Abandoned;
+        }
+        Outcome::Failed
+    }
+
     /// Ends the response; after a complete one its connection returns to the pool.
     pub(super) fn end(self, ctx: &Context, outcome: Outcome) {
         let idle = self.target.end(outcome);
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -148,7 +148,8 @@
     /// Ends a response that did not go on.
     fn end(self, source: Source, result: &ReadResult) {
         let ReadResult::Broken(reason) = result else {
-            return source.end(self.ctx, Outcome::Abandoned);
+            let outcome = source.unfinished(self.ctx.now());
+            return source.end(self.ctx, outcome);
         };
         let id = Some(&source.target.id);
         log_stream(self, id, "broken", reason);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -120,7 +120,9 @@
             }
             ReadResult::Comments(data) => Some(Ok(data)),
             ReadResult::DeadlinePassed => {
-                self.close(Outcome::Abandoned);
+                let now = self.ctx.now();
+                let unfinished = self.source.as_ref().map(|s| s.unfinished(now));
+                self.close(unfinished.unwrap_or(Outcome::Abandoned));
                 self.fail("deadline")
             }
             ReadResult::Quarantined => {
