--- a/tests/stop_plan.rs
+++ b/tests/stop_plan.rs
@@ -219,7 +219,11 @@
                 members.addresses(&format!("z{zone}"), 64, now)
             });
             if let Some(addresses) = found.filter(|a| !a.is_empty()) {
-                let ttl = if caller.is_multiple_of(3) { TTL.times(3) } else { TTL };
+                let ttl = if caller.is_multiple_of(3) {
+                    TTL.times(3)
+                } else {
+                    TTL
+                };
                 self.copies[caller] = Copy {
                     addresses,
                     expires: now + ttl,
