--- a/tests/slow_reader.rs
+++ b/tests/slow_reader.rs
@@ -17,17 +17,13 @@
 };
 
 /// Size of the response in bytes, and of the caller's receive buffer.
-const RESPONSE: usize = 1 << 20;
+const RESPONSE: usize = 8 << 20;
 const BUFFER: u32 = 8 << 10;
 
-/// Time for which the caller does not read, with its receive buffer full.
-const PAUSE: Millis = Millis(2500);
-
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n";
 
-/// Guards against a connection that ends in the middle of a response because its caller does not read for a while.
-#[test]
-fn paused_caller_gets_whole_response() {
+/// Checks that a caller gets a whole response although it does not read for `pause`, with its receive buffer full.
+fn pause_loses_nothing(pause: Millis) {
     run_local(async {
         let at = addr(1, 8100);
         let (_closing, closed) = watch::channel(false);
@@ -43,7 +39,7 @@
             .write_all(REQUEST)
             .await
             .expect("the request is sent");
-        tokio::time::sleep(PAUSE.duration()).await;
+        tokio::time::sleep(pause.duration()).await;
         let mut out = Vec::new();
         let read = caller.read_to_end(&mut out).await;
         assert!(read.is_ok(), "{read:?} after {} bytes", out.len());
@@ -51,3 +47,15 @@
         assert_eq!(body, RESPONSE);
     });
 }
+
+/// Guards against a connection that ends in the middle of a response because its caller does not read for a while.
+#[test]
+fn paused_caller_gets_whole_response() {
+    pause_loses_nothing(Millis(2500));
+}
+
+/// Guards against a limit on a caller's pause that is shorter than the deadline of a request without one of its own.
+#[test]
+fn pause_within_the_default_deadline_loses_nothing() {
+    pause_loses_nothing(Millis(14_000));
+}
