feat(gateway): log when a request at superseded weights began

The logs did not tell how much of an older version's time was left when a request was sent to an endpoint that holds it, and when it began there, so that a silent endpoint could not be told from a late view of the version. SW468 has both times, for each request to an endpoint with superseded weights. No logic changes. Tests of the event catalogue pass.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -266,6 +266,20 @@
     head
 }
 
+/// Logs whether a request began at an endpoint with superseded weights, and how much time was left.
+fn log_superseded(ctx: &Context, job: &Job, target: &Target, responded: bool) {
+    let Some(by) = target.begin_by else {
+        return;
+    };
+    let (sent, begun) = (by - target.sent_at, by - ctx.now());
+    emit!(
+        log_event::SUPERSEDED,
+        "id={} endpoint={} responded={responded} sent={sent} begun={begun}",
+        job.id(),
+        target.id
+    );
+}
+
 fn log_silent(job: &Job, target: &Target, waited: Millis) {
     emit!(
         log_event::ATTEMPT,
@@ -299,6 +313,7 @@
             return Attempt::Lost;
         }
     };
+    log_superseded(ctx, job, &target, sent.is_some());
     let res = match sent {
         Some(Ok(res)) => res,
         Some(Err(mut e)) => {
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -52,6 +52,9 @@
     /// A request ended without a whole response because its caller left or the process ended.
     ABANDONED = 467, "gateway-abandoned", Info,
         "a request ended without a whole response because its caller left or the process ended", "for reason=process-end, compare its deadline with the grace period";
+    /// The wait for a response ended of a request at an endpoint with superseded weights.
+    SUPERSEDED = 468, "gateway-superseded", Info,
+        "a request to an endpoint with superseded weights began there or did not", "compare `sent` and `begun`, the times left until it had to begin";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
