fix(gateway): count a version from the last moment without its record

What callers saw: requests began on older weights after the bound (VERSION), where news of a version reached all entries late.

Cause: the bound counts from the store's acknowledgement of the record, but an entry counted from when it applied the record, or from the earliest time that another entry had done so. That is later than the write by the transfer and the decoding of records before it, by a lost or rejected read, by the takeover of a zone reader (2 s), by a pause of the process, and, if a log is read by key, by the time until the next version.

Change: a reader keeps the ends of the log with the times at which they were known, so each record has a time before which it was not written. A read that waited is noted every 100 ms as pending, so the arrival of its response is bounded even if the process is frozen; the store's usual latency is taken off. Responses carry the time since their head, so a large body does not count. A record's age and its uncertainty go with the desired version, in datagrams and in assignments of agents. The more exact time is kept, of equally exact ones the earlier, and never one that is later than this process knew of the record. An entry that takes over, or an agent that no entry answers, counts from when another process last passed on the records, instead of now or of zero. After an outage of the store a version counts from the last failed read, but others that know better replace that.

--- a/src/gateway/assignment.rs
+++ b/src/gateway/assignment.rs
@@ -62,12 +62,8 @@
             ..Self::default()
         };
         if let (Some(model), Some(versions)) = (&model, versions) {
-            let age = |(version, at)| DesiredAge {
-                model: model.to_string(),
-                version,
-                age: now - at,
-            };
-            out.desired = versions.timed().map(age).collect();
+            let age = |(version, age)| DesiredAge::new(model, version, age);
+            out.desired = versions.ages(now).map(age).collect();
         }
         out.model = model;
         out.tag = out.hash();
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -23,6 +23,7 @@
     permit_requests::Permits,
     record::WeightVersion,
     schedule::LoadSchedule,
+    write_time::WriteAge,
     Bounds, GatewaySettings, Headers,
 };
 use crate::{
@@ -208,20 +209,17 @@
 
     /// Records a desired version; returns whether it is newer than the known ones.
     ///
-    /// `found` says that the version was already desired when this process started.
+    /// `age` is `None` if the version may have been desired when this process started.
     pub(super) fn record_desired(
         &self,
         model: Rc<str>,
         version: WeightVersion,
-        found: bool,
+        age: Option<WriteAge>,
     ) -> bool {
         let now = self.now();
         let newer = {
             let mut desired = self.desired.borrow_mut();
-            desired
-                .entry(model)
-                .or_default()
-                .record(version, found, now)
+            desired.entry(model).or_default().record(version, age, now)
         };
         if newer {
             self.notify_changed();
@@ -236,7 +234,7 @@
             let changed = {
                 let mut desired = self.desired.borrow_mut();
                 let versions = desired.entry(n.model.as_str().into()).or_default();
-                versions.merge(n.version, now - n.age)
+                versions.merge(n.version, n.write_age(), now)
             };
             if changed {
                 self.notify_changed();
@@ -255,11 +253,9 @@
         let limit = self.bounds.get().version.times(2);
         let desired = self.desired.borrow();
         let all = desired.iter().flat_map(|(model, versions)| {
-            versions.timed().map(move |(version, at)| DesiredAge {
-                model: model.to_string(),
-                version,
-                age: now - at,
-            })
+            versions
+                .ages(now)
+                .map(move |(version, age)| DesiredAge::new(model, version, age))
         });
         all.filter(|n| n.age < limit).collect()
     }
--- a/src/gateway/desired.rs
+++ b/src/gateway/desired.rs
@@ -1,6 +1,6 @@
 //! Versions of a model's weights that the operator made the desired ones.
 
-use super::WeightVersion;
+use super::{WeightVersion, WriteAge};
 use crate::base::Millis;
 
 /// Number of newest versions that are kept. Weights older than all of these count as superseded by the oldest kept one.
@@ -14,12 +14,49 @@
 #[derive(Clone, Copy, Debug)]
 struct DesiredVersion {
     version: WeightVersion,
-    /// Time at which it became desired; zero if that is not known, so that it is enforced at once.
+    /// Time from which it counts as desired; zero if that is not known, so that it is enforced at once.
     at: Millis,
+    /// Time after `at` within which it became desired.
+    uncertainty: Millis,
     /// Whether `at` is known.
     known: bool,
 }
 
+impl DesiredVersion {
+    fn new(version: WeightVersion, age: WriteAge, now: Millis) -> Self {
+        Self {
+            version,
+            at: now - age.age,
+            uncertainty: age.uncertainty,
+            known: true,
+        }
+    }
+
+    /// Returns the time by which the version had become desired.
+    fn latest(&self) -> Millis {
+        self.at + self.uncertainty
+    }
+
+    /// Merges what another process knows of the same version, with a time that is too late by the delay of its message.
+    /// The more exact time is kept, and of two equally exact ones the earlier. A version that others knew of before this
+    /// process takes it to be written was written earlier: this process was suspended or got an old message.
+    fn merged(&self, other: Self) -> Self {
+        let earlier = other.at + TOLERANCE < self.at;
+        let more_exact = other.uncertainty + TOLERANCE < self.uncertainty;
+        let as_exact = other.uncertainty <= self.uncertainty + TOLERANCE;
+        if !self.known || other.latest() + TOLERANCE < self.at || (earlier && as_exact) {
+            return other;
+        }
+        if more_exact {
+            return Self {
+                at: other.at.min(self.latest()),
+                ..other
+            };
+        }
+        *self
+    }
+}
+
 /// Desired versions of one model, with the times at which they became desired.
 #[derive(Clone, Debug, Default)]
 pub struct DesiredVersions {
@@ -28,69 +65,81 @@
 }
 
 impl DesiredVersions {
-    /// Records a version that becomes desired now or, if `found`, was desired when this process started; returns
-    /// whether it is newer than all known ones.
-    pub fn record(&mut self, version: WeightVersion, found: bool, now: Millis) -> bool {
-        if found {
-            self.set_found(version)
-        } else {
-            self.set(version, now)
-        }
+    /// Records a version of which a record was read, and the age of that record if it is known; returns whether it is
+    /// newer than all known ones.
+    pub fn record(&mut self, version: WeightVersion, age: Option<WriteAge>, now: Millis) -> bool {
+        let Some(age) = age else {
+            return self.set_found(version);
+        };
+        let newer = self.is_newer(version);
+        self.merge(version, age, now);
+        newer
     }
 
     /// Records a version that becomes desired now; returns whether it is newer than all known ones.
     pub fn set(&mut self, version: WeightVersion, now: Millis) -> bool {
-        self.push(version, now, true)
+        let age = WriteAge {
+            age: Millis::ZERO,
+            uncertainty: Millis::ZERO,
+        };
+        let newer = self.is_newer(version);
+        if newer {
+            self.insert(DesiredVersion::new(version, age, now));
+        }
+        newer
     }
 
     /// Records a version that was already desired when this process started: it is enforced at once, until another
     /// process reports since when it has been desired. Returns whether it is newer than all known ones.
     pub fn set_found(&mut self, version: WeightVersion) -> bool {
-        self.push(version, Millis::ZERO, false)
+        let newer = self.is_newer(version);
+        if newer {
+            self.insert(DesiredVersion {
+                version,
+                at: Millis::ZERO,
+                uncertainty: Millis::MAX,
+                known: false,
+            });
+        }
+        newer
     }
 
-    fn push(&mut self, version: WeightVersion, at: Millis, known: bool) -> bool {
-        if self.newest().is_some_and(|v| version <= v) {
-            return false;
-        }
-        if self.entries.len() == VERSIONS_MAX {
+    fn is_newer(&self, version: WeightVersion) -> bool {
+        self.newest().is_none_or(|newest| version > newest)
+    }
+
+    /// Inserts a version that is not known yet.
+    fn insert(&mut self, new: DesiredVersion) {
+        let i = self.entries.partition_point(|e| e.version < new.version);
+        self.entries.insert(i, new);
+        if self.entries.len() > VERSIONS_MAX {
             self.entries.remove(0);
         }
-        self.entries.push(DesiredVersion { version, at, known });
-        true
     }
 
-    /// Merges the time at which a version became desired, as reported by another process; the earlier time is kept.
-    /// Returns whether anything changed.
-    pub fn merge(&mut self, version: WeightVersion, at: Millis) -> bool {
-        let reported = DesiredVersion {
-            version,
-            at,
-            known: true,
+    /// Merges the age of a version as another process reported it; returns whether anything changed.
+    pub fn merge(&mut self, version: WeightVersion, age: WriteAge, now: Millis) -> bool {
+        let reported = DesiredVersion::new(version, age, now);
+        let Some(known) = self.entries.iter_mut().find(|e| e.version == version) else {
+            self.insert(reported);
+            return true;
         };
-        match self.entries.binary_search_by_key(&version, |e| e.version) {
-            Ok(i) => {
-                let known = self.entries[i];
-                if known.known && known.at <= at + TOLERANCE {
-                    return false;
-                }
-                self.entries[i] = reported;
-                true
-            }
-            Err(i) => {
-                self.entries.insert(i, reported);
-                if self.entries.len() > VERSIONS_MAX {
-                    self.entries.remove(0);
-                }
-                true
-            }
-        }
+        let merged = known.merged(reported);
+        let changed = (merged.at, merged.uncertainty) != (known.at, known.uncertainty);
+        *known = merged;
+        changed
     }
 
-    /// Returns the versions with known times, and these times.
-    pub fn timed(&self) -> impl Iterator<Item = (WeightVersion, Millis)> + '_ {
+    /// Returns the versions with known ages, and these ages.
+    pub fn ages(&self, now: Millis) -> impl Iterator<Item = (WeightVersion, WriteAge)> + '_ {
         let known = self.entries.iter().filter(|e| e.known);
-        known.map(|e| (e.version, e.at))
+        known.map(move |e| {
+            let age = WriteAge {
+                age: now - e.at,
+                uncertainty: e.uncertainty,
+            };
+            (e.version, age)
+        })
     }
 
     /// Returns the newest version.
@@ -111,9 +160,9 @@
         self.entries.iter().rev().find(old).map(|e| e.version)
     }
 
-    /// Returns the time from which a loaded version is superseded: that of the first desired version after it.
+    /// Returns the time from which a loaded version is superseded: that of the earliest desired version after it.
     pub fn superseded_at(&self, loaded: WeightVersion) -> Option<Millis> {
-        let newer = |e: &&DesiredVersion| e.version > loaded;
-        self.entries.iter().find(newer).map(|e| e.at)
+        let newer = self.entries.iter().filter(|e| e.version > loaded);
+        newer.map(|e| e.at).min()
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,7 +6,8 @@
 
 use super::{
     log_event,
-    record::{Record, RecordStore, StoreError, Topic},
+    record::{Record, RecordStore, Records, StoreError, Topic},
+    write_time::{LogTimes, Pending, WriteAge},
 };
 use crate::{
     base::{jitter, Clock, Millis, SystemClock},
@@ -27,6 +28,16 @@
 
 /// Applies the records of a compacted topic.
 pub trait Follower {
+    /// Called before each record, and before all records of [`Follower::replace`], with what is known of their age;
+    /// `None` if that is nothing, because this process had not followed the topic before.
+    fn note_age(&self, _age: Option<WriteAge>) {}
+
+    /// Returns the longest time from when another process last passed on the topic's content to when
+    /// [`Follower::should_read`] becomes true; `None` if none did.
+    fn handover_time(&self) -> Option<Millis> {
+        None
+    }
+
     /// Applies one record.
     fn apply(&self, record: Record);
 
@@ -67,8 +78,11 @@
     wait: Millis,
     follower: Rc<impl Follower>,
 ) {
+    let clock = SystemClock::start();
+    let mut state = FollowState::new(wait + follower.pause());
     loop {
-        let run = follow_topic(&store, topic, wait, &*follower);
+        state.restart(clock.now());
+        let run = follow_topic(&store, topic, wait, &*follower, clock, &mut state);
         if AssertUnwindSafe(run).catch_unwind().await.is_err() {
             emit!(
                 log_event::RECORD,
@@ -84,49 +98,50 @@
     topic: Topic,
     wait: Millis,
     follower: &impl Follower,
+    clock: SystemClock,
+    state: &mut FollowState,
 ) -> Infallible {
-    let clock = SystemClock::start();
-    let mut state = FollowState {
-        offset: None,
-        last_success: clock.now(),
-        usual_interval: wait + follower.pause(),
-        lost: false,
-        failing: false,
-    };
     loop {
         if !follower.should_read() {
-            state.reset(clock.now());
+            state.stop(clock.now());
             tokio::time::sleep(INACTIVE_POLL.duration()).await;
             continue;
         }
-        let result = match state.offset {
-            None => store.newest(topic).await.map(|r| (r, true)),
+        // While reads fail, a long poll would delay the detection that the store is back.
+        let wait = if state.failing { Millis::ZERO } else { wait };
+        let (result, pending) = match state.offset {
+            None => Pending::observe(&clock, store.newest(topic)).await,
             Some(from) => {
-                // While reads fail, a long poll would delay the detection that the store is back.
-                let wait = if state.failing { Millis::ZERO } else { wait };
                 let read = store.read(topic, from, wait);
                 tokio::select! {
-                    result = read => result.map(|r| (r, false)),
+                    observed = Pending::observe(&clock, read) => observed,
                     () = follower.read_interrupted() => continue,
                 }
             }
         };
+        let from = state.offset;
         match result {
-            Ok((_, false)) if state.is_store_lost(clock.now()) => {
+            Ok(_) if from.is_some() && state.is_store_lost(clock.now()) => {
                 // The backlog of an outage would come in pages, and other processes must not rely on this one before
                 // the last page; the newest record of each key comes at once.
                 state.offset = None;
             }
-            Ok((records, all)) => {
+            Ok(records) => {
+                let bounds = state.bounds(&records, &pending, wait, follower.handover_time());
                 state.record_success(topic, clock.now(), follower);
                 state.offset = Some(records.next);
-                if all {
-                    follower.replace(records.records);
-                } else {
-                    for record in records.records {
+                let (next, end) = (records.next, records.end);
+                if let Some(from) = from {
+                    for (offset, record) in (from..).zip(records.records) {
+                        follower.note_age(bounds.age(&state.times, offset, clock.now()));
                         follower.apply(record);
                     }
+                } else {
+                    follower.note_age(bounds.age(&state.times, state.read, clock.now()));
+                    follower.replace(records.records);
                 }
+                state.read = next;
+                state.times.record_end(end, bounds.made, next);
                 follower.batch_applied();
                 tokio::time::sleep(follower.pause().duration()).await;
             }
@@ -139,6 +154,7 @@
                 state.offset = None;
             }
             Err(e) => {
+                state.failed_at = pending.begun;
                 state.record_failure(topic, clock.now(), &e);
                 if state.lost || matches!(e, StoreError::Malformed(_)) {
                     // The log may remain unreadable from this offset on, for example if the response is too large.
@@ -154,6 +170,13 @@
 struct FollowState {
     /// Offset of the next record to read; `None` before the first read and when all records must be read again.
     offset: Option<u64>,
+    /// Offset up to which all records are applied.
+    read: u64,
+    times: LogTimes,
+    /// Time up to which another process passed on the topic's content, or little less; `None` if none did.
+    inactive_at: Option<Millis>,
+    /// When the last read that failed began.
+    failed_at: Millis,
     /// When a read succeeded last.
     last_success: Millis,
     /// Longest time between two successful reads while the store works.
@@ -164,15 +187,95 @@
     failing: bool,
 }
 
+/// Bounds on the time at which the records of one response were written.
+struct WriteBounds {
+    /// Time before which none of them was written; `None` if it follows only from the ends of the log.
+    after: Option<Millis>,
+    /// Time from which they count at the earliest: that of an outage, which keeps processes from older records.
+    outage: Millis,
+    /// When the response arrived.
+    arrived: Millis,
+    /// Time before which the store did not make the response.
+    made: Millis,
+}
+
+impl WriteBounds {
+    /// Returns the age of the record at an offset; `None` if nothing is known of it.
+    fn age(&self, times: &LogTimes, offset: u64, now: Millis) -> Option<WriteAge> {
+        let after = times.written_after(offset).max(self.after)?;
+        Some(WriteAge {
+            age: now - after.max(self.outage),
+            uncertainty: self.arrived - after,
+        })
+    }
+}
+
 impl FollowState {
-    /// Resets the state while the topic is not read.
-    fn reset(&mut self, now: Millis) {
+    fn new(usual_interval: Millis) -> Self {
+        Self {
+            offset: None,
+            read: 0,
+            times: LogTimes::default(),
+            inactive_at: None,
+            failed_at: Millis::ZERO,
+            last_success: Millis::ZERO,
+            usual_interval,
+            lost: false,
+            failing: false,
+        }
+    }
+
+    /// Makes the next read return all records.
+    fn restart(&mut self, now: Millis) {
         self.offset = None;
         self.last_success = now;
         self.lost = false;
         self.failing = false;
     }
 
+    /// Resets the state while the topic is not read.
+    fn stop(&mut self, now: Millis) {
+        self.restart(now);
+        self.times = LogTimes::default();
+        self.inactive_at = Some(now);
+    }
+
+    /// Returns the bounds on the write times of a response's records, and learns from it how long responses take.
+    /// `handover` is [`Follower::handover_time`].
+    fn bounds(
+        &mut self,
+        records: &Records,
+        pending: &Pending,
+        wait: Millis,
+        handover: Option<Millis>,
+    ) -> WriteBounds {
+        let Pending { begun, ended, .. } = *pending;
+        let mut out = WriteBounds {
+            after: None,
+            outage: Millis::ZERO,
+            arrived: ended - records.body_time,
+            made: begun,
+        };
+        let Some(from) = self.offset else {
+            let passed_on = self.inactive_at.zip(handover);
+            out.after = passed_on.map(|(at, time)| at - time);
+            if self.is_store_lost(ended) {
+                out.outage = self.failed_at;
+            }
+            self.times.record_latency(ended - begun);
+            return out;
+        };
+        if !records.records.is_empty() {
+            let arrived = pending.arrived_after(records.body_time);
+            out.after = self.times.waited_after(from, begun, arrived);
+            out.made = begun.max(out.after.unwrap_or_default());
+        } else if ended >= begun + wait {
+            self.times.record_latency(ended - (begun + wait));
+            out.made = begun + wait;
+        }
+        out
+    }
+
     /// Returns whether reads have failed for so long that the store counts as lost.
     fn is_store_lost(&self, now: Millis) -> bool {
         self.lost || now > self.last_success + self.usual_interval + STORE_TIMEOUT
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -13,6 +13,7 @@
     members::Heartbeat,
     operator_records::{Decode, OperatorSink},
     record::{EndpointRecord, Record, WeightVersion},
+    write_time::{LoggedAge, WriteAge},
 };
 use crate::{
     base::{Excerpt, HashSet, Millis},
@@ -34,6 +35,11 @@
 /// Log lines a second about records of endpoints that cannot be used.
 const SKIPPED_LINES: u32 = 5;
 
+/// Longest time from when a zone reader last had the answer of the store to when the entry that takes over reads the
+/// operator's records: the zone reader reports for a while that it reads, its last heartbeat counts for a while, and the
+/// entry that takes over reads the endpoints first.
+const HANDOVER_TIME: Millis = Millis(3500);
+
 /// Number of versions of weights in a log line.
 const LOGGED_VERSIONS: usize = 8;
 
@@ -55,11 +61,12 @@
         apply_catalog(self, catalog, raw, "store");
     }
 
-    fn weights(&self, model: Rc<str>, version: WeightVersion, found: bool) {
-        let newer = self.record_desired(model.clone(), version, found);
+    fn weights(&self, model: Rc<str>, version: WeightVersion, age: Option<WriteAge>) {
+        let newer = self.record_desired(model.clone(), version, age);
         emit!(
             log_event::VERSION,
-            "model={model} version={version} newer={newer} found={found}"
+            "model={model} version={version} newer={newer} {}",
+            LoggedAge(age)
         );
     }
 
@@ -72,6 +79,10 @@
         self.reads_catalog()
     }
 
+    fn handover_time(&self) -> Option<Millis> {
+        Some(HANDOVER_TIME)
+    }
+
     async fn read_interrupted(&self) {
         self.operator_wake.notified().await;
     }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -8,18 +8,40 @@
     limits::LimitReport,
     members::Heartbeat,
     record::WeightVersion,
+    write_time::WriteAge,
 };
 use crate::{base::Millis, decide::quarantine::PartReport};
 
-/// A desired version of weights and the time since it became desired.
+/// A desired version of weights and the time since it became desired, as a process knows it; see [`WriteAge`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DesiredAge {
     /// Model name.
     pub model: String,
     /// Version of the model's weights.
     pub version: WeightVersion,
-    /// Time since the process that read the operator's record did so.
+    /// Time for which it has counted as desired.
     pub age: Millis,
+    /// Time by which it may have become desired later than that.
+    pub uncertainty: Millis,
+}
+
+impl DesiredAge {
+    pub(crate) fn new(model: &str, version: WeightVersion, age: WriteAge) -> Self {
+        Self {
+            model: model.to_owned(),
+            version,
+            age: age.age,
+            uncertainty: age.uncertainty,
+        }
+    }
+
+    /// Returns the age of the version's record.
+    pub(crate) fn write_age(&self) -> WriteAge {
+        WriteAge {
+            age: self.age,
+            uncertainty: self.uncertainty,
+        }
+    }
 }
 
 /// Content of a datagram from one entry to another.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,6 +51,7 @@
 mod source;
 mod standby;
 mod stream;
+mod write_time;
 mod zone_reader;
 
 pub use assignment::Assignment;
@@ -87,3 +88,5 @@
 pub use run::run;
 pub use schedule::LoadSchedule;
 pub use settings::{Bounds, GatewaySettings, Listen};
+pub(crate) use write_time::LoggedAge;
+pub use write_time::WriteAge;
--- a/src/gateway/operator_records.rs
+++ b/src/gateway/operator_records.rs
@@ -8,7 +8,9 @@
     catalog::Catalog,
     follow::Follower,
     record::{EndpointRecord, OperatorRecord, Record, WeightVersion},
+    write_time::WriteAge,
 };
+use crate::base::{Clock, Millis, SystemClock};
 
 /// Decodes the records of the platform's store.
 pub trait Decode: 'static {
@@ -40,9 +42,14 @@
     /// Applies a configuration; `raw` is its encoded form.
     fn catalog(&self, catalog: Catalog, raw: Bytes);
 
-    /// Records the desired version of a model's weights; `found` is true if the record was written before this process
-    /// started.
-    fn weights(&self, model: Rc<str>, version: WeightVersion, found: bool);
+    /// Records the desired version of a model's weights; `age` is `None` if the record may have been written before this
+    /// process started.
+    fn weights(&self, model: Rc<str>, version: WeightVersion, age: Option<WriteAge>);
+
+    /// See [`Follower::handover_time`].
+    fn handover_time(&self) -> Option<Millis> {
+        None
+    }
 
     /// Reports a record that cannot be decoded.
     fn malformed(&self, key: &str, reason: &str);
@@ -62,7 +69,10 @@
 #[derive(Debug)]
 pub struct OperatorFollower<D, T> {
     sink: T,
-    /// Whether the first read is done; its records were written before this process started.
+    clock: SystemClock,
+    /// Age of the records that are applied, and the time at which that was noted.
+    age: Cell<(Option<WriteAge>, Millis)>,
+    /// Whether the first read is done.
     read: Cell<bool>,
     /// Whether even the first read waits until the sink's [`OperatorSink::should_read`] is true.
     on_demand: bool,
@@ -74,6 +84,8 @@
     pub fn new(sink: T) -> Self {
         Self {
             sink,
+            clock: SystemClock::start(),
+            age: Cell::default(),
             read: Cell::new(false),
             on_demand: false,
             _decode: PhantomData,
@@ -90,7 +102,27 @@
     }
 }
 
+impl<D, T> OperatorFollower<D, T> {
+    /// Returns the age of the records that are applied, which decoding the ones before has increased.
+    fn age(&self) -> Option<WriteAge> {
+        let (age, noted) = self.age.get();
+        let since = self.clock.now() - noted;
+        age.map(|a| WriteAge {
+            age: a.age + since,
+            ..a
+        })
+    }
+}
+
 impl<D: Decode, T: OperatorSink> Follower for OperatorFollower<D, T> {
+    fn note_age(&self, age: Option<WriteAge>) {
+        self.age.set((age, self.clock.now()));
+    }
+
+    fn handover_time(&self) -> Option<Millis> {
+        self.sink.handover_time()
+    }
+
     fn apply(&self, record: Record) {
         let Some(value) = record.value else {
             return;
@@ -98,7 +130,7 @@
         match D::operator_record(&record.key, &value) {
             Ok(Some(OperatorRecord::Catalog(catalog))) => self.sink.catalog(*catalog, value),
             Ok(Some(OperatorRecord::Weights(model, version))) => {
-                self.sink.weights(model, version, !self.read.get());
+                self.sink.weights(model, version, self.age());
             }
             Ok(None) => {}
             Err(e) => self
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -39,6 +39,10 @@
     pub records: Vec<Record>,
     /// Offset from which to read next.
     pub next: u64,
+    /// Offset at which the log ended when the response was made; it holds further records if this is after `next`.
+    pub end: u64,
+    /// Time that the response took to arrive after its head.
+    pub body_time: Millis,
 }
 
 /// Why a call to the store failed.
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -1,6 +1,6 @@
 //! Calls with a small request and a small response.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -24,6 +24,10 @@
 /// Idle connections kept for one address after calls.
 const IDLE_MAX: usize = 8;
 
+/// Time at which the head of a response arrived; an extension of each response to a call.
+#[derive(Clone, Copy, Debug)]
+pub struct HeadReceived(pub Instant);
+
 /// Why a call brought no response.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
@@ -104,7 +108,8 @@
             .send(req)
             .await
             .map_err(|e| lost(e.into_error().to_string()))?;
-        let (head, body) = res.into_parts();
+        let (mut head, body) = res.into_parts();
+        head.extensions.insert(HeadReceived(Instant::now()));
         let body = Limited::new(body, BODY_MAX)
             .collect()
             .await
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,7 +5,7 @@
 mod pool;
 mod server;
 
-pub use call::{call, call_once, get, CallError, BODY_MAX};
+pub use call::{call, call_once, get, CallError, HeadReceived, BODY_MAX};
 pub use connect::{connect, Connection};
 pub use pool::Pool;
 pub use server::{listen, Listener, ServeOptions};
--- a/src/staging/assignment.rs
+++ b/src/staging/assignment.rs
@@ -13,14 +13,17 @@
     decide::chunk::Topology,
     emit,
     gateway::{
-        Assignment, Catalog, Decode, DesiredVersions, EndpointUpdate, RecordStore, Topic,
-        WeightVersion,
+        Assignment, Catalog, Decode, DesiredVersions, EndpointUpdate, LoggedAge, RecordStore,
+        Topic, WeightVersion, WriteAge,
     },
 };
 
 /// Time without a response from any entry after which the agent reads the store instead.
 const ASSIGNMENT_TIMEOUT: Millis = Millis(2500);
 
+/// Time within which an entry learns of a new version.
+const ENTRY_LAG: Millis = Millis(1000);
+
 impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
     /// Applies a configuration from the store: the origin and the model of this host's service.
     pub(super) fn set_catalog(&self, catalog: &Catalog) {
@@ -33,17 +36,23 @@
         }
     }
 
-    /// Records that a version became desired; `found` says that this was before the agent started, at an unknown time.
-    pub(super) fn add_desired(&self, model: Rc<str>, version: WeightVersion, found: bool) {
+    /// Records that a version became desired; `age` is `None` if that was at an unknown time, as before the agent started.
+    pub(super) fn add_desired(
+        &self,
+        model: Rc<str>,
+        version: WeightVersion,
+        age: Option<WriteAge>,
+    ) {
         let now = self.now();
         let newer = {
             let mut desired = self.desired.borrow_mut();
             let versions = desired.entry(model.clone()).or_default();
-            versions.record(version, found, now)
+            versions.record(version, age, now)
         };
         emit!(
             log_event::DESIRED,
-            "model={model} version={version} newer={newer} found={found}"
+            "model={model} version={version} newer={newer} {}",
+            LoggedAge(age)
         );
         if newer {
             self.changed.notify_one();
@@ -71,7 +80,7 @@
             let mut desired = self.desired.borrow_mut();
             let versions = desired.entry(model.clone()).or_default();
             let before = versions.newest();
-            if versions.merge(n.version, now - n.age) {
+            if versions.merge(n.version, n.write_age(), now) {
                 let (version, age) = (n.version, n.age);
                 emit!(
                     log_event::DESIRED,
@@ -88,7 +97,7 @@
             .get(model)
             .and_then(DesiredVersions::newest);
         if let Some(newest) = assignment.newest.filter(|n| known < Some(*n)) {
-            self.add_desired(model.clone(), newest, true);
+            self.add_desired(model.clone(), newest, None);
         }
     }
 
@@ -98,6 +107,13 @@
         self.now() > last + ASSIGNMENT_TIMEOUT
     }
 
+    /// Returns the longest time from when an entry knew of all versions to when the agent reads the store; `None` if no
+    /// entry has responded to it.
+    pub(super) fn handover_time(&self) -> Option<Millis> {
+        let assigned = self.last_assigned.get();
+        assigned.map(|_| ASSIGNMENT_TIMEOUT + ENTRY_LAG)
+    }
+
     /// Replaces the list of hosts that serve the service; `hosts` are the addresses and zones of their endpoints.
     fn set_hosts(&self, hosts: &[(SocketAddr, Zone)]) {
         let origin = self.origin_spec.borrow();
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -22,6 +22,7 @@
     emit,
     gateway::{
         follow, Catalog, Decode, OperatorFollower, OperatorSink, RecordStore, Topic, WeightVersion,
+        WriteAge,
     },
     http::{listen, ServeOptions},
     net::Pacer,
@@ -159,8 +160,12 @@
         self.set_catalog(&catalog);
     }
 
-    fn weights(&self, model: Rc<str>, version: WeightVersion, found: bool) {
-        self.add_desired(model, version, found);
+    fn weights(&self, model: Rc<str>, version: WeightVersion, age: Option<WriteAge>) {
+        self.add_desired(model, version, age);
+    }
+
+    fn handover_time(&self) -> Option<Millis> {
+        Agent::handover_time(self)
     }
 
     fn malformed(&self, key: &str, reason: &str) {
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -5,8 +5,8 @@
 use sesamewing::{
     base::{HashMap, Millis},
     gateway::{
-        self, Bounds, Catalog, CatalogVersion, GatewaySettings, Headers, Listen, Repeat, Route,
-        ServiceSpec, Topic, WorkspaceSpec,
+        self, Bounds, Catalog, CatalogVersion, Decode, GatewaySettings, Headers, Listen,
+        RecordStore, Repeat, Route, ServiceSpec, Topic, WorkspaceSpec,
     },
     observe::LeftOut,
 };
@@ -207,8 +207,13 @@
 
 /// Starts an entry with some settings and waits until it is ready.
 pub async fn start_with(settings: GatewaySettings, store: MemoryStore) {
+    start_stored::<_, TestDecode>(settings, store).await;
+}
+
+/// Starts an entry with a store of its own kind and waits until it is ready.
+pub async fn start_stored<S: RecordStore, D: Decode>(settings: GatewaySettings, store: S) {
     let ready = settings.listen.readiness.expect("a readiness address");
-    let run = gateway::run::<_, TestDecode>(
+    let run = gateway::run::<_, D>(
         move || Ok(settings.clone()),
         Headers::default(),
         store,
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -143,7 +143,12 @@
     async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
         let records = self.records_from(topic, 0);
         let next = records.len() as u64;
-        Ok(Records { records, next })
+        Ok(Records {
+            records,
+            next,
+            end: next,
+            ..Records::default()
+        })
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
@@ -153,7 +158,12 @@
             records = self.records_from(topic, from);
         }
         let next = from + records.len() as u64;
-        Ok(Records { records, next })
+        Ok(Records {
+            records,
+            next,
+            end: next,
+            ..Records::default()
+        })
     }
 
     async fn append(&self, topic: Topic, record: &Record) -> Result<(), StoreError> {
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -3,7 +3,7 @@
 use sesamewing::{
     base::Millis,
     decide::rollout::{load_order, HostSchedule},
-    gateway::{DesiredVersions, WeightVersion},
+    gateway::{DesiredVersions, WeightVersion, WriteAge},
 };
 
 const BOUND: Millis = Millis(8000);
@@ -33,14 +33,20 @@
     assert!(desired.set_found(WeightVersion(2)));
     assert_eq!(desired.enforced(BOUND, NOW), Some(WeightVersion(2)));
     assert_eq!(
-        desired.timed().count(),
+        desired.ages(NOW).count(),
         0,
         "an unknown time is not passed on"
     );
-    assert!(desired.merge(WeightVersion(2), NOW));
+    let exact = WriteAge {
+        age: Millis::ZERO,
+        uncertainty: Millis::ZERO,
+    };
+    let mut merge = |at| desired.merge(WeightVersion(2), exact, at);
+    assert!(merge(NOW));
     assert_eq!(desired.enforced(BOUND, NOW + Millis(1)), None);
-    assert!(!desired.merge(WeightVersion(2), NOW + Millis(500)));
-    assert!(desired.merge(WeightVersion(2), NOW - Millis(500)));
+    let mut merge = |at| desired.merge(WeightVersion(2), exact, at);
+    assert!(!merge(NOW + Millis(500)));
+    assert!(merge(NOW - Millis(500)));
 }
 
 /// Guards against hosts that load after the bound, or all at once.
@@ -68,3 +74,93 @@
     let distinct: std::collections::HashSet<_> = (1..30).map(first).collect();
     assert!(distinct.len() > 5, "{distinct:?}");
 }
+
+/// Returns the age of a version that became desired within `uncertainty` after `at`, as told at `now`.
+fn age(at: Millis, uncertainty: u64, now: Millis) -> WriteAge {
+    WriteAge {
+        age: now - at,
+        uncertainty: Millis(uncertainty),
+    }
+}
+
+/// Guards against an entry that enforces a version long before its bound, because it took over the reading and knows
+/// little of the record's time, although others know the time exactly.
+#[test]
+fn exact_time_replaces_uncertain_one() {
+    let mut desired = DesiredVersions::default();
+    let version = WeightVersion(2);
+    let now = NOW + Millis(4000);
+    assert!(desired.record(version, Some(age(NOW, 4000, now)), now));
+    let written = NOW + Millis(3000);
+    assert!(desired.merge(version, age(written, 100, now), now));
+    assert_eq!(desired.superseded_at(WeightVersion(1)), Some(written));
+    assert!(!desired.merge(version, age(NOW, 4000, now), now));
+    assert_eq!(desired.superseded_at(WeightVersion(1)), Some(written));
+}
+
+/// Guards against a version that counts from late because a message with its age waited, as while the process was
+/// frozen: the time is at most that by which this process knew of the record, and the next message corrects it.
+#[test]
+fn delayed_message_is_corrected() {
+    let mut desired = DesiredVersions::default();
+    let version = WeightVersion(2);
+    let superseded = |d: &DesiredVersions| d.superseded_at(WeightVersion(1)).expect("a time");
+    // This process read the record itself, 300 ms after it was written at the latest.
+    desired.record(
+        version,
+        Some(age(NOW, 300, NOW + Millis(300))),
+        NOW + Millis(300),
+    );
+    // The message was sent with an age of 300 ms and waited for 2 s.
+    let late = NOW + Millis(2300);
+    desired.merge(version, age(NOW, 50, NOW + Millis(300)), late);
+    assert!(
+        superseded(&desired) <= NOW + Millis(300),
+        "{}",
+        superseded(&desired)
+    );
+    desired.merge(version, age(NOW, 50, late), late);
+    assert_eq!(superseded(&desired), NOW);
+    // A process that knows of the version only by such a message is corrected by the next one.
+    let mut desired = DesiredVersions::default();
+    desired.merge(version, age(NOW, 50, NOW + Millis(300)), late);
+    assert_eq!(superseded(&desired), NOW + Millis(2000));
+    desired.merge(version, age(NOW, 50, late), late);
+    assert_eq!(superseded(&desired), NOW);
+}
+
+/// Guards against a version that counts from late at a process whose host was suspended, where the clock stood still: it
+/// believes its own time to be exact, and others knew of the record before.
+#[test]
+fn suspended_clock_is_corrected() {
+    let mut desired = DesiredVersions::default();
+    let version = WeightVersion(2);
+    // Suspended for 5 s around the write: by its clock, the record was written just now.
+    desired.record(version, Some(age(NOW, 10, NOW)), NOW);
+    // The others know the time less exactly; it lies 5 s back.
+    let written = NOW - Millis(5000);
+    assert!(desired.merge(version, age(written, 200, NOW), NOW));
+    assert_eq!(desired.superseded_at(WeightVersion(1)), Some(written));
+    // The others do not take over its time.
+    let mut others = DesiredVersions::default();
+    others.record(
+        version,
+        Some(age(written, 200, written + Millis(200))),
+        written + Millis(200),
+    );
+    others.merge(version, age(NOW, 10, NOW), NOW);
+    let at = others.superseded_at(WeightVersion(1)).expect("a time");
+    assert!(at <= written + Millis(200), "{at}");
+}
+
+/// Guards against endpoints that are used too long because a version between theirs and the newest one became known
+/// after the newest.
+#[test]
+fn late_news_of_earlier_version() {
+    let mut desired = DesiredVersions::default();
+    desired.merge(WeightVersion(3), age(NOW, 0, NOW), NOW);
+    let written = NOW - Millis(1500);
+    assert!(!desired.record(WeightVersion(2), Some(age(written, 0, NOW)), NOW));
+    assert_eq!(desired.superseded_at(WeightVersion(1)), Some(written));
+    assert_eq!(desired.superseded_at(WeightVersion(2)), Some(NOW));
+}
--- /dev/null
+++ b/tests/version_time.rs
@@ -0,0 +1,376 @@
+//! The time from which an entry counts a desired version: never later than the store's acknowledgement of its record.
+
+mod gateway_support;
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use gateway_support::{
+    addr,
+    gateway::{catalog, settings_of, start_stored, HELD, MODEL},
+    run_local, set_catalog, MemoryStore, TestDecode,
+};
+use sesamewing::{
+    base::{rendezvous, Millis},
+    gateway::{
+        Assignment, Catalog, Decode, EndpointRecord, OperatorRecord, Record, RecordStore, Records,
+        ServiceWeights, StoreError, Topic, WeightVersion,
+    },
+    http::{get, Pool},
+};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Delay of the network between the store and an entry, and of the query for the entry's state, on a busy machine.
+const NETWORK: Millis = Millis(60);
+
+/// Time after which an entry has had the answer to a read that waited and brought nothing.
+const SETTLED: Millis = Millis(500);
+
+/// A store whose responses to reads of the operator's records are slow, lost, partial or trimmed.
+#[derive(Clone, Default)]
+struct HarshStore {
+    store: MemoryStore,
+    state: Rc<Trouble>,
+}
+
+#[derive(Default)]
+struct Trouble {
+    /// Time for which the body of a response with a configuration arrives.
+    transfer: Cell<Millis>,
+    /// Time from which a response is made to its arrival.
+    delay: Cell<Millis>,
+    /// Whether the response to the read in progress is lost.
+    loses: Cell<bool>,
+    /// Longest wait of a read, so that a read that is to be rejected begins soon.
+    wait_max: Cell<Option<Millis>>,
+    /// Whether reads are rejected.
+    rejects: Cell<bool>,
+    /// Offset before which the log holds no records.
+    first: Cell<u64>,
+    /// Largest number of records in a response.
+    page: Cell<Option<usize>>,
+}
+
+fn is_config(records: &Records) -> bool {
+    records.records.iter().any(|r| &r.key[..] == b"config")
+}
+
+impl HarshStore {
+    /// Starts an entry whose endpoints hold a model, and returns the address for queries of its state.
+    async fn start_entry(&self) -> SocketAddr {
+        set_catalog(weights_catalog());
+        self.store.write(Topic::Operator, "config", "1");
+        self.store.write(Topic::Operator, MODEL, &HELD.to_string());
+        let settings = settings_of(1);
+        start_stored::<_, TestDecode>(settings.clone(), self.clone()).await;
+        sleep(SETTLED).await;
+        settings.listen.peers
+    }
+
+    /// Writes a version of the model and returns the time of the write.
+    fn name(&self, version: u64) -> Instant {
+        self.store
+            .write(Topic::Operator, MODEL, &version.to_string());
+        Instant::now()
+    }
+}
+
+impl RecordStore for HarshStore {
+    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+        if topic != Topic::Operator {
+            return self.store.newest(topic).await;
+        }
+        if self.state.rejects.get() {
+            return Err(StoreError::Refused(503));
+        }
+        let mut all = self.store.newest(topic).await?;
+        let mut newest: Vec<Record> = Vec::new();
+        for record in all.records {
+            newest.retain(|r| r.key != record.key);
+            newest.push(record);
+        }
+        all.records = newest;
+        sleep(self.state.delay.get()).await;
+        Ok(all)
+    }
+
+    async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
+        if topic != Topic::Operator {
+            return self.store.read(topic, from, wait).await;
+        }
+        let state = &self.state;
+        if state.rejects.get() {
+            return Err(StoreError::Refused(503));
+        }
+        if from < state.first.get() {
+            return Err(StoreError::Trimmed);
+        }
+        let wait = wait.min(state.wait_max.get().unwrap_or(wait));
+        let mut read = self.store.read(topic, from, wait).await?;
+        if let Some(page) = state.page.get() {
+            read.records.truncate(page);
+            read.next = from + read.records.len() as u64;
+        }
+        if state.loses.take() {
+            sleep(Millis(1000)).await;
+            return Err(StoreError::Unknown("the response was lost".to_owned()));
+        }
+        sleep(state.delay.get()).await;
+        if is_config(&read) && state.transfer.get() > Millis::ZERO {
+            sleep(state.transfer.get()).await;
+            read.body_time = state.transfer.get();
+        }
+        Ok(read)
+    }
+
+    async fn append(&self, topic: Topic, record: &Record) -> Result<(), StoreError> {
+        self.store.append(topic, record).await
+    }
+}
+
+async fn sleep(time: Millis) {
+    tokio::time::sleep(time.duration()).await;
+}
+
+/// Returns a catalog whose service has a model.
+fn weights_catalog() -> Catalog {
+    let mut out = catalog();
+    for spec in out.services.values_mut() {
+        spec.weights = Some(ServiceWeights {
+            models: vec![MODEL.into()],
+        });
+    }
+    out
+}
+
+/// Queries an entry for the ages of the desired versions that it knows.
+async fn assignment(entry: SocketAddr) -> Assignment {
+    let pool = Pool::default();
+    let path = "/assignment/plain/a/0";
+    let res = get(&pool, entry, path, Millis::ZERO, Millis(1000)).await;
+    postcard::from_bytes(res.expect("a response").body()).expect("an assignment")
+}
+
+/// Waits until an entry knows a version, and returns how much later than its write the entry counts it from, and how
+/// much earlier.
+async fn deviation(entry: SocketAddr, version: u64, written: Instant) -> (Millis, Millis) {
+    let end = Instant::now() + Duration::from_secs(6);
+    while Instant::now() < end {
+        let known = assignment(entry).await;
+        let found = known.desired.iter().find(|d| d.version.0 == version);
+        if let Some(found) = found {
+            let truth = Millis::from(written.elapsed());
+            let (late, early) = (truth - found.age, found.age - truth);
+            println!("version {version}: {late} late, {early} early");
+            return (late, early);
+        }
+        assert!(
+            known.newest != Some(WeightVersion(version)),
+            "enforced at once"
+        );
+        sleep(Millis(20)).await;
+    }
+    panic!("the entry does not learn of version {version}");
+}
+
+/// Decoder that takes long to decode a configuration.
+struct SlowDecode;
+
+/// Time to decode a configuration.
+const DECODING: Duration = Duration::from_millis(700);
+
+impl Decode for SlowDecode {
+    fn operator_record(key: &[u8], value: &[u8]) -> Result<Option<OperatorRecord>, String> {
+        if key == b"config" {
+            std::thread::sleep(DECODING);
+        }
+        TestDecode::operator_record(key, value)
+    }
+
+    fn catalog(value: &[u8]) -> Result<Catalog, String> {
+        TestDecode::catalog(value)
+    }
+
+    fn endpoint(value: &[u8]) -> Result<EndpointRecord, String> {
+        TestDecode::endpoint(value)
+    }
+}
+
+/// Asserts that an entry counts a version from its write on or from up to `early` before it.
+async fn check(entry: SocketAddr, version: u64, written: Instant, early: Millis) {
+    let (late, too_early) = deviation(entry, version, written).await;
+    assert!(late <= NETWORK, "version {version}: {late} late");
+    assert!(too_early <= early, "version {version}: {too_early} early");
+}
+
+/// Guards against a version that counts from when its record was applied: in calm that is about when it was written, and
+/// it must not count from long before either.
+#[test]
+fn calm() {
+    run_local(async {
+        let store = HarshStore::default();
+        let entry = store.start_entry().await;
+        let written = store.name(HELD + 1);
+        check(entry, HELD + 1, written, Millis(400)).await;
+    });
+}
+
+/// Guards against a version that counts from after the large configuration whose transfer it had to wait for.
+#[test]
+fn large_record_before() {
+    run_local(async {
+        let store = HarshStore::default();
+        let entry = store.start_entry().await;
+        store.state.transfer.set(Millis(1500));
+        store.store.write(Topic::Operator, "config", "2");
+        sleep(Millis(200)).await;
+        let written = store.name(HELD + 1);
+        check(entry, HELD + 1, written, Millis(800)).await;
+    });
+}
+
+/// Guards against a version that counts from after a configuration in the same response was decoded.
+#[test]
+fn slow_decoding() {
+    run_local(async {
+        let store = HarshStore::default();
+        set_catalog(weights_catalog());
+        store.store.write(Topic::Operator, "config", "1");
+        let settings = settings_of(1);
+        start_stored::<_, SlowDecode>(settings.clone(), store.clone()).await;
+        sleep(SETTLED).await;
+        store.store.write(Topic::Operator, "config", "2");
+        let written = store.name(HELD + 1);
+        check(settings.listen.peers, HELD + 1, written, Millis(400)).await;
+    });
+}
+
+/// Guards against a version that counts from after several configurations in quick succession, of which each response
+/// holds one.
+#[test]
+fn storm_of_configurations() {
+    run_local(async {
+        let store = HarshStore::default();
+        let entry = store.start_entry().await;
+        store.state.transfer.set(Millis(400));
+        store.state.page.set(Some(1));
+        for _ in 0..4 {
+            store.store.write(Topic::Operator, "config", "2");
+            sleep(Millis(50)).await;
+        }
+        let written = store.name(HELD + 1);
+        store.store.write(Topic::Operator, "config", "3");
+        check(entry, HELD + 1, written, Millis(1000)).await;
+    });
+}
+
+/// Guards against a version that counts from after the read whose response was lost.
+#[test]
+fn lost_response() {
+    run_local(async {
+        let store = HarshStore::default();
+        let entry = store.start_entry().await;
+        store.state.loses.set(true);
+        let written = store.name(HELD + 1);
+        check(entry, HELD + 1, written, Millis(1000)).await;
+    });
+}
+
+/// Guards against a version that counts from the end of an outage in which only the reads of this entry failed.
+#[test]
+fn rejected_reads() {
+    run_local(async {
+        let store = HarshStore::default();
+        store.state.wait_max.set(Some(Millis(300)));
+        let entry = store.start_entry().await;
+        store.state.rejects.set(true);
+        sleep(Millis(400)).await;
+        let written = store.name(HELD + 1);
+        sleep(Millis(1500)).await;
+        store.state.rejects.set(false);
+        check(entry, HELD + 1, written, Millis(1500)).await;
+    });
+}
+
+/// Guards against a version that counts from the write of its successor where the log was trimmed, so that a read by
+/// key never returns it: endpoints with the version before both would be used for too long.
+#[test]
+fn version_skipped_by_keyed_read() {
+    run_local(async {
+        let store = HarshStore::default();
+        store.state.wait_max.set(Some(Millis(300)));
+        let entry = store.start_entry().await;
+        store.state.rejects.set(true);
+        sleep(Millis(400)).await;
+        let written = store.name(HELD + 1);
+        sleep(Millis(1000)).await;
+        store.name(HELD + 2);
+        store.state.first.set(4);
+        store.state.rejects.set(false);
+        check(entry, HELD + 2, written, Millis(1500)).await;
+    });
+}
+
+/// Guards against a version that counts from the end of a pause of the process.
+#[test]
+fn frozen_process() {
+    run_local(async {
+        let store = HarshStore::default();
+        let entry = store.start_entry().await;
+        let written = store.name(HELD + 1);
+        std::thread::sleep(Duration::from_millis(1500));
+        check(entry, HELD + 1, written, Millis(600)).await;
+    });
+}
+
+/// Guards against a version that counts from late where every response of the store is slow.
+#[test]
+fn slow_store() {
+    run_local(async {
+        let store = HarshStore::default();
+        store.state.delay.set(Millis(500));
+        let entry = store.start_entry().await;
+        sleep(Millis(1500)).await;
+        let written = store.name(HELD + 1);
+        check(entry, HELD + 1, written, Millis(1500)).await;
+    });
+}
+
+/// Guards against a version that counts from when the entry that takes over from lost zone readers reads it, and against
+/// one that is enforced at once then.
+#[test]
+fn lost_zone_readers() {
+    run_local(async {
+        let store = HarshStore::default();
+        set_catalog(weights_catalog());
+        store.store.write(Topic::Operator, "config", "1");
+        store.store.write(Topic::Operator, MODEL, &HELD.to_string());
+        let mut entries = Vec::new();
+        for n in 1..=3 {
+            let mut settings = settings_of(n);
+            settings.seeds = (1..=3).map(|n| addr(n, 8004)).collect();
+            let tasks = LocalSet::new();
+            let store = store.clone();
+            let peers = settings.listen.peers;
+            // The tasks of an entry end with its set.
+            let run = spawn_local(async move {
+                let entry = start_stored::<_, TestDecode>(settings, store);
+                tasks.run_until(entry).await;
+                tasks.await;
+            });
+            entries.push((peers, run.abort_handle()));
+        }
+        sleep(Millis(4000)).await;
+        entries.sort_by_key(|e| rendezvous(b"reader", e.0.to_string().as_bytes()));
+        for (_, run) in &entries[..2] {
+            run.abort();
+        }
+        sleep(Millis(50)).await;
+        let written = store.name(HELD + 1);
+        check(entries[2].0, HELD + 1, written, Millis(4000)).await;
+    });
+}
