fix(gateway): skip records from before a load after the load too

What callers saw: an endpoint that had just loaded a version counted as one with the old version again, so it got no requests once the new version was enforced, until its next record was read.

Cause: after its agent's report a record that still lists the weights before is skipped, but only those before the last report. An agent reports twice, at the begin and at the end of a load; after the second report a record from before the load was applied again. Also a record of a restarted endpoint was skipped if it listed the version from before the load.

Change: the lists before, during and after a load are all kept for the time for which a record may lag, and dropped when the endpoint has restarted.

Test: record_from_before_a_load failed at sequence 2 (version 1 instead of 2) and passes now.

--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -13,6 +13,9 @@
 /// Longest time for which an endpoint's record may lag behind its agent's update; a drain and a load take less.
 const RECORD_LAG_MAX: Millis = Millis(5000);
 
+/// Lists of weights that are kept of an endpoint whose agent has reported others: those before, during and after a load.
+const OVERRIDDEN_MAX: usize = 3;
+
 /// Retention of the tombstone of a removed endpoint, which keeps a delayed older record from restoring the endpoint.
 const TOMBSTONE_RETENTION: Millis = Millis(60_000);
 
@@ -81,14 +84,22 @@
     overridden: Option<Overridden>,
 }
 
-/// Weights that an endpoint's record still lists although its agent has reported others.
+/// Weights that an endpoint's record may still list although its agent has reported others since.
 #[derive(Clone, Debug)]
 struct Overridden {
-    models: Vec<(Rc<str>, WeightVersion)>,
+    /// Lists of weights, oldest first.
+    models: Vec<Vec<(Rc<str>, WeightVersion)>>,
     /// Time from which the record is used again, even if it still lists these weights.
     until: Millis,
 }
 
+impl Overridden {
+    /// Returns whether a record that lists `models` is older than the agent's report.
+    fn covers(&self, models: &[(Rc<str>, WeightVersion)], now: Millis) -> bool {
+        now < self.until && self.models.iter().any(|m| m == models)
+    }
+}
+
 /// State of an endpoint as the agent on its host reports it; it arrives earlier than the endpoint's own record.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointUpdate {
@@ -227,10 +238,11 @@
                 return Change::Stale;
             }
         }
+        let restarted = born != known.record.revision.born;
         known.renewed = now;
         known.removal = None;
         match &known.overridden {
-            Some(old) if old.models == record.models && now < old.until => {
+            Some(old) if !restarted && old.covers(&record.models, now) => {
                 record.models.clone_from(&known.record.models);
             }
             _ => known.overridden = None,
@@ -355,8 +367,18 @@
         if known.record.models == update.models {
             return None;
         }
+        let before = known.overridden.take().filter(|old| now < old.until);
+        let mut models = before.map_or_else(Vec::new, |old| old.models);
+        models.retain(|m| *m != update.models);
+        models.push(std::mem::replace(
+            &mut known.record.models,
+            update.models.clone(),
+        ));
+        if models.len() > OVERRIDDEN_MAX {
+            models.remove(0);
+        }
         known.overridden = Some(Overridden {
-            models: std::mem::replace(&mut known.record.models, update.models.clone()),
+            models,
             until: now + RECORD_LAG_MAX,
         });
         known.mark_changed(&mut self.sum, &mut self.changes);
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -145,6 +145,25 @@
     assert_eq!(version(&table), Some(WeightVersion(2)));
 }
 
+/// Guards against an endpoint that counts as one with its old version after its load, because a record from before its
+/// drain is read only then.
+#[test]
+fn record_from_before_a_load() {
+    let mut table = EndpointTable::default();
+    table.apply(&id("e"), Some(loaded(1, Some(1))), Millis(0));
+    table.apply_update(&update(10, None), Millis(100));
+    table.apply_update(&update(10, Some(2)), Millis(1500));
+    for (sequence, models) in [(2, Some(1)), (3, None), (4, Some(1))] {
+        table.apply(&id("e"), Some(loaded(sequence, models)), Millis(1600));
+        assert_eq!(version(&table), Some(WeightVersion(2)), "{sequence}");
+    }
+    // The endpoint restarts with the old version.
+    let mut restarted = loaded(1, Some(1));
+    restarted.revision.born += 1;
+    table.apply(&id("e"), Some(restarted), Millis(1700));
+    assert_eq!(version(&table), Some(WeightVersion(1)));
+}
+
 /// Guards against an endpoint that gets no requests because its agent stopped after reporting the begin of a load.
 #[test]
 fn updates_of_a_stopped_agent_expire() {
