fix(gateway): send agents the ages of versions in each assignment

What callers saw: nothing yet by itself; a host would load later than entries expect, up to the end of the bound.

Cause: an agent got the ages only when the list of versions or hosts changed. An age that its entry corrected later, or that the agent read late because it or its link was held up, stayed as it was.

Test: agents_get_corrected_time failed (no age in the reply) and passes now. It checks the entry's reply; that an agent merges it is not tested.

--- a/src/gateway/assignment.rs
+++ b/src/gateway/assignment.rs
@@ -35,7 +35,7 @@
     /// Entries to notify of the endpoint's state.
     pub readers: Vec<SocketAddr>,
     /// Hash of everything but ages and entries; the agent sends it with its next query. A reply to a query with the
-    /// same tag leaves out hosts and versions.
+    /// same tag leaves out hosts.
     pub tag: u64,
 }
 
@@ -106,9 +106,8 @@
         }
         let left = end - ctx.now();
         if left == Millis::ZERO {
-            // The agent has these already.
+            // The agent has these already. The ages of versions may have been corrected.
             current.hosts = Vec::new();
-            current.desired = Vec::new();
             return current.encode(ctx, zone);
         }
         // The timeout has passed or the state has changed: either way the reply is computed again.
--- a/src/staging/assignment.rs
+++ b/src/staging/assignment.rs
@@ -67,7 +67,6 @@
 
     /// Applies the assignment from an entry.
     pub(super) fn assign(&self, assignment: &Assignment) {
-        let now = self.now();
         *self.origin_spec.borrow_mut() = assignment.origin.clone();
         self.set_hosts(&assignment.hosts);
         let Some(model) = &assignment.model else {
@@ -76,6 +75,21 @@
         if self.model.replace(Some(model.clone())).as_ref() != Some(model) {
             self.changed.notify_one();
         }
+        self.merge_desired(model, assignment);
+        let known = self
+            .desired
+            .borrow()
+            .get(model)
+            .and_then(DesiredVersions::newest);
+        if let Some(newest) = assignment.newest.filter(|n| known < Some(*n)) {
+            self.add_desired(model.clone(), newest, None);
+        }
+    }
+
+    /// Merges the ages of the desired versions in the assignment from an entry. Each assignment has them, because an
+    /// entry corrects them, and because this process may have read an earlier assignment late.
+    pub(super) fn merge_desired(&self, model: &Rc<str>, assignment: &Assignment) {
+        let now = self.now();
         for n in &assignment.desired {
             let mut desired = self.desired.borrow_mut();
             let versions = desired.entry(model.clone()).or_default();
@@ -91,14 +105,6 @@
                 self.changed.notify_one();
             }
         }
-        let known = self
-            .desired
-            .borrow()
-            .get(model)
-            .and_then(DesiredVersions::newest);
-        if let Some(newest) = assignment.newest.filter(|n| known < Some(*n)) {
-            self.add_desired(model.clone(), newest, None);
-        }
     }
 
     /// Returns whether no entry has responded for [`ASSIGNMENT_TIMEOUT`], so that the store has to be read.
--- a/src/staging/entries.rs
+++ b/src/staging/entries.rs
@@ -67,6 +67,8 @@
             self.set_readers(&assignment.readers);
             if assignment.tag != source.tag {
                 self.assign(&assignment);
+            } else if let Some(model) = &assignment.model {
+                self.merge_desired(model, &assignment);
             }
             source.tag = assignment.tag;
             if !assignment.entries.is_empty() {
--- a/tests/version_time.rs
+++ b/tests/version_time.rs
@@ -17,12 +17,15 @@
 use sesamewing::{
     base::{rendezvous, Millis},
     gateway::{
-        Assignment, Catalog, Decode, EndpointRecord, OperatorRecord, Record, RecordStore, Records,
-        ServiceWeights, StoreError, Topic, WeightVersion,
+        Assignment, Catalog, Decode, DesiredAge, EndpointRecord, Gossip, Message, OperatorRecord,
+        Record, RecordStore, Records, ServiceWeights, StoreError, Topic, WeightVersion,
     },
     http::{get, Pool},
 };
-use tokio::task::{spawn_local, LocalSet};
+use tokio::{
+    net::UdpSocket,
+    task::{spawn_local, LocalSet},
+};
 
 /// Delay of the network between the store and an entry, and of the query for the entry's state, on a busy machine.
 const NETWORK: Millis = Millis(60);
@@ -149,9 +152,14 @@
 
 /// Queries an entry for the ages of the desired versions that it knows.
 async fn assignment(entry: SocketAddr) -> Assignment {
+    assignment_after(entry, 0).await
+}
+
+/// Like [`assignment`], as an agent that has the assignment with a tag.
+async fn assignment_after(entry: SocketAddr, tag: u64) -> Assignment {
     let pool = Pool::default();
-    let path = "/assignment/plain/a/0";
-    let res = get(&pool, entry, path, Millis::ZERO, Millis(1000)).await;
+    let path = format!("/assignment/plain/a/{tag}");
+    let res = get(&pool, entry, &path, Millis::ZERO, Millis(2500)).await;
     postcard::from_bytes(res.expect("a response").body()).expect("an assignment")
 }
 
@@ -374,3 +382,36 @@
         check(entries[2].0, HELD + 1, written, Millis(4000)).await;
     });
 }
+
+/// Guards against agents that keep a version's time which their entry has corrected since: they would load later than
+/// entries expect.
+#[test]
+fn agents_get_corrected_time() {
+    run_local(async {
+        let store = HarshStore::default();
+        let entry = store.start_entry().await;
+        let written = store.name(HELD + 1);
+        check(entry, HELD + 1, written, Millis(400)).await;
+        let before = assignment(entry).await;
+        let desired = DesiredAge {
+            model: MODEL.to_owned(),
+            version: WeightVersion(HELD + 1),
+            age: Millis::from(written.elapsed()) + Millis(1500),
+            uncertainty: Millis::ZERO,
+        };
+        let message = Message::Gossip(Gossip {
+            heartbeats: Vec::new(),
+            desired: vec![desired],
+            in_flight: Vec::new(),
+            leaving: Vec::new(),
+        });
+        let data = postcard::to_stdvec(&message).expect("a datagram");
+        let socket = UdpSocket::bind(addr(9, 0)).await.expect("a socket");
+        socket.send_to(&data, entry).await.expect("it is sent");
+        sleep(Millis(100)).await;
+        let after = assignment_after(entry, before.tag).await;
+        let truth = Millis::from(written.elapsed()) + Millis(1500);
+        let age = after.desired.first().map(|d| d.age);
+        assert!(age.is_some_and(|age| age + NETWORK >= truth), "{age:?}");
+    });
+}
