fix(gateway): tell entries of the version before the recent ones

What callers saw: nothing yet by itself; requests would begin on weights that were superseded long before, at an entry that joined lately.

Cause: entries tell each other of versions younger than twice the bound. One that joins reads only the newest version, and counted the weights before both as superseded by that one, although they had been by the one before.

Change: datagrams have the version before the recent ones, too.

Test: joining_entry_learns_of_previous_version failed (the entry did not learn of it within 6 s) and passes now.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -247,17 +247,16 @@
         }
     }
 
-    /// Returns the desired versions for gossip: those that may not be enforced yet at every entry.
+    /// Returns the desired versions for gossip: those that may not be enforced yet at every entry, and the ones before.
     pub(super) fn desired_ages(&self) -> Vec<DesiredAge> {
         let now = self.now();
         let limit = self.bounds.get().version.times(2);
         let desired = self.desired.borrow();
         let all = desired.iter().flat_map(|(model, versions)| {
-            versions
-                .ages(now)
-                .map(move |(version, age)| DesiredAge::new(model, version, age))
+            let recent = versions.recent_ages(limit, now);
+            recent.map(move |(version, age)| DesiredAge::new(model, version, age))
         });
-        all.filter(|n| n.age < limit).collect()
+        all.collect()
     }
 
     /// Returns the oldest version on which a request may begin now, and the oldest one on which it may begin after
--- a/src/gateway/desired.rs
+++ b/src/gateway/desired.rs
@@ -142,6 +142,18 @@
         })
     }
 
+    /// Returns the versions that became desired within `limit`, with their ages, and the version before these: without
+    /// it, weights that this one superseded would count as superseded only by its successor.
+    pub fn recent_ages(
+        &self,
+        limit: Millis,
+        now: Millis,
+    ) -> impl Iterator<Item = (WeightVersion, WriteAge)> + '_ {
+        let first = self.ages(now).position(|(_, age)| age.age < limit);
+        let skipped = first.map_or(self.entries.len(), |first| first.saturating_sub(1));
+        self.ages(now).skip(skipped)
+    }
+
     /// Returns the newest version.
     pub fn newest(&self) -> Option<WeightVersion> {
         self.entries.last().map(|e| e.version)
--- a/tests/version_time.rs
+++ b/tests/version_time.rs
@@ -415,3 +415,28 @@
         assert!(age.is_some_and(|age| age + NETWORK >= truth), "{age:?}");
     });
 }
+
+/// Guards against an entry that joins and uses endpoints with long superseded weights, because others tell it only of
+/// versions that became desired lately and it reads only the newest.
+#[test]
+fn joining_entry_learns_of_previous_version() {
+    run_local(async {
+        let store = HarshStore::default();
+        set_catalog(weights_catalog());
+        store.store.write(Topic::Operator, "config", "1");
+        let settings = |n| {
+            let mut settings = settings_of(n);
+            settings.bounds.version = Millis(1000);
+            settings.seeds = vec![addr(1, 8004), addr(2, 8004)];
+            settings
+        };
+        start_stored::<_, TestDecode>(settings(1), store.clone()).await;
+        sleep(SETTLED).await;
+        let written = store.name(HELD + 1);
+        sleep(Millis(2300)).await;
+        store.name(HELD + 2);
+        start_stored::<_, TestDecode>(settings(2), store.clone()).await;
+        sleep(Millis(1000)).await;
+        check(addr(2, 8004), HELD + 1, written, Millis(400)).await;
+    });
+}
