fix(gateway): requests to older weights stop as early as a silence may last

Callers were served on weights that had to be out of use: an endpoint that is silent for a second or more just before a version's bound begins afterwards, on its older version, what was sent to it before.

Cause: entries sent requests to endpoints with an older version until 900 ms before the bound. The margin covered the time to reach an endpoint, not a silence of it. A cancelled request is one whose connection is closed, which an endpoint that reads nothing sees only after it has read the request.

Change: the margins follow from one named bound, the longest silence of a sound endpoint (decide/supersede.rs, 2 s): from 2.5 s before the bound no request is sent to an older version, checked again just before it is sent; what has not begun 2 s before the bound is cancelled. Hosts load earlier, so that they do not stand unused: the last one starts a request's usual duration after the last request, and hosts whose copies are late share the time until then, instead of waiting for the rest of the bound.

Why it works: a request that was sent to an endpoint is begun, refused or closed before a silence could begin that lasts past the bound.

Evidence: three of four tests in silent_rollout failed before (82, 132 and 133 ms after the bound), 4 of 4 pass. Model without network, version_margins, at 1, 9, 48 and 410 entries with silences of up to 2 s, one version, two within 2 and 4 s, and late copies: nothing begins late; with margins that cover no silence, up to 40 of 2,053 requests at nine entries do.

rollout_turns: its hosts become ready at 6.75 s instead of 8 s. The test needs 2.1 s from there to the last load start, which comes 1.25 s or more earlier now; its limit on hosts that load within 500 ms stays.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,3 +14,4 @@
 pub mod rollout;
 pub mod route;
 pub mod stop;
+pub mod supersede;
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -8,15 +8,12 @@
 
 use std::net::IpAddr;
 
+use super::supersede::Margins;
 use crate::base::{rendezvous, Millis};
 
 /// Share of the bound at which the first host starts to load: about the time that the copy takes.
 const FIRST_START: (u64, u64) = (42, 100);
 
-/// Share of the bound before which the last host starts to load. The rest is a reserve for loads that start late
-/// because the copy took longer or a chunk was corrupt.
-const LAST_START: (u64, u64) = (91, 100);
-
 fn share(t: Millis, (part, whole): (u64, u64)) -> Millis {
     Millis(t.0 * part / whole)
 }
@@ -44,6 +41,8 @@
 pub struct HostSchedule {
     /// Time after the old version was superseded for which requests may still begin on it.
     pub bound: Millis,
+    /// Margins before the end of the bound; hosts load before they stand unused.
+    pub margins: Margins,
     /// Rank of this host by [`LoadOrder`], starting at 0.
     pub rank: usize,
     /// Number of hosts of the service.
@@ -58,19 +57,20 @@
     }
 
     /// Returns the load start of a host whose copy is complete at `ready`: its scheduled load start, which entries
-    /// compute as well, or, if that has passed, a time within the rest of the schedule.
+    /// compute as well, or, if that has passed, a time while requests are still sent to it.
     pub fn start_from(&self, superseded: Millis, ready: Millis) -> Millis {
         let first = superseded + share(self.bound, FIRST_START);
-        let last = superseded + share(self.bound, LAST_START);
+        let last = first.max(superseded + (self.bound - self.margins.load()));
         let hosts = self.hosts.max(1) as u64;
         let rank = self.rank as u64;
         let scheduled = first + Millis((last - first).0 * rank / hosts);
         if ready <= scheduled {
             return scheduled;
         }
-        // The `overdue` hosts whose scheduled starts have passed share the remaining time; this host is at `rank` of
-        // them.
+        // The `overdue` hosts whose scheduled starts have passed share the time in which requests are still sent to them;
+        // this host is at `rank` of them.
         let overdue = ((ready - first).0 * hosts).div_ceil((last - first).0.max(1));
-        ready + Millis((last - ready).0 * rank / overdue.clamp(1, hosts))
+        let used_until = superseded + (self.bound - self.margins.send());
+        ready + Millis((used_until - ready).0 * rank / overdue.clamp(1, hosts))
     }
 }
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -11,7 +11,10 @@
     load_balancer::{LoadBalancer, Refusal},
     record::WeightVersion,
 };
-use crate::base::Millis;
+use crate::{
+    base::Millis,
+    decide::supersede::{Expiry, Margins},
+};
 
 /// Largest number of idle connections that this entry keeps to one endpoint.
 const IDLE_CONNECTIONS_MAX: usize = 24;
@@ -28,9 +31,8 @@
 pub(super) struct Choice {
     pub(super) id: EndpointId,
     pub(super) addr: SocketAddr,
-    /// When the response must have begun, because a newer version of the weights is enforced from about then on; `None`
-    /// if the endpoint holds the newest desired version.
-    pub(super) begin_by: Option<Millis>,
+    /// When the request must be sent and must have begun; `None` if the endpoint holds the newest desired version.
+    pub(super) expiry: Option<Expiry>,
     /// Version of the weights that the request asks the endpoint for; set if a desired version is enforced. Endpoints
     /// run the request on exactly this version, so it is the one that the endpoint is known to hold, not the oldest one
     /// that is allowed.
@@ -65,13 +67,13 @@
         let model = query.weights.map(|w| w.model);
         let version = model.and_then(|m| balancer.version(e, m));
         let desired = ctx.desired.borrow();
-        let begin_by = version.and_then(|v| ctx.begin_by(desired.get(model?)?, v));
+        let expiry = version.and_then(|v| ctx.expiry(desired.get(model?)?, v));
         let oldest = query.weights.map(|w| w.oldest).unwrap_or_default();
         let expected = version.filter(|_| oldest > WeightVersion::default());
         Ok(Choice {
             id: e.id.clone(),
             addr: e.record.addr,
-            begin_by,
+            expiry,
             expected,
             idle_max: idle_max(connections, ctx.members.borrow().count()),
         })
@@ -107,6 +109,7 @@
                 schedule,
                 desired,
                 bound,
+                margins: Margins::default(),
             });
         WeightRequirement {
             model,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -31,20 +31,12 @@
         quarantine::Quarantine,
         retry::{RetryBudget, RetryDraw},
         stop::StopPlan,
+        supersede::{Expiry, Margins},
     },
     emit,
     http::Pool,
 };
 
-/// Time before a desired version is enforced from which no request is sent to an endpoint with an older one, and from
-/// which a request is sent there only if it can begin at once. The margins cover the time in which the operator's
-/// record reaches an entry and in which a request reaches its endpoint.
-const BEGIN_MARGIN: Millis = Millis(900);
-const WAIT_MARGIN: Millis = Millis(2000);
-
-/// Time before a desired version is enforced at which requests that have not begun on an older one are cancelled.
-const CANCEL_MARGIN: Millis = Millis(150);
-
 /// Number of newest desired versions that have a load schedule; hosts skip versions older than these.
 const SCHEDULED_VERSIONS: usize = 3;
 
@@ -271,12 +263,13 @@
         desired: &DesiredVersions,
     ) -> (WeightVersion, WeightVersion) {
         let bound = self.bounds.get().version;
+        let margins = Margins::default();
         let binding = |margin| {
             desired
                 .enforced(bound - margin, self.now())
                 .unwrap_or_default()
         };
-        (binding(BEGIN_MARGIN), binding(WAIT_MARGIN))
+        (binding(margins.send()), binding(margins.queue()))
     }
 
     /// Returns whether an endpoint has no version of its service's weights loaded, or an older one than the newest
@@ -333,15 +326,16 @@
         }
     }
 
-    /// Returns the time by which a request sent to an endpoint with this version must have begun; `None` if the version
+    /// Returns by when a request to an endpoint with this version must be sent and must have begun; `None` if the version
     /// is not superseded.
-    pub(super) fn begin_by(
+    pub(super) fn expiry(
         &self,
         desired: &DesiredVersions,
         version: WeightVersion,
-    ) -> Option<Millis> {
+    ) -> Option<Expiry> {
         let since = desired.superseded_at(version)?;
-        Some(since + self.bounds.get().version - CANCEL_MARGIN)
+        let end = since + self.bounds.get().version;
+        Some(Margins::default().expiry(end))
     }
 
     fn budget<T>(&self, service: &Service, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/src/gateway/endpoint_query.rs
+++ b/src/gateway/endpoint_query.rs
@@ -4,7 +4,10 @@
     desired::DesiredVersions, endpoint_table::EndpointId, record::WeightVersion,
     schedule::LoadSchedule,
 };
-use crate::base::{HashSet, Millis, Zone};
+use crate::{
+    base::{HashSet, Millis, Zone},
+    decide::supersede::Margins,
+};
 
 /// Loads of a newer version that the hosts of a service have still to begin.
 #[derive(Clone, Copy, Debug)]
@@ -15,6 +18,8 @@
     pub desired: &'a DesiredVersions,
     /// Time after which a desired version is enforced: requests may then no longer begin on older ones.
     pub bound: Millis,
+    /// Margins before the end of an older version.
+    pub margins: Margins,
 }
 
 /// Weights that an endpoint must have loaded to run a request.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,7 +24,12 @@
     record::WeightVersion,
     screen,
 };
-use crate::{base::Millis, decide::retry::RetryDraw, emit, http::Connection};
+use crate::{
+    base::Millis,
+    decide::{retry::RetryDraw, supersede::Expiry},
+    emit,
+    http::Connection,
+};
 
 /// Longest time to open a connection to an endpoint.
 const CONNECT_TIMEOUT: Millis = Millis(400);
@@ -109,7 +114,7 @@
         }
     };
     let screened = pass == Pass::Probe || screen::is_clear(ctx, job);
-    let reason = withhold_reason(ctx, &id, choice.begin_by, permit);
+    let reason = withhold_reason(ctx, &id, choice.expiry, permit);
     let reason = reason.or((!screened).then_some("a part of the prompt is quarantined"));
     let reason = reason.map_or_else(|| count_attempt(ctx, job, attempts), Err);
     if let Err(reason) = reason {
@@ -132,7 +137,7 @@
         sent_at: ctx.now(),
         known: screen::generations(ctx, job),
         probe: pass == Pass::Probe,
-        begin_by: choice.begin_by,
+        begin_by: choice.expiry.map(|e| e.begin_by),
     };
     Ok(send(ctx, job, attempts, target, last, choice.expected).await)
 }
@@ -142,14 +147,14 @@
 fn withhold_reason(
     ctx: &Context,
     id: &EndpointId,
-    begin_by: Option<Millis>,
+    expiry: Option<Expiry>,
     permit: Permit,
 ) -> Option<&'static str> {
     let now = ctx.now();
     if !permit.allows(ctx.limits.borrow().get(id), now) {
         return Some("the endpoint limits its request rate");
     }
-    if begin_by.is_some_and(|at| at <= now) {
+    if expiry.is_some_and(|e| e.send_by <= now) {
         return Some("a newer version of the weights is enforced");
     }
     if ctx.balancer.borrow().is_paused(id, now) {
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -290,7 +290,7 @@
         let loaded = self.version(e, required.model)?;
         loads
             .schedule
-            .load_start(e, loaded, loads.desired, loads.bound)
+            .load_start(e, loaded, loads.desired, loads.bound, loads.margins)
     }
 
     /// Returns whether more hosts missed their scheduled load start than have loaded the newest version or are loading
--- a/src/gateway/schedule.rs
+++ b/src/gateway/schedule.rs
@@ -8,7 +8,10 @@
 };
 use crate::{
     base::{HashMap, Millis, Service, Zone},
-    decide::rollout::{load_order, HostSchedule},
+    decide::{
+        rollout::{load_order, HostSchedule},
+        supersede::Margins,
+    },
 };
 
 /// Positions of the hosts of one service in the load schedule of one version.
@@ -69,18 +72,20 @@
 
     /// Returns the scheduled load start of an endpoint that has loaded a version; `None` if it has no newer version to
     /// load or was not in the table when the schedule was made. `bound` is the time after which a desired version is
-    /// enforced.
+    /// enforced, `margins` are those before its end.
     pub fn load_start(
         &self,
         e: &Endpoint,
         loaded: WeightVersion,
         desired: &DesiredVersions,
         bound: Millis,
+        margins: Margins,
     ) -> Option<Millis> {
         let since = desired.superseded_at(loaded)?;
         let next = self.versions.iter().find(|v| v.version > loaded)?;
         let rollout = HostSchedule {
             bound,
+            margins,
             rank: *next.ranks.get(&e.id)?,
             hosts: self.hosts,
         };
--- a/src/staging/load.rs
+++ b/src/staging/load.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     base::Millis,
-    decide::rollout::HostSchedule,
+    decide::{rollout::HostSchedule, supersede::Margins},
     emit,
     gateway::{Decode, RecordStore, WeightVersion},
 };
@@ -143,6 +143,7 @@
         let (rank, hosts) = self.peers.borrow().load_rank(manifest.version);
         let schedule = HostSchedule {
             bound: self.settings.bound,
+            margins: Margins::default(),
             rank,
             hosts,
         };
