fix(gateway): read the bodies of requests that are rejected

What callers saw: a request whose route or key a new catalog took away was rejected from its head alone. The server then closed the connection without reading the body: a caller that was still sending got a broken pipe, or a reset that can overtake the response, although its request became whole. On a kept connection the next request met a closed one.

Cause: the handler dropped the unread body; hyper then reads at most one more piece of it and closes the connection, and the kernel resets a connection that is closed with unread bytes.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -3,9 +3,8 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
-    body::{Body, Incoming},
+    body::Incoming,
     header::{
         HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER,
         TRANSFER_ENCODING, UPGRADE,
@@ -15,7 +14,8 @@
 };
 
 use super::{
-    catalog::{Catalog, Route, WorkspaceSpec},
+    body,
+    catalog::{CallerLimits, Catalog, Route, WorkspaceSpec},
     context::Context,
     events::EventId,
     headers::text,
@@ -142,46 +142,59 @@
     headers.remove(CONTENT_LENGTH);
 }
 
-async fn read_body(body: Incoming, catalog: &Catalog) -> Result<Bytes, Reject> {
-    let limits = &catalog.limits;
-    if body.size_hint().lower() > limits.body_max as u64 {
-        return Err(Reject::TooLarge);
-    }
-    let read = Limited::new(body, limits.body_max).collect();
-    let read = tokio::time::timeout(limits.send_time.duration(), read)
-        .await
-        .map_err(|_| Reject::RequestTimeout)?;
-    match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Reject::TooLarge),
-        Err(_) => Err(Reject::Malformed),
-    }
+/// Route and workspace of a request, and its target as it is forwarded.
+struct Addressed {
+    uri: Uri,
+    route: Rc<Route>,
+    workspace: Option<Rc<WorkspaceSpec>>,
+    id: HeaderValue,
+}
+
+/// Determines the route and the workspace of a request from its head.
+fn address(head: &Parts, catalog: &Catalog, names: &Headers) -> Result<Addressed, Reject> {
+    let (uri, host) = target(head)?;
+    let route = catalog.find(&host, uri.path()).ok_or(Reject::NoRoute)?;
+    let workspace = workspace(catalog, route, &head.headers, names)?;
+    let id = head.headers.get(&names.request_id).cloned();
+    Ok(Addressed {
+        uri,
+        route: route.clone(),
+        workspace,
+        id: id.ok_or(Reject::Malformed)?,
+    })
 }
 
-/// Reads a request in full and determines its route, service and workspace.
+/// Reads a request in full and determines its route, service and workspace. The catalog in force at its start holds for
+/// it until its end.
 ///
 /// # Errors
 ///
-/// Returns the rejection with which the entry responds instead of forwarding the request.
+/// Returns the rejection with which the entry responds instead of forwarding the request. What the request's body holds
+/// is read before that too.
 pub(super) async fn accept(ctx: &Context, req: Request<Incoming>) -> Result<Job, Reject> {
     let start = ctx.now();
     let catalog = ctx.catalog.borrow().clone();
+    let (head, body) = req.into_parts();
     let Some(catalog) = catalog.filter(|_| ctx.table_loaded.get()) else {
+        body::discard(body, CallerLimits::default().send_time).await;
         return Err(Reject::Starting(crate::base::jitter(STARTING_RETRY_AFTER)));
     };
     let names = &ctx.headers;
-    let (head, body) = req.into_parts();
-    let (uri, host) = target(&head)?;
-    let route = catalog
-        .find(&host, uri.path())
-        .ok_or(Reject::NoRoute)?
-        .clone();
+    let limits = &catalog.limits;
+    let Addressed {
+        uri,
+        route,
+        workspace,
+        id,
+    } = match address(&head, &catalog, names) {
+        Ok(addressed) => addressed,
+        Err(reject) => {
+            body::discard(body, limits.send_time).await;
+            return Err(reject);
+        }
+    };
+    let body = body::read(body, limits).await?;
     let mut headers = head.headers;
-    let workspace = workspace(&catalog, &route, &headers, names)?;
-    let id = headers
-        .get(&names.request_id)
-        .cloned()
-        .ok_or(Reject::Malformed)?;
     let time_left = header_number(&headers, &names.deadline).map_or(DEADLINE_DEFAULT, Millis);
     let model = text(&headers, &names.model).map(Rc::from);
     let parts = shared_parts(text(&headers, &names.parts).unwrap_or_default());
@@ -197,7 +210,6 @@
         let value = HeaderValue::from_str(w.name.as_str()).map_err(|_| Reject::Malformed)?;
         headers.insert(&names.workspace, value);
     }
-    let body = read_body(body, &catalog).await?;
     let deadline = start + time_left.min(route.timeout);
     if ctx.stop.get().is_some_and(|plan| !plan.admits(deadline)) {
         return Err(Reject::Stopping(crate::base::jitter(stop::RETRY_AFTER)));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod accept;
 mod assignment;
 mod attempt;
+mod body;
 mod catalog;
 mod choose;
 mod compression;
