fix(gateway): a slow body ends with its request's time

What callers saw: a request whose body arrived slowly had no response at its route's timeout, but only when the time for a whole request of the catalog's limits was over (3 s by default, and as long as a catalog says).

Cause: the time for the body came from the limits alone; the deadline was computed after it.

Change: the body has the time that the limits allow or that is left until the deadline (the caller's, or the route's timeout), whichever is shorter. The request is then rejected with 408 as not run, as it was before.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -193,9 +193,11 @@
             return Err(reject);
         }
     };
-    let body = body::read(body, limits).await?;
+    let time_left = header_number(&head.headers, &names.deadline).map_or(DEADLINE_DEFAULT, Millis);
+    let deadline = start + time_left.min(route.timeout);
+    let time = limits.send_time.min(deadline - ctx.now());
+    let body = body::read(body, limits.body_max, time).await?;
     let mut headers = head.headers;
-    let time_left = header_number(&headers, &names.deadline).map_or(DEADLINE_DEFAULT, Millis);
     let model = text(&headers, &names.model).map(Rc::from);
     let parts = shared_parts(text(&headers, &names.parts).unwrap_or_default());
     let mut tokens = text(&headers, &names.tokens)
@@ -210,7 +212,6 @@
         let value = HeaderValue::from_str(w.name.as_str()).map_err(|_| Reject::Malformed)?;
         headers.insert(&names.workspace, value);
     }
-    let deadline = start + time_left.min(route.timeout);
     if ctx.stop.get().is_some_and(|plan| !plan.admits(deadline)) {
         return Err(Reject::Stopping(crate::base::jitter(stop::RETRY_AFTER)));
     }
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::{timeout_at, Instant};
 
-use super::{catalog::CallerLimits, reply::Reject};
+use super::reply::Reject;
 use crate::base::Millis;
 
 /// Largest part of a body, in bytes, that is read although it is not used.
@@ -23,14 +23,13 @@
     Instant::now() + time.duration().min(TIME_MAX)
 }
 
-/// Reads a body within the limits of a catalog.
+/// Reads a body of at most `max` bytes, for `time` at most.
 ///
 /// # Errors
 ///
 /// Returns the rejection of a request whose body is too large, late or broken.
-pub(super) async fn read(mut body: Incoming, limits: &CallerLimits) -> Result<Bytes, Reject> {
-    let end = end(limits.send_time);
-    let max = limits.body_max;
+pub(super) async fn read(mut body: Incoming, max: usize, time: Millis) -> Result<Bytes, Reject> {
+    let end = end(time);
     if body.size_hint().lower() > max as u64 {
         discard_until(&mut body, end).await;
         return Err(Reject::TooLarge);
--- a/tests/catalog_change.rs
+++ b/tests/catalog_change.rs
@@ -365,6 +365,36 @@
     });
 }
 
+/// Guards against a request that has no response half a second after its route's timeout, because its body arrives slowly
+/// and the limits of a catalog allow more time for it than the route does.
+#[test]
+fn slow_bodies_end_with_the_timeout() {
+    with_operator(
+        |_| respond("200 OK", "yes"),
+        |operator| async move {
+            let limit = Millis(400);
+            let change = |c: &mut Catalog| {
+                c.limits.send_time = Millis(5000);
+                edit_routes(c, |r| r.timeout = limit);
+            };
+            operator.apply(change).await;
+            let mut stream = connect().await;
+            let text = request("/once/x");
+            let start = tokio::time::Instant::now();
+            let first = &text.as_bytes()[..text.len() - 1];
+            stream.write_all(first).await.expect("a part");
+            let got = read_all(&mut stream).await;
+            assert!(got.contains(" 408 "), "`{got}`");
+            let time = start.elapsed();
+            assert!(
+                time < limit.duration() + GRACE,
+                "{} ms after the start",
+                time.as_millis()
+            );
+        },
+    );
+}
+
 /// Number of requests in progress while the process gets no processor, and the time between two of them.
 const CALLS: usize = 40;
 const CALL_PAUSE: Duration = Duration::from_millis(15);
