fix(gateway): a panic in a handler has a response

What callers saw: a closed connection and not a byte, because a panic in the handler of a request ended the task of its connection.

Cause: the handler is polled by that task, and nothing caught the panic.

Change: it is caught, and the caller has 500 ("a fault of this entry; the request may have run"), as a request that may have run. No panic was seen outside the test; all state that it leaves is released as for a request that is dropped. A panic while a stream is being forwarded still ends the connection, which is what a stream that is cut must look like.

--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -62,6 +62,9 @@
     /// The caller's deadline or the route's timeout passed; the request may have run.
     #[error("no response in time; the request may have run")]
     TimedOut,
+    /// A fault of this entry ended the request; it may have run.
+    #[error("a fault of this entry; the request may have run")]
+    Internal,
 }
 
 impl Reject {
@@ -81,6 +84,7 @@
             | Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -100,6 +104,7 @@
             Self::Refused(_) => "turned-away",
             Self::Lost => "lost",
             Self::TimedOut => "timed-out",
+            Self::Internal => "fault",
         }
     }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,9 +1,9 @@
 //! HTTP handlers of an entry: callers' requests, other entries and agents, metrics, readiness checks and the directory.
 
-use std::rc::Rc;
+use std::{panic::AssertUnwindSafe, rc::Rc};
 
 use bytes::Bytes;
-use futures_util::Stream;
+use futures_util::{FutureExt, Stream};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::{
     body::{Frame, Incoming},
@@ -44,15 +44,10 @@
     ctx: Rc<Context>,
     req: Request<Incoming>,
 ) -> Response<Either<Full<Bytes>, StreamBody<impl Stream<Item = Result<Frame<Bytes>, Cut>>>>> {
-    let running = Running::begin(&ctx);
-    let mut res = match accept(&ctx, req).await {
-        Ok(job) => run(&ctx, job, running).await,
-        Err(reject) => {
-            log_rejected(&ctx, reject);
-            CallerResponse::Full(reject.response())
-        }
-    }
-    .into_response();
+    // A panic would end the task of the connection, and with it the connection.
+    let handled = AssertUnwindSafe(handle(&ctx, req)).catch_unwind().await;
+    let res = handled.unwrap_or_else(|_| reject(&ctx, Reject::Internal));
+    let mut res = res.into_response();
     if ctx.is_stopping() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
@@ -60,6 +55,22 @@
     res
 }
 
+async fn handle(
+    ctx: &Rc<Context>,
+    req: Request<Incoming>,
+) -> CallerResponse<impl Stream<Item = Result<Frame<Bytes>, Cut>>> {
+    let running = Running::begin(ctx);
+    match accept(ctx, req).await {
+        Ok(job) => run(ctx, job, running).await,
+        Err(reason) => reject(ctx, reason),
+    }
+}
+
+fn reject<S>(ctx: &Context, reason: Reject) -> CallerResponse<S> {
+    log_rejected(ctx, reason);
+    CallerResponse::Full(reason.response())
+}
+
 fn count_ended(ctx: &Context, service: &str, status: StatusCode, reason: &'static str) {
     let labels = RequestLabels {
         service: service.to_owned(),
