fix(gateway): a longer head is accepted on open connections

What callers saw: 431 and the end of the connection for a request on a kept connection whose head a newer catalog allows, because the connection was accepted under one that did not. Its body was not read, so that the request could also meet a reset. The other way round, a limit that became smaller did not hold on open connections.

Cause: the limit was given to the connection when it was accepted.

Change: a connection takes heads up to 64 KiB, or what the catalog in force at its start allows if that is more. Each request is measured against the catalog with which it is accepted (at least 8 KiB, as before), its body is read, and it is rejected with 431.

Before: kept_connections_take_longer_heads failed with 431 for a head of 30 KiB under a limit of 40 KiB; heads_above_the_limit_are_rejected failed with 200 for one of 30 KiB under a limit of 20 KiB.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -35,6 +35,9 @@
 /// which has spent part of its time on a rejected request.
 const RETRY_DEADLINE_GAP: Millis = Millis(100);
 
+/// Size of a head, in bytes, that is accepted whatever the limit.
+const HEAD_ALWAYS: usize = 8 << 10;
+
 /// Mean `Retry-After` of responses of an entry that is still starting.
 const STARTING_RETRY_AFTER: Millis = Millis(600);
 
@@ -142,6 +145,20 @@
     headers.remove(CONTENT_LENGTH);
 }
 
+/// Returns the size of a request's head as it is sent, without spaces that mean nothing.
+fn head_size(head: &Parts) -> usize {
+    /// Bytes of the request line beside method and target, and of a header's line beside name and value.
+    const REQUEST_LINE: usize = "  HTTP/1.1\r\n".len();
+    const HEADER_LINE: usize = ": \r\n".len();
+    let target = head.uri.path_and_query().map_or(0, |p| p.as_str().len());
+    let line = head.method.as_str().len() + target + REQUEST_LINE;
+    let headers = head.headers.iter();
+    let size = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + HEADER_LINE
+    };
+    line + headers.map(size).sum::<usize>() + "\r\n".len()
+}
+
 /// Route and workspace of a request, and its target as it is forwarded.
 struct Addressed {
     uri: Uri,
@@ -152,6 +169,9 @@
 
 /// Determines the route and the workspace of a request from its head.
 fn address(head: &Parts, catalog: &Catalog, names: &Headers) -> Result<Addressed, Reject> {
+    if head_size(head) > catalog.limits.header_max.max(HEAD_ALWAYS) {
+        return Err(Reject::HeadTooLarge);
+    }
     let (uri, host) = target(head)?;
     let route = catalog.find(&host, uri.path()).ok_or(Reject::NoRoute)?;
     let workspace = workspace(catalog, route, &head.headers, names)?;
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -35,6 +35,9 @@
     /// The body did not arrive in time; the request was not run.
     #[error("the request did not arrive in time")]
     RequestTimeout,
+    /// The head exceeds the catalog's limit; the request was not run.
+    #[error("the request head is too large")]
+    HeadTooLarge,
     /// The body exceeds the catalog's limit; the request was not run.
     #[error("the request body is too large")]
     TooLarge,
@@ -75,6 +78,7 @@
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Starting(_)
             | Self::Stopping(_)
@@ -95,7 +99,7 @@
             Self::Unauthorized => "unauthorized",
             Self::NoRoute => "no-route",
             Self::RequestTimeout => "slow",
-            Self::TooLarge => "too-large",
+            Self::HeadTooLarge | Self::TooLarge => "too-large",
             Self::Starting(_) => "starting",
             Self::Stopping(_) => "stopping",
             Self::Unavailable(_) => "no-endpoint",
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -37,6 +37,10 @@
 /// Longest wait of one read (long poll) of a topic that seldom changes.
 const LONG_POLL_WAIT: Millis = Millis(5000);
 
+/// Largest head of a request, in bytes, on a connection that may last beyond the catalog with which it is accepted. The
+/// limit of the catalog in force is applied to each request.
+const HEAD_MAX: usize = 64 << 10;
+
 /// Interval at which expired state is removed.
 const EXPIRY_INTERVAL: Millis = Millis(250);
 
@@ -141,7 +145,7 @@
     let options = move || {
         let limits = context.catalog.borrow().as_ref().map(|c| c.limits);
         ServeOptions {
-            header_max: limits.unwrap_or_default().header_max,
+            header_max: limits.unwrap_or_default().header_max.max(HEAD_MAX),
             ..ServeOptions::default()
         }
     };
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -2,13 +2,104 @@
 
 mod gateway_support;
 
-use std::rc::Rc;
+use std::{future::Future, rc::Rc, time::Duration};
 
 use gateway_support::{
     addr,
     gateway::{catalog, request, respond, with_store, CALLERS},
-    send_request, MemoryStore,
+    send_request, set_catalog, MemoryStore,
 };
+use sesamewing::gateway::{Catalog, CatalogVersion, Topic};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+/// Longest time that a test waits for a response that must come.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// Time after which a catalog that was written is in force.
+const APPLIED: Duration = Duration::from_millis(200);
+
+fn limited(version: u64, header_max: usize) -> Catalog {
+    let mut out = catalog();
+    out.version = CatalogVersion(version);
+    out.limits.header_max = header_max;
+    out
+}
+
+/// Runs a test against an entry whose catalog allows heads of `header_max` bytes.
+fn with_head_limit<F: Future<Output = ()>>(header_max: usize, test: impl FnOnce(MemoryStore) -> F) {
+    let scripts = vec![respond("200 OK", "yes")];
+    let store = MemoryStore::default();
+    with_store(store, limited(1, header_max), scripts, |_, store| {
+        test(store)
+    });
+}
+
+/// Puts a catalog in force that allows heads of `header_max` bytes.
+async fn allow_heads(store: &MemoryStore, header_max: usize) {
+    set_catalog(limited(2, header_max));
+    store.write(Topic::Operator, "config", "2");
+    sleep(APPLIED).await;
+}
+
+/// Returns a request with a head of more than `size` bytes, on a connection that is kept.
+fn kept_request(size: usize) -> String {
+    let filler = format!("X-Filler: {}", "f".repeat(size));
+    request("/once/x").replace("Connection: close", &filler)
+}
+
+/// Sends a request and returns the response, or what comes of it before the connection closes.
+async fn exchange(stream: &mut TcpStream, text: &str) -> String {
+    let sent = stream.write_all(text.as_bytes()).await;
+    sent.expect("the request is sent");
+    let mut out = Vec::new();
+    let mut part = [0; 4096];
+    while !out.ends_with(b"yes") {
+        match timeout(PATIENCE, stream.read(&mut part)).await {
+            Ok(Ok(len)) if len > 0 => out.extend_from_slice(&part[..len]),
+            _ => break,
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+async fn connect(port: u16) -> TcpStream {
+    let stream = TcpStream::connect(addr(1, port)).await;
+    stream.expect("a connection")
+}
+
+/// Guards against a rejection of a request on a kept connection whose head is longer than an earlier catalog allowed.
+#[test]
+fn kept_connections_take_longer_heads() {
+    with_head_limit(8 << 10, |store| async move {
+        let mut stream = connect(CALLERS).await;
+        let got = exchange(&mut stream, &kept_request(10)).await;
+        assert!(got.ends_with("yes"), "`{got}`");
+        allow_heads(&store, 40 << 10).await;
+        let got = exchange(&mut stream, &kept_request(30 << 10)).await;
+        assert!(got.ends_with("yes"), "`{got}`");
+    });
+}
+
+/// Guards against heads above the limit of the catalog in force, also on connections from before it.
+#[test]
+fn heads_above_the_limit_are_rejected() {
+    with_head_limit(40 << 10, |store| async move {
+        let mut stream = connect(CALLERS).await;
+        let long = kept_request(30 << 10);
+        let got = exchange(&mut stream, &long).await;
+        assert!(got.ends_with("yes"), "`{got}`");
+        allow_heads(&store, 20 << 10).await;
+        let last = long.replace("X-Filler", "Connection: close\r\nX-Filler");
+        for mut stream in [stream, connect(CALLERS).await] {
+            let got = exchange(&mut stream, &last).await;
+            assert!(got.contains(" 431 "), "`{got}`");
+        }
+    });
+}
 
 /// Guards against a closed connection without a response when the handler of a request panics.
 #[test]
