fix(gateway): the idle time of connections follows the catalog

What callers saw: an entry closed each idle connection after 60 s, whatever the catalog's idle limit, so that under a longer one a caller's next request met a closed connection. The limit that held was that of the connection's start, so that a longer one did not reach open connections either.

Cause: `idle_time` of the limits was never used, and hyper fixes the timeout of a connection when it is accepted.

Change: the timeout is 60 s or the catalog's idle time if that is longer. The timer of a connection reads it when it expires, and waits on if it has grown. Bytes that have arrived are read before the timer is asked, so that no request is met by the close while it lies unread.

That an entry's catalog is what the timer reads is shown by reading only: a test would have to wait for 60 s.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -144,9 +144,11 @@
     let context = ctx.clone();
     let options = move || {
         let limits = context.catalog.borrow().as_ref().map(|c| c.limits);
+        let (limits, least) = (limits.unwrap_or_default(), ServeOptions::default());
         ServeOptions {
-            header_max: limits.unwrap_or_default().header_max.max(HEAD_MAX),
-            ..ServeOptions::default()
+            header_max: limits.header_max.max(HEAD_MAX),
+            // Callers use a connection again that has been idle for less than that.
+            header_timeout: limits.idle_time.max(least.header_timeout),
         }
     };
     let context = ctx.clone();
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod connect;
+mod head_timer;
 mod pool;
 mod server;
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -9,10 +9,13 @@
     service::service_fn,
     Request, Response,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, sync::watch};
 
-use super::connect::harden;
+use super::{
+    connect::harden,
+    head_timer::{HeadLimit, HeadTimer},
+};
 use crate::base::Millis;
 
 /// Time to wait after the system refused to accept a connection, for example for lack of descriptors.
@@ -32,7 +35,7 @@
 /// Limits of the connections that are accepted.
 #[derive(Clone, Copy, Debug)]
 pub struct ServeOptions {
-    /// Longest time for the head of a request, and for the pause before it.
+    /// Longest time for the head of a request, and for the pause before it. A later value holds for open connections too.
     pub header_timeout: Millis,
     /// Largest head of a request, in bytes.
     pub header_max: usize,
@@ -88,7 +91,7 @@
     /// ends after its response, and the call returns once all have ended.
     pub async fn serve<H, F, B>(
         self,
-        options: impl Fn() -> ServeOptions,
+        options: impl Fn() -> ServeOptions + 'static,
         handler: H,
         closing: watch::Receiver<bool>,
     ) where
@@ -98,6 +101,7 @@
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let handler = Rc::new(handler);
+        let options = Rc::new(options);
         let (alive, mut ended) = tokio::sync::mpsc::channel::<Infallible>(1);
         let closed = closing.clone();
         let settled = settle(closing);
@@ -124,20 +128,24 @@
                 let response = handler(req);
                 async move { Ok::<_, Infallible>(response.await) }
             });
-            let options = options();
+            let limit = HeadLimit::default();
             let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(options.header_timeout.duration())
-                .max_buf_size(options.header_max.max(8192))
+                .timer(HeadTimer(limit.clone()))
+                .header_read_timeout(limit.get())
+                .max_buf_size(options().header_max.max(8192))
                 .serve_connection(TokioIo::new(stream), service);
-            let (alive, closing) = (alive.clone(), closed.clone());
+            let (alive, closing, options) = (alive.clone(), closed.clone(), options.clone());
             tokio::task::spawn_local(async move {
                 let _alive = alive;
                 tokio::pin!(connection);
+                let serving = std::future::poll_fn(|cx| {
+                    limit.set(options().header_timeout);
+                    connection.as_mut().poll(cx)
+                });
                 // The connection first, so that a request that has arrived by then is read before the connection closes.
                 let ended = tokio::select! {
                     biased;
-                    ended = connection.as_mut() => Some(ended),
+                    ended = serving => Some(ended),
                     () = settle(closing) => None,
                 };
                 let ended = match ended {
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -2,17 +2,25 @@
 
 mod gateway_support;
 
-use std::{future::Future, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use gateway_support::{
     addr,
     gateway::{catalog, request, respond, with_store, CALLERS},
-    send_request, set_catalog, MemoryStore,
+    run_local, send_request, set_catalog, MemoryStore,
+};
+use http_body_util::Full;
+use hyper::Response;
+use sesamewing::{
+    base::Millis,
+    gateway::{Catalog, CatalogVersion, Topic},
+    http::{listen, ServeOptions},
 };
-use sesamewing::gateway::{Catalog, CatalogVersion, Topic};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    sync::watch,
     time::{sleep, timeout},
 };
 
@@ -115,3 +123,32 @@
         assert!(got.contains(" 500 "), "`{got}`");
     });
 }
+
+/// Guards against an idle connection that is closed although a newer catalog allows more idle time than the one in force
+/// when it was accepted, and against one that is kept for longer than the catalog in force allows.
+#[test]
+fn idle_connections_follow_the_limits() {
+    run_local(async {
+        let at = addr(1, 8100);
+        let (_closing, closed) = watch::channel(false);
+        let handler = |_| async { Response::new(Full::new(Bytes::from_static(b"yes"))) };
+        let allowed = Rc::new(Cell::new(Millis(300)));
+        let limits = allowed.clone();
+        let options = move || ServeOptions {
+            header_timeout: limits.get(),
+            ..ServeOptions::default()
+        };
+        let listener = listen(at).expect("a free address");
+        tokio::task::spawn_local(listener.serve(options, handler, closed));
+        let text = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n";
+        let mut stream = connect(8100).await;
+        assert!(exchange(&mut stream, text).await.ends_with("yes"));
+        allowed.set(Millis(1500));
+        sleep(Duration::from_millis(900)).await;
+        let got = exchange(&mut stream, text).await;
+        assert!(got.ends_with("yes"), "`{got}`");
+        allowed.set(Millis(300));
+        let read = timeout(PATIENCE, stream.read(&mut [0; 16])).await;
+        assert!(matches!(read, Ok(Ok(0))), "it is closed: {read:?}");
+    });
+}
