--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -35,6 +35,9 @@
     /// The body did not arrive in time; the request was not run.
     #[error("the request did not arrive in time")]
     RequestTimeout,
+    /// The head exceeds the catalog's limit; the request was not run.
+    #[error("the request head is too large")]
+    HeadTooLarge,
     /// The body exceeds the catalog's limit; the request was not run.
     #[error("the request body is too large")]
     TooLarge,
@@ -62,6 +65,9 @@
     /// The caller's deadline or the route's timeout passed; the request may have run.
     #[error("no response in time; the request may have run")]
     TimedOut,
+    /// A fault of this entry ended the request; it may have run.
+    #[error("a fault of this entry; the request may have run")]
+    Internal,
 }
 
 impl Reject {
@@ -72,6 +78,7 @@
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Starting(_)
             | Self::Stopping(_)
@@ -81,6 +88,7 @@
             | Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -91,7 +99,7 @@
             Self::Unauthorized => "unauthorized",
             Self::NoRoute => "no-route",
             Self::RequestTimeout => "slow",
-            Self::TooLarge => "too-large",
+            Self::HeadTooLarge | Self::TooLarge => "too-large",
             Self::Starting(_) => "starting",
             Self::Stopping(_) => "stopping",
             Self::Unavailable(_) => "no-endpoint",
@@ -100,6 +108,7 @@
             Self::Refused(_) => "turned-away",
             Self::Lost => "lost",
             Self::TimedOut => "timed-out",
+            Self::Internal => "fault",
         }
     }
 
