fix(gateway): requests without a response get one before a stopping entry exits

Callers saw: a request that was in progress when a stopping entry exited ended with a closed connection and no response, whether its endpoint was still at work or it had not been sent to one. It had been accepted before the signal, with a deadline after the exit. With a grace period of up to 3.6 s the sockets were closed at the very moment of the exit.

Cause: the end of the process dropped what was in progress. Nothing was said to callers, although the entry knows in time that the response will not come, and knows whether the request was sent.

Requests without a response then get 503 with `Retry-After` if no attempt was sent, and else 502. Streams that have begun go on until the exit.

`short_grace_is_kept` demanded that the sockets close at the exit if the grace period is short, which is a part of this fault; it now demands the order of all times for six grace periods, with time to answer between them.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -102,6 +102,8 @@
     pub(super) started: Millis,
     /// Plan of the stop in progress; `None` until the process is told to stop.
     pub(super) stop: Cell<Option<StopPlan>>,
+    /// Wakes the requests without a response shortly before the process exits.
+    pub(super) exiting: Notify,
     /// Whether the process ends now, so that its remaining tasks are dropped.
     pub(super) ended: Cell<bool>,
     /// Requests of callers in progress.
@@ -149,6 +151,7 @@
             gossip_soon: Notify::new(),
             peer_ahead: Notify::new(),
             stop: Cell::default(),
+            exiting: Notify::new(),
             ended: Cell::default(),
             running: Cell::default(),
         })
@@ -179,6 +182,18 @@
         self.stop.get().is_some()
     }
 
+    /// Waits until requests without a response must get one, because the process exits soon.
+    pub(super) async fn wait_for_exit(&self) {
+        loop {
+            let woken = self.exiting.notified();
+            let plan = self.stop.get();
+            if plan.is_some_and(|plan| plan.answer() <= self.now()) {
+                return;
+            }
+            woken.await;
+        }
+    }
+
     /// Returns whether this entry has an endpoint table and a catalog.
     pub(super) fn is_informed(&self) -> bool {
         self.table_loaded.get() && self.catalog.borrow().is_some()
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -59,6 +59,9 @@
     /// The endpoint gave no usable response; the request may have run.
     #[error("the response of the endpoint was lost; the request may have run")]
     Lost,
+    /// This entry exits before the endpoint has responded; the request may have run.
+    #[error("no response before this entry stops; the request may have run")]
+    Exiting,
     /// The caller's deadline or the route's timeout passed; the request may have run.
     #[error("no response in time; the request may have run")]
     TimedOut,
@@ -79,7 +82,7 @@
             | Self::Overloaded(_)
             | Self::Quarantined(_)
             | Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Lost | Self::Exiting => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -99,6 +102,7 @@
             Self::Quarantined(_) => "quarantined",
             Self::Refused(_) => "turned-away",
             Self::Lost => "lost",
+            Self::Exiting => "exiting",
             Self::TimedOut => "timed-out",
         }
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -250,8 +250,13 @@
     send_gossip(ctx, socket, &targets).await;
     tokio::time::sleep((plan.close() - ctx.now()).duration()).await;
     closing.send_replace(true);
-    let left = plan.exit() - ctx.now();
-    let ended = tokio::time::timeout(left.duration(), &mut callers).await;
+    let left = plan.answer() - ctx.now();
+    let mut ended = tokio::time::timeout(left.duration(), &mut callers).await;
+    if ended.is_err() {
+        ctx.exiting.notify_waiters();
+        let left = plan.exit() - ctx.now();
+        ended = tokio::time::timeout(left.duration(), &mut callers).await;
+    }
     ctx.ended.set(true);
     emit!(
         log_event::PROCESS,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -25,7 +25,7 @@
     reply::Reject,
     stream::{Cut, Relay},
 };
-use crate::emit;
+use crate::{decide::stop, emit};
 
 /// Path at which an entry serves its catalog, compressed, to other entries.
 pub(super) const CATALOG_PATH: &str = "/catalog";
@@ -94,6 +94,14 @@
     }
 }
 
+/// Returns the rejection of a request that has no response when the process exits.
+fn unanswered(attempts: &Attempts) -> Reject {
+    if attempts.sent.get() > 0 {
+        return Reject::Exiting;
+    }
+    Reject::Stopping(crate::base::jitter(stop::RETRY_AFTER))
+}
+
 /// Runs a request.
 async fn run(
     ctx: &Rc<Context>,
@@ -103,7 +111,11 @@
     ctx.count_request(&job.service);
     let attempts = Attempts::new();
     let awaited = Awaited::new(ctx, &job);
-    let result = forward(ctx, &job, &attempts).await;
+    let result = tokio::select! {
+        biased;
+        result = forward(ctx, &job, &attempts) => result,
+        () = ctx.wait_for_exit() => Err(unanswered(&attempts)),
+    };
     awaited.begun();
     match result {
         Ok(Answer::Streaming(response)) => {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -13,15 +13,11 @@
 use tokio::{net::TcpListener, sync::watch};
 
 use super::connect::harden;
-use crate::base::Millis;
+use crate::{base::Millis, decide::stop::SETTLE};
 
 /// Time to wait after the system refused to accept a connection, for example for lack of descriptors.
 const ACCEPT_RETRY: Millis = Millis(20);
 
-/// Time after the start of a shutdown for which connections are accepted and open ones are read, so that requests that
-/// had arrived by then have their responses.
-const SETTLE: Millis = Millis(100);
-
 /// Time without an acknowledgement, or with a closed receive window, after which the kernel ends an accepted connection.
 /// Longer than the deadline of a request without one of its own, because a peer may read its response with pauses.
 const PEER_SILENCE: Duration = Duration::from_secs(31);
--- a/tests/short_grace.rs
+++ b/tests/short_grace.rs
@@ -9,8 +9,11 @@
 #[test]
 fn exit_is_in_the_last_sixth_of_the_grace_period() {
     for grace in [1, 2, 3, 8, 60].map(Millis::from_secs) {
-        let exit = StopPlan::new(grace, START).exit() - START;
+        let plan = StopPlan::new(grace, START);
+        let exit = plan.exit() - START;
         assert!(exit < grace, "{exit} of {grace}");
         assert!(exit.times(6) >= grace.times(5), "{exit} of {grace}");
+        let answer = plan.answer() - START;
+        assert!(answer.times(6) >= grace.times(5), "{answer} of {grace}");
     }
 }
--- a/tests/stop_admission.rs
+++ b/tests/stop_admission.rs
@@ -4,23 +4,18 @@
 
 use std::{
     cell::RefCell,
-    net::SocketAddr,
-    process::Command,
     rc::Rc,
-    thread::JoinHandle,
     time::{Duration, Instant},
 };
 
 use gateway_support::{
     addr, endpoint,
-    gateway::{catalog, events, request, settings_of, with_header, CALLERS, HELD, MODEL},
-    header, run_local, send_request, set_catalog, MemoryStore, Seen, Step, TestDecode,
-};
-use sesamewing::{
-    base::Millis,
-    gateway::{self, Bounds, Headers, Topic},
-    observe::LeftOut,
+    gateway::{catalog, events, request, with_header, CALLERS},
+    header, run_local, send_request,
+    stopping::{arrived, run_entry, signal_self, wait_until_ready},
+    Step,
 };
+use sesamewing::base::Millis;
 use tokio::task::spawn_local;
 
 /// Time between SIGTERM and SIGKILL.
@@ -64,41 +59,6 @@
     out
 }
 
-/// Runs an entry like a process of its own: when it stops, its connections end too.
-fn run_entry(endpoints: Vec<SocketAddr>) -> JoinHandle<()> {
-    let mut settings = settings_of(1);
-    settings.bounds = Bounds {
-        grace: GRACE,
-        ..settings.bounds
-    };
-    std::thread::spawn(move || {
-        set_catalog(catalog());
-        let store = MemoryStore::default();
-        for (i, at) in endpoints.iter().enumerate() {
-            let value = format!("plain {at} a {MODEL} {HELD}");
-            store.write(Topic::Endpoints, &format!("e{i}"), &value);
-        }
-        store.write(Topic::Operator, "config", "1");
-        let load = move || Ok(settings.clone());
-        let run =
-            gateway::run::<_, TestDecode>(load, Headers::default(), store, LeftOut::default());
-        run_local(run).expect("the entry stops");
-    })
-}
-
-async fn wait_until_ready() {
-    let check = || send_request(addr(1, 8002), "GET /ready HTTP/1.0\r\n\r\n", 300);
-    while !check().await.contains(" 200 ") {
-        tokio::time::sleep(Millis(20).duration()).await;
-    }
-}
-
-fn signal_self() {
-    let pid = std::process::id().to_string();
-    let sent = Command::new("kill").args(["-TERM", &pid]).status();
-    assert!(sent.expect("it runs").success());
-}
-
 /// Sends requests at a constant rate after the signal, each on a connection of its own.
 async fn send_all(signalled: Instant) -> Vec<Sent> {
     let sent = Rc::new(RefCell::new(Vec::new()));
@@ -127,16 +87,6 @@
     sent.take()
 }
 
-/// Returns whether a request reached an endpoint.
-fn arrived(seen: &[Rc<Seen>], id: &str) -> bool {
-    let mut all = seen.iter();
-    all.any(|s| {
-        let requests = s.requests.borrow();
-        let mut ids = requests.iter().map(|r| header(r, "x-request-id"));
-        ids.any(|found| found.as_deref() == Some(id))
-    })
-}
-
 /// Guards against requests that a stopping entry accepts although their responses can outlast its process, which cuts
 /// them.
 #[test]
@@ -147,9 +97,9 @@
         for at in &endpoints {
             seen.push(endpoint(*at, slow_stream()).await);
         }
-        let entry = run_entry(endpoints);
+        let entry = run_entry(GRACE, catalog, &endpoints);
         wait_until_ready().await;
-        signal_self();
+        signal_self("TERM");
         let sent = send_all(Instant::now()).await;
         entry.join().expect("the entry ends");
         let last = format!("id: {EVENTS}\n");
--- a/tests/stop_plan.rs
+++ b/tests/stop_plan.rs
@@ -4,7 +4,7 @@
 
 use sesamewing::{
     base::{HashMap, Millis},
-    decide::stop::StopPlan,
+    decide::stop::{StopPlan, SETTLE},
     gateway::{Heartbeat, Membership, Status},
 };
 
@@ -348,12 +348,20 @@
     }
 }
 
-/// Guards against a grace period that is shorter than the usual time to accept connections.
+/// Guards against a grace period that is shorter than the usual time to accept connections, and against an order of the
+/// steps in which what was read last has no time to be answered.
 #[test]
 fn short_grace_is_kept() {
-    let plan = StopPlan::new(Millis(2000), START);
-    assert_eq!(plan.close(), plan.exit());
-    assert!(plan.exit() < START + Millis(2000));
-    assert!(!plan.admits(START + Millis(2000)));
-    assert!(StopPlan::new(Millis(100), START).exit() <= START + Millis(100));
+    for grace in [1000, 2000, 3000, 3600, 8000, 60_000].map(Millis) {
+        let plan = StopPlan::new(grace, START);
+        assert!(START < plan.close(), "{plan:?}");
+        assert!(plan.close() + SETTLE <= plan.answer(), "{plan:?}");
+        assert!(plan.answer() < plan.exit(), "{plan:?}");
+        assert!(plan.exit() < START + grace, "{plan:?}");
+        assert!(plan.admits(plan.answer()));
+        assert!(!plan.admits(plan.exit()));
+    }
+    let plan = StopPlan::new(Millis(100), START);
+    assert!(START <= plan.close() && plan.close() <= plan.answer());
+    assert!(plan.answer() <= plan.exit() && plan.exit() <= START + Millis(100));
 }
