fix(gateway): a response with an unknown transfer coding is not whole

Callers could get a 200 with an empty or short body and a matching Content-Length, or a stream with its last chunk, if an endpoint's head had a `Transfer-Encoding` other than `chunked` and its connection then ended.

Cause: hyper reads such a body until the connection ends, even if the head also names a length, so that an early end in order looks like the end of the body. The stream's check for responses that end with their connection looked only for the absence of both headers.

Change: a response that belongs to the request and has such a coding cannot be forwarded (`unfit`); it counts as lost, so that a request that may be repeated goes elsewhere and one that may run once ends with 502. Nothing of its body is used, so it does not matter where it ends.

--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -26,7 +26,11 @@
     load_view::{Outcome, ReportedLoad},
     log_event, screen,
 };
-use crate::{base::Millis, emit, http::Connection};
+use crate::{
+    base::Millis,
+    emit,
+    http::{has_unknown_coding, Connection},
+};
 
 /// Largest response body, in bytes, that is buffered until it is complete.
 const RESPONSE_MAX: usize = 2 << 20;
@@ -176,6 +180,9 @@
         target.flight.end(Outcome::Failed);
         return Attempt::Lost;
     }
+    if has_unknown_coding(&head.headers) {
+        return discard(job, target, status);
+    }
     let streams = is_event_stream(job, &head);
     let other_version = attempts
         .version
@@ -183,15 +190,7 @@
         .zip(version)
         .is_some_and(|(a, b)| a != b);
     if attempts.streaming.get() && (!streams || other_version) {
-        emit!(
-            log_event::ATTEMPT,
-            "id={} endpoint={} outcome=unfit status={}",
-            job.id(),
-            target.id,
-            status.as_u16()
-        );
-        target.flight.end(Outcome::Failed);
-        return Attempt::Lost;
+        return discard(job, target, status);
     }
     if streams {
         attempts.version.set(attempts.version.get().or(version));
@@ -206,6 +205,19 @@
     result
 }
 
+/// Closes the connection of a response to the request that cannot be forwarded.
+fn discard(job: &Job, target: Target, status: StatusCode) -> Attempt {
+    emit!(
+        log_event::ATTEMPT,
+        "id={} endpoint={} outcome=unfit status={}",
+        job.id(),
+        target.id,
+        status.as_u16()
+    );
+    target.flight.end(Outcome::Failed);
+    Attempt::Lost
+}
+
 /// Reads the body of a refusal, if it is short, and returns its connection to the pool.
 async fn finish_refusal(ctx: &Context, target: Target, head: &Parts, body: Incoming) {
     let idle = target.end(Outcome::Refused);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,10 +2,12 @@
 
 mod call;
 mod connect;
+mod framing;
 mod pool;
 mod server;
 
 pub use call::{call, call_once, get, CallError, BODY_MAX};
 pub use connect::{connect, Connection};
+pub(crate) use framing::has_unknown_coding;
 pub use pool::Pool;
 pub use server::{listen, Listener, ServeOptions};
