fix(gateway): a response 101 ends no request

Callers got `101 Switching Protocols` without a body if an endpoint sent it, on routes of every kind, also for requests that another endpoint could have answered. A caller takes what follows on the connection for another protocol.

Cause: hyper skips informational responses but returns 101 as the response, and the entry forwarded it like any status that is no success.

Change: such a response is unfit: no request that an entry sends asks for an upgrade. The request counts as lost, and goes elsewhere if it may.

Before, with the two cases in the table: 18 of 333 cases of `unfinished_heads_are_errors` failed, 12 of 708 of `another_endpoint_responds_in_full` and 6 of 468 of `kept_connections_end_early`.

--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -180,7 +180,8 @@
         target.flight.end(Outcome::Failed);
         return Attempt::Lost;
     }
-    if has_unknown_coding(&head.headers) {
+    // No request asks for an upgrade. hyper skips all other informational responses.
+    if status.is_informational() || has_unknown_coding(&head.headers) {
         return discard(job, target, status);
     }
     let streams = is_event_stream(job, &head);
--- a/tests/early_ends.rs
+++ b/tests/early_ends.rs
@@ -263,6 +263,11 @@
         hints.to_owned(),
         format!("{hints}{BEGUN}Content-Length: 3\r\n"),
         format!("{hints}{refusal}"),
+        format!("{}\r\n", BEGUN.replace("200 OK", "101 Switching Protocols")),
+        format!(
+            "{}Upgrade: x\r\nConnection: Upgrade\r\n\r\nyes",
+            BEGUN.replace("200 OK", "101 Switching Protocols")
+        ),
         format!("{BEGUN}Content-Length: 3\r\nContent-Length: 9\r\n\r\nyes"),
         format!("{BEGUN}Content-Length: 3, 9\r\n\r\nyes"),
         format!("{BEGUN}Content-Length: x\r\n\r\nyes"),
