fix(gateway): a stream that ends before it begins is an error

Callers of a stream got no byte: the entry closed their connection without a response if the endpoint ended just after its head and no other one could go on. If the head had been sent before, they got a 200 that was cut.

Cause: the entry answered with the endpoint's head at once. hyper drops a head that is not sent yet if its body fails.

Change: the response to the caller begins with the first bytes of the stream, an event or a comment. If the stream is cut before, the caller gets 502, or 504 after its deadline. Until then the caller had only a head, which tells nothing of the first event. Its leaving ends the request as before, because the handler is dropped with the connection.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -110,8 +110,11 @@
             let mut res = Response::new(());
             *res.status_mut() = response.head.status;
             *res.headers_mut() = response_headers(&response.head.headers);
-            let relay = Relay::new(ctx, job, attempts, *response, running);
-            CallerResponse::Stream(res.map(|()| relay.into_stream()))
+            let mut relay = Relay::new(ctx, job, attempts, *response, running);
+            match relay.begin().await {
+                Ok(()) => CallerResponse::Stream(res.map(|()| relay.into_stream())),
+                Err(reject) => reject_ended(ctx, &relay.job, &relay.attempts, reject),
+            }
         }
         Ok(Answer::Complete(res)) => {
             log_ended(ctx, &job, &attempts, res.status(), "answered");
@@ -126,14 +129,22 @@
                 .observe(time);
             CallerResponse::Full(res)
         }
-        Err(reject) => {
-            log_ended(ctx, &job, &attempts, reject.status(), &reject.to_string());
-            count_ended(ctx, job.service.as_str(), reject.status(), reject.reason());
-            CallerResponse::Full(reject.response())
-        }
+        Err(reject) => reject_ended(ctx, &job, &attempts, reject),
     }
 }
 
+/// Rejects a request for which there is no endpoint's response to forward.
+fn reject_ended<S>(
+    ctx: &Context,
+    job: &Job,
+    attempts: &Attempts,
+    reject: Reject,
+) -> CallerResponse<S> {
+    log_ended(ctx, job, attempts, reject.status(), &reject.to_string());
+    count_ended(ctx, job.service.as_str(), reject.status(), reject.reason());
+    CallerResponse::Full(reject.response())
+}
+
 fn log_ended(ctx: &Context, job: &Job, attempts: &Attempts, status: StatusCode, reason: &str) {
     let endpoint = attempts.endpoint();
     let endpoint = endpoint.as_ref().map_or("-", |id| &*id.0);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -16,6 +16,7 @@
     events::EventId,
     load_view::Outcome,
     log_event, metrics,
+    reply::Reject,
     source::{ReadResult, Source, EVENT_TIMEOUT},
     standby::{Next, Waiting},
 };
@@ -30,10 +31,12 @@
 #[derive(Debug)]
 pub(super) struct Relay {
     ctx: Rc<Context>,
-    job: Job,
-    attempts: Attempts,
+    pub(super) job: Job,
+    pub(super) attempts: Attempts,
     /// The response that currently supplies the stream; `None` after it ended.
     source: Option<Source>,
+    /// Its first bytes, until they are forwarded.
+    first: Option<Bytes>,
     /// Last event that was forwarded or that the caller had before.
     last: Option<EventId>,
     /// Whether any event was forwarded.
@@ -86,6 +89,7 @@
         Self {
             ctx: ctx.clone(),
             source: Some(Source::new(ctx, response, job.last_event)),
+            first: None,
             last: job.last_event,
             job,
             attempts,
@@ -96,6 +100,21 @@
         }
     }
 
+    /// Waits for the first bytes of the stream, so that the caller gets an error if none arrive.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection with which the entry responds if the stream is cut before it begins.
+    pub(super) async fn begin(&mut self) -> Result<(), Reject> {
+        match self.next().await {
+            Some(Ok(first)) => self.first = Some(first),
+            Some(Err(Cut)) if self.ctx.now() >= self.job.deadline => return Err(Reject::TimedOut),
+            Some(Err(Cut)) => return Err(Reject::Lost),
+            None => {}
+        }
+        Ok(())
+    }
+
     /// Returns the body of the response to the caller.
     pub(super) fn into_stream(self) -> impl Stream<Item = Result<Frame<Bytes>, Cut>> {
         stream::unfold(self, |mut relay| async move {
@@ -105,7 +124,10 @@
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
-        if self.cut {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(first));
+        }
+        if self.cut || self.whole {
             return None;
         }
         let result = match self.read().await {
