fix(endpoint): a response with an unknown transfer coding is lost

The older build-up passed a short body of a plain service on as a whole answer with its digest, and a non-2xx body of an engine, if the head had a `Transfer-Encoding` other than `chunked` and the connection then ended.

Change: `send` returns such a response as lost, which may have run.

`early_ends_are_lost` ends a response in 15 places, for a plain service, for a run, a continuation and the status of an engine. Before: `Ok(())` for `Content-Length: 9` with `Transfer-Encoding: identity` and no body.

--- a/src/endpoint/http.rs
+++ b/src/endpoint/http.rs
@@ -4,7 +4,10 @@
 use reqwest::{header::CONTENT_TYPE, redirect, Client, ClientBuilder, RequestBuilder, Response};
 
 use super::{EndpointError, Part};
-use crate::base::{Millis, RequestId};
+use crate::{
+    base::{Millis, RequestId},
+    http::has_unknown_coding,
+};
 
 /// Time to open a connection; the endpoint is on the same host.
 const CONNECT_TIMEOUT: Millis = Millis(500);
@@ -58,6 +61,9 @@
 /// Sends a request and waits up to `limit` for the head of the answer.
 pub(super) async fn send(req: RequestBuilder, limit: Millis) -> Result<Response, EndpointError> {
     match tokio::time::timeout(limit.duration(), req.send()).await {
+        Ok(Ok(resp)) if has_unknown_coding(resp.headers()) => Err(EndpointError::Lost(
+            "a transfer coding that is not `chunked`".to_owned(),
+        )),
         Ok(Ok(resp)) => Ok(resp),
         Ok(Err(e)) => Err(transport(&e)),
         Err(_) => Err(EndpointError::Silent(limit)),
--- a/tests/endpoint_errors.rs
+++ b/tests/endpoint_errors.rs
@@ -70,6 +70,71 @@
     assert_matches!(error, Some(e) if !e.is_unsent());
 }
 
+/// Returns what an endpoint sends before it closes the connection, in the middle of each part of a response.
+fn early_ends() -> Vec<String> {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+    let length = format!("{head}Content-Length: 9\r\n");
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n");
+    let identity = format!("{length}Transfer-Encoding: identity\r\n");
+    vec![
+        "HTTP/1.1 20".to_owned(),
+        "HTTP/1.1 200 OK\r\n".to_owned(),
+        "HTTP/1.1 503 No\r\nContent-Length: 0\r\n".to_owned(),
+        "HTTP/1.1 100 Continue\r\n\r\n".to_owned(),
+        format!("{head}Content-Le"),
+        head.to_owned(),
+        format!("{length}\r\n"),
+        format!("{length}\r\nhalf"),
+        format!("{chunked}\r\n"),
+        format!("{chunked}\r\n4"),
+        format!("{chunked}\r\n4\r\nha"),
+        format!("{chunked}\r\n4\r\nhalf\r\n"),
+        format!("{chunked}\r\n4\r\nhalf\r\n0\r\n"),
+        format!("{identity}\r\n"),
+        format!("{identity}\r\nhalf"),
+    ]
+}
+
+/// Reads a response to its end.
+async fn read_whole(run: Result<impl Run, EndpointError>) -> Result<(), EndpointError> {
+    let mut run = run?;
+    while !matches!(run.next(LIMIT).await?, Part::End { .. }) {}
+    Ok(())
+}
+
+/// Guards against a response that ends early and is taken for whole, or for "not run".
+#[tokio::test]
+async fn early_ends_are_lost() {
+    for sent in early_ends() {
+        let text = sent.clone();
+        let addr = http::serve(move |_, mut out| {
+            let text = text.clone();
+            async move {
+                let written = out.write_all(text.as_bytes()).await;
+                written.expect("the client reads the response");
+            }
+        })
+        .await;
+        let base = format!("http://{addr}");
+        let plain = Plain::new(&base).expect("an adapter");
+        let engine = Engine::new(&base).expect("an adapter");
+        let req = daemon::request(None, 1);
+        let ends = [
+            read_whole(within("an end", plain.run(&req, LIMIT)).await).await,
+            read_whole(within("an end", engine.run(&req, LIMIT)).await).await,
+            read_whole(within("an end", engine.resume(&req, 1, LIMIT)).await).await,
+        ];
+        for end in ends {
+            assert_matches!(end, Err(EndpointError::Lost(_)), "{sent:?}");
+        }
+        assert_matches!(
+            engine.status().await,
+            Err(EndpointError::Lost(_)),
+            "{sent:?}"
+        );
+    }
+}
+
 /// Guards against a second send of a request that a kept connection swallowed.
 #[tokio::test]
 async fn request_on_a_kept_connection_is_sent_once() {
