fix(http): a call whose response has an unknown transfer coding is lost

A report of an endpoint, the chunks that it holds, a chunk from the origin or from another host, and a page of records could be taken from a body that ended early, if the head had a `Transfer-Encoding` other than `chunked`. Chunks are checked by their digests and most other bodies do not decode when they are short; the call itself reported no error.

--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -8,6 +8,7 @@
 
 use super::{
     connect::{connect, Connection},
+    framing::has_unknown_coding,
     pool::Pool,
 };
 use crate::base::Millis;
@@ -105,6 +106,9 @@
             .await
             .map_err(|e| lost(e.into_error().to_string()))?;
         let (head, body) = res.into_parts();
+        if has_unknown_coding(&head.headers) {
+            return Err(lost("a transfer coding that is not `chunked`".to_owned()));
+        }
         let body = Limited::new(body, BODY_MAX)
             .collect()
             .await
