refactor(gateway): the splitter of events belongs to one endpoint

Each endpoint has had its own since source.rs, but the documentation and the names told of one for all endpoints of a stream. `discard_partial`, which only a test called, is gone; the test continues with a splitter after the last event, as the gateway does.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,4 +1,4 @@
-//! Splits a stream of server-sent events into whole events, so that none is forwarded in part, twice or out of order.
+//! Splits the response of one endpoint into whole server-sent events, so that none is forwarded in part, twice or out of order.
 
 use bytes::{Buf, Bytes, BytesMut};
 
@@ -53,19 +53,19 @@
     }
 }
 
-/// Splits one stream into events, across all endpoints that produce parts of it.
+/// Splits the part of a stream that one endpoint sends into events, after those that the caller has already.
 #[derive(Debug, Default)]
 pub struct Events {
     buffer: BytesMut,
     /// Last event that was forwarded or that the caller had before.
     last: Option<EventId>,
-    /// Last event of the present endpoint, forwarded or not.
-    source_last: Option<EventId>,
-    /// Whether the present endpoint has sent an event.
-    source_begun: bool,
+    /// Last event that the endpoint sent, forwarded or not.
+    sent: Option<EventId>,
+    /// Whether the endpoint has sent an event, with or without an id.
+    begun: bool,
     /// Whether the last bytes completed an event that is new to the caller.
     advanced: bool,
-    /// Why the present endpoint's part of the stream ends here.
+    /// Why the endpoint's part of the stream ends here.
     fault: Option<EventError>,
 }
 
@@ -88,23 +88,15 @@
         !self.buffer.is_empty()
     }
 
-    /// Returns whether the present endpoint has sent an event; comments are none.
-    pub fn has_source_begun(&self) -> bool {
-        self.source_begun
+    /// Returns whether the endpoint has sent an event; comments are none.
+    pub fn has_begun(&self) -> bool {
+        self.begun
     }
 
-    /// Returns whether the events of the present endpoint end before the last one that the caller has, so that its end
-    /// is not that of the stream.
-    pub fn is_source_behind(&self) -> bool {
-        self.source_last.is_some() && self.source_last < self.last
-    }
-
-    /// Discards a partial event, because another endpoint continues the stream.
-    pub fn discard_partial(&mut self) {
-        self.buffer.clear();
-        self.source_last = None;
-        self.source_begun = false;
-        self.fault = None;
+    /// Returns whether the endpoint's events end before the last one that the caller has, so that its end is not that of
+    /// the stream.
+    pub fn is_behind(&self) -> bool {
+        self.sent.is_some() && self.sent < self.last
     }
 
     /// Returns whether the bytes that [`Events::push`] returned last hold an event, not only comments.
@@ -154,7 +146,7 @@
         if is_comment(event) {
             return Ok(true);
         }
-        self.source_begun = true;
+        self.begun = true;
         let Some(id) = event_id(event) else {
             if let Some(last) = self.last {
                 return Err(EventError::WithoutId(last));
@@ -162,7 +154,7 @@
             self.advanced = true;
             return Ok(true);
         };
-        self.source_last = Some(id);
+        self.sent = Some(id);
         if self.last.is_some_and(|last| id <= last) {
             return Ok(false);
         }
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -85,7 +85,7 @@
 
     /// Returns whether the endpoint has sent an event.
     pub(super) fn has_begun(&self) -> bool {
-        self.events.has_source_begun()
+        self.events.has_begun()
     }
 
     /// Returns the outcome at the endpoint if its response ends now before it is complete.
@@ -135,11 +135,11 @@
                     return ReadResult::Broken("partial event");
                 }
                 // Without a length or chunks, an end of the connection is all that tells the end of the stream.
-                Ok(None) if !self.events.has_source_begun() && is_open_ended(&self.headers) => {
+                Ok(None) if !self.events.has_begun() && is_open_ended(&self.headers) => {
                     self.note_dropped(ctx, job, Ending::Closed);
                     return ReadResult::Broken("no event");
                 }
-                Ok(None) if self.events.is_source_behind() => {
+                Ok(None) if self.events.is_behind() => {
                     return ReadResult::Broken("shorter run");
                 }
                 Ok(None) => {
--- a/tests/gateway_events.rs
+++ b/tests/gateway_events.rs
@@ -20,7 +20,7 @@
     let out = push(&mut events, &format!("{whole}{partial}"));
     assert_eq!(out, Ok(Bytes::from(whole)));
     assert!(events.is_partial());
-    events.discard_partial();
+    let mut events = Events::after(events.last());
     assert_eq!(push(&mut events, &event(2)), Ok(Bytes::from(event(2))));
     assert_eq!(events.last(), Some(EventId(2)));
 }
