--- a/tests/extreme_records.rs
+++ b/tests/extreme_records.rs
@@ -4,6 +4,7 @@
 use proptest::{collection::vec, prelude::*};
 use sesamewing::{
     base::{HashSet, Millis, Zone},
+    decide::supersede::Margins,
     gateway::{
         self, Assignment, DesiredVersions, EndpointId, EndpointQuery, EndpointRecord,
         EndpointTable, EndpointUpdate, Heartbeat, LoadBalancer, LoadSchedule, Message, Outcome,
@@ -154,7 +155,7 @@
             let service = "llm".parse().expect("a valid name");
             let schedule = LoadSchedule::new(&table, &service, &[WeightVersion(u64::MAX)], None);
             for e in table.iter() {
-                schedule.load_start(e, WeightVersion(0), &versions, Millis(8000));
+                schedule.load_start(e, WeightVersion(0), &versions, Millis(8000), Margins::default());
             }
             for model in [None, Some("m")] {
                 let query = query(&own_zone, &owned, model);
