--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,7 +7,7 @@
 mod pool;
 mod server;
 
-pub use call::{call, call_once, get, CallError, BODY_MAX};
+pub use call::{call, call_once, get, CallError, HeadReceived, BODY_MAX};
 pub use connect::{connect, Connection};
 pub(crate) use framing::has_unknown_coding;
 pub use pool::Pool;
