--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,10 +2,13 @@
 
 mod call;
 mod connect;
+mod framing;
+mod head_timer;
 mod pool;
 mod server;
 
 pub use call::{call, call_once, get, CallError, HeadReceived, BODY_MAX};
 pub use connect::{connect, Connection};
+pub(crate) use framing::has_unknown_coding;
 pub use pool::Pool;
 pub use server::{listen, Listener, ServeOptions};
