--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -23,6 +23,7 @@
     permit_requests::Permits,
     record::WeightVersion,
     schedule::LoadSchedule,
+    write_time::WriteAge,
     Bounds, GatewaySettings, Headers,
 };
 use crate::{
@@ -31,20 +32,12 @@
         quarantine::Quarantine,
         retry::{RetryBudget, RetryDraw},
         stop::StopPlan,
+        supersede::{Expiry, Margins},
     },
     emit,
     http::Pool,
 };
 
-/// Time before a desired version is enforced from which no request is sent to an endpoint with an older one, and from
-/// which a request is sent there only if it can begin at once. The margins cover the time in which the operator's
-/// record reaches an entry and in which a request reaches its endpoint.
-const BEGIN_MARGIN: Millis = Millis(900);
-const WAIT_MARGIN: Millis = Millis(2000);
-
-/// Time before a desired version is enforced at which requests that have not begun on an older one are cancelled.
-const CANCEL_MARGIN: Millis = Millis(150);
-
 /// Number of newest desired versions that have a load schedule; hosts skip versions older than these.
 const SCHEDULED_VERSIONS: usize = 3;
 
@@ -102,6 +95,8 @@
     pub(super) started: Millis,
     /// Plan of the stop in progress; `None` until the process is told to stop.
     pub(super) stop: Cell<Option<StopPlan>>,
+    /// Wakes the requests without a response shortly before the process exits.
+    pub(super) exiting: Notify,
     /// Whether the process ends now, so that its remaining tasks are dropped.
     pub(super) ended: Cell<bool>,
     /// Requests of callers in progress.
@@ -149,6 +144,7 @@
             gossip_soon: Notify::new(),
             peer_ahead: Notify::new(),
             stop: Cell::default(),
+            exiting: Notify::new(),
             ended: Cell::default(),
             running: Cell::default(),
         })
@@ -179,6 +175,18 @@
         self.stop.get().is_some()
     }
 
+    /// Waits until requests without a response must get one, because the process exits soon.
+    pub(super) async fn wait_for_exit(&self) {
+        loop {
+            let woken = self.exiting.notified();
+            let plan = self.stop.get();
+            if plan.is_some_and(|plan| plan.answer() <= self.now()) {
+                return;
+            }
+            woken.await;
+        }
+    }
+
     /// Returns whether this entry has an endpoint table and a catalog.
     pub(super) fn is_informed(&self) -> bool {
         self.table_loaded.get() && self.catalog.borrow().is_some()
@@ -208,20 +216,17 @@
 
     /// Records a desired version; returns whether it is newer than the known ones.
     ///
-    /// `found` says that the version was already desired when this process started.
+    /// `age` is `None` if the version may have been desired when this process started.
     pub(super) fn record_desired(
         &self,
         model: Rc<str>,
         version: WeightVersion,
-        found: bool,
+        age: Option<WriteAge>,
     ) -> bool {
         let now = self.now();
         let newer = {
             let mut desired = self.desired.borrow_mut();
-            desired
-                .entry(model)
-                .or_default()
-                .record(version, found, now)
+            desired.entry(model).or_default().record(version, age, now)
         };
         if newer {
             self.notify_changed();
@@ -236,7 +241,7 @@
             let changed = {
                 let mut desired = self.desired.borrow_mut();
                 let versions = desired.entry(n.model.as_str().into()).or_default();
-                versions.merge(n.version, now - n.age)
+                versions.merge(n.version, n.write_age(), now)
             };
             if changed {
                 self.notify_changed();
@@ -255,11 +260,9 @@
         let limit = self.bounds.get().version.times(2);
         let desired = self.desired.borrow();
         let all = desired.iter().flat_map(|(model, versions)| {
-            versions.timed().map(move |(version, at)| DesiredAge {
-                model: model.to_string(),
-                version,
-                age: now - at,
-            })
+            versions
+                .ages(now)
+                .map(move |(version, age)| DesiredAge::new(model, version, age))
         });
         all.filter(|n| n.age < limit).collect()
     }
@@ -271,12 +274,13 @@
         desired: &DesiredVersions,
     ) -> (WeightVersion, WeightVersion) {
         let bound = self.bounds.get().version;
+        let margins = Margins::default();
         let binding = |margin| {
             desired
                 .enforced(bound - margin, self.now())
                 .unwrap_or_default()
         };
-        (binding(BEGIN_MARGIN), binding(WAIT_MARGIN))
+        (binding(margins.send()), binding(margins.queue()))
     }
 
     /// Returns whether an endpoint has no version of its service's weights loaded, or an older one than the newest
@@ -333,15 +337,16 @@
         }
     }
 
-    /// Returns the time by which a request sent to an endpoint with this version must have begun; `None` if the version
+    /// Returns by when a request to an endpoint with this version must be sent and must have begun; `None` if the version
     /// is not superseded.
-    pub(super) fn begin_by(
+    pub(super) fn expiry(
         &self,
         desired: &DesiredVersions,
         version: WeightVersion,
-    ) -> Option<Millis> {
+    ) -> Option<Expiry> {
         let since = desired.superseded_at(version)?;
-        Some(since + self.bounds.get().version - CANCEL_MARGIN)
+        let end = since + self.bounds.get().version;
+        Some(Margins::default().expiry(end))
     }
 
     fn budget<T>(&self, service: &Service, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -35,6 +35,9 @@
     /// The body did not arrive in time; the request was not run.
     #[error("the request did not arrive in time")]
     RequestTimeout,
+    /// The head exceeds the catalog's limit; the request was not run.
+    #[error("the request head is too large")]
+    HeadTooLarge,
     /// The body exceeds the catalog's limit; the request was not run.
     #[error("the request body is too large")]
     TooLarge,
@@ -59,9 +62,15 @@
     /// The endpoint gave no usable response; the request may have run.
     #[error("the response of the endpoint was lost; the request may have run")]
     Lost,
+    /// This entry exits before the endpoint has responded; the request may have run.
+    #[error("no response before this entry stops; the request may have run")]
+    Exiting,
     /// The caller's deadline or the route's timeout passed; the request may have run.
     #[error("no response in time; the request may have run")]
     TimedOut,
+    /// A fault of this entry ended the request; it may have run.
+    #[error("a fault of this entry; the request may have run")]
+    Internal,
 }
 
 impl Reject {
@@ -72,6 +81,7 @@
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Starting(_)
             | Self::Stopping(_)
@@ -79,8 +89,9 @@
             | Self::Overloaded(_)
             | Self::Quarantined(_)
             | Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Lost | Self::Exiting => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -91,7 +102,7 @@
             Self::Unauthorized => "unauthorized",
             Self::NoRoute => "no-route",
             Self::RequestTimeout => "slow",
-            Self::TooLarge => "too-large",
+            Self::HeadTooLarge | Self::TooLarge => "too-large",
             Self::Starting(_) => "starting",
             Self::Stopping(_) => "stopping",
             Self::Unavailable(_) => "no-endpoint",
@@ -99,7 +110,9 @@
             Self::Quarantined(_) => "quarantined",
             Self::Refused(_) => "turned-away",
             Self::Lost => "lost",
+            Self::Exiting => "exiting",
             Self::TimedOut => "timed-out",
+            Self::Internal => "fault",
         }
     }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -37,6 +37,10 @@
 /// Longest wait of one read (long poll) of a topic that seldom changes.
 const LONG_POLL_WAIT: Millis = Millis(5000);
 
+/// Largest head of a request, in bytes, on a connection that may last beyond the catalog with which it is accepted. The
+/// limit of the catalog in force is applied to each request.
+const HEAD_MAX: usize = 64 << 10;
+
 /// Interval at which expired state is removed.
 const EXPIRY_INTERVAL: Millis = Millis(250);
 
@@ -140,9 +144,11 @@
     let context = ctx.clone();
     let options = move || {
         let limits = context.catalog.borrow().as_ref().map(|c| c.limits);
+        let (limits, least) = (limits.unwrap_or_default(), ServeOptions::default());
         ServeOptions {
-            header_max: limits.unwrap_or_default().header_max,
-            ..ServeOptions::default()
+            header_max: limits.header_max.max(HEAD_MAX),
+            // Callers use a connection again that has been idle for less than that.
+            header_timeout: limits.idle_time.max(least.header_timeout),
         }
     };
     let context = ctx.clone();
@@ -250,8 +256,13 @@
     send_gossip(ctx, socket, &targets).await;
     tokio::time::sleep((plan.close() - ctx.now()).duration()).await;
     closing.send_replace(true);
-    let left = plan.exit() - ctx.now();
-    let ended = tokio::time::timeout(left.duration(), &mut callers).await;
+    let left = plan.answer() - ctx.now();
+    let mut ended = tokio::time::timeout(left.duration(), &mut callers).await;
+    if ended.is_err() {
+        ctx.exiting.notify_waiters();
+        let left = plan.exit() - ctx.now();
+        ended = tokio::time::timeout(left.duration(), &mut callers).await;
+    }
     ctx.ended.set(true);
     emit!(
         log_event::PROCESS,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,9 +1,9 @@
 //! HTTP handlers of an entry: callers' requests, other entries and agents, metrics, readiness checks and the directory.
 
-use std::rc::Rc;
+use std::{panic::AssertUnwindSafe, rc::Rc};
 
 use bytes::Bytes;
-use futures_util::Stream;
+use futures_util::{FutureExt, Stream};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::{
     body::{Frame, Incoming},
@@ -25,7 +25,7 @@
     reply::Reject,
     stream::{Cut, Relay},
 };
-use crate::emit;
+use crate::{decide::stop, emit};
 
 /// Path at which an entry serves its catalog, compressed, to other entries.
 pub(super) const CATALOG_PATH: &str = "/catalog";
@@ -44,15 +44,10 @@
     ctx: Rc<Context>,
     req: Request<Incoming>,
 ) -> Response<Either<Full<Bytes>, StreamBody<impl Stream<Item = Result<Frame<Bytes>, Cut>>>>> {
-    let running = Running::begin(&ctx);
-    let mut res = match accept(&ctx, req).await {
-        Ok(job) => run(&ctx, job, running).await,
-        Err(reject) => {
-            log_rejected(&ctx, reject);
-            CallerResponse::Full(reject.response())
-        }
-    }
-    .into_response();
+    // A panic would end the task of the connection, and with it the connection.
+    let handled = AssertUnwindSafe(handle(&ctx, req)).catch_unwind().await;
+    let res = handled.unwrap_or_else(|_| reject(&ctx, Reject::Internal));
+    let mut res = res.into_response();
     if ctx.is_stopping() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
@@ -60,6 +55,22 @@
     res
 }
 
+async fn handle(
+    ctx: &Rc<Context>,
+    req: Request<Incoming>,
+) -> CallerResponse<impl Stream<Item = Result<Frame<Bytes>, Cut>>> {
+    let running = Running::begin(ctx);
+    match accept(ctx, req).await {
+        Ok(job) => run(ctx, job, running).await,
+        Err(reason) => reject(ctx, reason),
+    }
+}
+
+fn reject<S>(ctx: &Context, reason: Reject) -> CallerResponse<S> {
+    log_rejected(ctx, reason);
+    CallerResponse::Full(reason.response())
+}
+
 fn count_ended(ctx: &Context, service: &str, status: StatusCode, reason: &'static str) {
     let labels = RequestLabels {
         service: service.to_owned(),
@@ -94,6 +105,14 @@
     }
 }
 
+/// Returns the rejection of a request that has no response when the process exits.
+fn unanswered(attempts: &Attempts) -> Reject {
+    if attempts.sent.get() > 0 {
+        return Reject::Exiting;
+    }
+    Reject::Stopping(crate::base::jitter(stop::RETRY_AFTER))
+}
+
 /// Runs a request.
 async fn run(
     ctx: &Rc<Context>,
@@ -103,15 +122,22 @@
     ctx.count_request(&job.service);
     let attempts = Attempts::new();
     let awaited = Awaited::new(ctx, &job);
-    let result = forward(ctx, &job, &attempts).await;
+    let result = tokio::select! {
+        biased;
+        result = forward(ctx, &job, &attempts) => result,
+        () = ctx.wait_for_exit() => Err(unanswered(&attempts)),
+    };
     awaited.begun();
     match result {
         Ok(Answer::Streaming(response)) => {
             let mut res = Response::new(());
             *res.status_mut() = response.head.status;
             *res.headers_mut() = response_headers(&response.head.headers);
-            let relay = Relay::new(ctx, job, attempts, *response, running);
-            CallerResponse::Stream(res.map(|()| relay.into_stream()))
+            let mut relay = Relay::new(ctx, job, attempts, *response, running);
+            match relay.begin().await {
+                Ok(()) => CallerResponse::Stream(res.map(|()| relay.into_stream())),
+                Err(reject) => reject_ended(ctx, &relay.job, &relay.attempts, reject),
+            }
         }
         Ok(Answer::Complete(res)) => {
             log_ended(ctx, &job, &attempts, res.status(), "answered");
@@ -126,14 +152,22 @@
                 .observe(time);
             CallerResponse::Full(res)
         }
-        Err(reject) => {
-            log_ended(ctx, &job, &attempts, reject.status(), &reject.to_string());
-            count_ended(ctx, job.service.as_str(), reject.status(), reject.reason());
-            CallerResponse::Full(reject.response())
-        }
+        Err(reject) => reject_ended(ctx, &job, &attempts, reject),
     }
 }
 
+/// Rejects a request for which there is no endpoint's response to forward.
+fn reject_ended<S>(
+    ctx: &Context,
+    job: &Job,
+    attempts: &Attempts,
+    reject: Reject,
+) -> CallerResponse<S> {
+    log_ended(ctx, job, attempts, reject.status(), &reject.to_string());
+    count_ended(ctx, job.service.as_str(), reject.status(), reject.reason());
+    CallerResponse::Full(reject.response())
+}
+
 fn log_ended(ctx: &Context, job: &Job, attempts: &Attempts, status: StatusCode, reason: &str) {
     let endpoint = attempts.endpoint();
     let endpoint = endpoint.as_ref().map_or("-", |id| &*id.0);
