--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -30,6 +30,10 @@
 /// Time after which a catalog that was written is in force.
 const APPLIED: Duration = Duration::from_millis(200);
 
+/// Number of chunks of a body, and the pause before each.
+const CHUNKS: usize = 4;
+const CHUNK_PAUSE: Duration = Duration::from_millis(30);
+
 fn limited(version: u64, header_max: usize) -> Catalog {
     let mut out = catalog();
     out.version = CatalogVersion(version);
@@ -109,6 +113,40 @@
     });
 }
 
+/// Guards against a rejection before the end of a body that arrives in chunks, or that its caller holds back until it is
+/// asked for.
+#[test]
+fn rejected_bodies_in_chunks_are_read() {
+    with_head_limit(8 << 10, |_| async {
+        for expect in ["", "Expect: 100-continue\r\n"] {
+            let head = request("/gone/x").replace(
+                "Content-Length: 2\r\nConnection: close\r\n\r\nhi",
+                &format!("Transfer-Encoding: chunked\r\n{expect}\r\n"),
+            );
+            let mut stream = connect(CALLERS).await;
+            let sent = stream.write_all(head.as_bytes()).await;
+            sent.expect("the head is sent");
+            if !expect.is_empty() {
+                let mut part = [0; 1024];
+                let len = stream.read(&mut part).await.expect("it goes on");
+                let got = String::from_utf8_lossy(&part[..len]);
+                assert!(got.contains(" 100 "), "`{got}`");
+            }
+            for _ in 0..CHUNKS {
+                sleep(CHUNK_PAUSE).await;
+                let sent = stream.write_all(b"2\r\nhi\r\n").await;
+                sent.expect("a chunk is sent");
+            }
+            let sent = stream.write_all(b"0\r\n\r\n").await;
+            sent.expect("the last chunk is sent");
+            let mut part = [0; 1024];
+            let len = stream.read(&mut part).await.expect("a response");
+            let got = String::from_utf8_lossy(&part[..len]);
+            assert!(got.contains(" 404 "), "`{got}`");
+        }
+    });
+}
+
 /// Guards against a closed connection without a response when the handler of a request panics.
 #[test]
 fn panic_of_a_handler_is_answered() {
--- a/tests/catalog_change.rs
+++ b/tests/catalog_change.rs
@@ -416,20 +416,28 @@
         script
     };
     with_operator(pick, |operator| async move {
-        let mut callers = Vec::new();
-        for i in 0..CALLS {
-            let path = ["/once/x", "/safe/x", "/stream/x"][i % 3];
-            callers.push(spawn_local(send_request_of(path)));
-            if i == CALLS / 2 {
-                std::thread::sleep(DECODING);
-                operator.store.write(Topic::Operator, "config", "same");
+        for limit in [Millis(3000), Millis(500)] {
+            let change = |c: &mut Catalog| edit_routes(c, |r| r.timeout = limit);
+            operator.apply(change).await;
+            // The timeout of some requests ends while the thread is kept.
+            let ends = limit.duration() < DECODING;
+            let paths = ["/once/x", "/safe/x", "/stream/x"];
+            let paths = &paths[..if ends { 2 } else { 3 }];
+            let mut callers = Vec::new();
+            for i in 0..CALLS {
+                callers.push(spawn_local(send_request_of(paths[i % paths.len()])));
+                if i == CALLS / 2 {
+                    std::thread::sleep(DECODING);
+                    operator.store.write(Topic::Operator, "config", "same");
+                }
+                sleep(CALL_PAUSE).await;
+            }
+            for caller in callers {
+                let got = caller.await.expect("the caller ends");
+                let answered = got.ends_with("yes") || got.ends_with("0\r\n\r\n");
+                let rejected = got.contains(" 503 ") || (ends && got.contains(" 504 "));
+                assert!(answered || rejected, "{limit}: `{got}`");
             }
-            sleep(CALL_PAUSE).await;
-        }
-        for caller in callers {
-            let got = caller.await.expect("the caller ends");
-            let answered = got.ends_with("yes") || got.ends_with("0\r\n\r\n");
-            assert!(answered || got.contains(" 503 "), "`{got}`");
         }
     });
 }
