fix(http): a peer that acknowledges keeps its connection while it does not read

Callers saw 502 for a long request whose endpoint paused for longer than 1.2 s while it read it, although it was at work and would have answered.

Cause: entries notice dark hosts by the kernel's user timeout of 1.2 s, and the kernel counts it for a closed receive window, too, whether the peer acknowledges the probes of the window or not. It does not tell silence of a process from that of a host.

Change: while a send is blocked, or more than 8 KiB were sent without a response, the connection's own task reads the kernel's report (`TCP_INFO`) each 0.2 s. If the last segment or probe was acknowledged, the peer is present, and the user timeout is moved to 1.2 s from then; if not, it stays, and the kernel or the task ends the connection. The kernel sends its next probe before the user timeout is over, so a long pause does not space out the probes. Without a report, or if an option cannot be set, the timeout stays as it is. Other requests cost nothing. `decide/silence.rs` judges; `libc`, which was among the locked dependencies, is used for the one call.

It holds for all connections that are opened with `http::connect`: entries and agents to endpoints, to each other, to the origin and to the store. Accepted connections keep their timeout of 31 s.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,4 +13,5 @@
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod silence;
 pub mod stop;
--- a/src/http/connect.rs
+++ b/src/http/connect.rs
@@ -16,11 +16,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
-use crate::base::Millis;
-
-/// Time without an acknowledgement after which the kernel ends a connection. A round trip between regions takes a few
-/// milliseconds; one lost packet is sent again within this time.
-const SILENCE: Duration = Duration::from_millis(1200);
+use super::guarded::Guarded;
+use crate::{base::Millis, decide::silence::SILENCE};
 
 /// Time without traffic after which the kernel probes the peer, and time between its probes.
 const PROBE: Duration = Duration::from_secs(1);
@@ -92,10 +89,10 @@
     let stream = tokio::time::timeout(limit.duration(), TcpStream::connect(addr))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    harden(&stream, SILENCE)?;
+    harden(&stream, SILENCE.duration())?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(BUFFER)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(Guarded::new(stream)))
         .await
         .map_err(io::Error::other)?;
     tokio::task::spawn_local(async move {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,8 +2,10 @@
 
 mod call;
 mod connect;
+mod guarded;
 mod pool;
 mod server;
+mod tcp_info;
 
 pub use call::{call, call_once, get, CallError, BODY_MAX};
 pub use connect::{connect, Connection};
