fix(http): a connection that closes with unread bytes keeps its last response

Callers saw a reset connection and a part of a response, or none: where a caller has sent a request behind the one whose response closes the connection (each response of a stopping entry does), and where a request is rejected before its body is read (401, 404, 413).

Cause: the kernel resets a connection that is closed with unread bytes, or that gets bytes after it was closed, and drops what was not delivered of the response.

Change: accepted connections end in two steps. The entry first says that nothing follows, then it reads and drops what arrives until its peer has closed the connection, for 1 s at most. Requests among these bytes are not passed on.

Why it works: with all bytes read, the close resets nothing, and the kernel delivers the response even after the process has ended. The shutdown of a server waits for these ends as for responses; a stop is bounded by its exit as before.

--- /dev/null
+++ b/src/http/lingering.rs
@@ -0,0 +1,97 @@
+//! An accepted connection that closes without losing its last response.
+//!
+//! The kernel resets a connection that is closed with unread bytes, and drops what it has not delivered of the response.
+//! Such bytes are a body that its request was rejected without, or a request behind the last one that is served.
+
+use std::{
+    future::Future,
+    io,
+    pin::Pin,
+    task::{ready, Context, Poll},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{sleep, Sleep},
+};
+
+use crate::base::Millis;
+
+/// Longest time for which a connection is read after its last response, until its peer closes it.
+const LINGER: Millis = Millis(1000);
+
+/// Bytes that are read at once after the last response.
+const PART: usize = 4096;
+
+/// An accepted connection. Its end tells the peer that nothing follows, and then reads and drops what the peer sends.
+#[derive(Debug)]
+pub(super) struct Lingering {
+    stream: TcpStream,
+    /// Time until which it is read; `None` while it is in use.
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Lingering {
+    pub(super) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            timer: None,
+        }
+    }
+}
+
+impl AsyncRead for Lingering {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Lingering {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.timer.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+        }
+        let timer = this
+            .timer
+            .get_or_insert_with(|| Box::pin(sleep(LINGER.duration())));
+        while timer.as_mut().poll(cx).is_pending() {
+            let mut part = [0; PART];
+            let mut part = ReadBuf::new(&mut part);
+            let read = ready!(Pin::new(&mut this.stream).poll_read(cx, &mut part));
+            if read.is_err() || part.filled().is_empty() {
+                break;
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod connect;
 mod guarded;
+mod lingering;
 mod pool;
 mod server;
 mod tcp_info;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpListener, sync::watch};
 
-use super::connect::harden;
+use super::{connect::harden, lingering::Lingering};
 use crate::{base::Millis, decide::stop::SETTLE};
 
 /// Time to wait after the system refused to accept a connection, for example for lack of descriptors.
@@ -125,7 +125,7 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(options.header_timeout.duration())
                 .max_buf_size(options.header_max.max(8192))
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(Lingering::new(stream)), service);
             let (alive, closing) = (alive.clone(), closed.clone());
             tokio::task::spawn_local(async move {
                 let _alive = alive;
--- a/tests/stop_arrivals.rs
+++ b/tests/stop_arrivals.rs
@@ -127,6 +127,35 @@
     });
 }
 
+/// Guards against a response that is lost because a caller has sent further requests behind its own, which a stopping entry
+/// does not read or does not pass on.
+#[test]
+fn requests_behind_another_do_not_end_its_response() {
+    with_entry(|seen| async move {
+        signal_self("TERM");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let size = format!("X-Size: {LONG}\r\nX-Takes: 400\r\nX-Deadline");
+        let first = text_of("first", 5000).replace("X-Deadline", &size);
+        let mut stream = connect().await;
+        let text = first + &text_of("second", 5000);
+        stream.write_all(text.as_bytes()).await.expect("it is sent");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let more = text_of("third", 5000).replace("Content-Length: 2", "Content-Length: 60000");
+        let more = more + &"x".repeat(60_000);
+        stream.write_all(more.as_bytes()).await.expect("it is sent");
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        let (response, whole) = read_all(&mut stream).await;
+        let body = response.split_once("\r\n\r\n").map_or(0, |(_, b)| b.len());
+        assert!(body >= LONG, "{body} of {LONG} bytes, whole {whole}");
+        for id in ["second", "third"] {
+            assert!(
+                !arrived(std::slice::from_ref(&seen), id),
+                "{id} was passed on"
+            );
+        }
+    });
+}
+
 /// Guards against a response that a slow caller has not read when the connections of a stopping entry close.
 #[test]
 fn slow_reader_gets_whole_response() {
