--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,5 +13,6 @@
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod silence;
 pub mod stop;
 pub mod supersede;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,9 +3,12 @@
 mod call;
 mod connect;
 mod framing;
+mod guarded;
 mod head_timer;
+mod lingering;
 mod pool;
 mod server;
+mod tcp_info;
 
 pub use call::{call, call_once, get, CallError, HeadReceived, BODY_MAX};
 pub use connect::{connect, Connection};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -15,6 +15,7 @@
 use super::{
     connect::harden,
     head_timer::{HeadLimit, HeadTimer},
+    lingering::Lingering,
 };
 use crate::{base::Millis, decide::stop::SETTLE};
 
@@ -129,7 +130,7 @@
                 .timer(HeadTimer(limit.clone()))
                 .header_read_timeout(limit.get())
                 .max_buf_size(options().header_max.max(8192))
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(Lingering::new(stream)), service);
             let (alive, closing, options) = (alive.clone(), closed.clone(), options.clone());
             tokio::task::spawn_local(async move {
                 let _alive = alive;
