fix(gateway): callers of HTTP/1.0 get streams with a length

A caller that speaks HTTP/1.0 got a cut stream that looked complete: such callers know no chunks, so the entry ended the stream with the connection, and it closes it in the same way whether the stream was complete or cut.

Change: for them the entry reads the whole stream, up to 2 MiB, and sends it with its length; if it is cut, they get 502 or 504. The platform's callers speak HTTP/1.1; nothing changes for them.

--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -33,7 +33,7 @@
 };
 
 /// Largest response body, in bytes, that is buffered until it is complete.
-const RESPONSE_MAX: usize = 2 << 20;
+pub(super) const RESPONSE_MAX: usize = 2 << 20;
 
 /// Longest time, in seconds, for which one `Retry-After` pauses an endpoint; an endpoint that needs longer sends it
 /// again.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,7 +8,7 @@
 use hyper::{
     body::{Frame, Incoming},
     header::{HeaderValue, CONNECTION, CONTENT_TYPE},
-    Request, Response, StatusCode,
+    Request, Response, StatusCode, Version,
 };
 
 use super::{
@@ -39,14 +39,34 @@
 
 type FullResponse = Response<Full<Bytes>>;
 
+/// What tells a caller that a response is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// The last chunk, or a length.
+    Chunks,
+    /// A length: without one, a response ends with its connection, however that ends.
+    Length,
+}
+
+impl Framing {
+    /// Returns that of a caller that speaks a version of HTTP.
+    fn of(version: Version) -> Self {
+        if version < Version::HTTP_11 {
+            return Self::Length;
+        }
+        Self::Chunks
+    }
+}
+
 /// Handles a caller's request.
 pub(super) async fn respond(
     ctx: Rc<Context>,
     req: Request<Incoming>,
 ) -> Response<Either<Full<Bytes>, StreamBody<impl Stream<Item = Result<Frame<Bytes>, Cut>>>>> {
     let running = Running::begin(&ctx);
+    let framing = Framing::of(req.version());
     let mut res = match accept(&ctx, req).await {
-        Ok(job) => run(&ctx, job, running).await,
+        Ok(job) => run(&ctx, job, running, framing).await,
         Err(reject) => {
             log_rejected(&ctx, reject);
             CallerResponse::Full(reject.response())
@@ -99,6 +119,7 @@
     ctx: &Rc<Context>,
     job: Job,
     running: Running,
+    framing: Framing,
 ) -> CallerResponse<impl Stream<Item = Result<Frame<Bytes>, Cut>>> {
     ctx.count_request(&job.service);
     let attempts = Attempts::new();
@@ -111,8 +132,13 @@
             *res.status_mut() = response.head.status;
             *res.headers_mut() = response_headers(&response.head.headers);
             let mut relay = Relay::new(ctx, job, attempts, *response, running);
-            match relay.begin().await {
-                Ok(()) => CallerResponse::Stream(res.map(|()| relay.into_stream())),
+            let begun = match framing {
+                Framing::Chunks => relay.begin().await.map(|()| None),
+                Framing::Length => relay.collect().await.map(Some),
+            };
+            match begun {
+                Ok(None) => CallerResponse::Stream(res.map(|()| relay.into_stream())),
+                Ok(Some(body)) => CallerResponse::Full(res.map(|()| Full::new(body))),
                 Err(reject) => reject_ended(ctx, &relay.job, &relay.attempts, reject),
             }
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{stream, Stream};
 use hyper::body::Frame;
 
@@ -13,6 +13,7 @@
     catalog::Repeat,
     context::{Context, Running},
     endpoint_table::EndpointId,
+    evaluate::RESPONSE_MAX,
     events::EventId,
     load_view::Outcome,
     log_event, metrics,
@@ -108,13 +109,36 @@
     pub(super) async fn begin(&mut self) -> Result<(), Reject> {
         match self.next().await {
             Some(Ok(first)) => self.first = Some(first),
-            Some(Err(Cut)) if self.ctx.now() >= self.job.deadline => return Err(Reject::TimedOut),
-            Some(Err(Cut)) => return Err(Reject::Lost),
+            Some(Err(Cut)) => return Err(self.reject()),
             None => {}
         }
         Ok(())
     }
 
+    /// Reads the whole stream, for a caller that could not tell its early end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection with which the entry responds if the stream is cut or too large.
+    pub(super) async fn collect(&mut self) -> Result<Bytes, Reject> {
+        let mut body = BytesMut::new();
+        while let Some(data) = self.next().await {
+            body.extend_from_slice(&data.map_err(|Cut| self.reject())?);
+            if body.len() > RESPONSE_MAX {
+                return Err(Reject::Lost);
+            }
+        }
+        Ok(body.freeze())
+    }
+
+    /// Returns the rejection of a request whose stream was cut.
+    fn reject(&self) -> Reject {
+        if self.ctx.now() >= self.job.deadline {
+            return Reject::TimedOut;
+        }
+        Reject::Lost
+    }
+
     /// Returns the body of the response to the caller.
     pub(super) fn into_stream(self) -> impl Stream<Item = Result<Frame<Bytes>, Cut>> {
         stream::unfold(self, |mut relay| async move {
--- a/tests/early_ends/main.rs
+++ b/tests/early_ends/main.rs
@@ -203,6 +203,18 @@
     }
 }
 
+/// Guards against a stream that ends early and looks complete to a caller that knows no chunks: without a length, all that
+/// tells it the end of a response is that of the connection.
+#[test]
+fn callers_of_http_1_0_get_whole_streams() {
+    let mut table = Table::default();
+    let text = request("/stream/x").replace("HTTP/1.1", "HTTP/1.0");
+    for (tail, expected) in [(LAST_CHUNK, stream(2)), ("", lost())] {
+        let played = play_all(1, vec![events(1..=2, tail)], std::slice::from_ref(&text));
+        table.check(tail, &played, &expected, 1);
+    }
+}
+
 /// Guards against a response that ends early on a connection that was used before and is taken for whole, or whose
 /// request is not sent once more although it met the end of the connection and may be.
 #[test]
