refactor(gateway): names of the search for a stream's next endpoint

`Waiting` was also the view of streams that do not wait, for the log: `StreamView`. `Contribution` is the result of one source: `SourceResult`; `replace` replaces nothing but schedules: `schedule_replacement`; `numbered` makes an attempt: `make_attempt`.

--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -101,7 +101,7 @@
 }
 
 /// Makes the attempt with this number.
-async fn numbered(
+async fn make_attempt(
     ctx: &Rc<Context>,
     job: &Job,
     attempts: &Attempts,
@@ -125,7 +125,7 @@
     let mut ended = Ended::default();
     let mut race = FuturesUnordered::new();
     let mut newest = 1;
-    race.push(numbered(ctx, job, attempts, newest));
+    race.push(make_attempt(ctx, job, attempts, newest));
     loop {
         let result = tokio::select! {
             biased;
@@ -134,7 +134,7 @@
                 match ended.may_join(ctx, job, attempts) {
                     Repetition::Allowed if has_room(ctx, job, attempts) => {
                         newest += 1;
-                        race.push(numbered(ctx, job, attempts, newest));
+                        race.push(make_attempt(ctx, job, attempts, newest));
                     }
                     Repetition::Allowed | Repetition::NoBudget => {
                         attempts.schedule(ctx.now() + RETRY_INTERVAL);
@@ -169,6 +169,6 @@
             return ended.answer(Reject::Refused(wait));
         }
         newest += 1;
-        race.push(numbered(ctx, job, attempts, newest));
+        race.push(make_attempt(ctx, job, attempts, newest));
     }
 }
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -22,9 +22,9 @@
 };
 use crate::base::Millis;
 
-/// A stream that waits for its next event.
+/// A stream, as far as its caller has it.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Waiting<'a> {
+pub(super) struct StreamView<'a> {
     pub(super) ctx: &'a Rc<Context>,
     pub(super) job: &'a Job,
     pub(super) attempts: &'a Attempts,
@@ -42,8 +42,9 @@
     pub(super) resumed: bool,
 }
 
-/// What an endpoint brought.
-enum Contribution {
+/// Result of an endpoint that may go on with a stream.
+enum SourceResult {
+    /// What was read of its response.
     Read(Box<Source>, ReadResult),
     /// Its response cannot be used.
     Unusable,
@@ -52,24 +53,24 @@
     Refused(Refusal),
 }
 
-impl Waiting<'_> {
+impl StreamView<'_> {
     /// Reads the next events of an endpoint: of `source`, or else of one that is to continue the stream.
-    async fn contribution(self, number: u32, source: Option<Source>) -> (u32, Contribution) {
+    async fn read_source(self, number: u32, source: Option<Source>) -> (u32, SourceResult) {
         let mut source = match source {
             Some(source) => Box::new(source),
             None => match self.attempt().await {
                 Ok(source) => source,
-                Err(contribution) => return (number, contribution),
+                Err(result) => return (number, result),
             },
         };
         let mut result = source.read(self.ctx, self.job, self.job.deadline).await;
         while matches!(result, ReadResult::Comments(_)) {
             result = source.read(self.ctx, self.job, self.job.deadline).await;
         }
-        (number, Contribution::Read(source, result))
+        (number, SourceResult::Read(source, result))
     }
 
-    async fn attempt(self) -> Result<Box<Source>, Contribution> {
+    async fn attempt(self) -> Result<Box<Source>, SourceResult> {
         let Self { ctx, attempts, .. } = self;
         attempts.schedule(Millis::MAX);
         match attempt(ctx, self.job, attempts, self.last).await {
@@ -77,9 +78,9 @@
                 attempts.schedule(ctx.now() + EVENT_TIMEOUT);
                 Ok(Box::new(Source::new(ctx, *response, self.last)))
             }
-            Ok(Attempt::TimedOut) => Err(Contribution::DeadlinePassed),
-            Ok(_) => Err(Contribution::Unusable),
-            Err(refusal) => Err(Contribution::Refused(refusal)),
+            Ok(Attempt::TimedOut) => Err(SourceResult::DeadlinePassed),
+            Ok(_) => Err(SourceResult::Unusable),
+            Err(refusal) => Err(SourceResult::Refused(refusal)),
         }
     }
 
@@ -93,18 +94,18 @@
         let mut race = FuturesUnordered::new();
         let mut newest = 0;
         if present.is_some() {
-            race.push(self.contribution(newest, present));
+            race.push(self.read_source(newest, present));
         }
         attempts.schedule(ctx.now());
         loop {
-            let (number, contribution) = tokio::select! {
+            let (number, result) = tokio::select! {
                 biased;
-                Some(contribution) = race.next() => contribution,
+                Some(result) = race.next() => result,
                 () = attempts.due(ctx) => {
                     match may_repeat(ctx, self.job, attempts, true) {
                         Repetition::Allowed if has_room(ctx, self.job, attempts) => {
                             newest += 1;
-                            race.push(self.contribution(newest, None));
+                            race.push(self.read_source(newest, None));
                         }
                         Repetition::Allowed => self.try_later(race.is_empty())?,
                         _ if race.is_empty() => return Err("no attempt left"),
@@ -114,7 +115,7 @@
                     continue;
                 }
             };
-            if let Contribution::Read(source, result) = contribution {
+            if let SourceResult::Read(source, result) = result {
                 let empty = matches!(result, ReadResult::End) && !source.has_begun();
                 if empty && !race.is_empty() {
                     // Another endpoint is still at work on the stream, so that this may not be its end.
@@ -132,15 +133,15 @@
                 match result {
                     ReadResult::DeadlinePassed => return Err("deadline"),
                     ReadResult::Quarantined => self.give_up(race.is_empty())?,
-                    _ => self.replace(number == newest || race.is_empty()),
+                    _ => self.schedule_replacement(number == newest || race.is_empty()),
                 }
                 continue;
             }
-            match contribution {
-                Contribution::DeadlinePassed => return Err("deadline"),
-                Contribution::Refused(Refusal::Quarantined(_)) => self.give_up(race.is_empty())?,
-                Contribution::Refused(_) => self.try_later(race.is_empty())?,
-                _ => self.replace(number == newest || race.is_empty()),
+            match result {
+                SourceResult::DeadlinePassed => return Err("deadline"),
+                SourceResult::Refused(Refusal::Quarantined(_)) => self.give_up(race.is_empty())?,
+                SourceResult::Refused(_) => self.try_later(race.is_empty())?,
+                _ => self.schedule_replacement(number == newest || race.is_empty()),
             }
         }
     }
@@ -157,7 +158,7 @@
     }
 
     /// Looks for another endpoint at once, unless a newer attempt is in place of the one that ended.
-    fn replace(self, needed: bool) {
+    fn schedule_replacement(self, needed: bool) {
         if needed {
             self.attempts.schedule(self.ctx.now());
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,7 +19,7 @@
     log_event, metrics,
     reply::Reject,
     source::{ReadResult, Source, EVENT_TIMEOUT},
-    standby::{Next, Waiting},
+    standby::{Next, StreamView},
 };
 use crate::emit;
 
@@ -51,12 +51,12 @@
 
 /// Logs and counts what happened to a stream; `endpoint` is the one that it concerns.
 pub(super) fn log_stream(
-    stream: Waiting<'_>,
+    stream: StreamView<'_>,
     endpoint: Option<&EndpointId>,
     outcome: &'static str,
     reason: &str,
 ) {
-    let Waiting {
+    let StreamView {
         ctx, job, attempts, ..
     } = stream;
     let label = metrics::OutcomeLabel { outcome };
@@ -202,12 +202,12 @@
         let result = source.read(&self.ctx, &self.job, until).await;
         let present = match result {
             ReadResult::Silent => {
-                log_stream(self.waiting(), Some(&source.target.id), "silent", "-");
+                log_stream(self.view(), Some(&source.target.id), "silent", "-");
                 source.target.flight.set_silent(true);
                 Some(source)
             }
             ReadResult::Broken(reason) => {
-                log_stream(self.waiting(), Some(&source.target.id), "broken", reason);
+                log_stream(self.view(), Some(&source.target.id), "broken", reason);
                 source.end(&self.ctx, Outcome::Failed);
                 None
             }
@@ -223,7 +223,7 @@
             mut source,
             result,
             resumed,
-        } = self.waiting().next(present).await?;
+        } = self.view().next(present).await?;
         source.target.flight.set_silent(false);
         self.source = Some(source);
         if resumed {
@@ -232,8 +232,8 @@
         Ok(result)
     }
 
-    fn waiting(&self) -> Waiting<'_> {
-        Waiting {
+    fn view(&self) -> StreamView<'_> {
+        StreamView {
             ctx: &self.ctx,
             job: &self.job,
             attempts: &self.attempts,
@@ -264,7 +264,7 @@
 
     fn log(&self, outcome: &'static str, reason: &str) {
         let endpoint = self.source.as_ref().map(|s| &s.target.id);
-        log_stream(self.waiting(), endpoint, outcome, reason);
+        log_stream(self.view(), endpoint, outcome, reason);
     }
 
     /// Ends the present source.
