--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{stream, Stream};
 use hyper::body::Frame;
 
@@ -13,12 +13,13 @@
     catalog::Repeat,
     context::{Context, Running},
     endpoint_table::EndpointId,
+    evaluate::RESPONSE_MAX,
     events::EventId,
     load_view::Outcome,
     log_event, metrics,
     reply::Reject,
     source::{ReadResult, Source, EVENT_TIMEOUT},
-    standby::{Next, Waiting},
+    standby::{Next, StreamView},
 };
 use crate::emit;
 
@@ -50,12 +51,12 @@
 
 /// Logs and counts what happened to a stream; `endpoint` is the one that it concerns.
 pub(super) fn log_stream(
-    stream: Waiting<'_>,
+    stream: StreamView<'_>,
     endpoint: Option<&EndpointId>,
     outcome: &'static str,
     reason: &str,
 ) {
-    let Waiting {
+    let StreamView {
         ctx, job, attempts, ..
     } = stream;
     let label = metrics::OutcomeLabel { outcome };
@@ -108,13 +109,36 @@
     pub(super) async fn begin(&mut self) -> Result<(), Reject> {
         match self.next().await {
             Some(Ok(first)) => self.first = Some(first),
-            Some(Err(Cut)) if self.ctx.now() >= self.job.deadline => return Err(Reject::TimedOut),
-            Some(Err(Cut)) => return Err(Reject::Lost),
+            Some(Err(Cut)) => return Err(self.reject()),
             None => {}
         }
         Ok(())
     }
 
+    /// Reads the whole stream, for a caller that could not tell its early end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection with which the entry responds if the stream is cut or too large.
+    pub(super) async fn collect(&mut self) -> Result<Bytes, Reject> {
+        let mut body = BytesMut::new();
+        while let Some(data) = self.next().await {
+            body.extend_from_slice(&data.map_err(|Cut| self.reject())?);
+            if body.len() > RESPONSE_MAX {
+                return Err(Reject::Lost);
+            }
+        }
+        Ok(body.freeze())
+    }
+
+    /// Returns the rejection of a request whose stream was cut.
+    fn reject(&self) -> Reject {
+        if self.ctx.now() >= self.job.deadline {
+            return Reject::TimedOut;
+        }
+        Reject::Lost
+    }
+
     /// Returns the body of the response to the caller.
     pub(super) fn into_stream(self) -> impl Stream<Item = Result<Frame<Bytes>, Cut>> {
         stream::unfold(self, |mut relay| async move {
@@ -178,12 +202,12 @@
         let result = source.read(&self.ctx, &self.job, until).await;
         let present = match result {
             ReadResult::Silent => {
-                log_stream(self.waiting(), Some(&source.target.id), "silent", "-");
+                log_stream(self.view(), Some(&source.target.id), "silent", "-");
                 source.target.flight.set_silent(true);
                 Some(source)
             }
             ReadResult::Broken(reason) => {
-                log_stream(self.waiting(), Some(&source.target.id), "broken", reason);
+                log_stream(self.view(), Some(&source.target.id), "broken", reason);
                 source.end(&self.ctx, Outcome::Failed);
                 None
             }
@@ -199,7 +223,7 @@
             mut source,
             result,
             resumed,
-        } = self.waiting().next(present).await?;
+        } = self.view().next(present).await?;
         source.target.flight.set_silent(false);
         self.source = Some(source);
         if resumed {
@@ -208,8 +232,8 @@
         Ok(result)
     }
 
-    fn waiting(&self) -> Waiting<'_> {
-        Waiting {
+    fn view(&self) -> StreamView<'_> {
+        StreamView {
             ctx: &self.ctx,
             job: &self.job,
             attempts: &self.attempts,
@@ -240,7 +264,7 @@
 
     fn log(&self, outcome: &'static str, reason: &str) {
         let endpoint = self.source.as_ref().map(|s| &s.target.id);
-        log_stream(self.waiting(), endpoint, outcome, reason);
+        log_stream(self.view(), endpoint, outcome, reason);
     }
 
     /// Ends the present source.
