test(gateway): the time of a version at an entry that regains the store

regained_store: the reads of one entry fail for 7.5 s, and a version is written meanwhile. The entry counts it from its last read that failed, with an uncertainty that reaches back to the write, and takes the time of the write from the report of another entry.

--- a/tests/version_time.rs
+++ b/tests/version_time.rs
@@ -185,6 +185,26 @@
     panic!("the entry does not learn of version {version}");
 }
 
+/// Tells an entry, as another one, of the age of the version after the one that endpoints hold.
+async fn report_age(entry: SocketAddr, age: Millis, uncertainty: Millis) {
+    let desired = DesiredAge {
+        model: MODEL.to_owned(),
+        version: WeightVersion(HELD + 1),
+        age,
+        uncertainty,
+    };
+    let message = Message::Gossip(Gossip {
+        heartbeats: Vec::new(),
+        desired: vec![desired],
+        in_flight: Vec::new(),
+        leaving: Vec::new(),
+    });
+    let data = postcard::to_stdvec(&message).expect("a datagram");
+    let socket = UdpSocket::bind(addr(9, 0)).await.expect("a socket");
+    socket.send_to(&data, entry).await.expect("it is sent");
+    sleep(Millis(100)).await;
+}
+
 /// Decoder that takes long to decode a configuration.
 struct SlowDecode;
 
@@ -393,22 +413,8 @@
         let written = store.name(HELD + 1);
         check(entry, HELD + 1, written, Millis(400)).await;
         let before = assignment(entry).await;
-        let desired = DesiredAge {
-            model: MODEL.to_owned(),
-            version: WeightVersion(HELD + 1),
-            age: Millis::from(written.elapsed()) + Millis(1500),
-            uncertainty: Millis::ZERO,
-        };
-        let message = Message::Gossip(Gossip {
-            heartbeats: Vec::new(),
-            desired: vec![desired],
-            in_flight: Vec::new(),
-            leaving: Vec::new(),
-        });
-        let data = postcard::to_stdvec(&message).expect("a datagram");
-        let socket = UdpSocket::bind(addr(9, 0)).await.expect("a socket");
-        socket.send_to(&data, entry).await.expect("it is sent");
-        sleep(Millis(100)).await;
+        let age = Millis::from(written.elapsed()) + Millis(1500);
+        report_age(entry, age, Millis::ZERO).await;
         let after = assignment_after(entry, before.tag).await;
         let truth = Millis::from(written.elapsed()) + Millis(1500);
         let age = after.desired.first().map(|d| d.age);
@@ -440,3 +446,33 @@
         check(addr(2, 8004), HELD + 1, written, Millis(400)).await;
     });
 }
+
+/// Guards against a version that is enforced at once at an entry that regains the store, and against one whose time
+/// stays that of the end of the outage although another entry knows the time of the write.
+#[test]
+fn regained_store() {
+    run_local(async {
+        let store = HarshStore::default();
+        store.state.wait_max.set(Some(Millis(300)));
+        let entry = store.start_entry().await;
+        store.state.rejects.set(true);
+        sleep(Millis(3000)).await;
+        let written = store.name(HELD + 1);
+        sleep(Millis(4500)).await;
+        store.state.rejects.set(false);
+        let known = loop {
+            let known = assignment(entry).await;
+            if known.newest == Some(WeightVersion(HELD + 1)) {
+                break known;
+            }
+            sleep(Millis(20)).await;
+        };
+        let found = known.desired.first().expect("a known age").clone();
+        // It counts from the last read that failed, and what is not known of it is told.
+        assert!(found.age <= Millis(1000), "{}", found.age);
+        assert!(found.age + found.uncertainty >= Millis::from(written.elapsed()));
+        let age = Millis::from(written.elapsed());
+        report_age(entry, age, Millis(100)).await;
+        check(entry, HELD + 1, written, Millis(100)).await;
+    });
+}
