--- a/tests/extreme_records.rs
+++ b/tests/extreme_records.rs
@@ -1,30 +1,24 @@
 //! Records and messages with extreme values, and any bytes in place of messages: no panic in the tables, the schedule and
 //! the choice of endpoints.
 
+mod table_support;
+
 use proptest::{collection::vec, prelude::*};
 use sesamewing::{
     base::{HashSet, Millis, Zone},
     gateway::{
         self, Assignment, DesiredVersions, EndpointId, EndpointQuery, EndpointRecord,
         EndpointTable, EndpointUpdate, Heartbeat, LoadBalancer, LoadSchedule, Message, Outcome,
-        ReportedLoad, Revision, TableDelta, WeightRequirement, WeightVersion,
+        ReportedLoad, TableDelta, WeightRequirement, WeightVersion,
     },
 };
+use table_support::id;
 
-fn id(text: &str) -> EndpointId {
-    text.parse().expect("any text is an id")
-}
-
+/// Returns the record of an endpoint with weights.
 fn record(born: u64, sequence: u64) -> EndpointRecord {
     EndpointRecord {
-        service: "llm".parse().expect("a valid name"),
-        addr: "10.0.0.1:80".parse().expect("a valid address"),
-        zone: "a".parse().expect("a valid name"),
-        slots: 4,
-        draining: false,
-        cold: Millis::ZERO,
         models: vec![("m".into(), WeightVersion(1))],
-        revision: Revision { born, sequence },
+        ..table_support::record(born, sequence)
     }
 }
 
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -1,29 +1,12 @@
 //! Endpoint table: order of records, outages of the store, tentative removals, and replication between entries.
 
+mod table_support;
+
 use sesamewing::{
     base::{HashSet, Millis},
-    gateway::{
-        Change, EndpointId, EndpointRecord, EndpointTable, EndpointUpdate, Revision, WeightVersion,
-        RENEWAL,
-    },
+    gateway::{Change, EndpointRecord, EndpointTable, EndpointUpdate, WeightVersion, RENEWAL},
 };
-
-fn id(text: &str) -> EndpointId {
-    text.parse().expect("any text is an id")
-}
-
-fn record(born: u64, sequence: u64) -> EndpointRecord {
-    EndpointRecord {
-        service: "llm".parse().expect("a valid name"),
-        addr: "10.0.0.1:80".parse().expect("a valid address"),
-        zone: "a".parse().expect("a valid name"),
-        slots: 4,
-        draining: false,
-        cold: Millis::ZERO,
-        models: Vec::new(),
-        revision: Revision { born, sequence },
-    }
-}
+use table_support::{id, record};
 
 /// Guards against a delayed write of an older record that replaces a newer one.
 #[test]
