--- a/tests/silent_rollout.rs
+++ b/tests/silent_rollout.rs
@@ -3,16 +3,19 @@
 
 mod gateway_support;
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use gateway_support::{
     addr,
-    gateway::{catalog, settings, start_with, CALLERS, HELD, MODEL},
+    gateway::{catalog, route, settings, start_with, CALLERS, HELD, MODEL},
     header, run_local, send_request, set_catalog, MemoryStore,
 };
 use sesamewing::{
     base::{Clock, Millis, Service, SystemClock},
-    gateway::{EngineSpeed, Topic},
+    gateway::{EngineSpeed, Repeat, Topic},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -205,3 +208,63 @@
 fn silence_of_two_seconds_begins_nothing_late() {
     check_silence(Millis(2000), Millis(100));
 }
+
+/// Time for which a request waits at an endpoint that drops it if its connection is closed meanwhile.
+const QUEUED: Millis = Millis(5600);
+
+/// Guards against requests that begin on an older version after the bound, because they were sent before the newer one
+/// became known and waited since: they have no time by which they must begin.
+#[test]
+fn request_from_before_the_version_begins_nothing_late() {
+    run_local(async {
+        let clock = SystemClock::start();
+        let mut catalog = catalog();
+        let service: Service = "plain".parse().expect("a valid name");
+        let spec = catalog.services.get_mut(&service).expect("the service");
+        spec.engine = Some(EngineSpeed {
+            slots: 100,
+            step_ms: 1.0,
+            sequence_ms: 0.0,
+            prompt_rate: 1000.0,
+        });
+        let mut slow = route("/slow/", Repeat::Once);
+        slow.timeout = Millis(9000);
+        catalog.add_route("h.example", slow);
+        set_catalog(catalog);
+        let begun = Rc::new(Cell::new(None));
+        let listener = TcpListener::bind(addr(10, 9000)).await.expect("an address");
+        let noted = begun.clone();
+        spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let queued = async {
+                let mut part = [0; 4096];
+                while stream.read(&mut part).await.is_ok_and(|read| read > 0) {}
+            };
+            if tokio::time::timeout(QUEUED.duration(), queued)
+                .await
+                .is_err()
+            {
+                noted.set(Some(clock.now()));
+            }
+        });
+        let store = MemoryStore::default();
+        let record = format!("plain {} a {MODEL} {HELD}", addr(10, 9000));
+        store.write(Topic::Endpoints, "e10", &record);
+        store.write(Topic::Operator, "config", "1");
+        let mut settings = settings();
+        settings.bounds.version = BOUND;
+        start_with(settings, store.clone()).await;
+        let text = format!(
+            "POST /slow/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 8000\r\n\
+             X-Workspace-Key: key\r\nX-Model: {MODEL}\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi"
+        );
+        let request = spawn_local(async move { send_request(addr(1, CALLERS), &text, 9000).await });
+        tokio::time::sleep(Millis(100).duration()).await;
+        store.write(Topic::Operator, MODEL, &(HELD + 1).to_string());
+        let end = clock.now() + BOUND;
+        tokio::time::sleep((BOUND + Millis(1000)).duration()).await;
+        request.abort();
+        let late = begun.get().map(|at| at - end);
+        assert_eq!(late, None, "the request began after the bound");
+    });
+}
