test(staging): an order that lies unread at a silent endpoint loads chunks of a newer version

Fails: after an order without a response within 1.5 s the agent stages the next version over the chunks of the order. silent_orders staged_chunks_stay_while_an_order_is_unread: (ordered, staged): [(2, 3), (3, 3)].

--- /dev/null
+++ b/tests/silent_orders.rs
@@ -0,0 +1,258 @@
+//! Orders to load weights that lie in the socket of a silent endpoint.
+
+mod gateway_support;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap as RegionMap,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use bytes::Bytes;
+use gateway_support::{addr, run_local, set_catalog, MemoryStore, TestDecode};
+use sesamewing::{
+    base::{Clock, Digest, Millis, Rate, Size, SystemClock},
+    gateway::{
+        Catalog, CatalogVersion, EngineSpeed, OriginSpec, ServiceSpec, ServiceWeights, Topic,
+        WeightVersion,
+    },
+    staging::{
+        self, AgentSettings, EndpointHost, HostError, HostReport, LoadResponse, Manifest, Origin,
+    },
+};
+use sha2::{Digest as _, Sha256};
+use tokio::task::spawn_local;
+
+const CHUNK: usize = 8 << 10;
+
+/// Time after which a desired version is enforced; its load starts at 42 % of that.
+const BOUND: Millis = Millis(4000);
+
+/// Time after which an agent without entries reads the store.
+const READING: Millis = Millis(3000);
+
+/// Longest time until the endpoint has loaded what it was ordered to load.
+const LOADED_MAX: Millis = Millis(8000);
+
+/// Silence of the endpoint, which begins as an order reaches its socket.
+const SILENCE: Millis = Millis(1950);
+
+/// Longest time that the agent waits for a response of the endpoint.
+const TIMEOUT: Millis = Millis(1500);
+
+/// Time after the silence at which the endpoint reads the order, after what other connections brought.
+const ORDER_READ: Millis = Millis(15);
+
+/// Time of a call to the endpoint while it is not silent.
+const CALL_TIME: Millis = Millis(10);
+
+/// Time after the load of the last version in which no further order may come.
+const SETTLED: Millis = Millis(500);
+
+fn content(version: u64) -> Bytes {
+    Bytes::from(vec![version as u8; CHUNK])
+}
+
+/// Endpoint in memory with one chunk, which is silent once, as the order to load a version arrives.
+#[derive(Clone)]
+struct Engine(Rc<EngineState>);
+
+struct EngineState {
+    clock: SystemClock,
+    store: MemoryStore,
+    staged: RefCell<Option<Bytes>>,
+    loaded: Cell<u64>,
+    /// End of the silence.
+    silent_until: Cell<Millis>,
+    /// Whether there was a silence.
+    was_silent: Cell<bool>,
+    /// Versions ordered, each with the version of the chunk that was staged as the order was accepted.
+    orders: RefCell<Vec<(u64, u64)>>,
+}
+
+impl EngineState {
+    /// Runs what a call asks for once the endpoint reads it, whether the caller still waits or not.
+    async fn call<T: 'static>(
+        self: &Rc<Self>,
+        delay: Millis,
+        work: impl FnOnce(&Self) -> T + 'static,
+    ) -> Result<T, HostError> {
+        let state = self.clone();
+        let run = spawn_local(async move {
+            let left = state.silent_until.get() - state.clock.now();
+            let time = if left > Millis::ZERO {
+                left + delay
+            } else {
+                CALL_TIME
+            };
+            tokio::time::sleep(time.duration()).await;
+            work(&state)
+        });
+        let lost = |_| HostError::Lost("no response".to_owned());
+        let response = tokio::time::timeout(TIMEOUT.duration(), run).await;
+        Ok(response.map_err(lost)?.expect("the call runs"))
+    }
+
+    /// Accepts an order, unless a newer version is loaded.
+    fn accept(&self, version: u64) -> LoadResponse {
+        if version < self.loaded.get() {
+            return LoadResponse::Conflict;
+        }
+        let staged = self.staged.borrow().as_ref().map_or(0, |d| d[0]);
+        self.orders.borrow_mut().push((version, staged.into()));
+        self.loaded.set(version);
+        LoadResponse::Begun
+    }
+}
+
+impl EndpointHost for Engine {
+    async fn report(&self) -> Result<HostReport, HostError> {
+        let report = |state: &EngineState| HostReport {
+            models: vec![(Rc::from("m"), WeightVersion(state.loaded.get()))],
+            busy: false,
+            born: 1,
+        };
+        self.0.call(Millis::ZERO, report).await
+    }
+
+    async fn staged(&self, _: &str) -> Result<Vec<u32>, HostError> {
+        let list = |state: &EngineState| state.staged.borrow().iter().map(|_| 0).collect();
+        self.0.call(Millis::ZERO, list).await
+    }
+
+    async fn read(&self, _: &str, _: u32) -> Result<Option<Bytes>, HostError> {
+        let read = |state: &EngineState| state.staged.borrow().clone();
+        self.0.call(Millis::ZERO, read).await
+    }
+
+    async fn stage(&self, _: &str, _: u32, data: Bytes) -> Result<(), HostError> {
+        let put = |state: &EngineState| {
+            state.staged.replace(Some(data));
+        };
+        self.0.call(Millis::ZERO, put).await
+    }
+
+    async fn load(&self, _: &str, version: WeightVersion) -> Result<LoadResponse, HostError> {
+        if !self.0.was_silent.replace(true) {
+            self.0.silent_until.set(self.0.clock.now() + SILENCE);
+            self.0.store.write(Topic::Operator, "m", "3");
+        }
+        let accept = move |state: &EngineState| state.accept(version.0);
+        self.0.call(ORDER_READ, accept).await
+    }
+}
+
+#[derive(Clone)]
+struct MemoryOrigin;
+
+impl Origin for MemoryOrigin {
+    async fn manifest(
+        &self,
+        _: SocketAddr,
+        _: &str,
+        version: Option<WeightVersion>,
+    ) -> Result<Manifest, HostError> {
+        let version = version.unwrap_or(WeightVersion(1));
+        Ok(Manifest {
+            version,
+            chunk: Size(CHUNK as u64),
+            digests: vec![Digest(Sha256::digest(content(version.0)).into())],
+        })
+    }
+
+    async fn chunk(
+        &self,
+        _: SocketAddr,
+        _: &str,
+        version: WeightVersion,
+        _: u32,
+    ) -> Result<Bytes, HostError> {
+        Ok(content(version.0))
+    }
+}
+
+fn catalog() -> Catalog {
+    let mut out = Catalog {
+        version: CatalogVersion(1),
+        ..Catalog::default()
+    };
+    let spec = ServiceSpec {
+        connections: 10,
+        engine: Some(EngineSpeed {
+            slots: 4,
+            step_ms: 7.0,
+            sequence_ms: 0.0,
+            prompt_rate: 30.0,
+        }),
+        weights: Some(ServiceWeights {
+            models: vec!["m".into()],
+        }),
+        origin: Some(OriginSpec {
+            addr: addr(15, 1),
+            zone: Some("a".parse().expect("a valid name")),
+        }),
+    };
+    let service = "llm".parse().expect("a valid name");
+    out.services.insert(service, spec);
+    out
+}
+
+fn settings() -> AgentSettings {
+    let zone = "a".parse().expect("a valid name");
+    let region = "r".parse().expect("a valid name");
+    AgentSettings {
+        name: "agent-1".parse().expect("a valid name"),
+        regions: RegionMap::from([("a".parse().expect("a valid name"), region)]),
+        zone,
+        service: "llm".parse().expect("a valid name"),
+        peer_addr: addr(1, 7000),
+        bound: BOUND,
+        link_rate: Rate(4_000_000),
+        prefetch: true,
+    }
+}
+
+/// Guards against an endpoint that loads chunks of another version than the ordered one: the order lay unread in its
+/// socket, and the agent took it for not sent and staged a newer version.
+#[test]
+fn staged_chunks_stay_while_an_order_is_unread() {
+    run_local(async {
+        set_catalog(catalog());
+        let store = MemoryStore::default();
+        let engine = Engine(Rc::new(EngineState {
+            clock: SystemClock::start_late(),
+            store: store.clone(),
+            staged: RefCell::default(),
+            loaded: Cell::new(1),
+            silent_until: Cell::default(),
+            was_silent: Cell::default(),
+            orders: RefCell::default(),
+        }));
+        store.write(Topic::Operator, "config", "1");
+        let value = format!("llm {} a m 1", addr(1, 9000));
+        store.write(Topic::Endpoints, "e1", &value);
+        spawn_local(staging::run::<_, TestDecode, _, _>(
+            settings(),
+            store.clone(),
+            engine.clone(),
+            MemoryOrigin,
+        ));
+        tokio::time::sleep(READING.duration()).await;
+        store.write(Topic::Operator, "m", "2");
+        let loaded = async {
+            while engine.0.loaded.get() < 3 {
+                tokio::time::sleep(Millis(10).duration()).await;
+            }
+        };
+        let loaded = tokio::time::timeout(LOADED_MAX.duration(), loaded).await;
+        tokio::time::sleep(SETTLED.duration()).await;
+        let orders = engine.0.orders.borrow().clone();
+        println!("(ordered, staged): {orders:?}");
+        assert!(loaded.is_ok(), "version 3 is not loaded");
+        assert!(
+            orders.iter().all(|(ordered, staged)| ordered == staged),
+            "(ordered, staged): {orders:?}"
+        );
+    });
+}
