test(gateway): agents are not told of corrected ages of versions

Fails: the tag of an assignment leaves out ages, and a reply with the same tag has none. version_time agents_learn_of_corrected_times: the agent is told [].

--- a/tests/version_time.rs
+++ b/tests/version_time.rs
@@ -17,12 +17,15 @@
 use sesamewing::{
     base::{rendezvous, Millis},
     gateway::{
-        Assignment, Catalog, Decode, EndpointRecord, OperatorRecord, Record, RecordStore, Records,
-        ServiceWeights, StoreError, Topic, WeightVersion,
+        Assignment, Catalog, Decode, DesiredAge, EndpointRecord, Gossip, Message, OperatorRecord,
+        Record, RecordStore, Records, ServiceWeights, StoreError, Topic, WeightVersion,
     },
     http::{get, Pool},
 };
-use tokio::task::{spawn_local, LocalSet};
+use tokio::{
+    net::UdpSocket,
+    task::{spawn_local, LocalSet},
+};
 
 /// Delay of the network between the store and an entry, and of the query for the entry's state, on a busy machine.
 const NETWORK: Millis = Millis(60);
@@ -394,3 +397,46 @@
         check(entry, HELD + 1, written, Millis(1500)).await;
     });
 }
+
+/// Guards against hosts that load too late because their agents keep a wrong time of a version, which their entry has
+/// corrected since.
+#[test]
+fn agents_learn_of_corrected_times() {
+    run_local(async {
+        let store = HarshStore::default();
+        let entry = store.start_entry().await;
+        store.name(HELD + 1);
+        sleep(SETTLED).await;
+        let known = assignment(entry).await;
+        // Another entry knew the version before this one.
+        let age = Millis(4000);
+        let report = Message::Gossip(Gossip {
+            heartbeats: Vec::new(),
+            desired: vec![DesiredAge {
+                model: MODEL.to_owned(),
+                version: WeightVersion(HELD + 1),
+                age,
+                uncertainty: Millis::ZERO,
+            }],
+            in_flight: Vec::new(),
+            leaving: Vec::new(),
+        });
+        let socket = UdpSocket::bind(addr(2, 8004)).await.expect("an address");
+        let data = postcard::to_stdvec(&report).expect("a datagram");
+        socket.send_to(&data, entry).await.expect("it is sent");
+        sleep(SETTLED).await;
+        let corrected = assignment(entry).await;
+        assert!(corrected.desired.iter().any(|d| d.age >= age));
+        // An agent that holds the assignment of before asks for changes.
+        let pool = Pool::default();
+        let path = format!("/assignment/plain/a/{}", known.tag);
+        let res = get(&pool, entry, &path, Millis::ZERO, Millis(3000)).await;
+        let told: Assignment =
+            postcard::from_bytes(res.expect("a response").body()).expect("an assignment");
+        assert!(
+            told.desired.iter().any(|d| d.age >= age),
+            "the agent is told {:?}",
+            told.desired
+        );
+    });
+}
