test(gateway): a version counts from late after one slow response

Fails: a read from the end of the log counts as having waited until twice the usual latency before its response. version_time one_slow_response: 1296ms late.

--- a/tests/version_time.rs
+++ b/tests/version_time.rs
@@ -440,3 +440,16 @@
         );
     });
 }
+
+/// Guards against a version that counts from late because one response took longer than those before it, as where it
+/// waits behind the configurations that other processes read.
+#[test]
+fn one_slow_response() {
+    run_local(async {
+        let store = HarshStore::default();
+        let entry = store.start_entry().await;
+        store.state.delay.set(Millis(1500));
+        let written = store.name(HELD + 1);
+        check(entry, HELD + 1, written, Millis(5000)).await;
+    });
+}
