test(gateway): a long prompt begins on an older version after its bound

Fails: the margins take 500 ms for a request to begin, however long its prompt; the endpoint notices the close only as it responds. silent_rollout long_prompt_begins_nothing_late: begun 403 ms after the bound, the caller gets 502.

--- a/tests/silent_rollout.rs
+++ b/tests/silent_rollout.rs
@@ -40,6 +40,8 @@
     clock: SystemClock,
     /// Begin and end of its silence.
     silence: RefCell<(Millis, Millis)>,
+    /// Time to read a prompt.
+    read_time: Cell<Millis>,
     /// When it began each request.
     begun: RefCell<Vec<Millis>>,
 }
@@ -50,6 +52,7 @@
         let out = Rc::new(Self {
             clock,
             silence: RefCell::default(),
+            read_time: Cell::new(READ_TIME),
             begun: RefCell::default(),
         });
         let served = out.clone();
@@ -91,7 +94,7 @@
                 continue;
             }
             data.clear();
-            tokio::time::sleep(READ_TIME.duration()).await;
+            tokio::time::sleep(self.read_time.get().duration()).await;
             self.wait_audible().await;
             self.begun.borrow_mut().push(self.clock.now());
             let id = header(&text, "x-request-id").unwrap_or_default();
@@ -268,3 +271,58 @@
         assert_eq!(late, None, "the request began after the bound");
     });
 }
+
+/// Time to read a long prompt of 3,000 tokens, and the bound in the test of it.
+const LONG_READ: Millis = Millis(3000);
+const LONG_BOUND: Millis = Millis(12_000);
+
+/// Guards against requests that begin on an older version after the bound because reading their prompt takes long, at an
+/// endpoint that notices a closed connection only when it responds.
+#[test]
+fn long_prompt_begins_nothing_late() {
+    run_local(async {
+        let clock = SystemClock::start();
+        let mut catalog = catalog();
+        let service: Service = "plain".parse().expect("a valid name");
+        let spec = catalog.services.get_mut(&service).expect("the service");
+        spec.engine = Some(EngineSpeed {
+            slots: 100,
+            step_ms: 1.0,
+            sequence_ms: 0.0,
+            prompt_rate: 1.0,
+        });
+        let mut slow = route("/slow/", Repeat::Once);
+        slow.timeout = Millis(9000);
+        catalog.add_route("h.example", slow);
+        set_catalog(catalog);
+        let store = MemoryStore::default();
+        let mut endpoints = Vec::new();
+        for n in [10, 11] {
+            let endpoint = Endpoint::start(n, clock).await;
+            endpoint.read_time.set(LONG_READ);
+            endpoints.push(endpoint);
+            let record = format!("plain {} a {MODEL} {HELD}", addr(n, 9000));
+            store.write(Topic::Endpoints, &format!("e{n}"), &record);
+        }
+        store.write(Topic::Operator, "config", "1");
+        let mut settings = settings();
+        settings.bounds.version = LONG_BOUND;
+        start_with(settings, store.clone()).await;
+        store.write(Topic::Operator, MODEL, &(HELD + 1).to_string());
+        let end = clock.now() + LONG_BOUND;
+        let text = format!(
+            "POST /slow/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 8000\r\n\
+             X-Workspace-Key: key\r\nX-Model: {MODEL}\r\nX-Tokens: 3000,10\r\nContent-Length: 2\r\n\
+             Connection: close\r\n\r\nhi"
+        );
+        tokio::time::sleep((end - Millis(2600) - clock.now()).duration()).await;
+        let response = send_request(addr(1, CALLERS), &text, 5000).await;
+        tokio::time::sleep((end + Millis(800) - clock.now()).duration()).await;
+        let begun = endpoints.iter().flat_map(|e| e.begun.borrow().clone());
+        let late: Vec<_> = begun.filter(|at| *at > end).map(|at| at - end).collect();
+        assert!(
+            late.is_empty(),
+            "begun {late:?} after the bound: {response}"
+        );
+    });
+}
