--- a/tests/version_time.rs
+++ b/tests/version_time.rs
@@ -453,3 +453,40 @@
         check(entry, HELD + 1, written, Millis(5000)).await;
     });
 }
+
+/// Guards against a version that counts from late at the entry that takes over, because the response to the read of the
+/// entry before it was lost: that one still reported that it read the store.
+#[test]
+fn lost_response_before_takeover() {
+    run_local(async {
+        let store = HarshStore::default();
+        set_catalog(weights_catalog());
+        store.store.write(Topic::Operator, "config", "1");
+        store.store.write(Topic::Operator, MODEL, &HELD.to_string());
+        let mut entries = Vec::new();
+        for n in 1..=3 {
+            let mut settings = settings_of(n);
+            settings.seeds = (1..=3).map(|n| addr(n, 8004)).collect();
+            let tasks = LocalSet::new();
+            let store = store.clone();
+            let peers = settings.listen.peers;
+            let run = spawn_local(async move {
+                let entry = start_stored::<_, TestDecode>(settings, store);
+                tasks.run_until(entry).await;
+                tasks.await;
+            });
+            entries.push((peers, run.abort_handle()));
+        }
+        sleep(Millis(4000)).await;
+        entries.sort_by_key(|e| rendezvous(b"reader", e.0.to_string().as_bytes()));
+        // The readers do not get the responses to their reads before they end.
+        store.state.delay.set(Millis(5000));
+        let written = store.name(HELD + 1);
+        sleep(Millis(3500)).await;
+        store.state.delay.set(Millis::ZERO);
+        for (_, run) in &entries[..2] {
+            run.abort();
+        }
+        check(entries[2].0, HELD + 1, written, Millis(8000)).await;
+    });
+}
