--- a/tests/version_time.rs
+++ b/tests/version_time.rs
@@ -491,3 +491,73 @@
         check(entry, HELD + 1, written, Millis(400)).await;
     });
 }
+
+/// Guards against a version that counts from later than it did, because all records were read once more: it was read
+/// after a lost response, so that its time is uncertain, and the second read says nothing of a record that was known.
+#[test]
+fn known_version_is_read_again() {
+    run_local(async {
+        let store = HarshStore::default();
+        store.state.wait_max.set(Some(Millis(300)));
+        let entry = store.start_entry().await;
+        store.state.loses.set(true);
+        let written = store.name(HELD + 1);
+        check(entry, HELD + 1, written, Millis(1500)).await;
+        // The next read finds the log trimmed, and all records are read.
+        store.state.first.set(u64::MAX);
+        sleep(Millis(400)).await;
+        store.state.first.set(0);
+        sleep(SETTLED).await;
+        check(entry, HELD + 1, written, Millis(1500)).await;
+    });
+}
+
+/// Guards against a version that counts from late because one response took longer than those before it, as where it
+/// waits behind the configurations that other processes read.
+#[test]
+fn one_slow_response() {
+    run_local(async {
+        let store = HarshStore::default();
+        let entry = store.start_entry().await;
+        store.state.delay.set(Millis(1500));
+        let written = store.name(HELD + 1);
+        check(entry, HELD + 1, written, Millis(5000)).await;
+    });
+}
+
+/// Guards against a version that counts from late at the entry that takes over, because the response to the read of the
+/// entry before it was lost: that one still reported that it read the store.
+#[test]
+fn lost_response_before_takeover() {
+    run_local(async {
+        let store = HarshStore::default();
+        set_catalog(weights_catalog());
+        store.store.write(Topic::Operator, "config", "1");
+        store.store.write(Topic::Operator, MODEL, &HELD.to_string());
+        let mut entries = Vec::new();
+        for n in 1..=3 {
+            let mut settings = settings_of(n);
+            settings.seeds = (1..=3).map(|n| addr(n, 8004)).collect();
+            let tasks = LocalSet::new();
+            let store = store.clone();
+            let peers = settings.listen.peers;
+            let run = spawn_local(async move {
+                let entry = start_stored::<_, TestDecode>(settings, store);
+                tasks.run_until(entry).await;
+                tasks.await;
+            });
+            entries.push((peers, run.abort_handle()));
+        }
+        sleep(Millis(4000)).await;
+        entries.sort_by_key(|e| rendezvous(b"reader", e.0.to_string().as_bytes()));
+        // The readers do not get the responses to their reads before they end.
+        store.state.delay.set(Millis(5000));
+        let written = store.name(HELD + 1);
+        sleep(Millis(3500)).await;
+        store.state.delay.set(Millis::ZERO);
+        for (_, run) in &entries[..2] {
+            run.abort();
+        }
+        check(entries[2].0, HELD + 1, written, Millis(8000)).await;
+    });
+}
