fix(staging): keep staged chunks while an order may still be read

Callers could have got tokens of mixed weights: an endpoint that is silent for longer than 1.5 s lets its agent's load order end without a response, the agent then released the staging area, and the copy of the next version overwrote it. After the silence the endpoint read the order for the older version and loaded chunks of the newer one.

Cause: an order without a response was taken for one that was not read.

Change: after such an order the agent waits until the endpoint reports again, keeps what is staged until then, and takes from the report whether the order is in effect; a newer version waits for that.

Before: staged_chunks_stay_while_an_order_is_unread failed with (ordered, staged) = [(2, 3), (3, 3)]. After: it passes, with agent_stop and staging_copy.

--- a/src/staging/load.rs
+++ b/src/staging/load.rs
@@ -30,6 +30,8 @@
     /// Whether the endpoint's staging area holds a complete version that waits for its load and must not be
     /// overwritten.
     pub(super) staging_reserved: Rc<Cell<bool>>,
+    /// Whether an order was sent that the endpoint may still have to read: it loads what is staged when it reads it.
+    ordering: Cell<bool>,
     /// Whether a load was ordered and is not complete: the endpoint drains its requests or loads.
     pub(super) loading: Cell<bool>,
     /// Scheduled load start of this host, until a load begins. A newer version that is complete before then takes it
@@ -52,6 +54,7 @@
         if let Some(task) = self.task.take() {
             task.abort();
         }
+        self.ordering.set(false);
         self.staging_reserved.set(false);
     }
 }
@@ -64,6 +67,9 @@
         model: &Rc<str>,
         manifest: &Rc<Manifest>,
     ) -> bool {
+        while self.loader.ordering.get() {
+            tokio::time::sleep(POLL_INTERVAL.duration()).await;
+        }
         if self.loader.staging_reserved.get() {
             // An older version that still waits for its scheduled load start is skipped.
             self.loader.cancel();
@@ -171,6 +177,7 @@
 
     /// Orders the load and waits until it is complete; returns whether the version is loaded.
     async fn load(&self, model: &str, version: WeightVersion) -> bool {
+        self.loader.ordering.set(true);
         let response = self.host.load(model, version).await;
         let text = match &response {
             Ok(response) => format!("{response:?}"),
@@ -180,9 +187,14 @@
             log_event::LOAD,
             "model={model} version={version} state=ordered answer=\"{text}\""
         );
-        // Once the endpoint has accepted the order, a newer version may replace the staged chunks.
+        let accepted = match response {
+            Ok(response) => matches!(response, LoadResponse::Begun | LoadResponse::Done),
+            Err(_) => self.wait_order_read(model, version).await,
+        };
+        // Once the endpoint has read the order, a newer version may replace the staged chunks.
+        self.loader.ordering.set(false);
         self.loader.staging_reserved.set(false);
-        if !matches!(response, Ok(LoadResponse::Begun | LoadResponse::Done)) {
+        if !accepted {
             tokio::time::sleep(RETRY_DELAY.duration()).await;
             return false;
         }
@@ -195,6 +207,21 @@
         loaded
     }
 
+    /// Waits until an endpoint that did not respond to an order responds again, so that it has read the order if it got
+    /// it; returns whether it has accepted it.
+    async fn wait_order_read(&self, model: &str, version: WeightVersion) -> bool {
+        while self.host.report().await.is_err() {
+            tokio::time::sleep(POLL_INTERVAL.duration()).await;
+        }
+        // What arrived before the report is read by then.
+        tokio::time::sleep(RETRY_DELAY.duration()).await;
+        let Ok(report) = self.host.report().await else {
+            return false;
+        };
+        let loaded = report.models.iter().find(|m| *m.0 == *model);
+        report.busy || loaded.is_some_and(|m| m.1 >= version)
+    }
+
     /// Waits until a version is loaded; returns `false` if the endpoint was not busy for [`ORDER_RETRY`].
     async fn wait_loaded(&self, model: &str, version: WeightVersion) -> bool {
         let mut idle = self.now();
