fix(gateway): long prompts stop earlier before a version's end

A request with a prompt of 3 s was sent 2.6 s before the end of its endpoint's version and begun after it at an endpoint that does not look for the close; its caller got 502.

Cause: the time in which a request begins was the same for any prompt.

Change: the time in which the engine reads the prompt is added to the margins of a request.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -103,8 +103,12 @@
         let output = expected.map_or(output, |n| n.min(output));
         let step = self.step_ms + self.sequence_ms * f64::from(self.slots);
         let write = f64::from(output) * step * SHARED_STEP / 100.0;
-        let read = f64::from(prompt) / self.prompt_rate.max(0.001);
-        Millis((read + write) as u64)
+        self.read_time(prompt) + Millis(write as u64)
+    }
+
+    /// Returns the time in which an engine that does nothing else reads a prompt; its length is in tokens.
+    pub fn read_time(&self, prompt: u32) -> Millis {
+        Millis((f64::from(prompt) / self.prompt_rate.max(0.001)) as u64)
     }
 }
 
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -100,7 +100,9 @@
     let named = model.and_then(|m| all.get(m));
     let schedule = named.map(|n| ctx.load_schedule(&job.service, n));
     let weights = model.map(|model| {
-        let (oldest, oldest_queued) = named.map(|n| ctx.oldest_versions(n)).unwrap_or_default();
+        let read_time = engine.map_or(Millis::ZERO, |e| e.read_time(job.prompt_tokens));
+        let oldest = named.map(|n| ctx.oldest_versions(n, read_time));
+        let (oldest, oldest_queued) = oldest.unwrap_or_default();
         let bound = ctx.bounds.get().version;
         let pending = schedule
             .as_deref()
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -267,10 +267,11 @@
     }
 
     /// Returns the oldest version on which a request may begin now, and the oldest one on which it may begin after
-    /// waiting in an endpoint's queue.
+    /// waiting in an endpoint's queue; `read_time` is the time in which an endpoint reads its prompt.
     pub(super) fn oldest_versions(
         &self,
         desired: &DesiredVersions,
+        read_time: Millis,
     ) -> (WeightVersion, WeightVersion) {
         let bound = self.bounds.get().version;
         let margins = Margins::default();
@@ -279,7 +280,10 @@
                 .enforced(bound - margin, self.now())
                 .unwrap_or_default()
         };
-        (binding(margins.send()), binding(margins.queue()))
+        (
+            binding(margins.send() + read_time),
+            binding(margins.queue() + read_time),
+        )
     }
 
     /// Returns whether an endpoint has no version of its service's weights loaded, or an older one than the newest
