fix(gateway): news of a version reaches requests that are under way

A request that was chosen or sent before its entry knew of a newer version kept the end that was known then: none. At an endpoint that was silent from then on it began 501 ms after the bound of the version.

Cause: the end was looked up when the endpoint was chosen and copied.

Change: it is looked up again before the request is sent, and each time something changed while the request waits for the head of its response.

Before: request_from_before_the_version_begins_nothing_late failed, 501 ms late. After: it passes, and so do the tests of silent_endpoints.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -39,8 +39,8 @@
     pub(super) known: Vec<Generation>,
     /// Whether the request is a probe of a quarantined part.
     pub(super) probe: bool,
-    /// When the response must have begun, because a newer version of the weights is enforced from about then on.
-    pub(super) begin_by: Option<Millis>,
+    /// Version of the weights that the endpoint is known to hold; `None` for services without engines.
+    pub(super) version: Option<WeightVersion>,
 }
 
 /// A response that is forwarded while its body arrives.
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -11,10 +11,7 @@
     load_balancer::{LoadBalancer, Refusal},
     record::WeightVersion,
 };
-use crate::{
-    base::Millis,
-    decide::supersede::{Expiry, Margins},
-};
+use crate::{base::Millis, decide::supersede::Margins};
 
 /// Largest number of idle connections that this entry keeps to one endpoint.
 const IDLE_CONNECTIONS_MAX: usize = 24;
@@ -31,8 +28,8 @@
 pub(super) struct Choice {
     pub(super) id: EndpointId,
     pub(super) addr: SocketAddr,
-    /// When the request must be sent and must have begun; `None` if the endpoint holds the newest desired version.
-    pub(super) expiry: Option<Expiry>,
+    /// Version of the weights that the endpoint is known to hold; `None` for services without engines.
+    pub(super) version: Option<WeightVersion>,
     /// Version of the weights that the request asks the endpoint for; set if a desired version is enforced. Endpoints
     /// run the request on exactly this version, so it is the one that the endpoint is known to hold, not the oldest one
     /// that is allowed.
@@ -66,14 +63,12 @@
         let e = balancer.pick(table.of_service(&job.service), query, now)?;
         let model = query.weights.map(|w| w.model);
         let version = model.and_then(|m| balancer.version(e, m));
-        let desired = ctx.desired.borrow();
-        let expiry = version.and_then(|v| ctx.expiry(desired.get(model?)?, v));
         let oldest = query.weights.map(|w| w.oldest).unwrap_or_default();
         let expected = version.filter(|_| oldest > WeightVersion::default());
         Ok(Choice {
             id: e.id.clone(),
             addr: e.record.addr,
-            expiry,
+            version,
             expected,
             idle_max: idle_max(connections, ctx.members.borrow().count()),
         })
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -340,14 +340,11 @@
         }
     }
 
-    /// Returns by when a request to an endpoint with this version must be sent and must have begun; `None` if the version
-    /// is not superseded.
-    pub(super) fn expiry(
-        &self,
-        desired: &DesiredVersions,
-        version: WeightVersion,
-    ) -> Option<Expiry> {
-        let since = desired.superseded_at(version)?;
+    /// Returns by when a request to an endpoint with this version of a model must be sent and must have begun; `None` if
+    /// the version is not superseded.
+    pub(super) fn expiry(&self, model: &str, version: WeightVersion) -> Option<Expiry> {
+        let desired = self.desired.borrow();
+        let since = desired.get(model)?.superseded_at(version)?;
         let end = since + self.bounds.get().version;
         Some(Margins::default().expiry(end))
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,6 +1,11 @@
 //! One attempt to have a request served by an endpoint.
 
-use std::{future::Future, net::SocketAddr, pin::pin, rc::Rc};
+use std::{
+    future::Future,
+    net::SocketAddr,
+    pin::{pin, Pin},
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -96,7 +101,7 @@
 ) -> Result<Attempt, Refusal> {
     let (choice, permit) = choose_permitted(ctx, job, attempts).await?;
     let now = ctx.now();
-    let (id, addr) = (choice.id, choice.addr);
+    let (id, addr) = (choice.id.clone(), choice.addr);
     attempts.exclude(id.clone());
     let flight = InFlight::begin(ctx, id.clone(), job.prompt_tokens);
     let limit = CONNECT_TIMEOUT.min(job.deadline - now);
@@ -114,7 +119,7 @@
         }
     };
     let screened = pass == Pass::Probe || screen::is_clear(ctx, job);
-    let reason = withhold_reason(ctx, &id, choice.expiry, permit);
+    let reason = withhold_reason(ctx, job, &choice, &id, permit);
     let reason = reason.or((!screened).then_some("a part of the prompt is quarantined"));
     let reason = reason.map_or_else(|| count_attempt(ctx, job, attempts), Err);
     if let Err(reason) = reason {
@@ -137,24 +142,30 @@
         sent_at: ctx.now(),
         known: screen::generations(ctx, job),
         probe: pass == Pass::Probe,
-        begin_by: choice.expiry.map(|e| e.begin_by),
+        version: choice.version,
     };
     Ok(send(ctx, job, attempts, target, last, choice.expected).await)
 }
 
+/// Returns by when a request to an endpoint with this version must be sent and must have begun, by what is known now.
+fn expiry(ctx: &Context, job: &Job, version: Option<WeightVersion>) -> Option<Expiry> {
+    ctx.expiry(job.model.as_deref()?, version?)
+}
+
 /// Returns why a request must not be sent after all to the endpoint that was chosen for it; `None` if it may be sent.
 /// The state can have changed since the choice, because opening a connection takes time or the process was paused.
 fn withhold_reason(
     ctx: &Context,
+    job: &Job,
+    choice: &Choice,
     id: &EndpointId,
-    expiry: Option<Expiry>,
     permit: Permit,
 ) -> Option<&'static str> {
     let now = ctx.now();
     if !permit.allows(ctx.limits.borrow().get(id), now) {
         return Some("the endpoint limits its request rate");
     }
-    if expiry.is_some_and(|e| e.send_by <= now) {
+    if expiry(ctx, job, choice.version).is_some_and(|e| e.send_by <= now) {
         return Some("a newer version of the weights is enforced");
     }
     if ctx.balancer.borrow().is_paused(id, now) {
@@ -242,6 +253,27 @@
     timeout.max(ATTEMPT_TIMEOUT_MIN)
 }
 
+/// Waits for the head of a response until `limit`, or until the endpoint must have begun; `None` then. The latter can
+/// change meanwhile, because a newer version becomes known.
+async fn head_until<T>(
+    ctx: &Context,
+    job: &Job,
+    target: &Target,
+    limit: Millis,
+    mut response: Pin<&mut impl Future<Output = T>>,
+) -> Option<T> {
+    loop {
+        let begin_by = expiry(ctx, job, target.version).map(|e| e.begin_by);
+        let wait = limit.min(begin_by.unwrap_or(Millis::MAX)) - ctx.now();
+        tokio::select! {
+            biased;
+            head = response.as_mut() => return Some(head),
+            () = tokio::time::sleep(wait.duration()) => return None,
+            () = ctx.changed.notified() => {}
+        }
+    }
+}
+
 /// Waits for the head of a response until the deadline, or until the endpoint must have begun; `None` then. An endpoint
 /// that is silent meanwhile is waited for on, because no other one has begun to respond in its place.
 async fn await_head<T>(
@@ -252,31 +284,30 @@
     response: impl Future<Output = T>,
 ) -> Option<T> {
     let start = ctx.now();
-    let end = job.deadline.min(target.begin_by.unwrap_or(Millis::MAX));
     let patience = attempt_timeout(job);
     let mut response = pin!(response);
-    if job.route.repeat != Repeat::Once && start + patience < end {
+    if job.route.repeat != Repeat::Once && start + patience < job.deadline {
         attempts.schedule(start + patience);
-        if let Ok(head) = tokio::time::timeout(patience.duration(), &mut response).await {
-            return Some(head);
+        let head = head_until(ctx, job, target, start + patience, response.as_mut()).await;
+        if head.is_some() {
+            return head;
         }
-        log_silent(job, target, patience);
+        log_silent(job, target, ctx.now() - start);
         target.flight.set_silent(true);
     }
-    let limit = end - ctx.now();
-    let head = tokio::time::timeout(limit.duration(), response).await.ok();
+    let head = head_until(ctx, job, target, job.deadline, response).await;
     if head.is_none() {
-        log_silent(job, target, end - start);
+        log_silent(job, target, ctx.now() - start);
     }
     head
 }
 
 /// Logs whether a request began at an endpoint with superseded weights, and how much time was left.
 fn log_superseded(ctx: &Context, job: &Job, target: &Target, responded: bool) {
-    let Some(by) = target.begin_by else {
+    let Some(Expiry { begin_by, .. }) = expiry(ctx, job, target.version) else {
         return;
     };
-    let (sent, begun) = (by - target.sent_at, by - ctx.now());
+    let (sent, begun) = (begin_by - target.sent_at, begin_by - ctx.now());
     emit!(
         log_event::SUPERSEDED,
         "id={} endpoint={} responded={responded} sent={sent} begun={begun}",
