fix(gateway): a version's record that is read again tells nothing of its time

Requests could begin on older weights after the bound where an entry read all records once more (a trimmed log, a takeover): the second read gave the known version the age of a new record, 1,573 ms late, and entries told each other.

Change: a version that was applied is not applied again, and of two times that exclude each other the earlier is kept.

--- a/src/gateway/desired.rs
+++ b/src/gateway/desired.rs
@@ -47,7 +47,7 @@
         if !self.known || other.latest() + TOLERANCE < self.at || (earlier && as_exact) {
             return other;
         }
-        if more_exact {
+        if more_exact && other.at <= self.latest() + TOLERANCE {
             return Self {
                 at: other.at.min(self.latest()),
                 ..other
--- a/src/gateway/operator_records.rs
+++ b/src/gateway/operator_records.rs
@@ -1,6 +1,11 @@
 //! Follows the operator's records, for entries and agents.
 
-use std::{cell::Cell, future::Future, marker::PhantomData, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    marker::PhantomData,
+    rc::Rc,
+};
 
 use bytes::Bytes;
 
@@ -10,7 +15,7 @@
     record::{EndpointRecord, OperatorRecord, Record, WeightVersion},
     write_time::WriteAge,
 };
-use crate::base::{Clock, Millis, SystemClock};
+use crate::base::{Clock, HashMap, Millis, SystemClock};
 
 /// Decodes the records of the platform's store.
 pub trait Decode: 'static {
@@ -72,6 +77,8 @@
     clock: SystemClock,
     /// Age of the records that are applied, and the time at which that was noted.
     age: Cell<(Option<WriteAge>, Millis)>,
+    /// Newest version of each model that was applied.
+    applied: RefCell<HashMap<Rc<str>, WeightVersion>>,
     /// Whether the first read is done.
     read: Cell<bool>,
     /// Whether even the first read waits until the sink's [`OperatorSink::should_read`] is true.
@@ -86,6 +93,7 @@
             sink,
             clock: SystemClock::start(),
             age: Cell::default(),
+            applied: RefCell::default(),
             read: Cell::new(false),
             on_demand: false,
             _decode: PhantomData,
@@ -112,6 +120,13 @@
             ..a
         })
     }
+
+    /// Notes a version that is applied; returns whether it was not applied before. A record that is read again tells
+    /// nothing of its time.
+    fn note_applied(&self, model: &Rc<str>, version: WeightVersion) -> bool {
+        let known = self.applied.borrow_mut().insert(model.clone(), version);
+        known != Some(version)
+    }
 }
 
 impl<D: Decode, T: OperatorSink> Follower for OperatorFollower<D, T> {
@@ -130,7 +145,9 @@
         match D::operator_record(&record.key, &value) {
             Ok(Some(OperatorRecord::Catalog(catalog))) => self.sink.catalog(*catalog, value),
             Ok(Some(OperatorRecord::Weights(model, version))) => {
-                self.sink.weights(model, version, self.age());
+                if self.note_applied(&model, version) {
+                    self.sink.weights(model, version, self.age());
+                }
             }
             Ok(None) => {}
             Err(e) => self
