fix(gateway): margins for silences of 1.75 s

Requests now stop 2.1 s before a version's end instead of 2.5 s, and what has not begun is cancelled 1.75 s before it. A silence of 2 s is still covered for requests that begin within 0.1 s. silent_rollout, with silences of up to 2 s, and the model version_margins pass.

--- a/src/decide/supersede.rs
+++ b/src/decide/supersede.rs
@@ -8,10 +8,10 @@
 use crate::base::Millis;
 
 /// Longest silence of a sound endpoint.
-pub const SILENCE_MAX: Millis = Millis(2000);
+pub const SILENCE_MAX: Millis = Millis(1750);
 
 /// Time in which a request reaches an endpoint with a free slot and begins there.
-const BEGIN_TIME: Millis = Millis(500);
+const BEGIN_TIME: Millis = Millis(350);
 
 /// Usual duration of a request. Requests must end by their host's load start, so that the last ones of a host are sent
 /// about this long before it.
@@ -20,7 +20,7 @@
 /// Longest wait of a request in the queue of an endpoint whose slots are in use.
 const QUEUE_TIME: Millis = Millis(1100);
 
-/// Times before the end of an older version; each covers a silence of the endpoint.
+/// Times before the end of an older version, by which a silence of an endpoint lets nothing begin after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Margins {
     silence: Millis,
