test(gateway): callers that return are known by their deadlines only

Callers with a deadline shorter than their route's timeout got slots that callers at their first attempt did not get, also where no entry had rejected them.

--- /dev/null
+++ b/tests/returning_callers.rs
@@ -0,0 +1,170 @@
+//! Which callers count as returning after a rejection, and what that changes, over real sockets.
+
+mod gateway_support;
+
+use std::rc::Rc;
+
+use gateway_support::{
+    addr,
+    gateway::{catalog, respond, start_entry, with_endpoints, with_store, CALLERS, MODEL},
+    header, send_request, MemoryStore, Seen, Step,
+};
+use sesamewing::{
+    base::Millis,
+    gateway::{Catalog, EngineSpeed, ServiceSpec},
+};
+use tokio::task::{spawn_local, JoinHandle};
+
+/// Slots of each endpoint.
+const SLOTS: usize = 4;
+
+/// Time for which a caller waits that is at its first attempt; the timeout of the routes is longer.
+const PATIENCE: Millis = Millis(2800);
+
+/// Time in which the endpoint responds to most requests, and to those whose prompt is `brief`.
+const WORK: Millis = Millis(1500);
+const BRIEF_WORK: Millis = Millis(300);
+
+/// Time in which entries tell each other of rejections.
+const NEWS: Millis = Millis(400);
+
+/// Returns the usual catalog, with engines behind its routes.
+fn with_engines() -> Catalog {
+    let mut catalog = catalog();
+    let engine = EngineSpeed {
+        slots: SLOTS as u32,
+        step_ms: 5.0,
+        sequence_ms: 0.5,
+        prompt_rate: 30.0,
+    };
+    let service = "plain".parse().expect("a valid name");
+    let spec = catalog.services.get(&service).expect("the service").clone();
+    let engine = Some(engine);
+    catalog
+        .services
+        .insert(service, ServiceSpec { engine, ..spec });
+    catalog
+}
+
+fn work(request: &str) -> Vec<Step> {
+    let brief = request.contains("brief");
+    let time = if brief { BRIEF_WORK } else { WORK };
+    let mut script = vec![Step::Pause(time.0)];
+    script.extend(respond("200 OK", "yes"));
+    script
+}
+
+/// Returns a request with its own prompt, whose caller waits for `left`.
+fn request(prompt: &str, left: Millis) -> String {
+    format!(
+        "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {:x}\r\nX-Deadline-Ms: {}\r\n\
+         X-Workspace-Key: key\r\nX-Model: {MODEL}\r\nX-Prompt-Parts: {prompt}:10\r\n\
+         Content-Length: 2\r\nConnection: close\r\n\r\nhi",
+        fastrand::u64(..),
+        left.0,
+    )
+}
+
+async fn send(entry: u8, prompt: &str, left: Millis) -> String {
+    send_request(addr(entry, CALLERS), &request(prompt, left), PATIENCE.0).await
+}
+
+/// Sends requests of callers at their first attempt, and waits until the endpoint has them.
+async fn occupy(prompts: &[&str]) -> Vec<JoinHandle<()>> {
+    let mut tasks = Vec::new();
+    for prompt in prompts {
+        let prompt = (*prompt).to_owned();
+        tasks.push(spawn_local(async move {
+            let res = send(1, &prompt, PATIENCE).await;
+            assert!(res.starts_with("HTTP/1.1 200"), "{res}");
+        }));
+    }
+    tokio::time::sleep(Millis(100).duration()).await;
+    tasks
+}
+
+async fn join(tasks: Vec<JoinHandle<()>>) {
+    for task in tasks {
+        task.await.expect("its assertions hold");
+    }
+}
+
+/// Returns the urgency with which the request with a prompt reached an endpoint last.
+fn urgency(seen: &[Rc<Seen>], prompt: &str) -> Option<u8> {
+    let requests = seen.iter().flat_map(|s| s.requests.borrow().clone());
+    let sent = requests.filter(|r| r.contains(prompt)).last()?;
+    header(&sent, "x-priority")?.parse().ok()
+}
+
+/// Guards against callers that get a slot before others because their deadline is shorter than the timeout of the route:
+/// a configuration that changes the timeout would change the order of all its callers.
+#[test]
+fn short_deadline_is_no_return() {
+    with_endpoints(with_engines(), 1, work, |seen| async move {
+        let busy = occupy(&["1", "2", "3", "4"]).await;
+        let long = send(1, "a1", Millis(3000)).await;
+        assert!(long.starts_with("HTTP/1.1 503"), "{long}");
+        let short = send(1, "a2", Millis(2000)).await;
+        assert!(short.starts_with("HTTP/1.1 503"), "{short}");
+        assert_eq!(seen[0].requests.borrow().len(), SLOTS);
+        join(busy).await;
+    });
+}
+
+/// Guards against returning callers that take the last free slot, so that under overload first attempts find none.
+#[test]
+fn last_slots_are_for_first_attempts() {
+    with_endpoints(with_engines(), 1, work, |_| async move {
+        let busy = occupy(&["brief", "2", "3", "4"]).await;
+        let rejected = send(1, "a1", Millis(2600)).await;
+        assert!(rejected.starts_with("HTTP/1.1 503"), "{rejected}");
+        tokio::time::sleep(BRIEF_WORK.duration()).await;
+        let back = send(1, "a1", Millis(2600) - BRIEF_WORK).await;
+        assert!(back.starts_with("HTTP/1.1 503"), "{back}");
+        let first = send(1, "a2", PATIENCE).await;
+        assert!(first.starts_with("HTTP/1.1 200"), "{first}");
+        join(busy).await;
+    });
+}
+
+/// Load pattern: callers return after a rejection, at any entry. Guards against returning callers that delay first
+/// attempts at the endpoint, and against others that count as returning because they ask the same.
+#[test]
+fn returns_are_less_urgent() {
+    with_endpoints(with_engines(), 1, work, |seen| async move {
+        let busy = occupy(&["brief", "2", "3", "4"]).await;
+        let rejected = send(1, "brief-a1", Millis(2600)).await;
+        assert!(rejected.starts_with("HTTP/1.1 503"), "{rejected}");
+        join(busy).await;
+        let left = Millis(2600) - WORK;
+        send(1, "brief-a1", left).await;
+        let back = urgency(&seen, "brief-a1");
+        send(1, "brief-a1", PATIENCE).await;
+        let same = urgency(&seen, "brief-a1");
+        send(1, "brief-a2", left).await;
+        let first = urgency(&seen, "brief-a2");
+        assert!(back > first, "{back:?}, {first:?}");
+        assert_eq!(same, first);
+    });
+}
+
+/// Guards against callers that count as being at their first attempt because they return to another entry than the one
+/// that rejected them.
+#[test]
+fn entries_tell_each_other_of_rejections() {
+    let scripts = vec![work("")];
+    let store = MemoryStore::default();
+    with_store(store, with_engines(), scripts, |seen, store| async move {
+        start_entry(2, store).await;
+        tokio::time::sleep(NEWS.duration()).await;
+        let busy = occupy(&["1", "2", "3", "4"]).await;
+        let rejected = send(1, "a1", Millis(2600)).await;
+        assert!(rejected.starts_with("HTTP/1.1 503"), "{rejected}");
+        join(busy).await;
+        send(2, "a1", Millis(2600) - WORK).await;
+        let back = urgency(&seen, "a1");
+        send(2, "a2", Millis(2600) - WORK).await;
+        let first = urgency(&seen, "a2");
+        assert!(back > first, "{back:?}, {first:?}");
+    });
+}
