fix(gateway): callers that return are known by their rejection and go last

Cause: a caller counted as returning if its deadline was shorter than its route's timeout by 100 ms, whatever it had done, and got slots beyond those of others. The sign is a property of a setting; and preferred returns keep engines above the limit up to which first attempts are admitted.

Change: entries remember the requests that they rejected for want of a slot, by content and by the caller's deadline (decide/returning.rs, no I/O), and tell up to 64 others with the heartbeats. A caller counts as returning only if its request is among them. It is admitted while an eighth of the slots stays free for first attempts, no longer beyond the slots, and no longer delays loads of weights by up to a second. Without rejections no key is computed.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod permit;
 pub mod quarantine;
 pub mod retry;
+pub mod returning;
 pub mod rollout;
 pub mod route;
 pub mod silence;
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -21,6 +21,7 @@
     headers::text,
     prompt::shared_parts,
     reply::Reject,
+    returning::is_returning,
     Headers,
 };
 use crate::{
@@ -31,10 +32,6 @@
 /// Deadline of requests without a deadline header, counted from their arrival.
 const DEADLINE_DEFAULT: Millis = Millis(30_000);
 
-/// A request whose deadline is shorter than the route's timeout by more than this counts as that of a retrying caller,
-/// which has spent part of its time on a rejected request.
-const RETRY_DEADLINE_GAP: Millis = Millis(100);
-
 /// Size of a head, in bytes, that is accepted whatever the limit.
 const HEAD_ALWAYS: usize = 8 << 10;
 
@@ -70,8 +67,10 @@
     pub(super) deadline: Millis,
     /// Last event of the stream that the caller already has; set if it resumes a stream.
     pub(super) last_event: Option<EventId>,
-    /// Whether the caller probably retries after a rejection, by the shortness of its deadline.
-    pub(super) retrying: bool,
+    /// When the caller stops waiting; `None` if it didn't say so.
+    pub(super) caller_deadline: Option<Millis>,
+    /// Whether the caller returns after a rejection by this entry or by another one.
+    pub(super) returning: bool,
     /// Priority of the workspace, or else of the route; 0 is the most urgent.
     pub(super) priority: u8,
 }
@@ -213,8 +212,9 @@
             return Err(reject);
         }
     };
-    let time_left = header_number(&head.headers, &names.deadline).map_or(DEADLINE_DEFAULT, Millis);
-    let deadline = start + time_left.min(route.timeout);
+    let time_left = header_number(&head.headers, &names.deadline).map(Millis);
+    let caller_deadline = time_left.map(|left| start + left);
+    let deadline = start + time_left.unwrap_or(DEADLINE_DEFAULT).min(route.timeout);
     let time = limits.send_time.min(deadline - ctx.now());
     let body = body::read(body, limits.body_max, time).await?;
     let mut headers = head.headers;
@@ -239,8 +239,9 @@
     let parts = parts.into_iter().map(|id| PartKey::new(&service, id));
     let parts = parts.collect();
     let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
-    Ok(Job {
-        retrying: time_left + RETRY_DEADLINE_GAP < route.timeout,
+    let mut job = Job {
+        returning: false,
+        caller_deadline,
         deadline,
         id,
         service,
@@ -257,5 +258,7 @@
         last_event,
         priority,
         route,
-    })
+    };
+    job.returning = is_returning(ctx, &job);
+    Ok(job)
 }
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -123,7 +123,7 @@
         exact: attempts.version.get(),
         tried: &tried,
         owned: &owned,
-        retrying: job.retrying,
+        returning: job.returning,
         read_rate: engine.map(|e| e.prompt_rate),
         duration: engine.map_or(Millis::ZERO, |e| {
             e.duration(job.prompt_tokens, job.output_max, job.output_hint)
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -31,6 +31,7 @@
     decide::{
         quarantine::Quarantine,
         retry::{RetryBudget, RetryDraw},
+        returning::Rejections,
         stop::StopPlan,
         supersede::{Expiry, Margins},
     },
@@ -64,6 +65,8 @@
     pub(super) permits: RefCell<Permits>,
     /// Parts of prompts that were in flight when endpoints ended.
     pub(super) quarantine: RefCell<Quarantine>,
+    /// Requests that entries rejected and whose callers may return.
+    pub(super) rejections: RefCell<Rejections>,
     /// Wakes the requests in flight when a part was quarantined.
     pub(super) quarantined: Notify,
     /// Makes this entry tell others of a change of `quarantine`.
@@ -128,6 +131,7 @@
             limits: RefCell::default(),
             permits: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(clock.now())),
+            rejections: RefCell::default(),
             quarantined: Notify::new(),
             quarantine_news: Notify::new(),
             socket: OnceCell::new(),
--- a/src/gateway/endpoint_query.rs
+++ b/src/gateway/endpoint_query.rs
@@ -50,8 +50,8 @@
     pub owned: &'a HashSet<EndpointId>,
     /// Prompt tokens that an endpoint reads in a millisecond; `None` for services without engines.
     pub read_rate: Option<f64>,
-    /// Whether the caller retries after a rejection.
-    pub retrying: bool,
+    /// Whether the caller returns after a rejection.
+    pub returning: bool,
     /// Estimated time for which the request occupies a slot.
     pub duration: Millis,
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -241,7 +241,7 @@
         headers.insert(&names.last_event, HeaderValue::from(last.0));
     }
     if job.model.is_some() {
-        let urgency = (4 + job.priority.min(2) + u8::from(job.retrying)).min(9);
+        let urgency = (4 + job.priority.min(2) + u8::from(job.returning)).min(9);
         headers.insert(&names.priority, HeaderValue::from(u16::from(urgency)));
     }
     req
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -15,7 +15,7 @@
     members::HEARTBEAT_INTERVAL,
     message::{Gossip, Message},
     operator_records::Decode,
-    permits, screen, serve,
+    permits, returning, screen, serve,
 };
 use crate::{base::Millis, emit, http::get};
 
@@ -60,6 +60,10 @@
                 screen::merge(&ctx, &reports);
                 continue;
             }
+            Ok(Message::Rejections(rejections)) => {
+                returning::merge(&ctx, &rejections);
+                continue;
+            }
             Ok(Message::ProbeRequest(request)) => {
                 screen::answer(&ctx, &socket, request, from).await;
                 continue;
@@ -130,6 +134,7 @@
         send_gossip(&ctx, &socket, &targets).await;
         send_limits(&ctx, &socket, &targets).await;
         screen::send_reports(&ctx, &socket, &targets).await;
+        returning::send_news(&ctx, &socket).await;
     }
 }
 
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -7,7 +7,7 @@
 //! | more than the endpoints can serve in time | rejected beyond the slots, with a short, jittered `Retry-After` |
 //! | a new version becomes desired | an endpoint gets only requests that end by its scheduled load start |
 //! | copies of a new version are late | schedule ignored while more hosts missed it than kept it |
-//! | callers retry after a rejection | may wait in an endpoint's queue beyond its slots, and may delay a load for longer |
+//! | callers return after a rejection | get no slot while few are free, so that first attempts find one |
 //! | an endpoint rejects requests | skipped for a short backoff that doubles |
 //! | an endpoint sends `Retry-After` | paused until then, whatever else is reported of it |
 //! | an endpoint limits its request rate | closed after each denied permit until another may be granted |
@@ -31,13 +31,12 @@
 /// Cost of an endpoint that this entry does not own, as a share of the endpoint's slots.
 const NOT_OWNED_COST: f64 = 0.25;
 
-/// Longest time by which a request may run past the scheduled load start of its endpoint. Requests of retrying callers
-/// get the longer [`OVERRUN_RETRYING`], because such a caller cannot retry once more.
+/// Longest time by which a request may run past the scheduled load start of its endpoint.
 const OVERRUN_MAX: Millis = Millis(250);
-const OVERRUN_RETRYING: Millis = Millis(1000);
 
-/// Divisor of an engine's slots that gives the number of retrying callers whose requests may wait beyond the slots.
-const RETRYING_DIVISOR: u32 = 4;
+/// Divisor of an engine's slots that gives the slots kept free for requests of callers at their first attempt, so that
+/// those that return can't take all slots under overload.
+const FIRST_DIVISOR: u32 = 8;
 
 /// Cost of an endpoint whose load of a newer version the request would delay by [`OVERRUN_MAX`], as a share of its
 /// slots; in proportion for other delays.
@@ -132,12 +131,7 @@
         return Some(OVERDUE_COST);
     }
     let delay = now + query.duration - start;
-    let delay_max = if query.retrying {
-        OVERRUN_RETRYING
-    } else {
-        OVERRUN_MAX
-    };
-    if delay > delay_max {
+    if delay > OVERRUN_MAX {
         return None;
     }
     Some(delay.0 as f64 / OVERRUN_MAX.0 as f64 * OVERRUN_COST)
@@ -329,13 +323,15 @@
             return slots.saturating_add(slots.saturating_mul(PLAIN_QUEUE_PER_SLOT));
         };
         let waits = self.version(e, required.model) >= Some(required.oldest_queued);
-        if waits && query.retrying {
-            slots.saturating_add(slots / RETRYING_DIVISOR)
-        } else if waits {
+        let limit = if waits {
             slots
         } else {
             slots - slots / FREE_DIVISOR
+        };
+        if !query.returning {
+            return limit;
         }
+        limit.saturating_sub(slots.div_ceil(FIRST_DIVISOR)).max(1)
     }
 
     /// Counts a request that is sent to an endpoint; `prompt` is its length in tokens.
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -10,7 +10,10 @@
     record::WeightVersion,
     write_time::WriteAge,
 };
-use crate::{base::Millis, decide::quarantine::PartReport};
+use crate::{
+    base::Millis,
+    decide::{quarantine::PartReport, returning::Rejection},
+};
 
 /// A desired version of weights and the time since it became desired, as a process knows it; see [`WriteAge`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -83,4 +86,6 @@
     Parts(Vec<PartReport>),
     /// Sent by another entry to the one that grants the probes of a part.
     ProbeRequest(ProbeRequest),
+    /// Sent by another entry: requests that it rejected and whose callers may return.
+    Rejections(Vec<Rejection>),
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod race;
 mod record;
 mod reply;
+mod returning;
 mod run;
 mod schedule;
 mod screen;
--- /dev/null
+++ b/src/gateway/returning.rs
@@ -0,0 +1,87 @@
+//! Tells callers that return after a rejection from those at their first attempt, by what this entry and others rejected.
+
+use std::net::SocketAddr;
+
+use tokio::net::UdpSocket;
+
+use super::{
+    accept::Job, context::Context, datagram::send_to_all, message::Message, reply::Reject,
+};
+use crate::decide::returning::{Rejection, RequestKey};
+
+/// Largest number of rejections in a datagram; keeps it below the smallest usual packet size.
+const REJECTIONS_MAX: usize = 120;
+
+/// Largest number of entries that are told of a rejection.
+const TARGETS_MAX: usize = 64;
+
+/// Returns the key of a request: what its caller sends again unchanged when it returns.
+fn request_key(ctx: &Context, job: &Job) -> RequestKey {
+    let names = &ctx.headers;
+    let target = job.uri.path_and_query().map_or("", |p| p.as_str());
+    let headers = [
+        &names.workspace,
+        &names.parts,
+        &names.tokens,
+        &names.last_event,
+    ];
+    let headers = headers.map(|name| job.headers.get(name).map_or(&[][..], |v| v.as_bytes()));
+    let content = [target.as_bytes(), &job.body];
+    RequestKey::new(content.into_iter().chain(headers))
+}
+
+/// Returns whether the caller of a request returns after a rejection.
+pub(super) fn is_returning(ctx: &Context, job: &Job) -> bool {
+    let Some(deadline) = job.caller_deadline else {
+        return false;
+    };
+    // Without overload no request needs its key.
+    if job.model.is_none() || ctx.rejections.borrow().is_empty() {
+        return false;
+    }
+    let key = request_key(ctx, job);
+    ctx.rejections.borrow().is_returning(key, deadline)
+}
+
+/// Records a rejected request whose caller was told to return, if it competes with others for slots of an engine.
+pub(super) fn record_rejected(ctx: &Context, job: &Job, reject: Reject) {
+    let overloaded = matches!(
+        reject,
+        Reject::Overloaded(_) | Reject::Unavailable(_) | Reject::Refused(_)
+    );
+    let Some(deadline) = job.caller_deadline.filter(|_| overloaded) else {
+        return;
+    };
+    if job.model.is_none() {
+        return;
+    }
+    let key = request_key(ctx, job);
+    let mut rejections = ctx.rejections.borrow_mut();
+    rejections.record(key, deadline, ctx.now());
+}
+
+/// Merges what another entry rejected.
+pub(super) fn merge(ctx: &Context, rejections: &[Rejection]) {
+    ctx.rejections.borrow_mut().merge(rejections, ctx.now());
+}
+
+/// Chooses the entries that are told of rejections. Callers return to any of them, so that more are told than get other
+/// datagrams.
+fn targets(ctx: &Context) -> Vec<SocketAddr> {
+    let mut peers = ctx.members.borrow().all_peers();
+    fastrand::shuffle(&mut peers);
+    peers.truncate(TARGETS_MAX);
+    peers
+}
+
+/// Tells other entries which requests this entry rejected.
+pub(super) async fn send_news(ctx: &Context, socket: &UdpSocket) {
+    let news = ctx.rejections.borrow_mut().take_news(ctx.now());
+    if news.is_empty() {
+        return;
+    }
+    let targets = targets(ctx);
+    for part in news.chunks(REJECTIONS_MAX) {
+        send_to_all(socket, &Message::Rejections(part.to_vec()), &targets).await;
+    }
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -23,6 +23,7 @@
     metrics::{RequestLabels, ServiceLabel},
     race::{forward, Answer},
     reply::Reject,
+    returning::record_rejected,
     stream::{Cut, Relay},
 };
 use crate::{decide::stop, emit};
@@ -189,6 +190,7 @@
     attempts: &Attempts,
     reject: Reject,
 ) -> CallerResponse<S> {
+    record_rejected(ctx, job, reject);
     log_ended(ctx, job, attempts, reject.status(), &reject.to_string());
     count_ended(ctx, job.service.as_str(), reject.status(), reject.reason());
     CallerResponse::Full(reject.response())
@@ -205,7 +207,7 @@
         job.service,
         status.as_u16(),
         attempts.sent.get(),
-        job.retrying,
+        job.returning,
         (ctx.now() - job.start).0,
         ctx.catalog_version()
     );
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -71,7 +71,7 @@
         job.id(),
         job.route.name,
         attempts.sent.get(),
-        job.retrying,
+        job.returning,
         ms.0,
         job.prompt_tokens,
         job.output_max,
