fix(gateway): one log line for an attempt that its version's end cancels

Cause: `head_until` returned `None` for both of its limits, so that `await_head` went on to wait until the deadline for an endpoint whose time had passed, and logged again.

Change: `head_until` returns a typed result that tells a head, a passed limit and an expired version.

Result: tests/silent_lines.rs `cancelled_attempt_is_logged_once` failed on (not one line) and passes with the change.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -253,22 +253,34 @@
     timeout.max(ATTEMPT_TIMEOUT_MIN)
 }
 
-/// Waits for the head of a response until `limit`, or until the endpoint must have begun; `None` then. The latter can
-/// change meanwhile, because a newer version becomes known.
+/// Result of waiting for the head of a response.
+enum Wait<T> {
+    Head(T),
+    /// The limit passed.
+    LimitPassed,
+    /// The endpoint must have begun by now, because its version of the weights ends soon.
+    Expired,
+}
+
+/// Waits for the head of a response until `limit`, or until the endpoint must have begun. The latter can change
+/// meanwhile, because a newer version becomes known.
 async fn head_until<T>(
     ctx: &Context,
     job: &Job,
     target: &Target,
     limit: Millis,
     mut response: Pin<&mut impl Future<Output = T>>,
-) -> Option<T> {
+) -> Wait<T> {
     loop {
         let begin_by = expiry(ctx, job, target.version).map(|e| e.begin_by);
-        let wait = limit.min(begin_by.unwrap_or(Millis::MAX)) - ctx.now();
+        let begin_by = begin_by.unwrap_or(Millis::MAX);
+        let wait = limit.min(begin_by) - ctx.now();
         tokio::select! {
             biased;
-            head = response.as_mut() => return Some(head),
-            () = tokio::time::sleep(wait.duration()) => return None,
+            head = response.as_mut() => return Wait::Head(head),
+            () = tokio::time::sleep(wait.duration()) => {
+                return if begin_by <= limit { Wait::Expired } else { Wait::LimitPassed };
+            }
             () = ctx.changed.notified() => {}
         }
     }
@@ -286,20 +298,23 @@
     let start = ctx.now();
     let patience = attempt_timeout(job);
     let mut response = pin!(response);
+    let mut wait = Wait::LimitPassed;
     if job.route.repeat != Repeat::Once && start + patience < job.deadline {
         attempts.schedule(start + patience);
-        let head = head_until(ctx, job, target, start + patience, response.as_mut()).await;
-        if head.is_some() {
-            return head;
+        wait = head_until(ctx, job, target, start + patience, response.as_mut()).await;
+        if matches!(wait, Wait::LimitPassed) {
+            log_silent(job, target, ctx.now() - start);
+            target.flight.set_silent(true);
         }
-        log_silent(job, target, ctx.now() - start);
-        target.flight.set_silent(true);
     }
-    let head = head_until(ctx, job, target, job.deadline, response).await;
-    if head.is_none() {
-        log_silent(job, target, ctx.now() - start);
+    if matches!(wait, Wait::LimitPassed) {
+        wait = head_until(ctx, job, target, job.deadline, response).await;
+    }
+    if let Wait::Head(head) = wait {
+        return Some(head);
     }
-    head
+    log_silent(job, target, ctx.now() - start);
+    None
 }
 
 /// Logs whether a request began at an endpoint with superseded weights, and how much time was left.
