fix(gateway): no long prompt is sent too late to be read

What callers saw: 502 "the request may have run" for a request that may run once, with a long prompt, near the end of an older version: it was sent, and cancelled while its endpoint read the prompt.

Cause: the choice of the endpoint adds the time to read the prompt to the margin before the end, but the check just before the request is sent (`withhold_reason`) did not. A pause of the process, or a slow connection, between the two let a request go that could not begin in time.

Change: `Margins::expiry` takes the time to read the prompt. The time by which a request must have begun is unchanged.

--- a/src/decide/supersede.rs
+++ b/src/decide/supersede.rs
@@ -59,10 +59,11 @@
         self.send() + QUEUE_TIME
     }
 
-    /// Returns by when a request must be sent and must have begun if its version ends at `end`.
-    pub fn expiry(self, end: Millis) -> Expiry {
+    /// Returns by when a request must be sent and must have begun if its version ends at `end`; `read_time` is the time
+    /// in which an endpoint reads its prompt.
+    pub fn expiry(self, end: Millis, read_time: Millis) -> Expiry {
         Expiry {
-            send_by: end - self.send(),
+            send_by: end - (self.send() + read_time),
             begin_by: end - self.cancel(),
         }
     }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -341,12 +341,17 @@
     }
 
     /// Returns by when a request to an endpoint with this version of a model must be sent and must have begun; `None` if
-    /// the version is not superseded.
-    pub(super) fn expiry(&self, model: &str, version: WeightVersion) -> Option<Expiry> {
+    /// the version is not superseded. `read_time` is the time in which the endpoint reads the prompt.
+    pub(super) fn expiry(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        read_time: Millis,
+    ) -> Option<Expiry> {
         let desired = self.desired.borrow();
         let since = desired.get(model)?.superseded_at(version)?;
         let end = since + self.bounds.get().version;
-        Some(Margins::default().expiry(end))
+        Some(Margins::default().expiry(end, read_time))
     }
 
     fn budget<T>(&self, service: &Service, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -147,9 +147,17 @@
     Ok(send(ctx, job, attempts, target, last, choice.expected).await)
 }
 
+/// Returns the time in which an endpoint of the request's service reads its prompt.
+fn read_time(ctx: &Context, job: &Job) -> Millis {
+    let catalog = ctx.catalog.borrow();
+    let spec = catalog.as_ref().and_then(|c| c.services.get(&job.service));
+    let engine = spec.and_then(|s| s.engine);
+    engine.map_or(Millis::ZERO, |e| e.read_time(job.prompt_tokens))
+}
+
 /// Returns by when a request to an endpoint with this version must be sent and must have begun, by what is known now.
 fn expiry(ctx: &Context, job: &Job, version: Option<WeightVersion>) -> Option<Expiry> {
-    ctx.expiry(job.model.as_deref()?, version?)
+    ctx.expiry(job.model.as_deref()?, version?, read_time(ctx, job))
 }
 
 /// Returns why a request must not be sent after all to the endpoint that was chosen for it; `None` if it may be sent.
--- a/tests/version_margins.rs
+++ b/tests/version_margins.rs
@@ -301,7 +301,7 @@
             arrived,
             read: self.now + Millis(READ + READ_BESIDE * beside),
             duration,
-            begin_by: end.map(|end| self.margins.expiry(end).begin_by),
+            begin_by: end.map(|end| self.margins.expiry(end, Millis::ZERO).begin_by),
             closed: false,
         });
     }
