fix(gateway): an endpoint that ended leaves a stream another attempt

Its endpoint crashed, the one that was to continue it was silent, and when that was cancelled by the margin before the end of its version no attempt was left, although other endpoints of this version could have gone on long before.

Cause: the attempt at the crashed endpoint counted against the route's attempts. The silent second one was then the last, so that nothing could be sent beside it after the attempt timeout, and nothing after its cancellation.

Change: when a route allows no further attempt to a stream that broke off, the entry asks whether anything listens at the address of the endpoint that broke it off. Refused: its process has ended, so that the request cannot run there any more, and this attempt does not count. Limits: one endpoint a request, and only after the caller got two events of it, so that a request that ends endpoints as it begins gets no further one. The retry budget counts each attempt as before. The check runs beside the endpoints that are read, and delays none.

Not changed: the margins before the end of a version, and that a stream goes on at its own version only. A stream whose endpoint closed a connection but still listens, whose host is dark, or that broke off less than the attempt timeout before the last send of its version is still cut if the next endpoint is silent.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use super::{
     context::{Context, InFlight},
     endpoint_table::EndpointId,
+    events::EventId,
     record::WeightVersion,
 };
 use crate::{
@@ -43,6 +44,17 @@
     pub(super) version: Option<WeightVersion>,
 }
 
+impl Target {
+    /// Returns the endpoint as that of a stream which it sends from the event after `last` on.
+    pub(super) fn supplier(&self, last: Option<EventId>) -> Supplier {
+        Supplier {
+            id: self.id.clone(),
+            addr: self.addr,
+            after: last.unwrap_or_default(),
+        }
+    }
+}
+
 /// A response that is forwarded while its body arrives.
 #[derive(Debug)]
 pub(super) struct StreamingResponse {
@@ -70,6 +82,15 @@
     Failed(Response<Full<Bytes>>),
 }
 
+/// An endpoint that sends a stream.
+#[derive(Clone, Debug)]
+pub(super) struct Supplier {
+    pub(super) id: EndpointId,
+    pub(super) addr: SocketAddr,
+    /// Last event that the caller had when the endpoint's response began.
+    pub(super) after: EventId,
+}
+
 /// Progress of a request over its attempts.
 #[derive(Debug)]
 pub(super) struct Attempts {
@@ -87,6 +108,10 @@
     pub(super) draw: Cell<RetryDraw>,
     /// Endpoint whose response is forwarded.
     pub(super) answered: RefCell<Option<EndpointId>>,
+    /// Endpoint that sends the stream.
+    pub(super) supplier: RefCell<Option<Supplier>>,
+    /// Number of attempts that were sent to endpoints which have ended since; at most `sent`.
+    pub(super) ended: Cell<u32>,
     /// When another attempt may begin beside those in flight.
     next_at: Cell<Millis>,
     /// Wakes the wait for `next_at` when it changes.
@@ -103,6 +128,8 @@
             pass: Cell::new(Pass::Clear),
             draw: Cell::new(RetryDraw::random()),
             answered: RefCell::default(),
+            supplier: RefCell::default(),
+            ended: Cell::new(0),
             next_at: Cell::new(Millis::MAX),
             changed: Notify::new(),
         }
@@ -119,6 +146,12 @@
         answered.or_else(|| self.tried().last().cloned())
     }
 
+    /// Returns the number of attempts that count against the limit of the route: those whose endpoints may still run the
+    /// request, or have run it.
+    pub(super) fn counted(&self) -> u32 {
+        self.sent.get() - self.ended.get()
+    }
+
     /// Sets when another attempt may begin beside those in flight.
     pub(super) fn schedule(&self, at: Millis) {
         self.next_at.set(at);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -194,7 +194,7 @@
 fn count_attempt(ctx: &Context, job: &Job, attempts: &Attempts) -> Result<(), &'static str> {
     let sent = attempts.sent.get();
     if sent > 0 {
-        if sent >= job.route.attempts {
+        if attempts.counted() >= job.route.attempts {
             return Err("the route allows no further attempt");
         }
         if !ctx.take_retry(&job.service, attempts.draw.get()) {
@@ -416,7 +416,12 @@
     target.flight.set_silent(false);
     // The response has begun: no other attempt while the rest of it arrives.
     attempts.schedule(Millis::MAX);
-    evaluate(ctx, job, attempts, target, res).await
+    let supplier = target.supplier(last);
+    let result = evaluate(ctx, job, attempts, target, res).await;
+    if matches!(result, Attempt::Streaming(_)) {
+        attempts.supplier.replace(Some(supplier));
+    }
+    result
 }
 
 /// Whether another attempt may be made.
@@ -436,7 +441,8 @@
         return Repetition::Never;
     }
     let sent = attempts.sent.get();
-    if sent >= job.route.attempts || ctx.now() + REMAINING_MIN >= job.deadline {
+    let none_left = attempts.counted() >= job.route.attempts;
+    if none_left || ctx.now() + REMAINING_MIN >= job.deadline {
         return Repetition::Never;
     }
     // The retry budget counts only requests that are sent again after one was sent.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod desired;
 mod directory;
 mod dropped;
+mod ended;
 mod ending;
 mod endpoint_query;
 mod endpoint_table;
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -3,15 +3,19 @@
 //! A silent endpoint is read on beside the endpoints that are to continue the stream: the one with the next event first
 //! goes on, and the others are closed.
 
-use std::rc::Rc;
+use std::{pin::pin, rc::Rc};
 
-use futures_util::stream::{FuturesUnordered, StreamExt};
+use futures_util::{
+    future::{Fuse, FusedFuture, FutureExt},
+    stream::{FuturesUnordered, StreamExt},
+};
 
 use super::{
     accept::Job,
     attempt::{Attempt, Attempts},
     choose::has_room,
     context::Context,
+    ended::discount_ended,
     events::EventId,
     forward::{attempt, may_repeat, Repetition},
     load_balancer::Refusal,
@@ -93,14 +97,22 @@
         let Self { ctx, attempts, .. } = self;
         let mut race = FuturesUnordered::new();
         let mut newest = 0;
+        let supplier = attempts.supplier.borrow().clone();
+        let mut broken = supplier.clone().filter(|_| present.is_none());
         if present.is_some() {
             race.push(self.read_source(newest, present));
         }
+        let mut check = pin!(Fuse::terminated());
+        let mut checked = false;
         attempts.schedule(ctx.now());
         loop {
             let (number, result) = tokio::select! {
                 biased;
                 Some(result) = race.next() => result,
+                ended = check.as_mut(), if !check.is_terminated() => {
+                    self.schedule_replacement(ended || race.is_empty());
+                    continue;
+                }
                 () = attempts.due(ctx) => {
                     match may_repeat(ctx, self.job, attempts, true) {
                         Repetition::Allowed if has_room(ctx, self.job, attempts) => {
@@ -108,6 +120,11 @@
                             race.push(self.read_source(newest, None));
                         }
                         Repetition::Allowed => self.try_later(race.is_empty())?,
+                        Repetition::Never if !checked => {
+                            checked = true;
+                            check.set(discount_ended(self, broken.take()).fuse());
+                            attempts.schedule(Millis::MAX);
+                        }
                         _ if race.is_empty() => return Err("no attempt left"),
                         Repetition::NoBudget => attempts.schedule(ctx.now() + RETRY_INTERVAL),
                         Repetition::Never => attempts.schedule(Millis::MAX),
@@ -123,12 +140,19 @@
                     continue;
                 }
                 if matches!(result, ReadResult::Events(_) | ReadResult::End) {
+                    let other = || source.target.supplier(self.last);
+                    let supplier = supplier.filter(|_| number == 0).unwrap_or_else(other);
+                    attempts.supplier.replace(Some(supplier));
                     return Ok(Next {
                         source: *source,
                         result,
                         resumed: number > 0,
                     });
                 }
+                if number == 0 {
+                    broken.clone_from(&supplier);
+                    checked = false;
+                }
                 self.end(*source, &result);
                 match result {
                     ReadResult::DeadlinePassed => return Err("deadline"),
