refactor(gateway): one decision on an attempt beside others

What stood twice: the loops of race.rs and standby.rs each asked whether a further attempt is allowed, and then whether an endpoint has room for it.

Change: `may_join` answers both, with a result of its own for "no room". No behaviour changes: race.rs treats no room as an empty retry budget, standby.rs tries again a little later, as before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
     accept::Job,
     attempt::{Attempt, Attempts, Pass, Target},
     catalog::Repeat,
-    choose::{choose, Choice},
+    choose::{choose, has_room, Choice},
     context::{Context, InFlight},
     dropped::note_dropped,
     ending::{Ending, Progress},
@@ -429,13 +429,15 @@
 pub(super) enum Repetition {
     /// It may be made now.
     Allowed,
+    /// No endpoint has room for it.
+    NoRoom,
     /// The retry budget is empty.
     NoBudget,
     /// The route or the deadline allows no other attempt.
     Never,
 }
 
-/// Returns whether another attempt may be made. `ran` says that the request may have run already.
+/// Returns whether another attempt may be made if an endpoint has room. `ran` says that the request may have run already.
 pub(super) fn may_repeat(ctx: &Context, job: &Job, attempts: &Attempts, ran: bool) -> Repetition {
     if ran && job.route.repeat == Repeat::Once {
         return Repetition::Never;
@@ -451,3 +453,12 @@
     }
     Repetition::NoBudget
 }
+
+/// Returns whether another attempt may be made now beside those in flight, which may have run.
+pub(super) fn may_join(ctx: &Context, job: &Job, attempts: &Attempts) -> Repetition {
+    let repetition = may_repeat(ctx, job, attempts, true);
+    if repetition == Repetition::Allowed && !has_room(ctx, job, attempts) {
+        return Repetition::NoRoom;
+    }
+    repetition
+}
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -11,9 +11,8 @@
 use super::{
     accept::Job,
     attempt::{Attempt, Attempts, StreamingResponse},
-    choose::has_room,
     context::Context,
-    forward::{attempt, may_repeat, Repetition},
+    forward::{attempt, may_join, may_repeat, Repetition},
     load_balancer::Refusal,
     reply::Reject,
 };
@@ -78,12 +77,12 @@
         ControlFlow::Continue(())
     }
 
-    /// Returns whether another attempt may be made beside those in flight, which may have run.
+    /// Returns whether another attempt may be made now beside those in flight, which may have run.
     fn may_join(&self, ctx: &Context, job: &Job, attempts: &Attempts) -> Repetition {
         if self.unsent >= UNSENT_MAX {
             return Repetition::Never;
         }
-        may_repeat(ctx, job, attempts, true)
+        may_join(ctx, job, attempts)
     }
 
     /// Returns whether another attempt may follow the last one.
@@ -132,11 +131,11 @@
             Some(result) = race.next() => result,
             () = attempts.due(ctx) => {
                 match ended.may_join(ctx, job, attempts) {
-                    Repetition::Allowed if has_room(ctx, job, attempts) => {
+                    Repetition::Allowed => {
                         newest += 1;
                         race.push(make_attempt(ctx, job, attempts, newest));
                     }
-                    Repetition::Allowed | Repetition::NoBudget => {
+                    Repetition::NoRoom | Repetition::NoBudget => {
                         attempts.schedule(ctx.now() + RETRY_INTERVAL);
                     }
                     Repetition::Never => attempts.schedule(Millis::MAX),
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -13,11 +13,10 @@
 use super::{
     accept::Job,
     attempt::{Attempt, Attempts},
-    choose::has_room,
     context::Context,
     ended::discount_ended,
     events::EventId,
-    forward::{attempt, may_repeat, Repetition},
+    forward::{attempt, may_join, Repetition},
     load_balancer::Refusal,
     load_view::Outcome,
     race::RETRY_INTERVAL,
@@ -114,12 +113,12 @@
                     continue;
                 }
                 () = attempts.due(ctx) => {
-                    match may_repeat(ctx, self.job, attempts, true) {
-                        Repetition::Allowed if has_room(ctx, self.job, attempts) => {
+                    match may_join(ctx, self.job, attempts) {
+                        Repetition::Allowed => {
                             newest += 1;
                             race.push(self.read_source(newest, None));
                         }
-                        Repetition::Allowed => self.try_later(race.is_empty())?,
+                        Repetition::NoRoom => self.try_later(race.is_empty())?,
                         Repetition::Never if !checked => {
                             checked = true;
                             check.set(discount_ended(self, broken.take()).fuse());
