test(gateway): more time for the choice in the test of late sends

The entry had 100 ms to choose an endpoint before the time after which a long prompt is not sent, so that a busy machine could fail `long_prompt_is_not_sent_late` without a fault. It has 400 ms now, and the process stands still for 900 ms after the choice, so that the request still goes later than allowed without the check.

Result: fails with 502 when the time to read the prompt is left out of `expiry`, as before, and passes with it.

--- a/tests/late_sends.rs
+++ b/tests/late_sends.rs
@@ -19,13 +19,13 @@
 const BOUND: Millis = Millis(12_000);
 
 /// Time before that at which a request that reads its prompt for [`READ_TIME`] is still sent, though not for long.
-const SENT_BEFORE: Millis = Millis(5200);
+const SENT_BEFORE: Millis = Millis(5500);
 
 /// Time to read the prompt of 3,000 tokens.
 const READ_TIME: u32 = 3000;
 
 /// Time for which the process stands still after the choice of the endpoint.
-const STALL: Millis = Millis(600);
+const STALL: Millis = Millis(900);
 
 /// Guards against a request that is sent too late to read its long prompt by the end of the version, because the process
 /// was paused after the choice: it is cancelled at work, and its caller cannot tell whether it ran.
