--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
     accept::Job,
     attempt::{Attempt, Attempts, Pass, Target},
     catalog::Repeat,
-    choose::{choose, Choice},
+    choose::{choose, has_room, Choice},
     context::{Context, InFlight},
     dropped::note_dropped,
     ending::{Ending, Progress},
@@ -147,9 +147,17 @@
     Ok(send(ctx, job, attempts, target, last, choice.expected).await)
 }
 
+/// Returns the time in which an endpoint of the request's service reads its prompt.
+fn read_time(ctx: &Context, job: &Job) -> Millis {
+    let catalog = ctx.catalog.borrow();
+    let spec = catalog.as_ref().and_then(|c| c.services.get(&job.service));
+    let engine = spec.and_then(|s| s.engine);
+    engine.map_or(Millis::ZERO, |e| e.read_time(job.prompt_tokens))
+}
+
 /// Returns by when a request to an endpoint with this version must be sent and must have begun, by what is known now.
 fn expiry(ctx: &Context, job: &Job, version: Option<WeightVersion>) -> Option<Expiry> {
-    ctx.expiry(job.model.as_deref()?, version?)
+    ctx.expiry(job.model.as_deref()?, version?, read_time(ctx, job))
 }
 
 /// Returns why a request must not be sent after all to the endpoint that was chosen for it; `None` if it may be sent.
@@ -186,7 +194,7 @@
 fn count_attempt(ctx: &Context, job: &Job, attempts: &Attempts) -> Result<(), &'static str> {
     let sent = attempts.sent.get();
     if sent > 0 {
-        if sent >= job.route.attempts {
+        if attempts.counted() >= job.route.attempts {
             return Err("the route allows no further attempt");
         }
         if !ctx.take_retry(&job.service, attempts.draw.get()) {
@@ -253,22 +261,34 @@
     timeout.max(ATTEMPT_TIMEOUT_MIN)
 }
 
-/// Waits for the head of a response until `limit`, or until the endpoint must have begun; `None` then. The latter can
-/// change meanwhile, because a newer version becomes known.
+/// Result of waiting for the head of a response.
+enum Wait<T> {
+    Head(T),
+    /// The limit passed.
+    LimitPassed,
+    /// The endpoint must have begun by now, because its version of the weights ends soon.
+    Expired,
+}
+
+/// Waits for the head of a response until `limit`, or until the endpoint must have begun. The latter can change
+/// meanwhile, because a newer version becomes known.
 async fn head_until<T>(
     ctx: &Context,
     job: &Job,
     target: &Target,
     limit: Millis,
     mut response: Pin<&mut impl Future<Output = T>>,
-) -> Option<T> {
+) -> Wait<T> {
     loop {
         let begin_by = expiry(ctx, job, target.version).map(|e| e.begin_by);
-        let wait = limit.min(begin_by.unwrap_or(Millis::MAX)) - ctx.now();
+        let begin_by = begin_by.unwrap_or(Millis::MAX);
+        let wait = limit.min(begin_by) - ctx.now();
         tokio::select! {
             biased;
-            head = response.as_mut() => return Some(head),
-            () = tokio::time::sleep(wait.duration()) => return None,
+            head = response.as_mut() => return Wait::Head(head),
+            () = tokio::time::sleep(wait.duration()) => {
+                return if begin_by <= limit { Wait::Expired } else { Wait::LimitPassed };
+            }
             () = ctx.changed.notified() => {}
         }
     }
@@ -286,20 +306,23 @@
     let start = ctx.now();
     let patience = attempt_timeout(job);
     let mut response = pin!(response);
+    let mut wait = Wait::LimitPassed;
     if job.route.repeat != Repeat::Once && start + patience < job.deadline {
         attempts.schedule(start + patience);
-        let head = head_until(ctx, job, target, start + patience, response.as_mut()).await;
-        if head.is_some() {
-            return head;
+        wait = head_until(ctx, job, target, start + patience, response.as_mut()).await;
+        if matches!(wait, Wait::LimitPassed) {
+            log_silent(job, target, ctx.now() - start);
+            target.flight.set_silent(true);
         }
-        log_silent(job, target, ctx.now() - start);
-        target.flight.set_silent(true);
     }
-    let head = head_until(ctx, job, target, job.deadline, response).await;
-    if head.is_none() {
-        log_silent(job, target, ctx.now() - start);
+    if matches!(wait, Wait::LimitPassed) {
+        wait = head_until(ctx, job, target, job.deadline, response).await;
     }
-    head
+    if let Wait::Head(head) = wait {
+        return Some(head);
+    }
+    log_silent(job, target, ctx.now() - start);
+    None
 }
 
 /// Logs whether a request began at an endpoint with superseded weights, and how much time was left.
@@ -393,7 +416,12 @@
     target.flight.set_silent(false);
     // The response has begun: no other attempt while the rest of it arrives.
     attempts.schedule(Millis::MAX);
-    evaluate(ctx, job, attempts, target, res).await
+    let supplier = target.supplier(last);
+    let result = evaluate(ctx, job, attempts, target, res).await;
+    if matches!(result, Attempt::Streaming(_)) {
+        attempts.supplier.replace(Some(supplier));
+    }
+    result
 }
 
 /// Whether another attempt may be made.
@@ -401,19 +429,22 @@
 pub(super) enum Repetition {
     /// It may be made now.
     Allowed,
+    /// No endpoint has room for it.
+    NoRoom,
     /// The retry budget is empty.
     NoBudget,
     /// The route or the deadline allows no other attempt.
     Never,
 }
 
-/// Returns whether another attempt may be made. `ran` says that the request may have run already.
+/// Returns whether another attempt may be made if an endpoint has room. `ran` says that the request may have run already.
 pub(super) fn may_repeat(ctx: &Context, job: &Job, attempts: &Attempts, ran: bool) -> Repetition {
     if ran && job.route.repeat == Repeat::Once {
         return Repetition::Never;
     }
     let sent = attempts.sent.get();
-    if sent >= job.route.attempts || ctx.now() + REMAINING_MIN >= job.deadline {
+    let none_left = attempts.counted() >= job.route.attempts;
+    if none_left || ctx.now() + REMAINING_MIN >= job.deadline {
         return Repetition::Never;
     }
     // The retry budget counts only requests that are sent again after one was sent.
@@ -422,3 +453,12 @@
     }
     Repetition::NoBudget
 }
+
+/// Returns whether another attempt may be made now beside those in flight, which may have run.
+pub(super) fn may_join(ctx: &Context, job: &Job, attempts: &Attempts) -> Repetition {
+    let repetition = may_repeat(ctx, job, attempts, true);
+    if repetition == Repetition::Allowed && !has_room(ctx, job, attempts) {
+        return Repetition::NoRoom;
+    }
+    repetition
+}
