fix(http): a closing server takes the connections that wait before it closes its socket

What callers saw: a connection that was open for them was reset without an answer, though a whole request lay in it, when a stopping entry closed its socket at a moment at which it was busy.

Cause: the loop that accepts connections waits for the next one and for the end of the shutdown's first step at once, and took either where both were ready. Where the only thread was kept for some milliseconds around that end (a large catalog, a pause of the process), connections that had been opened meanwhile were reset with the socket.

Change: a connection that waits goes first.

Test: `connection_ends waiting_connections_are_served`, 20 connections with a request each, opened 30 ms before the end of the first step while the thread is kept for 80 ms: 0 of 20 answered before, 20 of 20 now (one run each). `request_before_the_idle_timer_is_answered` passed before too; it guards the idle timer against the same case.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -104,7 +104,9 @@
         let settled = settle(closing);
         tokio::pin!(settled);
         loop {
+            // A connection that waits goes first, so that none is reset with its request when the socket closes.
             let stream = tokio::select! {
+                biased;
                 accepted = self.listener.accept() => accepted,
                 () = settled.as_mut() => break,
             };
