fix(gateway): a stream that has not begun is answered before its entry exits

What callers saw: a whole request of a stream got neither a byte nor a rejection, and its connection ended, where its endpoint had sent the head of a response and no event yet when the grace period of the entry ended. The same held for a caller of HTTP/1.0, which gets a stream at once, in the middle of the stream.

Cause: only the wait for the head of the endpoint's response ended shortly before the exit. The wait for the first event, and for the whole stream where the caller cannot tell an early end, went on until the process was gone.

Change: these waits end at the same time with 502, and the log has `SW452 outcome=cut reason=exiting` for it.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -133,6 +133,14 @@
     Reject::Stopping(crate::base::jitter(stop::RETRY_AFTER))
 }
 
+/// Waits until the response to a caller can begin, and returns its body if it has to be whole for that.
+async fn begin(relay: &mut Relay, framing: Framing) -> Result<Option<Bytes>, Reject> {
+    match framing {
+        Framing::Chunks => relay.begin().await.map(|()| None),
+        Framing::Length => relay.collect().await.map(Some),
+    }
+}
+
 /// Runs a request.
 async fn run(
     ctx: &Rc<Context>,
@@ -155,9 +163,10 @@
             *res.status_mut() = response.head.status;
             *res.headers_mut() = response_headers(&response.head.headers);
             let mut relay = Relay::new(ctx, job, attempts, *response, running);
-            let begun = match framing {
-                Framing::Chunks => relay.begin().await.map(|()| None),
-                Framing::Length => relay.collect().await.map(Some),
+            let begun = tokio::select! {
+                biased;
+                begun = begin(&mut relay, framing) => begun,
+                () = ctx.wait_for_exit() => Err(relay.exit()),
             };
             match begun {
                 Ok(None) => CallerResponse::Stream(res.map(|()| relay.into_stream())),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -131,6 +131,12 @@
         Ok(body.freeze())
     }
 
+    /// Ends a stream whose response has not begun, because the process exits; returns the rejection of its request.
+    pub(super) fn exit(&mut self) -> Reject {
+        self.fail("exiting");
+        Reject::Exiting
+    }
+
     /// Returns the rejection of a request whose stream was cut.
     fn reject(&self) -> Reject {
         if self.ctx.now() >= self.job.deadline {
--- a/tests/last_answers.rs
+++ b/tests/last_answers.rs
@@ -2,11 +2,11 @@
 
 mod gateway_support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use gateway_support::{
-    addr, endpoint,
-    gateway::{arrivals, catalog, request, CALLERS},
+    addr, endpoint, endpoint_with,
+    gateway::{arrivals, catalog, events, request, CALLERS},
     header, run_local, send_request,
     stopping::{run_entry, signal_self, wait_until_ready},
     Step,
@@ -64,6 +64,42 @@
     });
 }
 
+/// Guards against a stream whose endpoint has sent no event, or not all to a caller that gets them at once, when the process
+/// exits, and whose connection ends without a response.
+#[test]
+fn awaited_stream_is_answered_before_the_exit() {
+    run_local(async {
+        let at = addr(2, 9000);
+        let pick = |request: &str| {
+            let last = if request.contains("/stream/some") {
+                2
+            } else {
+                0
+            };
+            let mut script = events(1..=last, "");
+            script.push(Step::AwaitClose);
+            script
+        };
+        endpoint_with(at, Rc::new(pick)).await;
+        let entry = run_entry(GRACE, catalog, &[at]);
+        wait_until_ready().await;
+        let none = without_deadline("/stream/none");
+        let some = without_deadline("/stream/some").replace("HTTP/1.1", "HTTP/1.0");
+        let send = |text: String| {
+            spawn_local(async move { send_request(addr(1, CALLERS), &text, WAIT).await })
+        };
+        let sent = [send(none), send(some)];
+        tokio::time::sleep(BEFORE).await;
+        signal_self("TERM");
+        for response in sent {
+            let response = response.await.expect("it ends");
+            assert!(response.contains(" 502 "), "{response:?}");
+            assert!(is_complete(&response), "{response:?}");
+        }
+        entry.join().expect("the entry ends");
+    });
+}
+
 /// Binds a socket that takes no more connections, and returns it with the connections that fill it.
 async fn full_listener(at: SocketAddr) -> (Socket, Vec<TcpStream>) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
