fix(http): every accepted connection closes in order, and an end without a response is logged

What callers saw: a connection was reset while its response was still being read, where the request had offered another protocol (`Upgrade: h2c`, as some clients do by default) and more requests lay behind it. A stream that was cut was reset too. The log had no line for a connection that ended beside a request whose response was missing or not whole: it could not tell a caller that left, an idle timer, a stream that was cut and requests behind a last response.

Cause: hyper shuts a connection down only if it ended without an error and no other protocol was offered on it. In all other cases the socket was dropped, and the kernel resets a socket that is dropped with unread bytes.

Change: the task of a connection keeps the socket and closes it in order, whichever way hyper ended. It counts requests and responses, and logs `SW700 http-connection` with both, the unread bytes, the age and the reason for each connection that ended with an error or with bytes that no request was made of; none for others.

`ends_without_response_are_logged` needs the new line.

--- a/src/http/lingering.rs
+++ b/src/http/lingering.rs
@@ -30,6 +30,8 @@
     stream: TcpStream,
     /// Time until which it is read; `None` while it is in use.
     timer: Option<Pin<Box<Sleep>>>,
+    /// Bytes that were read and dropped then.
+    discarded: usize,
 }
 
 impl Lingering {
@@ -37,8 +39,14 @@
         Self {
             stream,
             timer: None,
+            discarded: 0,
         }
     }
+
+    /// Returns the number of bytes that were dropped after the last response.
+    pub(super) fn discarded(&self) -> usize {
+        self.discarded
+    }
 }
 
 impl AsyncRead for Lingering {
@@ -91,6 +99,7 @@
             if read.is_err() || part.filled().is_empty() {
                 break;
             }
+            this.discarded += part.filled().len();
         }
         Poll::Ready(Ok(()))
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,11 +1,13 @@
 //! HTTP/1.1 connections to endpoints, to the platform and between processes, for a single-threaded runtime.
 
+mod accepted;
 mod call;
 mod connect;
 mod framing;
 mod guarded;
 mod head_timer;
 mod lingering;
+mod log_event;
 mod pool;
 mod server;
 mod tcp_info;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,18 +5,11 @@
 use bytes::Bytes;
 use hyper::{
     body::{Body, Incoming},
-    server::conn::http1,
-    service::service_fn,
     Request, Response,
 };
-use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, sync::watch};
 
-use super::{
-    connect::harden,
-    head_timer::{HeadLimit, HeadTimer},
-    lingering::Lingering,
-};
+use super::{accepted::serve_stream, connect::harden};
 use crate::{base::Millis, decide::stop::SETTLE};
 
 /// Time to wait after the system refused to accept a connection, for example for lack of descriptors.
@@ -68,7 +61,7 @@
 }
 
 /// Waits until the shutdown has begun and what had arrived by then is read.
-async fn settle(mut closing: watch::Receiver<bool>) {
+pub(super) async fn settle(mut closing: watch::Receiver<bool>) {
     // An error says that the sender is gone, which ends the service too.
     let _ = closing.wait_for(|c| *c).await;
     tokio::time::sleep(SETTLE.duration()).await;
@@ -110,8 +103,8 @@
                 accepted = self.listener.accept() => accepted,
                 () = settled.as_mut() => break,
             };
-            let stream = match stream {
-                Ok((stream, _)) => stream,
+            let (stream, peer) = match stream {
+                Ok(accepted) => accepted,
                 Err(e) => {
                     log::warn!("cannot accept a connection: {e}; raise the descriptor limit");
                     tokio::time::sleep(ACCEPT_RETRY.duration()).await;
@@ -122,41 +115,17 @@
                 log::debug!("the peer is gone before it was served: {e}");
                 continue;
             }
-            let handler = handler.clone();
-            let service = service_fn(move |req| {
-                let response = handler(req);
-                async move { Ok::<_, Infallible>(response.await) }
-            });
-            let limit = HeadLimit::default();
-            let connection = http1::Builder::new()
-                .timer(HeadTimer(limit.clone()))
-                .header_read_timeout(limit.get())
-                .max_buf_size(options().header_max.max(8192))
-                .serve_connection(TokioIo::new(Lingering::new(stream)), service);
-            let (alive, closing, options) = (alive.clone(), closed.clone(), options.clone());
+            let served = serve_stream(
+                stream,
+                peer,
+                options.clone(),
+                handler.clone(),
+                closed.clone(),
+            );
+            let alive = alive.clone();
             tokio::task::spawn_local(async move {
                 let _alive = alive;
-                tokio::pin!(connection);
-                let serving = std::future::poll_fn(|cx| {
-                    limit.set(options().header_timeout);
-                    connection.as_mut().poll(cx)
-                });
-                // The connection first, so that a request that has arrived by then is read before the connection closes.
-                let ended = tokio::select! {
-                    biased;
-                    ended = serving => Some(ended),
-                    () = settle(closing) => None,
-                };
-                let ended = match ended {
-                    Some(ended) => ended,
-                    None => {
-                        connection.as_mut().graceful_shutdown();
-                        connection.await
-                    }
-                };
-                if let Err(e) = ended {
-                    log::trace!("a connection ended: {e}");
-                }
+                served.await;
             });
         }
         drop(self.listener);
--- a/tests/connection_ends.rs
+++ b/tests/connection_ends.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use std::{io::Write, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, io::Write, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use gateway_support::{addr, run_local};
@@ -14,8 +14,8 @@
     http::{listen, ServeOptions},
 };
 use tokio::{
-    io::AsyncReadExt,
-    net::TcpStream,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpSocket, TcpStream},
     sync::watch,
     task::spawn_local,
     time::{sleep, timeout},
@@ -40,11 +40,52 @@
 /// Longest pause before a request on a kept connection.
 const IDLE: Millis = Millis(300);
 
-/// Starts a server; it closes when the sender says so.
-fn start_server(options: ServeOptions) -> (SocketAddr, watch::Sender<bool>) {
+/// Size of a long response, and of the receive buffer of a caller that reads it slowly.
+const LONG: usize = 1 << 20;
+const BUFFER: u32 = 8 << 10;
+
+thread_local! {
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Collects the lines of each test's thread.
+struct Collector;
+
+impl log::Log for Collector {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let line = record.args().to_string();
+        LINES.with_borrow_mut(|lines| lines.push(line));
+    }
+
+    fn flush(&self) {}
+}
+
+fn collect_lines() {
+    // Another test of the process may have set it.
+    let _ = log::set_logger(&Collector);
+    log::set_max_level(log::LevelFilter::Info);
+}
+
+/// Returns the collected lines of ends of connections, and forgets them.
+fn ends() -> Vec<String> {
+    let mut lines = LINES.take();
+    lines.retain(|line| line.starts_with("SW700 "));
+    lines
+}
+
+/// Starts a server whose responses have `size` bytes; it closes when the sender says so.
+fn start_server(size: usize, options: ServeOptions) -> (SocketAddr, watch::Sender<bool>) {
     let at = addr(1, PORT);
     let (closing, closed) = watch::channel(false);
-    let handler = |_| async { Response::new(Full::new(Bytes::from_static(b"y"))) };
+    let body = Bytes::from(vec![b'y'; size]);
+    let handler = move |_| {
+        let body = body.clone();
+        async move { Response::new(Full::new(body)) }
+    };
     let listener = listen(at).expect("a free address");
     spawn_local(listener.serve(move || options, handler, closed));
     (at, closing)
@@ -70,7 +111,7 @@
 #[test]
 fn waiting_connections_are_served() {
     run_local(async {
-        let (at, closing) = start_server(ServeOptions::default());
+        let (at, closing) = start_server(1, ServeOptions::default());
         closing.send_replace(true);
         sleep(SETTLE.duration() - BEFORE).await;
         let waiting: Vec<_> = (0..WAITING).map(|_| send_at_once(at)).collect();
@@ -95,7 +136,7 @@
             header_timeout: IDLE,
             ..ServeOptions::default()
         };
-        let (at, _closing) = start_server(options);
+        let (at, _closing) = start_server(1, options);
         let mut stream = TcpStream::connect(at).await.expect("a connection");
         for _ in 0..2 {
             sleep(IDLE.duration() - BEFORE).await;
@@ -109,3 +150,94 @@
         }
     });
 }
+
+/// Guards against a reset that takes the rest of a response from a slow reader, because its caller offered another protocol
+/// in the request and sent further requests behind it.
+#[test]
+fn upgrade_offer_keeps_the_response() {
+    run_local(async {
+        let (at, _closing) = start_server(LONG, ServeOptions::default());
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(BUFFER).expect("an option");
+        let mut stream = socket.connect(at).await.expect("a connection");
+        let offer = b"GET / HTTP/1.1\r\nHost: h.example\r\nConnection: Upgrade, close\r\nUpgrade: h2c\r\n\r\n";
+        for text in [&offer[..], REQUEST, REQUEST] {
+            stream.write_all(text).await.expect("it is sent");
+            sleep(BEFORE).await;
+        }
+        let (got, whole) = read_all(&mut stream).await;
+        let body = got.split_once("\r\n\r\n").map_or(0, |(_, b)| b.len());
+        assert!(
+            body == LONG && whole,
+            "{body} of {LONG} bytes, whole {whole}"
+        );
+    });
+}
+
+/// Guards against an end of a connection without a response that the log does not show, and against lines for connections
+/// on which everything was answered.
+#[test]
+fn ends_without_response_are_logged() {
+    run_local(async {
+        collect_lines();
+        let at = addr(1, PORT);
+        let (_closing, closed) = watch::channel(false);
+        let options = || ServeOptions {
+            header_timeout: IDLE,
+            ..ServeOptions::default()
+        };
+        let handler = |req: hyper::Request<_>| async move {
+            if req.uri().path() == "/never" {
+                std::future::pending::<()>().await;
+            }
+            Response::new(Full::new(Bytes::from_static(b"y")))
+        };
+        let listener = listen(at).expect("a free address");
+        spawn_local(listener.serve(options, handler, closed));
+        let last = "GET / HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n";
+        let never = "GET /never HTTP/1.1\r\nHost: h.example\r\n\r\n";
+        let cases = [
+            ("answered", last.to_owned(), None),
+            (
+                "behind the last",
+                last.repeat(2),
+                Some(("1 answers=1 unread=", "closed")),
+            ),
+            (
+                "left",
+                never.to_owned(),
+                Some(("1 answers=0 unread=0 ", "message completed")),
+            ),
+            (
+                "half a head",
+                "GET / HTT".to_owned(),
+                Some(("0 answers=0 unread=9 ", "timeout")),
+            ),
+        ];
+        for (name, text, line) in cases {
+            let mut stream = TcpStream::connect(at).await.expect("a connection");
+            stream.write_all(text.as_bytes()).await.expect("it is sent");
+            if name == "left" {
+                sleep(BEFORE).await;
+                drop(stream);
+            } else {
+                read_all(&mut stream).await;
+                drop(stream);
+            }
+            sleep(BEFORE).await;
+            let lines = ends();
+            let Some((counts, reason)) = line else {
+                assert_eq!(lines, Vec::<String>::new(), "{name}");
+                continue;
+            };
+            let [line] = &lines[..] else {
+                panic!("{name}: {lines:?}");
+            };
+            assert!(
+                line.contains(&format!("requests={counts}")),
+                "{name}: `{line}`"
+            );
+            assert!(line.contains(reason), "{name}: `{line}`");
+        }
+    });
+}
