fix(gateway): what was read of a stream arrives before it is cut

What callers saw: a whole request of a stream got not one byte, neither a status nor a rejection, and its connection ended, although its endpoint had answered with events that the entry had read and counted as forwarded.

Cause: a response to a caller is written when its body has to wait. Where the body fails with no wait behind the first events, hyper drops what it has not written, the head of the response too. That is so where a piece of the endpoint's response holds sound events and a faulty one behind them and no attempt is left, where the deadline has passed by then, and on routes whose streams are not resumed.

Change: a body that fails waits for one turn of the runtime first, in which hyper writes what it holds.

Test: `cut_streams events_before_the_cut_arrive` failed before in its case `faulty` (the caller had an empty text) and passes now; the case `closed` passed before too. One run with `stream_errors`, `stream_resume`, `gateway_http`, `last_answers`, `connection_ends` and `catalog_storm`: 43 of 43 pass.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -149,6 +149,10 @@
     pub(super) fn into_stream(self) -> impl Stream<Item = Result<Frame<Bytes>, Cut>> {
         stream::unfold(self, |mut relay| async move {
             let item = relay.next().await?;
+            if item.is_err() {
+                // hyper writes what it holds while a body is pending, and drops it when the body fails.
+                tokio::task::yield_now().await;
+            }
             Some((item.map(Frame::data), relay))
         })
     }
