fix(gateway): a stream that is too long to be held is logged as cut by the entry

What operators saw: `SW467 reason=caller-left` beside a 502 of the entry itself, where a caller of HTTP/1.0 asked for a stream above 2 MiB. The log blamed the caller for what the entry had ended, and no line named the reason.

Cause: the stream was neither whole nor cut when it was dropped.

Change: it counts as cut, with `SW452 outcome=cut reason=too large`.

Test: `cut_streams too_long_stream_is_logged_as_cut` found no such line before and passes now; 27 of 27 tests of `cut_streams`, `last_answers`, `stream_errors`, `connection_ends` and `event_catalogue` pass (one run).

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -125,6 +125,7 @@
         while let Some(data) = self.next().await {
             body.extend_from_slice(&data.map_err(|Cut| self.reject())?);
             if body.len() > RESPONSE_MAX {
+                self.fail("too large");
                 return Err(Reject::Lost);
             }
         }
--- a/tests/cut_streams.rs
+++ b/tests/cut_streams.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use std::rc::Rc;
+use std::{cell::RefCell, rc::Rc};
 
 use gateway_support::{
     addr,
@@ -14,6 +14,29 @@
 /// Last event that the endpoint sends before its connection ends.
 const LAST: u64 = 3;
 
+/// Number of bytes in a stream that an entry does not hold for a caller that gets it at once.
+const TOO_LONG: usize = 3 << 20;
+
+thread_local! {
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Collects the lines of each test's thread.
+struct Collector;
+
+impl log::Log for Collector {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let line = record.args().to_string();
+        LINES.with_borrow_mut(|lines| lines.push(line));
+    }
+
+    fn flush(&self) {}
+}
+
 /// Returns a catalog whose routes allow one attempt.
 fn single_attempts() -> Catalog {
     let mut out = catalog();
@@ -57,3 +80,33 @@
         );
     }
 }
+
+/// Guards against a log that blames the caller for a stream that the entry itself ends, because it is too long to be held
+/// for a caller that could not tell its early end.
+#[test]
+fn too_long_stream_is_logged_as_cut() {
+    // Another test of the process may have set it.
+    let _ = log::set_logger(&Collector);
+    log::set_max_level(log::LevelFilter::Info);
+    let event = format!("data: {}\n\n", "x".repeat(TOO_LONG / 300));
+    let mut script = events(1..=1, "");
+    script.truncate(1);
+    for id in 1..=310 {
+        let text = format!("id: {id}\n{event}");
+        script.push(Step::Send(format!("{:x}\r\n{text}\r\n", text.len())));
+    }
+    script.push(Step::Send("0\r\n\r\n".to_owned()));
+    with_endpoints(
+        single_attempts(),
+        1,
+        move |_| script.clone(),
+        |_| async {
+            let text = request("/stream/x").replace("HTTP/1.1", "HTTP/1.0");
+            let got = send_request(addr(1, CALLERS), &text, 2000).await;
+            assert!(got.contains(" 502 "), "{} bytes", got.len());
+            let lines = LINES.take().join("\n");
+            assert!(lines.contains("outcome=cut reason=too large"), "`{lines}`");
+            assert!(!lines.contains("SW467"), "`{lines}`");
+        },
+    );
+}
