--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -125,12 +125,19 @@
         while let Some(data) = self.next().await {
             body.extend_from_slice(&data.map_err(|Cut| self.reject())?);
             if body.len() > RESPONSE_MAX {
+                self.fail("too large");
                 return Err(Reject::Lost);
             }
         }
         Ok(body.freeze())
     }
 
+    /// Ends a stream whose response has not begun, because the process exits; returns the rejection of its request.
+    pub(super) fn exit(&mut self) -> Reject {
+        self.fail("exiting");
+        Reject::Exiting
+    }
+
     /// Returns the rejection of a request whose stream was cut.
     fn reject(&self) -> Reject {
         if self.ctx.now() >= self.job.deadline {
@@ -143,6 +150,10 @@
     pub(super) fn into_stream(self) -> impl Stream<Item = Result<Frame<Bytes>, Cut>> {
         stream::unfold(self, |mut relay| async move {
             let item = relay.next().await?;
+            if item.is_err() {
+                // hyper writes what it holds while a body is pending, and drops it when the body fails.
+                tokio::task::yield_now().await;
+            }
             Some((item.map(Frame::data), relay))
         })
     }
