fix(gateway): streams that began for returning callers find a slot

Callers saw a stream cut after its first events: one that returned after a rejection had begun its stream, the endpoint broke off, and the only free slots were those that are kept for first attempts.

Cause: whether a caller returns was applied to each choice of an endpoint, also to the attempts that go on with a request that an endpoint has. The eighth of the slots that is kept free is to order admission; what was admitted isn't admitted anew.

Change: the sign counts until the request has been sent to an endpoint.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -123,7 +123,8 @@
         exact: attempts.version.get(),
         tried: &tried,
         owned: &owned,
-        returning: job.returning,
+        // Of a request that was sent, something may have begun that only another endpoint can finish.
+        returning: job.returning && attempts.sent.get() == 0,
         read_rate: engine.map(|e| e.prompt_rate),
         duration: engine.map_or(Millis::ZERO, |e| {
             e.duration(job.prompt_tokens, job.output_max, job.output_hint)
--- a/tests/returning_callers.rs
+++ b/tests/returning_callers.rs
@@ -2,16 +2,18 @@
 
 mod gateway_support;
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use gateway_support::{
-    addr,
-    gateway::{catalog, respond, start_entry, with_endpoints, with_store, CALLERS, MODEL},
-    header, send_request, MemoryStore, Seen, Step,
+    addr, endpoint_with,
+    gateway::{
+        catalog, events, respond, start_entry, with_endpoints, with_store, CALLERS, HELD, MODEL,
+    },
+    header, run_local, send_request, set_catalog, MemoryStore, Seen, Step,
 };
 use sesamewing::{
     base::Millis,
-    gateway::{Catalog, EngineSpeed, ServiceSpec},
+    gateway::{Catalog, EngineSpeed, ServiceSpec, Topic},
 };
 use tokio::task::{spawn_local, JoinHandle};
 
@@ -71,11 +73,16 @@
 
 /// Sends requests of callers at their first attempt, and waits until the endpoint has them.
 async fn occupy(prompts: &[&str]) -> Vec<JoinHandle<()>> {
+    occupy_by("/safe/", prompts).await
+}
+
+/// Like [`occupy`], on another route.
+async fn occupy_by(route: &str, prompts: &[&str]) -> Vec<JoinHandle<()>> {
     let mut tasks = Vec::new();
     for prompt in prompts {
-        let prompt = (*prompt).to_owned();
+        let text = request(prompt, PATIENCE).replace("/safe/", route);
         tasks.push(spawn_local(async move {
-            let res = send(1, &prompt, PATIENCE).await;
+            let res = send_request(addr(1, CALLERS), &text, PATIENCE.0).await;
             assert!(res.starts_with("HTTP/1.1 200"), "{res}");
         }));
     }
@@ -127,6 +134,62 @@
     });
 }
 
+/// Starts two endpoints of which the second keeps three of its slots in use for longer than callers wait. A stream ends
+/// without its last event at the first one, and goes on at the second one.
+async fn start_breaking(store: &MemoryStore) {
+    let first = |request: &str| {
+        if request.contains("/stream/") {
+            return events(1..=1, "");
+        }
+        work("brief")
+    };
+    let occupied = Cell::new(false);
+    let second = move |request: &str| {
+        if request.contains("/stream/") {
+            return events(2..=2, "0\r\n\r\n");
+        }
+        if !occupied.replace(true) {
+            return work("brief");
+        }
+        let mut script = vec![Step::Pause(PATIENCE.0 - 300)];
+        script.extend(respond("200 OK", "yes"));
+        script
+    };
+    endpoint_with(addr(10, 9000), Rc::new(first)).await;
+    endpoint_with(addr(11, 9000), Rc::new(second)).await;
+    for n in [10, 11] {
+        let value = format!("plain {} a {MODEL} {HELD}", addr(n, 9000));
+        store.write(Topic::Endpoints, &format!("e{n}"), &value);
+    }
+    set_catalog(with_engines());
+    store.write(Topic::Operator, "config", "1");
+}
+
+/// Guards against the loss of a stream that began for a returning caller and breaks while only the slots that are kept
+/// for first attempts are free.
+#[test]
+fn begun_stream_of_a_return_goes_on() {
+    run_local(async {
+        let store = MemoryStore::default();
+        start_breaking(&store).await;
+        start_entry(1, store).await;
+        // Requests that may run once only get no second attempt at the other endpoint.
+        let busy = occupy_by("/once/", &["1", "2", "3", "4", "5", "6", "7", "8"]).await;
+        let left = Millis(2000);
+        let stream = async |left| {
+            let text = request("a1", left).replace("/safe/", "/stream/");
+            send_request(addr(1, CALLERS), &text, left.0 + 200).await
+        };
+        let rejected = stream(left).await;
+        assert!(rejected.starts_with("HTTP/1.1 503"), "{rejected}");
+        tokio::time::sleep(BRIEF_WORK.duration()).await;
+        let back = stream(left - BRIEF_WORK).await;
+        assert!(back.contains("id: 1\n"), "{back}");
+        assert!(back.contains("id: 2\n"), "{back}");
+        join(busy).await;
+    });
+}
+
 /// Load pattern: callers return after a rejection, at any entry. Guards against returning callers that delay first
 /// attempts at the endpoint, and against others that count as returning because they ask the same.
 #[test]
