fix(gateway): rejections are forgotten, whatever deadline callers name

Callers at their first attempt lost their order before returning ones once 16,384 requests with long deadlines had been rejected: the table was full until those deadlines passed (a header may name any number), at the rejecting entry and at those that it told, and later returns were taken for first attempts. Besides, an entry that had rejected one request computed the key of every later one, whatever its body's size, for as long as no other was rejected.

Cause: a rejection was kept until its caller's deadline, and old ones were removed only when another was added.

Change: a rejection is remembered for ten seconds at most, and old ones are removed also when an entry asks whether there are any.

--- a/src/decide/returning.rs
+++ b/src/decide/returning.rs
@@ -12,7 +12,10 @@
 /// of other entries to arrive.
 const DEADLINE_TOLERANCE: Millis = Millis(250);
 
-/// Interval at which rejections are removed whose callers have stopped waiting.
+/// Time after a rejection from which its caller isn't expected to return any more, however long it waits.
+const RETENTION: Millis = Millis(10_000);
+
+/// Interval at which rejections are removed whose callers have stopped waiting or aren't expected any more.
 const REMOVAL_INTERVAL: Millis = Millis(1000);
 
 /// Largest number of rejections that are remembered; beyond it, callers count as being at their first attempt.
@@ -45,11 +48,17 @@
     pub left: Millis,
 }
 
+/// When the caller of a rejected request stops waiting, and until when the rejection is remembered.
+#[derive(Clone, Copy, Debug)]
+struct Remembered {
+    deadline: Millis,
+    until: Millis,
+}
+
 /// Requests that entries rejected and whose callers may return.
 #[derive(Debug, Default)]
 pub struct Rejections {
-    /// Deadline of the caller of each request.
-    deadlines: HashMap<RequestKey, Millis>,
+    requests: HashMap<RequestKey, Remembered>,
     /// Rejections of this entry that others have not been told of, with the callers' deadlines.
     news: Vec<(RequestKey, Millis)>,
     removed_at: Millis,
@@ -72,26 +81,36 @@
     }
 
     fn insert(&mut self, key: RequestKey, deadline: Millis, now: Millis) {
+        self.remove_old(now);
+        if self.requests.len() < REJECTIONS_MAX {
+            let until = deadline.min(now + RETENTION);
+            self.requests.insert(key, Remembered { deadline, until });
+        }
+    }
+
+    fn remove_old(&mut self, now: Millis) {
         if now >= self.removed_at + REMOVAL_INTERVAL {
-            self.deadlines.retain(|_, deadline| *deadline > now);
+            self.requests.retain(|_, known| known.until > now);
             self.removed_at = now;
         }
-        if self.deadlines.len() < REJECTIONS_MAX {
-            self.deadlines.insert(key, deadline);
-        }
     }
 
     /// Returns whether no rejection is remembered, so that no caller can be one that returns.
-    pub fn is_empty(&self) -> bool {
-        self.deadlines.is_empty()
+    pub fn is_empty(&mut self, now: Millis) -> bool {
+        self.remove_old(now);
+        self.requests.is_empty()
     }
 
     /// Returns whether the caller of a request, which waits until `deadline`, returns after a rejection.
     pub fn is_returning(&self, key: RequestKey, deadline: Millis) -> bool {
-        let known = self.deadlines.get(&key);
-        known.is_some_and(|known| {
-            *known + DEADLINE_TOLERANCE >= deadline && deadline + DEADLINE_TOLERANCE >= *known
-        })
+        let known = self.requests.get(&key);
+        known.is_some_and(
+            |Remembered {
+                 deadline: known, ..
+             }| {
+                *known + DEADLINE_TOLERANCE >= deadline && deadline + DEADLINE_TOLERANCE >= *known
+            },
+        )
     }
 
     /// Takes the rejections of this entry that others have not been told of.
--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -36,7 +36,7 @@
         return false;
     };
     // Without overload no request needs its key.
-    if job.model.is_none() || ctx.rejections.borrow().is_empty() {
+    if job.model.is_none() || ctx.rejections.borrow_mut().is_empty(ctx.now()) {
         return false;
     }
     let key = request_key(ctx, job);
