fix(gateway): equal requests of several callers don't count as returns

Callers of a route on which many ask the same (a fixed prompt, a batch) saw their first attempts rejected in a crowd as "all endpoints are loaded" while other routes were served: the same class of fault as before, a whole route last in the order by something other than its rejections.

Cause: a request was known by its content and by a deadline within 250 ms of that of the last rejection. Where callers wait equally long, each first attempt comes within 250 ms of somebody's rejection with the same content.

Change: a rejection keeps the first deadline with which its request was rejected. When the same request is rejected with another deadline, several callers send it, and it tells nothing: all of them count as being at their first attempt, for as long as it is remembered.

--- a/src/decide/returning.rs
+++ b/src/decide/returning.rs
@@ -48,11 +48,20 @@
     pub left: Millis,
 }
 
+/// Returns whether two attempts with these deadlines may be those of one caller.
+fn is_same_caller(a: Millis, b: Millis) -> bool {
+    a + DEADLINE_TOLERANCE >= b && b + DEADLINE_TOLERANCE >= a
+}
+
 /// When the caller of a rejected request stops waiting, and until when the rejection is remembered.
 #[derive(Clone, Copy, Debug)]
 struct Remembered {
+    /// That of the first rejection, so that many callers whose deadlines differ little from one to the next don't pass
+    /// for one.
     deadline: Millis,
     until: Millis,
+    /// Whether several callers sent this request, so that it doesn't tell who returns.
+    shared: bool,
 }
 
 /// Requests that entries rejected and whose callers may return.
@@ -82,9 +91,20 @@
 
     fn insert(&mut self, key: RequestKey, deadline: Millis, now: Millis) {
         self.remove_old(now);
+        let until = deadline.min(now + RETENTION);
+        if let Some(known) = self.requests.get_mut(&key) {
+            known.shared |= !is_same_caller(known.deadline, deadline);
+            known.until = known.until.max(until);
+            return;
+        }
         if self.requests.len() < REJECTIONS_MAX {
-            let until = deadline.min(now + RETENTION);
-            self.requests.insert(key, Remembered { deadline, until });
+            let shared = false;
+            let request = Remembered {
+                deadline,
+                until,
+                shared,
+            };
+            self.requests.insert(key, request);
         }
     }
 
@@ -101,16 +121,11 @@
         self.requests.is_empty()
     }
 
-    /// Returns whether the caller of a request, which waits until `deadline`, returns after a rejection.
+    /// Returns whether the caller of a request, which waits until `deadline`, returns after a rejection; `false` if other
+    /// callers that were rejected asked the same.
     pub fn is_returning(&self, key: RequestKey, deadline: Millis) -> bool {
         let known = self.requests.get(&key);
-        known.is_some_and(
-            |Remembered {
-                 deadline: known, ..
-             }| {
-                *known + DEADLINE_TOLERANCE >= deadline && deadline + DEADLINE_TOLERANCE >= *known
-            },
-        )
+        known.is_some_and(|known| !known.shared && is_same_caller(known.deadline, deadline))
     }
 
     /// Takes the rejections of this entry that others have not been told of.
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -53,6 +53,8 @@
     pub(crate) crashes: Option<Millis>,
     /// Rejected callers that return, in percent.
     pub(crate) returns: u32,
+    /// Route whose callers all ask the same, and wait equally long.
+    pub(crate) equal: Option<usize>,
 }
 
 /// Time for which a crashed engine is away.
@@ -189,7 +191,7 @@
             due += capacity * f64::from(percent) / 100.0;
             while due >= 1.0 {
                 due -= 1.0;
-                let caller = self.first_attempt();
+                let caller = self.first_attempt(load.equal);
                 self.attempt(caller, counts, load.returns);
             }
             for caller in self.due_returns() {
@@ -202,12 +204,16 @@
         Outcomes { calm, crowd, used }
     }
 
-    fn first_attempt(&mut self) -> Caller {
-        let content = self.rng.u64(..).to_le_bytes();
+    fn first_attempt(&mut self, equal: Option<usize>) -> Caller {
+        let (mut content, route) = (self.rng.u64(..), self.rng.usize(0..self.routes));
+        let mut spread = self.rng.u64(0..SPREAD);
+        if equal == Some(route) {
+            (content, spread) = (0, 0);
+        }
         Caller {
-            route: self.rng.usize(0..self.routes),
-            key: RequestKey::new([&content[..]]),
-            deadline: self.now + PATIENCE + Millis(self.rng.u64(0..SPREAD)),
+            route,
+            key: RequestKey::new([&content.to_le_bytes()[..]]),
+            deadline: self.now + PATIENCE + Millis(spread),
             back: false,
         }
     }
--- a/tests/first_attempts.rs
+++ b/tests/first_attempts.rs
@@ -17,6 +17,7 @@
     end: Millis(10_000),
     crashes: None,
     returns: 100,
+    equal: None,
 };
 
 /// Plays a day and checks it: on every route, first attempts begin at least half as often in the crowd as in calm, and
@@ -62,6 +63,14 @@
     }
 }
 
+/// Load pattern: the same where all callers of one route ask the same. Guards against callers that count as returning
+/// because others with the same request were rejected.
+#[test]
+fn equal_requests_leave_half() {
+    let equal = Some(0);
+    assert_kept(Load { equal, ..CALM }, "equal requests");
+}
+
 /// Load pattern: the same while engines crash one after the other. Guards against crashes whose callers come back and
 /// take the slots that are left.
 #[test]
--- a/tests/rejection_records.rs
+++ b/tests/rejection_records.rs
@@ -64,3 +64,40 @@
     rejections.record(key(2), now + PATIENCE, now);
     assert!(rejections.is_returning(key(1), deadline));
 }
+
+/// Guards against callers that count as returning because others with the same request were rejected.
+#[test]
+fn equal_requests_are_no_returns() {
+    let mut rejections = Rejections::default();
+    let deadline = START + PATIENCE;
+    rejections.record(key(1), deadline, START);
+    assert!(rejections.is_returning(key(1), deadline));
+    let later = START + Millis(1000);
+    rejections.record(key(1), later + PATIENCE, later);
+    assert!(!rejections.is_returning(key(1), later + PATIENCE));
+    assert!(!rejections.is_returning(key(1), deadline));
+}
+
+/// Load pattern: many callers with the same request, one soon after the other. Guards against a row of callers that
+/// passes for one because the deadlines of neighbours differ little.
+#[test]
+fn row_of_equal_requests_is_no_return() {
+    let mut rejections = Rejections::default();
+    let mut now = START;
+    for _ in 0..100 {
+        now += Millis(10);
+        rejections.record(key(1), now + PATIENCE, now);
+    }
+    assert!(!rejections.is_returning(key(1), now + PATIENCE));
+}
+
+/// Guards against a caller that is rejected twice and counts as two callers.
+#[test]
+fn second_rejection_is_of_one_caller() {
+    let mut rejections = Rejections::default();
+    let deadline = START + PATIENCE;
+    rejections.record(key(1), deadline, START);
+    let later = START + Millis(300);
+    rejections.record(key(1), deadline + Millis(20), later);
+    assert!(rejections.is_returning(key(1), deadline + Millis(30)));
+}
