fix(gateway): callers that resume a stream aren't put last

Callers whose stream was cut, and whose resumption was rejected once for want of a slot, were rejected again while only the slots kept for first attempts were free: a stream that had begun was never finished (LOST by the caller's count).

Cause: the resumption is a request of its own, so that its rejection was remembered like that of a request that never ran.

Change: a request that names the last event that its caller has doesn't count as one of a returning caller. A caller that names an event to get ahead gains what it gains by leaving out its deadline.

--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -30,9 +30,10 @@
     RequestKey::new(content.into_iter().chain(headers))
 }
 
-/// Returns whether the caller of a request returns after a rejection.
+/// Returns whether the caller of a request returns after a rejection. One that resumes a stream doesn't count: the stream
+/// has begun, and goes on before others begin.
 pub(super) fn is_returning(ctx: &Context, job: &Job) -> bool {
-    let Some(deadline) = job.caller_deadline else {
+    let Some(deadline) = job.caller_deadline.filter(|_| job.last_event.is_none()) else {
         return false;
     };
     // Without overload no request needs its key.
--- a/tests/returning_callers.rs
+++ b/tests/returning_callers.rs
@@ -190,6 +190,32 @@
     });
 }
 
+/// Guards against a stream that began and that its caller can't resume, because it gets none of the slots that are kept
+/// for first attempts.
+#[test]
+fn resumed_streams_get_the_last_slots() {
+    let script = |request: &str| {
+        if request.contains("/stream/") {
+            return events(2..=2, "0\r\n\r\n");
+        }
+        work(request)
+    };
+    with_endpoints(with_engines(), 1, script, |_| async move {
+        let busy = occupy(&["brief", "2", "3", "4"]).await;
+        let resume = async |left: Millis| {
+            let text = request("a1", left).replace("/safe/", "/stream/");
+            let text = text.replace("X-Model", "Last-Event-Id: 1\r\nX-Model");
+            send_request(addr(1, CALLERS), &text, PATIENCE.0).await
+        };
+        let rejected = resume(Millis(2600)).await;
+        assert!(rejected.starts_with("HTTP/1.1 503"), "{rejected}");
+        tokio::time::sleep(BRIEF_WORK.duration()).await;
+        let back = resume(Millis(2600) - BRIEF_WORK).await;
+        assert!(back.contains("id: 2\n"), "{back}");
+        join(busy).await;
+    });
+}
+
 /// Load pattern: callers return after a rejection, at any entry. Guards against returning callers that delay first
 /// attempts at the endpoint, and against others that count as returning because they ask the same.
 #[test]
