--- a/src/decide/returning.rs
+++ b/src/decide/returning.rs
@@ -12,7 +12,10 @@
 /// of other entries to arrive.
 const DEADLINE_TOLERANCE: Millis = Millis(250);
 
-/// Interval at which rejections are removed whose callers have stopped waiting.
+/// Time after a rejection from which its caller isn't expected to return any more, however long it waits.
+const RETENTION: Millis = Millis(10_000);
+
+/// Interval at which rejections are removed whose callers have stopped waiting or aren't expected any more.
 const REMOVAL_INTERVAL: Millis = Millis(1000);
 
 /// Largest number of rejections that are remembered; beyond it, callers count as being at their first attempt.
@@ -45,11 +48,26 @@
     pub left: Millis,
 }
 
+/// Returns whether two attempts with these deadlines may be those of one caller.
+fn is_same_caller(a: Millis, b: Millis) -> bool {
+    a + DEADLINE_TOLERANCE >= b && b + DEADLINE_TOLERANCE >= a
+}
+
+/// When the caller of a rejected request stops waiting, and until when the rejection is remembered.
+#[derive(Clone, Copy, Debug)]
+struct Remembered {
+    /// That of the first rejection, so that many callers whose deadlines differ little from one to the next don't pass
+    /// for one.
+    deadline: Millis,
+    until: Millis,
+    /// Whether several callers sent this request, so that it doesn't tell who returns.
+    shared: bool,
+}
+
 /// Requests that entries rejected and whose callers may return.
 #[derive(Debug, Default)]
 pub struct Rejections {
-    /// Deadline of the caller of each request.
-    deadlines: HashMap<RequestKey, Millis>,
+    requests: HashMap<RequestKey, Remembered>,
     /// Rejections of this entry that others have not been told of, with the callers' deadlines.
     news: Vec<(RequestKey, Millis)>,
     removed_at: Millis,
@@ -72,26 +90,42 @@
     }
 
     fn insert(&mut self, key: RequestKey, deadline: Millis, now: Millis) {
+        self.remove_old(now);
+        let until = deadline.min(now + RETENTION);
+        if let Some(known) = self.requests.get_mut(&key) {
+            known.shared |= !is_same_caller(known.deadline, deadline);
+            known.until = known.until.max(until);
+            return;
+        }
+        if self.requests.len() < REJECTIONS_MAX {
+            let shared = false;
+            let request = Remembered {
+                deadline,
+                until,
+                shared,
+            };
+            self.requests.insert(key, request);
+        }
+    }
+
+    fn remove_old(&mut self, now: Millis) {
         if now >= self.removed_at + REMOVAL_INTERVAL {
-            self.deadlines.retain(|_, deadline| *deadline > now);
+            self.requests.retain(|_, known| known.until > now);
             self.removed_at = now;
         }
-        if self.deadlines.len() < REJECTIONS_MAX {
-            self.deadlines.insert(key, deadline);
-        }
     }
 
     /// Returns whether no rejection is remembered, so that no caller can be one that returns.
-    pub fn is_empty(&self) -> bool {
-        self.deadlines.is_empty()
+    pub fn is_empty(&mut self, now: Millis) -> bool {
+        self.remove_old(now);
+        self.requests.is_empty()
     }
 
-    /// Returns whether the caller of a request, which waits until `deadline`, returns after a rejection.
+    /// Returns whether the caller of a request, which waits until `deadline`, returns after a rejection; `false` if other
+    /// callers that were rejected asked the same.
     pub fn is_returning(&self, key: RequestKey, deadline: Millis) -> bool {
-        let known = self.deadlines.get(&key);
-        known.is_some_and(|known| {
-            *known + DEADLINE_TOLERANCE >= deadline && deadline + DEADLINE_TOLERANCE >= *known
-        })
+        let known = self.requests.get(&key);
+        known.is_some_and(|known| !known.shared && is_same_caller(known.deadline, deadline))
     }
 
     /// Takes the rejections of this entry that others have not been told of.
--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -30,13 +30,14 @@
     RequestKey::new(content.into_iter().chain(headers))
 }
 
-/// Returns whether the caller of a request returns after a rejection.
+/// Returns whether the caller of a request returns after a rejection. One that resumes a stream doesn't count: the stream
+/// has begun, and goes on before others begin.
 pub(super) fn is_returning(ctx: &Context, job: &Job) -> bool {
-    let Some(deadline) = job.caller_deadline else {
+    let Some(deadline) = job.caller_deadline.filter(|_| job.last_event.is_none()) else {
         return false;
     };
     // Without overload no request needs its key.
-    if job.model.is_none() || ctx.rejections.borrow().is_empty() {
+    if job.model.is_none() || ctx.rejections.borrow_mut().is_empty(ctx.now()) {
         return false;
     }
     let key = request_key(ctx, job);
