fix(gateway): datagrams of another format are counted, and logged a few times a second

While a fleet is updated, entries of one build get datagrams from others that they cannot decode, such as the rejections that entries tell each other since. Each wrote a line without its sender: 192 lines for 192 datagrams, as 48 entries send in a second, which crowd out others.

Change: at most five lines a second, with the sender, and the counter gateway_ignored_datagrams.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -17,7 +17,7 @@
     operator_records::Decode,
     permits, returning, screen, serve,
 };
-use crate::{base::Millis, emit, http::get};
+use crate::{base::Millis, emit, http::get, observe::LineRate};
 
 /// Largest datagram, in bytes.
 const DATAGRAM_MAX: usize = 8 << 10;
@@ -28,12 +28,16 @@
 /// Timeout of a query to another entry; a large catalog takes a while to arrive where many entries query it.
 const QUERY_TIMEOUT: Millis = Millis(1000);
 
+/// Log lines in a second about datagrams that cannot be decoded.
+const IGNORED_LINES: u32 = 5;
+
 /// Shortest interval of the datagrams to other entries.
 const INTERVAL_MIN: Millis = Millis(60);
 
 /// Receives the datagrams of other entries and of agents, and merges their content.
 pub(super) async fn receive(ctx: Rc<Context>, socket: Rc<UdpSocket>) {
     let mut data = vec![0; DATAGRAM_MAX];
+    let lines = LineRate::new(IGNORED_LINES);
     loop {
         let (len, from) = match socket.recv_from(&mut data).await {
             Ok(received) => received,
@@ -73,7 +77,13 @@
                 continue;
             }
             Err(e) => {
-                emit!(log_event::RECORD, "topic=beats reason=\"{e}\"");
+                ctx.metrics.ignored_datagrams.inc();
+                if lines.admits() {
+                    emit!(
+                        log_event::RECORD,
+                        "topic=beats source={from} reason=\"{e}\""
+                    );
+                }
                 continue;
             }
         };
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -66,6 +66,8 @@
     pub(super) response: Family<ServiceLabel, Histogram>,
     /// Time to the first event of a stream, in seconds.
     pub(super) first: Family<ServiceLabel, Histogram>,
+    /// Datagrams that could not be decoded.
+    pub(super) ignored_datagrams: Counter,
     /// Log lines left out under load.
     pub(super) left_out: Counter,
     lines: LeftOut,
@@ -93,6 +95,7 @@
             permits: Family::default(),
             response: Family::new_with_constructor(latency_histogram),
             first: Family::new_with_constructor(latency_histogram),
+            ignored_datagrams: Counter::default(),
             left_out: Counter::default(),
             lines,
         };
@@ -123,6 +126,9 @@
             r.register("gateway_response_seconds", help, out.response.clone());
             let help = "Time to the first event of a stream";
             r.register("gateway_first_event_seconds", help, out.first.clone());
+            let help = "Datagrams that could not be decoded";
+            let ignored = out.ignored_datagrams.clone();
+            r.register("gateway_ignored_datagrams", help, ignored);
             let help = "Log lines left out under load";
             r.register("log_lines_left_out", help, out.left_out.clone());
         });
