fix(gateway): callers that found no endpoint at all are not put last

Callers that came while no endpoint could run their request, for instance while all load weights, were put behind newcomers when they returned as they had been told.

Cause: that rejection was recorded like one for want of a slot. Change: only the latter are recorded.

--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -46,10 +46,7 @@
 
 /// Records a rejected request whose caller was told to return, if it competes with others for slots of an engine.
 pub(super) fn record_rejected(ctx: &Context, job: &Job, reject: Reject) {
-    let overloaded = matches!(
-        reject,
-        Reject::Overloaded(_) | Reject::Unavailable(_) | Reject::Refused(_)
-    );
+    let overloaded = matches!(reject, Reject::Overloaded(_) | Reject::Refused(_));
     let Some(deadline) = job.caller_deadline.filter(|_| overloaded) else {
         return;
     };
--- a/tests/returning_callers.rs
+++ b/tests/returning_callers.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Instant};
 
 use gateway_support::{
     addr, endpoint_with,
@@ -257,3 +257,28 @@
         assert!(back > first, "{back:?}, {first:?}");
     });
 }
+
+/// Guards against callers that are put behind others because they came while no endpoint could run their request.
+#[test]
+fn callers_without_endpoint_are_not_put_last() {
+    run_local(async {
+        let store = MemoryStore::default();
+        set_catalog(with_engines());
+        store.write(Topic::Operator, "config", "1");
+        let seen = endpoint_with(addr(10, 9000), Rc::new(work)).await;
+        start_entry(1, store.clone()).await;
+        let start = Instant::now();
+        let rejected = send(1, "brief-a1", Millis(2600)).await;
+        assert!(rejected.starts_with("HTTP/1.1 503"), "{rejected}");
+        let value = format!("plain {} a {MODEL} {HELD}", addr(10, 9000));
+        store.write(Topic::Endpoints, "e10", &value);
+        while !send(1, "brief-a2", PATIENCE).await.contains(" 200 ") {
+            tokio::time::sleep(Millis(20).duration()).await;
+        }
+        send(1, "brief-a1", Millis(2600) - start.elapsed().into()).await;
+        let seen = [seen];
+        let (back, first) = (urgency(&seen, "brief-a1"), urgency(&seen, "brief-a2"));
+        assert!(first.is_some());
+        assert_eq!(back, first);
+    });
+}
