fix(http): a dark host is noticed by a short request as early as by a long one

Callers with 2 s waited for a short request at a dark host until no attempt was left: it was noticed after 1.63 to 1.65 s, and the shortest attempt takes 0.35 s.

Cause: short requests (up to 8 KiB) are left to the kernel's user timeout of 1.2 s, and the kernel counts that from when it sends a segment again by its second timer, 0.4 s after the request. The page says that a connection whose peer acknowledges nothing for 1.2 s ends.

Target: 1.2 s without an acknowledgement, and two intervals of 0.2 s at which undelivered bytes are looked at: 1.6 s.

Change: a short request starts a check, too, whose first look at the kernel's report comes after 1.2 s (and 10 ms, the longest step of the kernel's clock). A response ends the check before that, so that most requests cost one timer and no system call. If the host has acknowledged nothing since the last bytes were written, the connection ends; if it has, the check goes on as that of a long request. The kernel's own timeout stays as it is, so that no connection to a host that acknowledges ends earlier, also where there is no report. It holds for all connections that are opened with `http::connect`.

Measured on 6.18, arm64, beside other work. `dark_host_is_noticed_by_a_short_request` with the bound of 1.6 s, before: 1.644, 1.632 and 1.648 s, 0 of 3 pass; after: 1.212, 1.212 and 1.212 s, 3 of 3. The other times are as before (long request 1.21 to 1.41 s, after a pause 1.52 s, in a pause 1.71 and 1.83 s). New: `pause_before_a_short_request_loses_nothing` (an endpoint reads nothing for 5 s) and `short_request_is_judged_by_its_acknowledgement` pass; slow_reader, slow_bodies, silent_endpoints and unread_bytes pass (26 tests).

--- a/src/decide/silence.rs
+++ b/src/decide/silence.rs
@@ -43,6 +43,11 @@
 }
 
 impl SilenceWatch {
+    /// Starts to watch a peer that was sent a segment at a time, or shortly before.
+    pub fn asked_at(at: Millis) -> Self {
+        Self { asked: Some(at) }
+    }
+
     /// Judges the peer by the present state of its connection.
     pub fn judge(&mut self, state: SendState, now: Millis) -> Verdict {
         let (sent, acked) = (now - state.sent_ago, now - state.acked_ago);
--- a/src/http/guarded.rs
+++ b/src/http/guarded.rs
@@ -2,6 +2,9 @@
 //!
 //! The user timeout of the kernel ends a connection whose receive window stays closed, whether the peer acknowledges the
 //! probes or not. While bytes of a long request are undelivered, it is therefore extended as long as the peer acknowledges.
+//!
+//! The kernel counts the user timeout only from when it sends a segment again. A short request without a response is
+//! therefore looked at as well, once it may have been undelivered for too long.
 
 use std::{
     future::Future,
@@ -19,20 +22,50 @@
 };
 
 use super::tcp_info::send_state;
-use crate::decide::silence::{SilenceWatch, Verdict, SILENCE};
+use crate::{
+    base::Millis,
+    decide::silence::{SilenceWatch, Verdict, SILENCE},
+};
 
-/// Interval at which undelivered bytes are looked at.
+/// Interval at which undelivered bytes of a long request are looked at.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Number of bytes that a peer can be sent without a response before they are looked at. They fit into its receive window.
 const UNCHECKED_MAX: usize = 8 << 10;
 
+/// Longest step of the kernel's clock, by which the reported time of an acknowledgement can be too late.
+const CLOCK_STEP: Millis = Millis(10);
+
 /// A check of undelivered bytes in progress.
 #[derive(Debug)]
 struct Check {
     timer: Pin<Box<Sleep>>,
     began: Instant,
     watch: SilenceWatch,
+    /// Whether nothing was looked at yet because the request is short; a response ends the check then.
+    waits: bool,
+}
+
+impl Check {
+    /// Checks a request that is long or blocked.
+    fn of_long() -> Self {
+        Self {
+            timer: Box::pin(sleep(CHECK_INTERVAL)),
+            began: Instant::now(),
+            watch: SilenceWatch::default(),
+            waits: false,
+        }
+    }
+
+    /// Checks a short request whose last bytes the kernel has just taken.
+    fn of_short() -> Self {
+        Self {
+            timer: Box::pin(sleep((CLOCK_STEP + SILENCE).duration())),
+            began: Instant::now(),
+            watch: SilenceWatch::asked_at(CLOCK_STEP),
+            waits: true,
+        }
+    }
 }
 
 /// A connection whose undelivered bytes are looked at.
@@ -57,16 +90,26 @@
         }
     }
 
-    /// Records that the kernel took bytes, or none because its buffer is full, and starts a check if one is due.
+    /// Records that the kernel took bytes, or none because its buffer is full, and starts a check.
     fn note_write(&mut self, written: Option<usize>) {
         self.unchecked += written.unwrap_or(0);
-        let due = written.is_none() || self.unchecked > UNCHECKED_MAX;
-        if due && self.supported && self.check.is_none() {
-            self.check = Some(Check {
-                timer: Box::pin(sleep(CHECK_INTERVAL)),
-                began: Instant::now(),
-                watch: SilenceWatch::default(),
-            });
+        let looked_at = self.check.as_ref().is_some_and(|c| !c.waits);
+        if looked_at || !self.supported {
+            return;
+        }
+        let long = written.is_none() || self.unchecked > UNCHECKED_MAX;
+        self.check = Some(if long {
+            Check::of_long()
+        } else {
+            Check::of_short()
+        });
+    }
+
+    /// Records that bytes arrived, by which the peer has read a short request.
+    fn note_read(&mut self) {
+        if self.check.as_ref().is_none_or(|c| c.waits) {
+            self.check = None;
+            self.unchecked = 0;
         }
     }
 
@@ -80,6 +123,7 @@
             if check.timer.as_mut().poll(cx).is_pending() {
                 return Ok(());
             }
+            check.waits = false;
             match look(&self.stream, check) {
                 Ok(Verdict::Present | Verdict::Silent) => {
                     let next = Instant::now() + CHECK_INTERVAL;
@@ -125,8 +169,8 @@
         let read = Pin::new(&mut this.stream).poll_read(cx, buf);
         if read.is_pending() {
             this.poll_check(cx)?;
-        } else if this.check.is_none() {
-            this.unchecked = 0;
+        } else {
+            this.note_read();
         }
         read
     }
--- a/tests/dark_hosts.rs
+++ b/tests/dark_hosts.rs
@@ -27,10 +27,9 @@
 const LONG: usize = 2 << 20;
 const BUFFER: u32 = 64 << 10;
 
-/// Longest time in which a dark host must be noticed by what was sent to it. The kernel counts the time without an
-/// acknowledgement from when it sends a segment again, which takes two retransmission timeouts of 0.2 s, and acts at a
-/// further one.
-const NOTICED: Duration = Duration::from_millis(1800);
+/// Longest time in which a dark host must be noticed by what was sent to it: `SILENCE` (1.2 s), and two intervals of 0.2 s
+/// at which undelivered bytes are looked at. A caller that waits for 2 s then has the shortest attempt (0.35 s) left.
+const NOTICED: Duration = Duration::from_millis(1600);
 
 /// The same if its receive window was closed before, so that the next probe of it has to come first.
 const NOTICED_BY_PROBE: Duration = Duration::from_millis(3200);
@@ -168,6 +167,32 @@
     });
 }
 
+/// Guards against a short request that is lost because its endpoint reads nothing for a while, although its host
+/// acknowledges.
+#[test]
+fn pause_before_a_short_request_loses_nothing() {
+    run_local(async {
+        let (response, _) = send(100, |mut stream| async move {
+            tokio::time::sleep(Duration::from_millis(5000)).await;
+            read(&mut stream, 100).await;
+            respond(&mut stream).await;
+        })
+        .await;
+        assert!(response, "the connection ended");
+    });
+}
+
+/// Guards against a peer that is kept although it has acknowledged nothing of a short request, and against one that is
+/// taken for dark because it was not asked anything since it acknowledged.
+#[test]
+fn short_request_is_judged_by_its_acknowledgement() {
+    let at = Millis(10);
+    let judge = |state| SilenceWatch::asked_at(at).judge(state, at + SILENCE);
+    assert_eq!(judge(state(1, 0, 0, 400, 1205)), Verdict::Dark);
+    assert_eq!(judge(state(1, 0, 0, 400, 1100)), Verdict::Silent);
+    assert_eq!(judge(state(0, 0, 0, 1205, 1100)), Verdict::Delivered);
+}
+
 fn state(unacked: u32, unsent: u32, probes: u8, sent_ago: u64, acked_ago: u64) -> SendState {
     SendState {
         unacked,
