fix(platform): signals are handled before the settings are read

Cause: `main` read the settings file and set up the log before `run` installed the handlers. Where the file is slow to read, or the process is stopped for a while there, each signal ends it by its default action.

Change: `main` builds the runtime and installs the handlers (`process::Signals`) first, and hands them to `run_with` of the entry and of the agent; signals that arrive meanwhile are kept. `run` does the same with handlers of its own, as before.

The test forces the order: the settings file is a named pipe, so that the process waits where it opens the file, and the signal is sent then.

Open: from exec to the first lines of `main` (loader, runtime of the language) a signal still ends the process; only its parent can block signals there. The daemons of `process::start` read their settings before their handlers, too (by reading).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -86,7 +86,7 @@
     StoreError, Topic, WeightVersion,
 };
 pub use reply::Reject;
-pub use run::run;
+pub use run::{run, run_with};
 pub use schedule::LoadSchedule;
 pub use settings::{Bounds, GatewaySettings, Listen};
 pub(crate) use write_time::LoggedAge;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -4,12 +4,7 @@
 
 use bytes::Bytes;
 use eyre::WrapErr;
-use tokio::{
-    net::UdpSocket,
-    signal::unix::{signal, SignalKind},
-    sync::watch,
-    task::spawn_local,
-};
+use tokio::{net::UdpSocket, sync::watch, task::spawn_local};
 
 use super::{
     context::Context,
@@ -32,6 +27,7 @@
     emit,
     http::{listen, ServeOptions},
     observe::LeftOut,
+    process::Signals,
 };
 
 /// Longest wait of one read (long poll) of a topic that seldom changes.
@@ -54,14 +50,26 @@
 ///
 /// Returns an error if the settings cannot be read or a socket cannot be bound.
 pub async fn run<S: RecordStore, D: Decode>(
+    load: impl FnMut() -> eyre::Result<GatewaySettings>,
+    headers: Headers,
+    store: S,
+    lines: LeftOut,
+) -> eyre::Result<()> {
+    run_with::<S, D>(Signals::install()?, load, headers, store, lines).await
+}
+
+/// Runs an entry until SIGTERM, like [`run`], with signals that are handled already.
+///
+/// # Errors
+///
+/// Returns an error if the settings cannot be read or a socket cannot be bound.
+pub async fn run_with<S: RecordStore, D: Decode>(
+    mut signals: Signals,
     mut load: impl FnMut() -> eyre::Result<GatewaySettings>,
     headers: Headers,
     store: S,
     lines: LeftOut,
 ) -> eyre::Result<()> {
-    // Before anything else: until the signals are handled, each of them ends the process.
-    let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
-    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
     let settings = load()?;
     let me = Heartbeat {
         peer: settings.listen.peers,
@@ -123,8 +131,8 @@
     spawn_local(mirror_table(ctx.clone()));
     loop {
         tokio::select! {
-            _ = term.recv() => break,
-            _ = hangup.recv() => ctx.reload(&mut load),
+            _ = signals.term.recv() => break,
+            _ = signals.hangup.recv() => ctx.reload(&mut load),
         }
     }
     stop(&ctx, &socket, &closing, callers).await;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -3,8 +3,10 @@
 mod context;
 mod load;
 mod settings;
+mod signals;
 mod start;
 
 pub use context::{Context, Phase, CLAIM_WINDOW};
 pub use settings::{EndpointKind, EndpointSettings, Fencing, Links, ProcessSettings};
+pub use signals::Signals;
 pub use start::start;
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -19,4 +19,4 @@
 mod run;
 
 pub use host::{EndpointHost, HostError, HostReport, LoadResponse, Manifest, Origin};
-pub use run::{run, AgentSettings};
+pub use run::{run, run_with, AgentSettings};
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -4,12 +4,7 @@
 
 use bytes::Bytes;
 use eyre::WrapErr;
-use tokio::{
-    net::UdpSocket,
-    signal::unix::{signal, SignalKind},
-    sync::watch,
-    task::spawn_local,
-};
+use tokio::{net::UdpSocket, sync::watch, task::spawn_local};
 
 use super::{
     agent::Agent,
@@ -26,6 +21,7 @@
     },
     http::{listen, ServeOptions},
     net::Pacer,
+    process::Signals,
 };
 
 /// Longest wait of one long poll of the operator's records.
@@ -83,9 +79,27 @@
     H: EndpointHost,
     O: Origin,
 {
-    // Without a handler, a signal that arrives before the sockets are bound ends the process.
-    let mut term = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
-    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
+    run_with::<S, D, H, O>(Signals::install()?, settings, store, host, origin).await
+}
+
+/// Runs an agent until it receives SIGTERM, like [`run`], with signals that are handled already.
+///
+/// # Errors
+///
+/// Returns an error if a socket cannot be bound.
+pub async fn run_with<S, D, H, O>(
+    mut signals: Signals,
+    settings: AgentSettings,
+    store: S,
+    host: H,
+    origin: O,
+) -> eyre::Result<()>
+where
+    S: RecordStore,
+    D: Decode,
+    H: EndpointHost,
+    O: Origin,
+{
     let inventory = Rc::new(ChunkInventory::default());
     let clock = SystemClock::start();
     let rate = settings.link_rate.share(LINK_SHARE);
@@ -140,9 +154,9 @@
     });
     loop {
         tokio::select! {
-            _ = term.recv() => break,
+            _ = signals.term.recv() => break,
             // The settings of an agent do not change while its host runs.
-            _ = hangup.recv() => emit!(log_event::COPY, "state=reloaded changed=nothing"),
+            _ = signals.hangup.recv() => emit!(log_event::COPY, "state=reloaded changed=nothing"),
         }
     }
     emit!(log_event::COPY, "state=stopping");
