test(gateway): the store and the zone of version_time in a support module

Callers see no change.

Cause: each case set up the entries by itself, and the stand-in of the store stood in the test file.

Change: the store (`HarshStore`) and the starts of entries moved to `version_support` as they are; `start_zone` starts the three entries for both cases.

--- a/tests/version_time.rs
+++ b/tests/version_time.rs
@@ -1,157 +1,32 @@
 //! The time from which an entry counts a desired version: never later than the store's acknowledgement of its record.
 
 mod gateway_support;
+mod version_support;
 
 use std::{
-    cell::Cell,
     net::SocketAddr,
-    rc::Rc,
     time::{Duration, Instant},
 };
 
 use gateway_support::{
     addr,
-    gateway::{catalog, settings_of, start_stored, HELD, MODEL},
-    run_local, set_catalog, MemoryStore, TestDecode,
+    gateway::{settings_of, start_stored, HELD, MODEL},
+    run_local, set_catalog, TestDecode,
 };
 use sesamewing::{
-    base::{rendezvous, Millis},
+    base::Millis,
     gateway::{
         Assignment, Catalog, Decode, DesiredAge, EndpointRecord, Gossip, Message, OperatorRecord,
-        Record, RecordStore, Records, ServiceWeights, StoreError, Topic, WeightVersion,
+        Topic, WeightVersion,
     },
     http::{get, Pool},
 };
-use tokio::{
-    net::UdpSocket,
-    task::{spawn_local, LocalSet},
-};
+use tokio::net::UdpSocket;
+use version_support::{sleep, weights_catalog, HarshStore, SETTLED};
 
 /// Delay of the network between the store and an entry, and of the query for the entry's state, on a busy machine.
 const NETWORK: Millis = Millis(60);
 
-/// Time after which an entry has had the answer to a read that waited and brought nothing.
-const SETTLED: Millis = Millis(500);
-
-/// A store whose responses to reads of the operator's records are slow, lost, partial or trimmed.
-#[derive(Clone, Default)]
-struct HarshStore {
-    store: MemoryStore,
-    state: Rc<Trouble>,
-}
-
-#[derive(Default)]
-struct Trouble {
-    /// Time for which the body of a response with a configuration arrives.
-    transfer: Cell<Millis>,
-    /// Time from which a response is made to its arrival.
-    delay: Cell<Millis>,
-    /// Whether the response to the read in progress is lost.
-    loses: Cell<bool>,
-    /// Longest wait of a read, so that a read that is to be rejected begins soon.
-    wait_max: Cell<Option<Millis>>,
-    /// Whether reads are rejected.
-    rejects: Cell<bool>,
-    /// Offset before which the log holds no records.
-    first: Cell<u64>,
-    /// Largest number of records in a response.
-    page: Cell<Option<usize>>,
-}
-
-fn is_config(records: &Records) -> bool {
-    records.records.iter().any(|r| &r.key[..] == b"config")
-}
-
-impl HarshStore {
-    /// Starts an entry whose endpoints hold a model, and returns the address for queries of its state.
-    async fn start_entry(&self) -> SocketAddr {
-        set_catalog(weights_catalog());
-        self.store.write(Topic::Operator, "config", "1");
-        self.store.write(Topic::Operator, MODEL, &HELD.to_string());
-        let settings = settings_of(1);
-        start_stored::<_, TestDecode>(settings.clone(), self.clone()).await;
-        sleep(SETTLED).await;
-        settings.listen.peers
-    }
-
-    /// Writes a version of the model and returns the time of the write.
-    fn name(&self, version: u64) -> Instant {
-        self.store
-            .write(Topic::Operator, MODEL, &version.to_string());
-        Instant::now()
-    }
-}
-
-impl RecordStore for HarshStore {
-    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
-        if topic != Topic::Operator {
-            return self.store.newest(topic).await;
-        }
-        if self.state.rejects.get() {
-            return Err(StoreError::Refused(503));
-        }
-        let mut all = self.store.newest(topic).await?;
-        let mut newest: Vec<Record> = Vec::new();
-        for record in all.records {
-            newest.retain(|r| r.key != record.key);
-            newest.push(record);
-        }
-        all.records = newest;
-        sleep(self.state.delay.get()).await;
-        sleep(self.state.transfer.get()).await;
-        all.body_time = self.state.transfer.get();
-        Ok(all)
-    }
-
-    async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
-        if topic != Topic::Operator {
-            return self.store.read(topic, from, wait).await;
-        }
-        let state = &self.state;
-        if state.rejects.get() {
-            return Err(StoreError::Refused(503));
-        }
-        if from < state.first.get() {
-            return Err(StoreError::Trimmed);
-        }
-        let wait = wait.min(state.wait_max.get().unwrap_or(wait));
-        let mut read = self.store.read(topic, from, wait).await?;
-        if let Some(page) = state.page.get() {
-            read.records.truncate(page);
-            read.next = from + read.records.len() as u64;
-        }
-        if state.loses.take() {
-            sleep(Millis(1000)).await;
-            return Err(StoreError::Unknown("the response was lost".to_owned()));
-        }
-        sleep(state.delay.get()).await;
-        if is_config(&read) && state.transfer.get() > Millis::ZERO {
-            sleep(state.transfer.get()).await;
-            read.body_time = state.transfer.get();
-        }
-        Ok(read)
-    }
-
-    async fn append(&self, topic: Topic, record: &Record) -> Result<(), StoreError> {
-        self.store.append(topic, record).await
-    }
-}
-
-async fn sleep(time: Millis) {
-    tokio::time::sleep(time.duration()).await;
-}
-
-/// Returns a catalog whose service has a model.
-fn weights_catalog() -> Catalog {
-    let mut out = catalog();
-    for spec in out.services.values_mut() {
-        spec.weights = Some(ServiceWeights {
-            models: vec![MODEL.into()],
-        });
-    }
-    out
-}
-
 /// Queries an entry for the ages of the desired versions that it knows.
 async fn assignment(entry: SocketAddr) -> Assignment {
     assignment_after(entry, 0).await
@@ -376,26 +251,7 @@
 fn lost_zone_readers() {
     run_local(async {
         let store = HarshStore::default();
-        set_catalog(weights_catalog());
-        store.store.write(Topic::Operator, "config", "1");
-        store.store.write(Topic::Operator, MODEL, &HELD.to_string());
-        let mut entries = Vec::new();
-        for n in 1..=3 {
-            let mut settings = settings_of(n);
-            settings.seeds = (1..=3).map(|n| addr(n, 8004)).collect();
-            let tasks = LocalSet::new();
-            let store = store.clone();
-            let peers = settings.listen.peers;
-            // The tasks of an entry end with its set.
-            let run = spawn_local(async move {
-                let entry = start_stored::<_, TestDecode>(settings, store);
-                tasks.run_until(entry).await;
-                tasks.await;
-            });
-            entries.push((peers, run.abort_handle()));
-        }
-        sleep(Millis(4000)).await;
-        entries.sort_by_key(|e| rendezvous(b"reader", e.0.to_string().as_bytes()));
+        let entries = store.start_zone().await;
         for (_, run) in &entries[..2] {
             run.abort();
         }
@@ -531,25 +387,7 @@
 fn lost_response_before_takeover() {
     run_local(async {
         let store = HarshStore::default();
-        set_catalog(weights_catalog());
-        store.store.write(Topic::Operator, "config", "1");
-        store.store.write(Topic::Operator, MODEL, &HELD.to_string());
-        let mut entries = Vec::new();
-        for n in 1..=3 {
-            let mut settings = settings_of(n);
-            settings.seeds = (1..=3).map(|n| addr(n, 8004)).collect();
-            let tasks = LocalSet::new();
-            let store = store.clone();
-            let peers = settings.listen.peers;
-            let run = spawn_local(async move {
-                let entry = start_stored::<_, TestDecode>(settings, store);
-                tasks.run_until(entry).await;
-                tasks.await;
-            });
-            entries.push((peers, run.abort_handle()));
-        }
-        sleep(Millis(4000)).await;
-        entries.sort_by_key(|e| rendezvous(b"reader", e.0.to_string().as_bytes()));
+        let entries = store.start_zone().await;
         // The readers do not get the responses to their reads before they end.
         store.state.delay.set(Millis(5000));
         let written = store.name(HELD + 1);
