test(staging): agents before an origin in memory in a support module

Callers see no change. `silent_orders` and `agent_stop` had the same origin, configuration and settings of an agent, and `staging_copy` the same configuration and settings, 60 lines each.

Cause: each file was written from the one before.

Change: `copy_support` holds them, moved as they were; `settings` takes the number of the agent and the bound, as that of `staging_copy` did.

Measured: agent_stop, silent_orders and staging_copy pass (12 tests).

--- a/tests/agent_stop.rs
+++ b/tests/agent_stop.rs
@@ -1,35 +1,26 @@
 //! Planned stops of agents, by signals to the test's own process.
 
+mod copy_support;
 mod gateway_support;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap as RegionMap,
     future::Future,
-    net::SocketAddr,
     process::Command,
     rc::Rc,
     sync::{Mutex, PoisonError},
 };
 
 use bytes::Bytes;
+use copy_support::{catalog, content, settings, MemoryOrigin, PORT};
 use gateway_support::{addr, run_local, send_request, set_catalog, MemoryStore, TestDecode};
 use sesamewing::{
-    base::{Digest, HashMap, Millis, Rate, Size},
-    gateway::{
-        Catalog, CatalogVersion, EngineSpeed, OriginSpec, ServiceSpec, ServiceWeights, Topic,
-        WeightVersion,
-    },
-    staging::{
-        self, AgentSettings, EndpointHost, HostError, HostReport, LoadResponse, Manifest, Origin,
-    },
+    base::{HashMap, Millis},
+    gateway::{Topic, WeightVersion},
+    staging::{self, EndpointHost, HostError, HostReport, LoadResponse},
 };
-use sha2::{Digest as _, Sha256};
 use tokio::task::{spawn_local, JoinHandle};
 
-const CHUNK: usize = 8 << 10;
-const PORT: u16 = 7000;
-
 /// Age of a desired version from which it is enforced; its load starts at 42 % of that.
 const BOUND: Millis = Millis(3000);
 
@@ -42,10 +33,6 @@
 /// A signal reaches all agents of the process, so that one test runs at a time.
 static ONE_TEST: Mutex<()> = Mutex::new(());
 
-fn content(version: u64) -> Bytes {
-    Bytes::from(vec![version as u8; CHUNK])
-}
-
 /// Endpoint in memory with one chunk.
 #[derive(Clone, Default)]
 struct Engine(Rc<EngineState>);
@@ -87,76 +74,6 @@
     }
 }
 
-#[derive(Clone)]
-struct MemoryOrigin;
-
-impl Origin for MemoryOrigin {
-    async fn manifest(
-        &self,
-        _: SocketAddr,
-        _: &str,
-        version: Option<WeightVersion>,
-    ) -> Result<Manifest, HostError> {
-        let version = version.unwrap_or(WeightVersion(1));
-        Ok(Manifest {
-            version,
-            chunk: Size(CHUNK as u64),
-            digests: vec![Digest(Sha256::digest(content(version.0)).into())],
-        })
-    }
-
-    async fn chunk(
-        &self,
-        _: SocketAddr,
-        _: &str,
-        version: WeightVersion,
-        _: u32,
-    ) -> Result<Bytes, HostError> {
-        Ok(content(version.0))
-    }
-}
-
-fn catalog() -> Catalog {
-    let mut out = Catalog {
-        version: CatalogVersion(1),
-        ..Catalog::default()
-    };
-    let spec = ServiceSpec {
-        connections: 10,
-        engine: Some(EngineSpeed {
-            slots: 4,
-            step_ms: 7.0,
-            sequence_ms: 0.0,
-            prompt_rate: 30.0,
-        }),
-        weights: Some(ServiceWeights {
-            models: vec!["m".into()],
-        }),
-        origin: Some(OriginSpec {
-            addr: addr(15, 1),
-            zone: Some("a".parse().expect("a valid name")),
-        }),
-    };
-    let service = "llm".parse().expect("a valid name");
-    out.services.insert(service, spec);
-    out
-}
-
-fn settings() -> AgentSettings {
-    let zone = "a".parse().expect("a valid name");
-    let region = "r".parse().expect("a valid name");
-    AgentSettings {
-        name: "agent-1".parse().expect("a valid name"),
-        regions: RegionMap::from([("a".parse().expect("a valid name"), region)]),
-        zone,
-        service: "llm".parse().expect("a valid name"),
-        peer_addr: addr(1, PORT),
-        bound: BOUND,
-        link_rate: Rate(4_000_000),
-        prefetch: true,
-    }
-}
-
 /// Starts an agent on an endpoint that serves version 1, and makes version 2 desired; returns when the copy is complete,
 /// before its load starts.
 async fn copied(engine: &Engine) -> JoinHandle<eyre::Result<()>> {
@@ -167,7 +84,7 @@
     let value = format!("llm {} a m 1", addr(1, 9000));
     store.write(Topic::Endpoints, "e1", &value);
     let run = staging::run::<_, TestDecode, _, _>(
-        settings(),
+        settings(1, BOUND),
         store.clone(),
         engine.clone(),
         MemoryOrigin,
@@ -261,7 +178,7 @@
     run_alone(async {
         let _taken = tokio::net::TcpListener::bind(addr(1, PORT)).await;
         let run = staging::run::<_, TestDecode, _, _>(
-            settings(),
+            settings(1, BOUND),
             MemoryStore::default(),
             Engine::default(),
             MemoryOrigin,
--- a/tests/silent_orders.rs
+++ b/tests/silent_orders.rs
@@ -1,31 +1,23 @@
 //! Orders to load weights that lie in the socket of a silent endpoint.
 
+mod copy_support;
 mod gateway_support;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap as RegionMap,
-    net::SocketAddr,
     rc::Rc,
 };
 
 use bytes::Bytes;
+use copy_support::{catalog, settings, MemoryOrigin};
 use gateway_support::{addr, run_local, set_catalog, MemoryStore, TestDecode};
 use sesamewing::{
-    base::{Clock, Digest, Millis, Rate, Size, SystemClock},
-    gateway::{
-        Catalog, CatalogVersion, EngineSpeed, OriginSpec, ServiceSpec, ServiceWeights, Topic,
-        WeightVersion,
-    },
-    staging::{
-        self, AgentSettings, EndpointHost, HostError, HostReport, LoadResponse, Manifest, Origin,
-    },
+    base::{Clock, Millis, SystemClock},
+    gateway::{Topic, WeightVersion},
+    staging::{self, EndpointHost, HostError, HostReport, LoadResponse},
 };
-use sha2::{Digest as _, Sha256};
 use tokio::task::spawn_local;
 
-const CHUNK: usize = 8 << 10;
-
 /// Time after which a desired version is enforced; its load starts at 42 % of that.
 const BOUND: Millis = Millis(4000);
 
@@ -50,10 +42,6 @@
 /// Time after the load of the last version in which no further order may come.
 const SETTLED: Millis = Millis(500);
 
-fn content(version: u64) -> Bytes {
-    Bytes::from(vec![version as u8; CHUNK])
-}
-
 /// Endpoint in memory with one chunk, which is silent once, as the order to load a version arrives.
 #[derive(Clone)]
 struct Engine(Rc<EngineState>);
@@ -143,76 +131,6 @@
     }
 }
 
-#[derive(Clone)]
-struct MemoryOrigin;
-
-impl Origin for MemoryOrigin {
-    async fn manifest(
-        &self,
-        _: SocketAddr,
-        _: &str,
-        version: Option<WeightVersion>,
-    ) -> Result<Manifest, HostError> {
-        let version = version.unwrap_or(WeightVersion(1));
-        Ok(Manifest {
-            version,
-            chunk: Size(CHUNK as u64),
-            digests: vec![Digest(Sha256::digest(content(version.0)).into())],
-        })
-    }
-
-    async fn chunk(
-        &self,
-        _: SocketAddr,
-        _: &str,
-        version: WeightVersion,
-        _: u32,
-    ) -> Result<Bytes, HostError> {
-        Ok(content(version.0))
-    }
-}
-
-fn catalog() -> Catalog {
-    let mut out = Catalog {
-        version: CatalogVersion(1),
-        ..Catalog::default()
-    };
-    let spec = ServiceSpec {
-        connections: 10,
-        engine: Some(EngineSpeed {
-            slots: 4,
-            step_ms: 7.0,
-            sequence_ms: 0.0,
-            prompt_rate: 30.0,
-        }),
-        weights: Some(ServiceWeights {
-            models: vec!["m".into()],
-        }),
-        origin: Some(OriginSpec {
-            addr: addr(15, 1),
-            zone: Some("a".parse().expect("a valid name")),
-        }),
-    };
-    let service = "llm".parse().expect("a valid name");
-    out.services.insert(service, spec);
-    out
-}
-
-fn settings() -> AgentSettings {
-    let zone = "a".parse().expect("a valid name");
-    let region = "r".parse().expect("a valid name");
-    AgentSettings {
-        name: "agent-1".parse().expect("a valid name"),
-        regions: RegionMap::from([("a".parse().expect("a valid name"), region)]),
-        zone,
-        service: "llm".parse().expect("a valid name"),
-        peer_addr: addr(1, 7000),
-        bound: BOUND,
-        link_rate: Rate(4_000_000),
-        prefetch: true,
-    }
-}
-
 /// Guards against an endpoint that loads chunks of another version than the ordered one: the order lay unread in its
 /// socket, and the agent took it for not sent and staged a newer version.
 #[test]
@@ -233,7 +151,7 @@
         let value = format!("llm {} a m 1", addr(1, 9000));
         store.write(Topic::Endpoints, "e1", &value);
         spawn_local(staging::run::<_, TestDecode, _, _>(
-            settings(),
+            settings(1, BOUND),
             store.clone(),
             engine.clone(),
             MemoryOrigin,
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -1,33 +1,25 @@
 //! Agents that copy, check and load weights, tested with endpoints and an origin in memory.
 
+mod copy_support;
 mod gateway_support;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap as RegionMap,
     net::SocketAddr,
     rc::Rc,
 };
 
 use bytes::Bytes;
+use copy_support::{catalog, settings, CHUNK};
 use gateway_support::{addr, run_local, set_catalog, MemoryStore, TestDecode};
 use sesamewing::{
-    base::{Digest, HashMap, Millis, Rate, Size},
-    gateway::{
-        Catalog, CatalogVersion, EngineSpeed, OriginSpec, ServiceSpec, ServiceWeights, Topic,
-        WeightVersion,
-    },
-    staging::{
-        self, AgentSettings, EndpointHost, HostError, HostReport, LoadResponse, Manifest, Origin,
-    },
+    base::{Digest, HashMap, Millis, Size},
+    gateway::{Topic, WeightVersion},
+    staging::{self, EndpointHost, HostError, HostReport, LoadResponse, Manifest, Origin},
 };
 use sha2::{Digest as _, Sha256};
 
 const CHUNKS: u32 = 24;
-/// Size of a chunk in bytes.
-const CHUNK: usize = 8 << 10;
-/// Port at which agents serve each other.
-const PORT: u16 = 7000;
 
 /// Returns the content of a chunk of a version.
 fn content(version: u64, chunk: u32) -> Bytes {
@@ -177,50 +169,9 @@
     }
 }
 
-fn catalog() -> Catalog {
-    let mut out = Catalog {
-        version: CatalogVersion(1),
-        ..Catalog::default()
-    };
-    let spec = ServiceSpec {
-        connections: 10,
-        engine: Some(EngineSpeed {
-            slots: 4,
-            step_ms: 7.0,
-            sequence_ms: 0.0,
-            prompt_rate: 30.0,
-        }),
-        weights: Some(ServiceWeights {
-            models: vec!["m".into()],
-        }),
-        origin: Some(OriginSpec {
-            addr: addr(15, 1),
-            zone: Some("a".parse().expect("a valid name")),
-        }),
-    };
-    out.services
-        .insert("llm".parse().expect("a valid name"), spec);
-    out
-}
-
 /// Age of a desired version from which it is enforced.
 const BOUND: Millis = Millis(2000);
 
-fn settings(n: u8, bound: Millis) -> AgentSettings {
-    let zone = "a".parse().expect("a valid name");
-    let region = "r".parse().expect("a valid name");
-    AgentSettings {
-        name: format!("agent-{n}").parse().expect("a valid name"),
-        regions: RegionMap::from([("a".parse().expect("a valid name"), region)]),
-        zone,
-        service: "llm".parse().expect("a valid name"),
-        peer_addr: addr(n, PORT),
-        bound,
-        link_rate: Rate(4_000_000),
-        prefetch: true,
-    }
-}
-
 /// Runs agents with their endpoints until `done`, at most 10 s. Each version becomes desired when the origin has sent
 /// as many chunks as the versions before it have.
 fn with_agents(
