--- a/tests/quarantine_support/mod.rs
+++ b/tests/quarantine_support/mod.rs
@@ -1,14 +1,14 @@
 //! A model of entries before endpoints that end when they answer requests with certain parts; without a network.
 #![allow(dead_code, unreachable_pub)]
 
+mod entry;
+
 use std::net::SocketAddr;
 
+pub use entry::{peer, status, Entry};
 use sesamewing::{
     base::{HashMap, Millis, Service},
-    decide::quarantine::{
-        EndId, Generation, PartId, PartKey, PartReport, ProbeGrant, Quarantine, Strength, Verdict,
-    },
-    gateway::{Heartbeat, Membership, Status},
+    decide::quarantine::{EndId, Generation, PartId, PartKey, ProbeGrant, Strength, Verdict},
 };
 
 pub const START: Millis = Millis(1_000_000);
@@ -54,54 +54,6 @@
     PartKey::new(&service, part)
 }
 
-pub fn peer(i: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, (i / 250) as u8, (i % 250) as u8], 1))
-}
-
-pub fn status() -> Status {
-    Status {
-        ready: true,
-        ..Status::default()
-    }
-}
-
-/// One entry of the model.
-pub struct Entry {
-    pub members: Membership,
-    pub quarantine: Quarantine,
-    /// Time at which it last sent news.
-    pub told: Millis,
-    /// Time until which its process stands still.
-    pub frozen: Millis,
-    /// Reports that arrived while it stood still.
-    pub inbox: Vec<PartReport>,
-    /// Part of a partitioned network in which the entry is.
-    pub side: usize,
-}
-
-impl Entry {
-    pub fn new(i: usize, boot: u64, now: Millis) -> Self {
-        let me = Heartbeat {
-            peer: peer(i),
-            callers: peer(i),
-            zone: format!("z{}", i % 4).parse().expect("a valid name"),
-            boot,
-            count: 0,
-            status: status(),
-        };
-        let mut members = Membership::new(me);
-        members.next_heartbeats(status(), now);
-        Self {
-            members,
-            quarantine: Quarantine::new(now),
-            told: Millis::ZERO,
-            frozen: Millis::ZERO,
-            inbox: Vec::new(),
-            side: 0,
-        }
-    }
-}
-
 /// A request at an endpoint.
 pub struct Request {
     pub entry: usize,
