test(gateway): one collector of log lines and one catalog of engines for all tests

They are in gateway_support now. No assertion was changed; odd_endpoints and the three others collect lines up to level Info.

--- a/tests/connection_ends.rs
+++ b/tests/connection_ends.rs
@@ -2,10 +2,14 @@
 
 mod gateway_support;
 
-use std::{cell::RefCell, io::Write, net::SocketAddr, time::Duration};
+use std::{io::Write, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use gateway_support::{addr, run_local};
+use gateway_support::{
+    addr,
+    lines::{collect_lines, take_lines},
+    run_local,
+};
 use http_body_util::Full;
 use hyper::Response;
 use sesamewing::{
@@ -44,35 +48,9 @@
 const LONG: usize = 1 << 20;
 const BUFFER: u32 = 8 << 10;
 
-thread_local! {
-    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
-}
-
-/// Collects the lines of each test's thread.
-struct Collector;
-
-impl log::Log for Collector {
-    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &log::Record<'_>) {
-        let line = record.args().to_string();
-        LINES.with_borrow_mut(|lines| lines.push(line));
-    }
-
-    fn flush(&self) {}
-}
-
-fn collect_lines() {
-    // Another test of the process may have set it.
-    let _ = log::set_logger(&Collector);
-    log::set_max_level(log::LevelFilter::Info);
-}
-
 /// Returns the collected lines of ends of connections, and forgets them.
 fn ends() -> Vec<String> {
-    let mut lines = LINES.take();
+    let mut lines = take_lines();
     lines.retain(|line| line.starts_with("SW700 "));
     lines
 }
--- a/tests/cut_streams.rs
+++ b/tests/cut_streams.rs
@@ -2,11 +2,12 @@
 
 mod gateway_support;
 
-use std::{cell::RefCell, rc::Rc};
+use std::rc::Rc;
 
 use gateway_support::{
     addr,
     gateway::{catalog, events, request, with_endpoints, CALLERS},
+    lines::{collect_lines, take_lines},
     send_request, Step,
 };
 use sesamewing::gateway::Catalog;
@@ -17,26 +18,6 @@
 /// Number of bytes in a stream that an entry does not hold for a caller that gets it at once.
 const TOO_LONG: usize = 3 << 20;
 
-thread_local! {
-    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
-}
-
-/// Collects the lines of each test's thread.
-struct Collector;
-
-impl log::Log for Collector {
-    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &log::Record<'_>) {
-        let line = record.args().to_string();
-        LINES.with_borrow_mut(|lines| lines.push(line));
-    }
-
-    fn flush(&self) {}
-}
-
 /// Returns a catalog whose routes allow one attempt.
 fn single_attempts() -> Catalog {
     let mut out = catalog();
@@ -86,8 +67,7 @@
 #[test]
 fn too_long_stream_is_logged_as_cut() {
     // Another test of the process may have set it.
-    let _ = log::set_logger(&Collector);
-    log::set_max_level(log::LevelFilter::Info);
+    collect_lines();
     let event = format!("data: {}\n\n", "x".repeat(TOO_LONG / 300));
     let mut script = events(1..=1, "");
     script.truncate(1);
@@ -104,7 +84,7 @@
             let text = request("/stream/x").replace("HTTP/1.1", "HTTP/1.0");
             let got = send_request(addr(1, CALLERS), &text, 2000).await;
             assert!(got.contains(" 502 "), "{} bytes", got.len());
-            let lines = LINES.take().join("\n");
+            let lines = take_lines().join("\n");
             assert!(lines.contains("outcome=cut reason=too large"), "`{lines}`");
             assert!(!lines.contains("SW467"), "`{lines}`");
         },
--- a/tests/ended_endpoints.rs
+++ b/tests/ended_endpoints.rs
@@ -9,12 +9,12 @@
 
 use gateway_support::{
     addr,
-    gateway::{catalog, events, route, settings, start_with, CALLERS, HELD, MODEL},
+    gateway::{catalog_of_engines, events, route, settings, start_with, CALLERS, HELD, MODEL},
     header, run_local, send_request, set_catalog, MemoryStore, Step,
 };
 use sesamewing::{
-    base::{HashMap, Millis, Service},
-    gateway::{Catalog, EngineSpeed, Repeat, Topic},
+    base::{HashMap, Millis},
+    gateway::{Catalog, Repeat, Topic},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -64,16 +64,8 @@
     async fn start(behaviors: Vec<Behavior>, length: u64) -> Rc<Self> {
         let mut catalog = Catalog {
             routes: HashMap::default(),
-            ..catalog()
+            ..catalog_of_engines(1000.0)
         };
-        let service: Service = "plain".parse().expect("a valid name");
-        let spec = catalog.services.get_mut(&service).expect("the service");
-        spec.engine = Some(EngineSpeed {
-            slots: 100,
-            step_ms: 1.0,
-            sequence_ms: 0.0,
-            prompt_rate: 1000.0,
-        });
         let mut stream = route("/stream/", Repeat::Resume);
         stream.timeout = Millis(9000);
         catalog.add_route("h.example", stream);
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -5,8 +5,8 @@
 use sesamewing::{
     base::{HashMap, Millis},
     gateway::{
-        self, Bounds, Catalog, CatalogVersion, Decode, GatewaySettings, Headers, Listen,
-        RecordStore, Repeat, Route, ServiceSpec, Topic, WorkspaceSpec,
+        self, Bounds, Catalog, CatalogVersion, Decode, EngineSpeed, GatewaySettings, Headers,
+        Listen, RecordStore, Repeat, Route, ServiceSpec, Topic, WorkspaceSpec,
     },
     observe::LeftOut,
 };
@@ -91,6 +91,20 @@
     out
 }
 
+/// Returns the same with engines that read `prompt_rate` prompt tokens in a millisecond.
+pub fn catalog_of_engines(prompt_rate: f64) -> Catalog {
+    let mut out = catalog();
+    for spec in out.services.values_mut() {
+        spec.engine = Some(EngineSpeed {
+            slots: 100,
+            step_ms: 1.0,
+            sequence_ms: 0.0,
+            prompt_rate,
+        });
+    }
+    out
+}
+
 pub fn request(path: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 2500\r\n\
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod fragile;
 pub mod gateway;
+pub mod lines;
 pub mod stopping;
 
 use std::{
--- a/tests/late_sends.rs
+++ b/tests/late_sends.rs
@@ -6,12 +6,12 @@
 
 use gateway_support::{
     addr,
-    gateway::{catalog, route, settings, start_with, CALLERS, HELD, MODEL},
+    gateway::{catalog_of_engines, route, settings, start_with, CALLERS, HELD, MODEL},
     run_local, send_request, set_catalog, MemoryStore,
 };
 use sesamewing::{
-    base::{Clock, Millis, Service, SystemClock},
-    gateway::{EngineSpeed, Repeat, Topic},
+    base::{Clock, Millis, SystemClock},
+    gateway::{Repeat, Topic},
 };
 use tokio::{io::AsyncReadExt, net::TcpListener, task::spawn_local};
 
@@ -33,15 +33,7 @@
 fn long_prompt_is_not_sent_late() {
     run_local(async {
         let clock = SystemClock::start();
-        let mut catalog = catalog();
-        let service: Service = "plain".parse().expect("a valid name");
-        let spec = catalog.services.get_mut(&service).expect("the service");
-        spec.engine = Some(EngineSpeed {
-            slots: 100,
-            step_ms: 1.0,
-            sequence_ms: 0.0,
-            prompt_rate: 1.0,
-        });
+        let mut catalog = catalog_of_engines(1.0);
         let mut slow = route("/slow/", Repeat::Once);
         slow.timeout = Millis(9000);
         catalog.add_route("h.example", slow);
--- a/tests/odd_datagrams.rs
+++ b/tests/odd_datagrams.rs
@@ -2,11 +2,12 @@
 
 mod gateway_support;
 
-use std::{cell::RefCell, time::Duration};
+use std::time::Duration;
 
 use gateway_support::{
     addr,
     gateway::{request, respond, with_gateway, CALLERS},
+    lines::{collect_lines, take_lines},
     send_request,
 };
 use tokio::{net::UdpSocket, time::sleep};
@@ -20,32 +21,11 @@
 /// Datagrams of an unknown kind, of a known one that ends early, and empty ones.
 const ODD: [&[u8]; 3] = [&[99, 1, 2, 3], &[0, 7], &[]];
 
-thread_local! {
-    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
-}
-
-/// Collects the lines of each test's thread.
-struct Collector;
-
-impl log::Log for Collector {
-    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &log::Record<'_>) {
-        let line = record.args().to_string();
-        LINES.with_borrow_mut(|lines| lines.push(line));
-    }
-
-    fn flush(&self) {}
-}
-
 /// Guards against a log that is flooded, and against an entry that is held up or stops listening, because other entries
 /// send datagrams that it cannot read.
 #[test]
 fn odd_datagrams_are_ignored() {
-    let _ = log::set_logger(&Collector);
-    log::set_max_level(log::LevelFilter::Info);
+    collect_lines();
     with_gateway(vec![respond("200 OK", "yes")], |_| async {
         let socket = UdpSocket::bind(addr(9, 0)).await.expect("a socket");
         for i in 0..DATAGRAMS {
@@ -55,7 +35,7 @@
         }
         let got = send_request(addr(1, CALLERS), &request("/once/x"), 2000).await;
         assert!(got.ends_with("yes"), "`{got}`");
-        let lines = LINES.take();
+        let lines = take_lines();
         let lines: Vec<_> = lines.iter().filter(|l| l.contains("topic=beats")).collect();
         assert!(
             (1..=2 * LINES_MAX).contains(&lines.len()),
--- a/tests/odd_endpoints.rs
+++ b/tests/odd_endpoints.rs
@@ -3,11 +3,12 @@
 
 mod gateway_support;
 
-use std::{cell::RefCell, net::SocketAddr};
+use std::net::SocketAddr;
 
 use gateway_support::{
     addr, endpoint,
     gateway::{catalog, request, respond, settings, CALLERS},
+    lines::{collect_lines, count_lines, take_lines},
     run_local, send_request, set_catalog, MemoryStore, TestDecode,
 };
 use sesamewing::{
@@ -142,44 +143,11 @@
             let res = ask().await;
             assert!(res.starts_with("HTTP/1.1 503"), "{odd}: {res}");
             assert!(seen.requests.borrow().is_empty(), "{odd}");
-            assert_eq!(attempts(), 0, "{odd}");
+            assert_eq!(count_lines("SW451"), 0, "{odd}");
         }
     });
 }
 
-thread_local! {
-    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
-}
-
-/// Collects the lines of each test's thread.
-struct Collector;
-
-impl log::Log for Collector {
-    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &log::Record<'_>) {
-        if record.level() <= log::Level::Info {
-            let line = record.args().to_string();
-            LINES.with_borrow_mut(|lines| lines.push(line));
-        }
-    }
-
-    fn flush(&self) {}
-}
-
-fn collect_lines() {
-    // Another test of the process may have set it.
-    let _ = log::set_logger(&Collector);
-    log::set_max_level(log::LevelFilter::Info);
-}
-
-/// Returns the number of attempts in the collected lines.
-fn attempts() -> usize {
-    LINES.with_borrow(|lines| lines.iter().filter(|l| l.starts_with("SW451")).count())
-}
-
 /// Guards against lines without bound for what is skipped: in size, in number, or broken into several lines.
 #[test]
 fn lines_of_skipped_records_are_bounded() {
@@ -198,7 +166,7 @@
         store.write(Topic::Operator, &format!("m{long}"), &long);
         tokio::time::sleep(APPLIED.duration()).await;
     });
-    let lines = LINES.take();
+    let lines = take_lines();
     let size = lines.iter().map(String::len).max().unwrap_or(0);
     assert!(size <= 1024, "a line of {size} bytes");
     assert!(lines.iter().all(|l| !l.contains('\n')), "a broken line");
--- a/tests/silent_lines.rs
+++ b/tests/silent_lines.rs
@@ -6,13 +6,13 @@
 
 use gateway_support::{
     addr, endpoint,
-    gateway::{catalog, route, settings, start_with, CALLERS, HELD, MODEL},
+    gateway::{catalog_of_engines, route, settings, start_with, CALLERS, HELD, MODEL},
     run_local, send_request, set_catalog, MemoryStore, Step,
 };
 use log::{LevelFilter, Log, Metadata, Record};
 use sesamewing::{
-    base::{Millis, Service},
-    gateway::{EngineSpeed, Repeat, Topic},
+    base::Millis,
+    gateway::{Repeat, Topic},
 };
 
 /// Time after which a desired version is enforced in these tests.
@@ -46,15 +46,7 @@
     log::set_logger(&LINES).expect("no other logger");
     log::set_max_level(LevelFilter::Debug);
     run_local(async {
-        let mut catalog = catalog();
-        let service: Service = "plain".parse().expect("a valid name");
-        let spec = catalog.services.get_mut(&service).expect("the service");
-        spec.engine = Some(EngineSpeed {
-            slots: 100,
-            step_ms: 1.0,
-            sequence_ms: 0.0,
-            prompt_rate: 1000.0,
-        });
+        let mut catalog = catalog_of_engines(1000.0);
         let mut slow = route("/slow/", Repeat::Idempotent);
         slow.timeout = Millis(9000);
         slow.objective = OBJECTIVE;
--- a/tests/silent_rollout.rs
+++ b/tests/silent_rollout.rs
@@ -10,12 +10,12 @@
 
 use gateway_support::{
     addr,
-    gateway::{catalog, route, settings, start_with, CALLERS, HELD, MODEL},
+    gateway::{catalog_of_engines, route, settings, start_with, CALLERS, HELD, MODEL},
     header, run_local, send_request, set_catalog, MemoryStore,
 };
 use sesamewing::{
-    base::{Clock, Millis, Service, SystemClock},
-    gateway::{EngineSpeed, Repeat, Topic},
+    base::{Clock, Millis, SystemClock},
+    gateway::{Repeat, Topic},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -140,16 +140,10 @@
 fn check_silence(silence: Millis, after: Millis) {
     run_local(async {
         let clock = SystemClock::start();
-        let mut catalog = catalog();
-        let service: Service = "plain".parse().expect("a valid name");
-        let spec = catalog.services.get_mut(&service).expect("the service");
-        spec.connections = 400;
-        spec.engine = Some(EngineSpeed {
-            slots: 100,
-            step_ms: 1.0,
-            sequence_ms: 0.0,
-            prompt_rate: 1000.0,
-        });
+        let mut catalog = catalog_of_engines(1000.0);
+        for spec in catalog.services.values_mut() {
+            spec.connections = 400;
+        }
         set_catalog(catalog);
         let store = MemoryStore::default();
         let mut endpoints = Vec::new();
@@ -221,15 +215,7 @@
 fn request_from_before_the_version_begins_nothing_late() {
     run_local(async {
         let clock = SystemClock::start();
-        let mut catalog = catalog();
-        let service: Service = "plain".parse().expect("a valid name");
-        let spec = catalog.services.get_mut(&service).expect("the service");
-        spec.engine = Some(EngineSpeed {
-            slots: 100,
-            step_ms: 1.0,
-            sequence_ms: 0.0,
-            prompt_rate: 1000.0,
-        });
+        let mut catalog = catalog_of_engines(1000.0);
         let mut slow = route("/slow/", Repeat::Once);
         slow.timeout = Millis(9000);
         catalog.add_route("h.example", slow);
@@ -282,15 +268,7 @@
 fn long_prompt_begins_nothing_late() {
     run_local(async {
         let clock = SystemClock::start();
-        let mut catalog = catalog();
-        let service: Service = "plain".parse().expect("a valid name");
-        let spec = catalog.services.get_mut(&service).expect("the service");
-        spec.engine = Some(EngineSpeed {
-            slots: 100,
-            step_ms: 1.0,
-            sequence_ms: 0.0,
-            prompt_rate: 1.0,
-        });
+        let mut catalog = catalog_of_engines(1.0);
         let mut slow = route("/slow/", Repeat::Once);
         slow.timeout = Millis(9000);
         catalog.add_route("h.example", slow);
