--- a/review/standin/cases/engine.rs
+++ b/review/standin/cases/engine.rs
@@ -39,6 +39,8 @@
     pub store: Arc<Store>,
     /// Time that the answer to a read of a piece takes, in milliseconds.
     pub read_ms: u64,
+    /// Time until which the runner is silent: it reads, sends and does nothing.
+    pub silent_until: AtomicU64,
 }
 
 /// A piece may have turned bad within this time before the order.
@@ -61,6 +63,7 @@
             record: run.record.clone(),
             store: run.store.clone(),
             read_ms,
+            silent_until: AtomicU64::new(0),
         });
         let own = engine.clone();
         serve(addr, move |wire| own.connection(wire));
@@ -72,6 +75,19 @@
         engine
     }
 
+    /// Falls silent for a time.
+    pub fn fall_silent(&self, ms: u64) {
+        self.silent_until.store(self.record.now() + ms, Ordering::SeqCst);
+        self.record.note(format!("{} is silent for {ms} ms", self.id));
+    }
+
+    /// Waits while the runner is silent.
+    fn pause(&self) {
+        while self.record.now() < self.silent_until.load(Ordering::SeqCst) {
+            sleep_ms(2);
+        }
+    }
+
     fn models(state: &State) -> String {
         state.loaded.map_or(String::new(), |v| {
             format!("{{\"name\":\"{MODEL}\",\"version\":{v},\"adapters\":[]}}")
@@ -96,6 +112,7 @@
     fn connection(self: &Arc<Self>, mut wire: Wire) {
         while let Some(head) = wire.head() {
             let Some(body) = wire.body(&head) else { return };
+            self.pause();
             let path = head.path().to_owned();
             let sound = if path == "/sesamewing/report" {
                 let state = self.state.lock().unwrap();
@@ -144,6 +161,7 @@
             return wire.respond("200 OK", "Content-Type: application/json\r\n", out.as_bytes());
         };
         sleep_ms(self.read_ms);
+        self.pause();
         let mut state = self.state.lock().unwrap();
         state.reads += 1;
         let now = self.record.now();
@@ -248,6 +266,7 @@
         );
         for n in 1..=10 {
             sleep_ms(30);
+            self.pause();
             let event = format!("id: {n}\ndata: {id} {n}\n\n");
             sound = sound && wire.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
         }
--- a/review/standin/cases/stale_check.rs
+++ b/review/standin/cases/stale_check.rs
@@ -1,4 +1,5 @@
-//! WHOLE: an agent freezes between its check of the staged pieces and its order; pieces turn bad meanwhile.
+//! WHOLE: pieces turn bad after an agent has checked them, and a sound runner is silent for a while before the agent has
+//! checked the others and gives its order.
 
 use super::{super::*, engine::Engine};
 
@@ -8,9 +9,9 @@
 /// Time that the answer to a read of a piece takes: a part of a pass of the engine.
 const READ_MS: u64 = 15;
 
-/// Time from the first read of the last check to the freeze, and the time of the freeze.
-const FREEZE_AFTER_MS: u64 = 500;
-const FREEZE_MS: u64 = 4000;
+/// Numbers of reads within the last check after which the runner falls silent, and for how long.
+const SILENT_AFTER: [u32; 2] = [8, 40];
+const SILENT_MS: u64 = 1300;
 
 /// Pieces that turn bad: at most 6 in 100 of 64.
 const SPOILT: usize = 3;
@@ -67,7 +68,7 @@
     run.store.append("keyed.op", "config", &config(run.net));
     let engine = Engine::start(run, "i-7f3a91c2", SERVICE, run.net.host(0, APP), READ_MS);
     let _entry = run.node("entry", 0, 1, "");
-    let agent = run.node("agent", 0, 1, SERVICE);
+    let _agent = run.node("agent", 0, 1, SERVICE);
     run.wait_ready(1);
     // The agent has checked what is staged for version 1 by then.
     sleep_ms(5000);
@@ -83,30 +84,24 @@
         let (engine, record, trouble) = (engine.clone(), run.record.clone(), run.trouble);
         thread::spawn(move || {
             // The last check: all pieces of version 2 are staged, and pieces are read again.
-            loop {
-                sleep_ms(5);
-                let state = engine.state.lock().unwrap();
-                let complete = (0..CHUNKS).all(|i| state.staged.get(&i).is_some_and(|p| p.data == chunk(2, i)));
-                let begun = state.first_read.is_some_and(|at| record.now() >= at + FREEZE_AFTER_MS);
-                if complete && begun {
-                    record.note(format!("the agent has read {} of {CHUNKS} pieces for its check", state.reads));
-                    break;
+            for (i, reads) in SILENT_AFTER.into_iter().enumerate() {
+                loop {
+                    sleep_ms(1);
+                    let state = engine.state.lock().unwrap();
+                    let complete = (0..CHUNKS).all(|i| state.staged.get(&i).is_some_and(|p| p.data == chunk(2, i) || p.spoilt.is_some()));
+                    if complete && state.reads >= reads {
+                        break;
+                    }
+                    if record.now() > named + 20_000 {
+                        return;
+                    }
                 }
-                if record.now() > named + 20_000 {
-                    return;
+                if i == 0 && trouble {
+                    let spoilt = engine.spoil(SPOILT);
+                    record.note(format!("pieces {spoilt:?} turn bad"));
                 }
+                engine.fall_silent(SILENT_MS);
             }
-            if !trouble {
-                return;
-            }
-            agent.signal(SIGSTOP);
-            record.note(format!("the agent's machine freezes for {FREEZE_MS} ms"));
-            sleep_ms(300);
-            let spoilt = engine.spoil(SPOILT);
-            record.note(format!("pieces {spoilt:?} turn bad"));
-            sleep_ms(FREEZE_MS - 300);
-            agent.signal(SIGCONT);
-            record.note("the agent's machine wakes");
         })
     };
     clients(run, named + 16_000);
