--- a/review/3/run.sh
+++ b/review/5/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the stops out.
 cd "$(dirname "$0")/../.." || exit 2
-timeout -k 2 115 target/review/rig closed-readers target/release/sesamewing-node review/3/record.txt
+timeout -k 2 115 target/review/rig closed-readers target/release/sesamewing-node review/5/record.txt
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
