--- a/review/standin/cases/late_removal.rs
+++ b/review/standin/cases/late_removal.rs
@@ -57,7 +57,7 @@
             break;
         }
         threads.push(send(run, *entry, sent));
-        sleep_ms(10);
+        sleep_ms(16);
     }
     for t in threads {
         let _ = t.join();
@@ -68,7 +68,8 @@
     run.store.append("keyed.op", "config", &config());
     let arrivals = Arrivals::default();
     let runner = |n: usize| Plain::start(run, &format!("i-{n:08x}"), SERVICE, run.net.host(n, APP), WORK_MS, &arrivals);
-    let mut runners: Vec<_> = (0..3).map(runner).collect();
+    // Fewer runners than entries, so that no entry prefers one of them.
+    let mut runners: Vec<_> = (0..2).map(runner).collect();
     let nodes: Vec<_> = (0..ENTRIES).map(|i| run.node("entry", i, ENTRIES, "")).collect();
     run.wait_ready(ENTRIES);
     sleep_ms(9000);
@@ -82,7 +83,6 @@
         let calm: Vec<usize> = (0..ENTRIES).filter(|i| *i != frozen).collect();
         let until = run.record.now() + FREEZE_MS + 6000;
         let leaving = runners.remove(0);
-        runners.push(runner(3 + round));
         let removed = thread::scope(|scope| {
             scope.spawn(|| clients(run, &calm, until, &sent));
             if run.trouble {
@@ -98,6 +98,7 @@
             let removed = leaving.leave();
             sleep_ms(DRAIN_MS + LONGER_MS);
             leaving.exit();
+            runners.push(runner(2 + round));
             removed
         });
         let all = arrivals.lock().unwrap().clone();
