fix(gateway): a pause of one entry is not taken for an outage of the store

Cause: the paused entry doubted removals, as after an outage. The check for a witness relied on gaps between received heartbeats, which its own pause makes in those of all others. Its zone then copied a table that did not say that the removal was doubted, and took the endpoint back over its tombstone.

Change: heartbeats say for how long their entry has read the store without a gap, in bytes behind the message that older builds ignore. A table names the endpoints whose removal its sender doubts; a receiver that knows a witness removes them, any other never takes back one that it has removed. The end of a doubt counts as a change, so that copies keep an endpoint that renews.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -88,6 +88,8 @@
     pub(super) reader_since: Cell<Option<Millis>>,
     /// Time at which the next read of the endpoints' records is due.
     pub(super) next_read: Cell<Millis>,
+    /// Time since which the endpoints' records have been read without a gap, if they are read now.
+    pub(super) read_from: Cell<Millis>,
     /// Wakes the long polls that wait for a change of catalog, desired versions or endpoints.
     pub(super) changed: Notify,
     /// Makes this entry send its next datagram early.
@@ -144,6 +146,7 @@
             table_changed: Cell::default(),
             reader_since: Cell::default(),
             next_read: Cell::default(),
+            read_from: Cell::default(),
             changed: Notify::new(),
             gossip_soon: Notify::new(),
             peer_ahead: Notify::new(),
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -2,12 +2,15 @@
 
 use std::net::SocketAddr;
 
+use serde::Serialize;
 use tokio::net::UdpSocket;
 
-use super::message::Message;
-
 /// Sends a datagram to other entries. Lost datagrams are not sent again.
-pub(super) async fn send_to_all(socket: &UdpSocket, message: &Message, targets: &[SocketAddr]) {
+pub(super) async fn send_to_all(
+    socket: &UdpSocket,
+    message: &impl Serialize,
+    targets: &[SocketAddr],
+) {
     let data = match postcard::to_stdvec(message) {
         Ok(data) => data,
         Err(e) => {
--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -1,5 +1,7 @@
 //! Table of the endpoints that an entry may send requests to, built from their records in the store.
 
+mod delta;
+
 use std::{net::SocketAddr, rc::Rc};
 
 use serde::{Deserialize, Serialize};
@@ -7,6 +9,8 @@
 use super::record::{EndpointRecord, Revision, WeightVersion};
 use crate::base::{rendezvous, HashMap, HashSet, Millis, Service};
 
+pub use delta::{TableDelta, TableView};
+
 /// Time that endpoints get, after an outage of the store, to renew records that expired during it.
 pub const RENEWAL: Millis = Millis(2300);
 
@@ -20,10 +24,8 @@
 const TOMBSTONE_RETENTION: Millis = Millis(60_000);
 
 /// Time without a renewal of a record after which an older one replaces it, because another writer may have left the
-/// newer one under the endpoint's id. Longer than the delay of a write. Copies of a table, which get a record later than
-/// the table that they copy, wait for a shorter time.
+/// newer one under the endpoint's id. Longer than the delay of a write.
 const REVISION_TIMEOUT: Millis = Millis(5000);
-const REVISION_TIMEOUT_COPY: Millis = Millis(2500);
 
 /// Time for which gossip repeats that an endpoint is leaving: a few gossip intervals, because datagrams are lost.
 const LEAVING_GOSSIP: Millis = Millis(1500);
@@ -111,19 +113,6 @@
     pub models: Vec<(Rc<str>, WeightVersion)>,
 }
 
-/// Changes of a table since some value of its change counter, for entries that do not read the store.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct TableDelta {
-    /// Value of the sender's change counter after these changes.
-    pub count: u64,
-    /// Whether `records` holds all endpoints of the sender.
-    pub full: bool,
-    /// Endpoints that were added or changed.
-    pub records: Vec<(EndpointId, EndpointRecord)>,
-    /// Endpoints that were removed.
-    pub removed: Vec<EndpointId>,
-}
-
 /// Tombstone of an endpoint that was removed from the table.
 #[derive(Clone, Copy, Debug)]
 struct Tombstone {
@@ -240,7 +229,7 @@
         }
         let restarted = born != known.record.revision.born;
         known.renewed = now;
-        known.removal = None;
+        let doubted = known.removal.take().is_some();
         match &known.overridden {
             Some(old) if !restarted && old.covers(&record.models, now) => {
                 record.models.clone_from(&known.record.models);
@@ -249,6 +238,11 @@
         }
         known.record.revision.sequence = record.revision.sequence;
         if known.record == record {
+            if doubted {
+                // Copies of the table doubt the removal, too.
+                self.changes += 1;
+                known.changed = self.changes;
+            }
             return Change::Renewed;
         }
         known.record = record;
@@ -311,53 +305,6 @@
         TableDigest(self.sum)
     }
 
-    /// Returns the changes after the value `since` of the change counter; all endpoints if it is `None` or not of this
-    /// table.
-    pub fn delta_since(&self, since: Option<u64>) -> TableDelta {
-        let since = since.filter(|n| *n <= self.changes);
-        let from = since.unwrap_or(0);
-        let records = self.endpoints.values().filter(|e| e.changed > from);
-        let removed = self.tombstones.iter().filter(|(_, r)| r.changed > from);
-        TableDelta {
-            count: self.changes,
-            full: since.is_none(),
-            records: records.map(|e| (e.id.clone(), e.record.clone())).collect(),
-            removed: removed.map(|(id, _)| id.clone()).collect(),
-        }
-    }
-
-    /// Applies changes received from an entry that reads the store; returns the effect on each endpoint that changed.
-    pub fn apply_delta(&mut self, delta: TableDelta, now: Millis) -> Vec<(EndpointId, Change)> {
-        let mut removed = delta.removed;
-        if delta.full {
-            let present: HashSet<_> = delta.records.iter().map(|(id, _)| id).collect();
-            let known = self.endpoints.keys();
-            removed = known.filter(|id| !present.contains(id)).cloned().collect();
-        }
-        let mut changes = Vec::new();
-        for (id, record) in delta.records {
-            // An endpoint that was missing from the table of an earlier sender has a tombstone here; the same revision
-            // in this delta shows that it still exists.
-            if self
-                .tombstones
-                .get(&id)
-                .is_some_and(|r| record.revision == r.revision)
-            {
-                self.tombstones.remove(&id);
-            }
-            let change = self.insert(&id, record, REVISION_TIMEOUT_COPY, now);
-            changes.push((id, change));
-        }
-        for id in removed {
-            if self.endpoints.contains_key(&id) {
-                self.drop_endpoint(&id, now);
-                changes.push((id, Change::Removed));
-            }
-        }
-        changes.retain(|c| !matches!(c.1, Change::Renewed | Change::Stale));
-        changes
-    }
-
     /// Applies an agent's report of its endpoint; returns the endpoint's id if the report changed its weights.
     pub fn apply_update(&mut self, update: &EndpointUpdate, now: Millis) -> Option<EndpointId> {
         let matches = |e: &&mut Endpoint| {
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -214,7 +214,7 @@
     }
 
     fn read_succeeded(&self) {
-        self.ctx.next_read.set(self.ctx.now() + self.pause());
+        self.ctx.record_read(self.pause());
     }
 
     fn should_read(&self) -> bool {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -9,11 +9,11 @@
     compression::decompress,
     context::Context,
     datagram::send_to_all,
-    endpoint_table::{Change, EndpointHash, EndpointUpdate, TableDelta, TableDigest},
+    endpoint_table::{Change, EndpointHash, EndpointUpdate, TableDelta, TableDigest, RENEWAL},
     followers::{apply_catalog, endpoint_changed},
     log_event,
     members::HEARTBEAT_INTERVAL,
-    message::{Gossip, Message},
+    message::{Gossip, Message, ReadTimes},
     operator_records::Decode,
     permits, returning, screen, serve,
 };
@@ -46,36 +46,8 @@
                 continue;
             }
         };
-        let datagram = match postcard::from_bytes::<Message>(&data[..len]) {
-            Ok(Message::Gossip(datagram)) => datagram,
-            Ok(Message::Endpoint(update)) => {
-                apply_update(&ctx, &update);
-                continue;
-            }
-            Ok(Message::Limits(reports)) => {
-                permits::merge_limits(&ctx, &reports);
-                continue;
-            }
-            Ok(Message::PermitRequest(request)) => {
-                permits::answer(&ctx, &socket, request, from).await;
-                continue;
-            }
-            Ok(Message::Parts(reports)) => {
-                screen::merge(&ctx, &reports);
-                continue;
-            }
-            Ok(Message::Rejections(rejections)) => {
-                returning::merge(&ctx, &rejections);
-                continue;
-            }
-            Ok(Message::ProbeRequest(request)) => {
-                screen::answer(&ctx, &socket, request, from).await;
-                continue;
-            }
-            Ok(Message::PermitReply(reply)) => {
-                ctx.permits.borrow_mut().resolve(&reply);
-                continue;
-            }
+        let (message, times) = match Message::decode(&data[..len]) {
+            Ok(decoded) => decoded,
             Err(e) => {
                 ctx.metrics.ignored_datagrams.inc();
                 if lines.admits() {
@@ -87,42 +59,64 @@
                 continue;
             }
         };
-        let now = ctx.now();
-        ctx.merge_desired(datagram.desired);
-        let sender = datagram.heartbeats.first().map(|h| h.peer);
-        if let Some(sender) = sender {
-            let mut balance = ctx.balancer.borrow_mut();
-            balance.merge_peer_load(sender, &datagram.in_flight, now);
-        }
-        merge_leaving(&ctx, &datagram.leaving);
-        let mut members = ctx.members.borrow_mut();
-        for heartbeat in datagram.heartbeats {
-            let (peer, status) = (heartbeat.peer, heartbeat.status);
-            if members.merge(heartbeat, now) {
-                emit!(log_event::MEMBER, "entry={peer} ready={}", status.ready);
+        match message {
+            Message::Gossip(datagram) => merge_gossip(&ctx, datagram, &times),
+            Message::Endpoint(update) => apply_update(&ctx, &update),
+            Message::Limits(reports) => permits::merge_limits(&ctx, &reports),
+            Message::PermitRequest(request) => {
+                permits::answer(&ctx, &socket, request, from).await;
             }
-            if ctx.is_ahead(&status) {
-                ctx.peer_ahead.notify_waiters();
+            Message::PermitReply(reply) => ctx.permits.borrow_mut().resolve(&reply),
+            Message::Parts(reports) => screen::merge(&ctx, &reports),
+            Message::ProbeRequest(request) => {
+                screen::answer(&ctx, &socket, request, from).await;
             }
+            Message::Rejections(rejections) => returning::merge(&ctx, &rejections),
+        }
+    }
+}
+
+/// Merges a datagram of another entry; `times` are those of its heartbeats.
+fn merge_gossip(ctx: &Context, datagram: Gossip, times: &ReadTimes) {
+    let now = ctx.now();
+    ctx.merge_desired(datagram.desired);
+    let sender = datagram.heartbeats.first().map(|h| h.peer);
+    if let Some(sender) = sender {
+        let mut balance = ctx.balancer.borrow_mut();
+        balance.merge_peer_load(sender, &datagram.in_flight, now);
+    }
+    merge_leaving(ctx, &datagram.leaving);
+    let mut members = ctx.members.borrow_mut();
+    for (i, heartbeat) in datagram.heartbeats.into_iter().enumerate() {
+        let (peer, status) = (heartbeat.peer, heartbeat.status);
+        let time = times.0.get(i).copied();
+        if members.merge_timed(heartbeat, time, now) {
+            emit!(log_event::MEMBER, "entry={peer} ready={}", status.ready);
         }
-        if let Some(sender) = sender {
-            members.note_sender(sender, now);
+        if ctx.is_ahead(&status) {
+            ctx.peer_ahead.notify_waiters();
         }
     }
+    if let Some(sender) = sender {
+        members.note_sender(sender, now);
+    }
 }
 
 pub(super) async fn send_gossip(ctx: &Context, socket: &UdpSocket, targets: &[SocketAddr]) {
-    let heartbeats = ctx
-        .members
-        .borrow_mut()
-        .next_heartbeats(ctx.status(), ctx.now());
+    let (heartbeats, times) = {
+        let (status, now) = (ctx.status(), ctx.now());
+        let mut members = ctx.members.borrow_mut();
+        let heartbeats = members.next_heartbeats(status, now);
+        let times = members.read_times(&heartbeats, ctx.read_time(), now);
+        (heartbeats, times)
+    };
     let datagram = Gossip {
         heartbeats,
         desired: ctx.desired_ages(),
         in_flight: ctx.balancer.borrow().in_flight(),
         leaving: ctx.endpoints.borrow().leaving(ctx.now()),
     };
-    send_to_all(socket, &Message::Gossip(datagram), targets).await;
+    send_to_all(socket, &(Message::Gossip(datagram), times), targets).await;
 }
 
 pub(super) async fn send_periodically(ctx: Rc<Context>, socket: Rc<UdpSocket>) {
@@ -210,8 +204,8 @@
     peer: SocketAddr,
     /// Start of that entry's process in Unix milliseconds.
     boot: u64,
-    /// Hash of its table that led to the last query.
-    digest: TableDigest,
+    /// Hash of its table that led to the last query; `None` while it doubts removals, which no hash shows.
+    digest: Option<TableDigest>,
     /// Value of its change counter up to which its changes are applied here.
     count: u64,
 }
@@ -231,14 +225,14 @@
         };
         let (peer, boot, digest) = (reader.peer, reader.boot, reader.status.table);
         let before = replication.filter(|m| m.peer == peer && m.boot == boot);
-        if before.is_some_and(|m| m.digest == digest) {
+        if before.is_some_and(|m| m.digest == Some(digest)) {
             continue;
         }
         let count = before.map_or_else(|| "-".to_owned(), |m| m.count.to_string());
         let path = format!("{}{boot}/{count}", serve::TABLE_PATH);
         let data = query(&ctx, peer, &path).await;
-        let delta = data.and_then(|data| postcard::from_bytes::<TableDelta>(&data).ok());
-        let Some(delta) = delta else {
+        let delta = data.and_then(|data| TableDelta::decode(&data).ok());
+        let Some(mut delta) = delta else {
             emit!(log_event::MEMBER, "entry={peer} outcome=no-table");
             ctx.members.borrow_mut().back_off(peer, ctx.now());
             continue;
@@ -250,12 +244,16 @@
                 "source={peer} whole={whole} records={records}"
             );
         }
+        let settled = delta.view.doubted.is_empty();
         replication = Some(Replication {
             peer,
             boot,
-            digest,
+            digest: settled.then_some(digest),
             count: delta.count,
         });
+        if !settled && ctx.members.borrow().store_was_up(RENEWAL, ctx.now()) {
+            delta.settle();
+        }
         let changes = ctx.endpoints.borrow_mut().apply_delta(delta, ctx.now());
         for (id, change) in &changes {
             endpoint_changed(&ctx, id, *change);
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -11,6 +11,7 @@
 
 use super::{
     endpoint_table::{EndpointHash, TableDigest},
+    message::ReadTimes,
     ownership::ReadyEntry,
     CatalogVersion,
 };
@@ -113,7 +114,8 @@
     joined: Millis,
     /// Whether a heartbeat arrived, not only the announcement in the store.
     sends_heartbeats: bool,
-    /// Time since which the entry's heartbeats have said, without a gap, that it reads the store.
+    /// Time since which the entry has read the store without a gap: as it says, or since when its heartbeats have said
+    /// so without a gap if it is of a build that does not.
     reads_since: Option<Millis>,
     /// End of the backoff after the entry did not send its endpoint table.
     backoff_until: Millis,
@@ -207,13 +209,30 @@
         self.others.insert(member.heartbeat.peer, member);
     }
 
-    /// Merges a received heartbeat; returns whether the entry thereby became live or changed its readiness.
+    /// Merges a received heartbeat of a build that does not say for how long it has read the store; see
+    /// [`Self::merge_timed`].
     pub fn merge(&mut self, heartbeat: Heartbeat, now: Millis) -> bool {
+        self.merge_timed(heartbeat, None, now)
+    }
+
+    /// Merges a received heartbeat; returns whether the entry thereby became live or changed its readiness. `read_time`
+    /// is the time for which the entry has read the store without a gap, if it says so.
+    ///
+    /// A gap between the heartbeats that arrive may be a pause of this process, or lost datagrams; what another entry says
+    /// of its own reads holds all the same.
+    pub fn merge_timed(
+        &mut self,
+        heartbeat: Heartbeat,
+        read_time: Option<Millis>,
+        now: Millis,
+    ) -> bool {
         if heartbeat.peer == self.me.peer {
             return false;
         }
+        let told = read_time.map(|time| now - time);
         let Some(known) = self.others.get_mut(&heartbeat.peer) else {
-            let member = Member::new(heartbeat, true, now);
+            let mut member = Member::new(heartbeat, true, now);
+            member.reads_since = member.reads_since.map(|at| told.unwrap_or(at));
             self.others.insert(member.heartbeat.peer, member);
             return true;
         };
@@ -227,7 +246,7 @@
         let gap = now >= known.last_seen + READER_TIMEOUT || known.heartbeat.boot != heartbeat.boot;
         let since = known.reads_since.filter(|_| !gap);
         let reads = heartbeat.status.reads_store;
-        known.reads_since = reads.then(|| since.unwrap_or(now));
+        known.reads_since = reads.then(|| told.or(since).unwrap_or(now));
         known.heartbeat = heartbeat;
         known.last_seen = now;
         known.sends_heartbeats = true;
@@ -268,6 +287,18 @@
         std::iter::once(self.me.clone()).chain(heartbeats).collect()
     }
 
+    /// Returns the times for which the senders of `heartbeats` have read the store; `own` is that of this entry.
+    pub fn read_times(&self, heartbeats: &[Heartbeat], own: Millis, now: Millis) -> ReadTimes {
+        let time = |h: &Heartbeat| {
+            if h.peer == self.me.peer {
+                return own.min(ReadTimes::MAX);
+            }
+            let since = self.others.get(&h.peer).and_then(|m| m.reads_since);
+            since.map_or(Millis::ZERO, |at| (now - at).min(ReadTimes::MAX))
+        };
+        ReadTimes(heartbeats.iter().map(time).collect())
+    }
+
     /// Returns whether another entry joined lately. It and the rest of the entries may not know of each other, because
     /// neither could read the announcements in the store.
     fn is_joining(&self, now: Millis) -> bool {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -60,6 +60,18 @@
     pub leaving: Vec<EndpointHash>,
 }
 
+/// Times for which the senders of the heartbeats in a [`Gossip`] have read the store without a gap, in the order of the
+/// heartbeats; zero for those that do not read it.
+///
+/// They follow the message in its datagram: entries of a build without them ignore what follows a message.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadTimes(pub Vec<Millis>);
+
+impl ReadTimes {
+    /// Longest time that is reported; longer ones tell no more, and take more space.
+    pub const MAX: Millis = Millis(16_000);
+}
+
 /// Request of an entry for permission to send a probe of a quarantined part; the reply is a [`PermitReply`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProbeRequest {
@@ -89,3 +101,16 @@
     /// Sent by another entry: requests that it rejected and whose callers may return.
     Rejections(Vec<Rejection>),
 }
+
+impl Message {
+    /// Decodes a datagram: a message, and the times that may follow it. What another build may send in their place does
+    /// not make this one reject the message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the datagram holds no message.
+    pub fn decode(data: &[u8]) -> postcard::Result<(Self, ReadTimes)> {
+        let (message, rest) = postcard::take_from_bytes(data)?;
+        Ok((message, postcard::from_bytes(rest).unwrap_or_default()))
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,7 +69,7 @@
 pub use endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement};
 pub use endpoint_table::{
     Change, Endpoint, EndpointHash, EndpointId, EndpointTable, EndpointUpdate, TableDelta,
-    TableDigest, RENEWAL,
+    TableDigest, TableView, RENEWAL,
 };
 pub use events::{EventError, EventId, Events};
 pub use follow::{follow, Follower};
@@ -79,7 +79,7 @@
 pub use load_balancer::{LoadBalancer, Refusal};
 pub use load_view::{Outcome, ReportedLoad};
 pub use members::{Heartbeat, Member, Membership, Status};
-pub use message::{DesiredAge, Gossip, Message, ProbeRequest};
+pub use message::{DesiredAge, Gossip, Message, ProbeRequest, ReadTimes};
 pub use operator_records::{Decode, OperatorFollower, OperatorSink};
 pub use ownership::{owned_endpoints, ReadyEntry};
 pub use prompt::shared_parts;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -258,7 +258,7 @@
     let same_process = boot == ctx.members.borrow().me().boot;
     let count: Option<u64> = count.parse().ok().filter(|_| same_process);
     let news = ctx.endpoints.borrow().delta_since(count);
-    postcard::to_stdvec(&news).ok().map(Bytes::from)
+    news.encode().ok().map(Bytes::from)
 }
 
 /// Handles a request for the metrics.
--- a/src/gateway/zone_reader.rs
+++ b/src/gateway/zone_reader.rs
@@ -40,6 +40,23 @@
         self.now() < self.next_read.get() + READ_SLACK
     }
 
+    /// Records a read of the endpoints' records that succeeded; the next one is due after `pause`.
+    pub(super) fn record_read(&self, pause: Millis) {
+        let now = self.now();
+        if !self.is_reading() {
+            self.read_from.set(now);
+        }
+        self.next_read.set(now + pause);
+    }
+
+    /// Returns the time for which this entry has read the store without a gap; zero while it does not.
+    pub(super) fn read_time(&self) -> Millis {
+        if !self.is_reading() {
+            return Millis::ZERO;
+        }
+        self.now() - self.read_from.get()
+    }
+
     /// Returns this entry's status for its next heartbeat.
     pub(super) fn status(&self) -> Status {
         Status {
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -278,3 +278,40 @@
         );
     }
 }
+
+/// Guards against an entry that takes a removed endpoint back from the table of one that holds the removal for the effect
+/// of an outage; and against one that gives up an endpoint which renews its record after an outage.
+#[test]
+fn doubts_travel_with_the_table() {
+    let now = Millis(9000);
+    let (mut table, mut copy, mut other) = (
+        EndpointTable::default(),
+        EndpointTable::default(),
+        EndpointTable::default(),
+    );
+    for name in ["gone", "live"] {
+        for table in [&mut table, &mut copy, &mut other] {
+            table.apply(&id(name), Some(record(10, 1)), Millis(0));
+        }
+    }
+    copy.apply(&id("gone"), None, now);
+    table.store_recovered(now);
+    table.apply(&id("gone"), None, now);
+    table.apply(&id("live"), None, now);
+    copy.apply_delta(table.delta_since(None), now);
+    assert!(copy.get(&id("gone")).is_none(), "its removal was read here");
+    assert!(copy.get(&id("live")).is_some(), "it may still renew");
+    other.apply_delta(table.delta_since(None), now);
+    assert!(other.get(&id("gone")).is_some(), "it may still renew");
+    let count = table.delta_since(None).count;
+    table.apply(&id("live"), Some(record(10, 2)), now + Millis(1500));
+    let renewed = table.delta_since(Some(count));
+    copy.apply_delta(renewed.clone(), now + Millis(1600));
+    other.apply_delta(renewed, now + Millis(1600));
+    let end = now + RENEWAL;
+    for table in [&mut table, &mut copy, &mut other] {
+        table.expire(end);
+        assert!(table.get(&id("gone")).is_none(), "it was not renewed");
+        assert!(table.get(&id("live")).is_some(), "it was renewed");
+    }
+}
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -4,7 +4,7 @@
 
 use sesamewing::{
     base::Millis,
-    gateway::{CatalogVersion, Directory, Heartbeat, Membership, Status, TableDigest},
+    gateway::{CatalogVersion, Directory, Heartbeat, Membership, ReadTimes, Status, TableDigest},
 };
 
 fn addr(host: u8, port: u16) -> SocketAddr {
@@ -246,3 +246,26 @@
     members.merge(reading(25, true), Millis(7100));
     assert!(!members.store_was_up(outage, Millis(7200)));
 }
+
+/// Guards against an entry that was paused, or cut off from all others, and therefore takes a removal for the effect of an
+/// outage, although another entry read the store all the while; and against one that believes an entry which has only
+/// just got the store back.
+#[test]
+fn readers_say_for_how_long_they_read() {
+    let outage = Millis(2300);
+    let mut members = members();
+    let (first, second) = (reader_heartbeat(2, "a", 1), reader_heartbeat(2, "a", 20));
+    members.merge_timed(first, Some(Millis(9000)), Millis(101_000));
+    assert!(members.store_was_up(outage, Millis(101_100)));
+    members.merge_timed(second, Some(Millis(14_000)), Millis(106_000));
+    assert!(members.store_was_up(outage, Millis(106_100)));
+    members.merge_timed(
+        reader_heartbeat(2, "a", 21),
+        Some(Millis(200)),
+        Millis(106_250),
+    );
+    assert!(!members.store_was_up(outage, Millis(106_300)));
+    let all = [members.me().clone(), reader_heartbeat(2, "a", 21)];
+    let times = members.read_times(&all, Millis(70_000), Millis(106_350));
+    assert_eq!(times.0, [ReadTimes::MAX, Millis(300)]);
+}
