fix(gateway): a stopping entry hands over the reads for its zone

Cause: a stopping entry refused other entries from 3.2 s after the signal on, but said until its exit that it reads the store for the zone. The others neither read nor asked another zone, and repeated the refused query.

Change: the socket for entries and agents is served until the process ends. A stopping entry no longer says that it reads the store. An entry that does not send its catalog is passed over for 1.5 s, and one that does not read catalogs yet does not keep its zone from asking other zones.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -6,6 +6,7 @@
 use tokio::net::UdpSocket;
 
 use super::{
+    catalog::Catalog,
     compression::decompress,
     context::Context,
     datagram::send_to_all,
@@ -161,23 +162,29 @@
         let Some(peer) = newer else {
             continue;
         };
-        let Some(data) = query(&ctx, peer, serve::CATALOG_PATH).await else {
-            continue;
-        };
-        let raw = match decompress(&data) {
-            Ok(raw) => raw,
-            Err(e) => {
-                emit!(log_event::RECORD, "source={peer} reason=\"{e}\"");
-                continue;
+        match query_catalog::<D>(&ctx, peer).await {
+            Ok((catalog, raw)) => apply_catalog(&ctx, catalog, raw, &peer.to_string()),
+            Err(reason) => {
+                emit!(log_event::RECORD, "source={peer} reason=\"{reason}\"");
+                let mut members = ctx.members.borrow_mut();
+                members.back_off_catalog(peer, ctx.now());
             }
-        };
-        match D::catalog(&raw) {
-            Ok(catalog) => apply_catalog(&ctx, catalog, raw, &peer.to_string()),
-            Err(e) => emit!(log_event::RECORD, "source={peer} reason=\"{e}\""),
         }
     }
 }
 
+/// Queries another entry for its catalog; returns it with its encoded form, or why there is none.
+async fn query_catalog<D: Decode>(
+    ctx: &Context,
+    peer: SocketAddr,
+) -> Result<(Catalog, Bytes), String> {
+    let data = query(ctx, peer, serve::CATALOG_PATH).await;
+    let data = data.ok_or_else(|| "the entry did not send its catalog".to_owned())?;
+    let raw = decompress(&data).map_err(|e| e.to_string())?;
+    let catalog = D::catalog(&raw)?;
+    Ok((catalog, raw))
+}
+
 /// Waits until the status of another entry shows that this one lacks something, or for a gossip interval.
 async fn wait_for_change(ctx: &Context) {
     let _ = tokio::time::timeout(HEARTBEAT_INTERVAL.duration(), ctx.peer_ahead.notified()).await;
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -13,6 +13,7 @@
     endpoint_table::{EndpointHash, TableDigest},
     message::ReadTimes,
     ownership::ReadyEntry,
+    zone_reader::SETTLE_TIME,
     CatalogVersion,
 };
 use crate::{
@@ -64,7 +65,10 @@
 /// Number of heartbeats after which an entry has learned of all others by theirs.
 const SETTLED_HEARTBEATS: u64 = 10;
 
-/// Backoff before an entry that did not send its endpoint table is queried again.
+/// Time after which an entry that has become a zone reader has read the catalog, too.
+const CATALOG_READ: Millis = Millis(SETTLE_TIME.0 + 500);
+
+/// Backoff before an entry that did not send its endpoint table or its catalog is queried again.
 const QUERY_BACKOFF: Millis = Millis(1500);
 
 /// Status of an entry, part of its heartbeat.
@@ -119,6 +123,8 @@
     reads_since: Option<Millis>,
     /// End of the backoff after the entry did not send its endpoint table.
     backoff_until: Millis,
+    /// End of the backoff after the entry did not send its catalog.
+    catalog_until: Millis,
     /// Result of [`rank`], kept because the ranks of many entries are compared at a time.
     rank: u64,
 }
@@ -133,6 +139,7 @@
             joined: now,
             sends_heartbeats,
             backoff_until: Millis::ZERO,
+            catalog_until: Millis::ZERO,
         }
     }
 
@@ -417,13 +424,27 @@
         }
     }
 
+    /// Returns whether an entry of the own zone reads the catalogs from the store; one that has only just become a zone
+    /// reader does not.
+    fn is_catalog_reader(&self, m: &Member, now: Millis) -> bool {
+        let settled = m.reads_since.is_some_and(|at| at + CATALOG_READ <= now);
+        self.is_near(m) && m.is_reader(now) && settled && m.catalog_until <= now
+    }
+
+    /// Starts the backoff of an entry that did not send its catalog.
+    pub fn back_off_catalog(&mut self, peer: SocketAddr, now: Millis) {
+        if let Some(m) = self.others.get_mut(&peer) {
+            m.catalog_until = now + QUERY_BACKOFF;
+        }
+    }
+
     /// Returns a live entry with the newest catalog, if that is newer than `than`. While an entry of the own zone reads
-    /// the store, only entries of the own zone are considered.
+    /// the catalogs from the store, only entries of the own zone are considered.
     pub fn newer_catalog(&self, than: CatalogVersion, now: Millis) -> Option<SocketAddr> {
-        let reads = |m: &Member| self.is_near(m) && m.is_reader(now);
-        let near = self.others.values().any(reads);
+        let near = self.others.values().any(|m| self.is_catalog_reader(m, now));
         let newer = |m: &&Member| {
-            m.is_live(now) && m.heartbeat.status.catalog > than && (!near || self.is_near(m))
+            let answers = m.is_live(now) && m.catalog_until <= now;
+            answers && m.heartbeat.status.catalog > than && (!near || self.is_near(m))
         };
         // A random one of the entries with the newest catalog, so that no single link carries all copies of a large
         // catalog.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -25,7 +25,7 @@
     base::{wall_ms, Millis},
     decide::stop::StopPlan,
     emit,
-    http::{listen, ServeOptions},
+    http::{listen, Listener, ServeOptions},
     observe::LeftOut,
     process::Signals,
 };
@@ -93,6 +93,9 @@
         GatewayMetrics::register(lines),
     );
     let (closing, closed) = watch::channel(false);
+    // Other entries and agents are served until the process ends.
+    let (_ending, ended) = watch::channel(false);
+    serve_peers(&ctx, ended)?;
     let callers = serve_all(&ctx, &closed)?;
     let intents = Rc::new(OperatorFollower::<D, _>::new(ctx.clone()));
     let endpoints = Rc::new(EndpointFollower::<D>::new(ctx.clone()));
@@ -139,14 +142,28 @@
     Ok(())
 }
 
-/// Binds the HTTP sockets and serves them; returns the task that ends when the callers' connections have ended.
+/// Binds an HTTP socket.
+fn listen_on(addr: SocketAddr) -> eyre::Result<Listener> {
+    listen(addr).wrap_err_with(|| format!("cannot listen on {addr}; check the settings"))
+}
+
+/// Binds the socket for other entries and agents, and serves it.
+fn serve_peers(ctx: &Rc<Context>, ended: watch::Receiver<bool>) -> eyre::Result<()> {
+    let context = ctx.clone();
+    let handler = move |req: hyper::Request<_>| {
+        let (context, path) = (context.clone(), req.uri().path().to_owned());
+        async move { serve::peer(&context, &path).await }
+    };
+    let peers = listen_on(ctx.settings.listen.peers)?;
+    spawn_local(peers.serve(ServeOptions::default, handler, ended));
+    Ok(())
+}
+
+/// Binds the other HTTP sockets and serves them; returns the task that ends when the callers' connections have ended.
 fn serve_all(
     ctx: &Rc<Context>,
     closed: &watch::Receiver<bool>,
 ) -> eyre::Result<tokio::task::JoinHandle<()>> {
-    let listen_on = |addr: SocketAddr| {
-        listen(addr).wrap_err_with(|| format!("cannot listen on {addr}; check the settings"))
-    };
     let sockets = ctx.settings.listen;
     let callers = listen_on(sockets.callers)?;
     let context = ctx.clone();
@@ -162,13 +179,6 @@
     let context = ctx.clone();
     let handler = move |req| serve::respond(context.clone(), req);
     let task = spawn_local(callers.serve(options, handler, closed.clone()));
-    let context = ctx.clone();
-    let handler = move |req: hyper::Request<_>| {
-        let (context, path) = (context.clone(), req.uri().path().to_owned());
-        async move { serve::peer(&context, &path).await }
-    };
-    let peers = listen_on(sockets.peers)?;
-    spawn_local(peers.serve(ServeOptions::default, handler, closed.clone()));
     if let Some(addr) = sockets.readiness {
         let context = ctx.clone();
         let handler = move |req: hyper::Request<_>| {
--- a/src/gateway/zone_reader.rs
+++ b/src/gateway/zone_reader.rs
@@ -9,7 +9,7 @@
 const READ_SLACK: Millis = Millis(500);
 
 /// Time for which an entry has to be a zone reader before it reads the configuration as well as the endpoints.
-const SETTLE_TIME: Millis = Millis(1200);
+pub(super) const SETTLE_TIME: Millis = Millis(1200);
 
 impl Context {
     /// Returns whether this entry is a zone reader; logs each change and records its time.
@@ -57,12 +57,13 @@
         self.now() - self.read_from.get()
     }
 
-    /// Returns this entry's status for its next heartbeat.
+    /// Returns this entry's status for its next heartbeat. A stopping entry goes on reading for its own requests, but no
+    /// other one is to rely on it.
     pub(super) fn status(&self) -> Status {
         Status {
             ready: self.is_ready(),
             catalog: self.catalog_version(),
-            reads_store: self.is_reading(),
+            reads_store: self.is_reading() && !self.is_stopping(),
             table: self.endpoints.borrow().digest(),
         }
     }
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -269,3 +269,23 @@
     let times = members.read_times(&all, Millis(70_000), Millis(106_350));
     assert_eq!(times.0, [ReadTimes::MAX, Millis(300)]);
 }
+
+/// Guards against an entry that gets no catalog as long as the entries of its zone that read the store do not send theirs,
+/// or do not read catalogs yet.
+#[test]
+fn catalogs_come_from_other_zones_if_needed() {
+    let mut members = members();
+    let now = Millis(100_000);
+    let newer = |m: &Membership| m.newer_catalog(CatalogVersion(0), now);
+    members.merge_timed(reader_heartbeat(2, "a", 1), Some(Millis(300)), now);
+    members.merge(heartbeat(3, "b", 5), now);
+    assert_eq!(newer(&members), Some(addr(3, 1)), "the newest of all zones");
+    members.merge_timed(reader_heartbeat(2, "a", 2), Some(Millis(9000)), now);
+    assert_eq!(
+        newer(&members),
+        Some(addr(2, 1)),
+        "the own zone has a reader"
+    );
+    members.back_off_catalog(addr(2, 1), now);
+    assert_eq!(newer(&members), Some(addr(3, 1)), "the reader sent none");
+}
