fix(gateway): an older endpoint table never replaces a newer one

Cause: the table of another entry replaced what the store had said, whenever its answer came last. Tables carried no position, so that an entry could not tell which of two is newer, and a starting one has no tombstones.

Change: a table says up to which offset of the topic it was read. One that is behind is not applied, and none is while this entry reads the store. A read of the store does not replace a copy that is ahead of it; reading continues from the copy's position. A log that begins anew voids the positions. Older builds ignore the position, and their tables are taken as before.

--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -167,6 +167,9 @@
     changes: u64,
     /// Wrapping sum of the endpoints' hashes.
     sum: u64,
+    /// Offset of the store's topic before which all records are applied; `None` if that is not known. It never falls
+    /// unless the log begins anew, and offsets are the same for all readers of a log.
+    position: Option<u64>,
     /// Time until which removals are tentative, because the store has just recovered from an outage.
     tentative_until: Millis,
 }
@@ -300,6 +303,21 @@
         missing
     }
 
+    /// Returns the offset of the store's topic before which all records are applied.
+    pub fn position(&self) -> Option<u64> {
+        self.position
+    }
+
+    /// Records that all records of the store's topic before an offset are applied.
+    pub fn advance(&mut self, position: u64) {
+        self.position = self.position.max(Some(position));
+    }
+
+    /// Forgets which records are applied, because offsets of the log of before tell nothing.
+    pub fn forget_position(&mut self) {
+        self.position = None;
+    }
+
     /// Returns the hash of the table.
     pub fn digest(&self) -> TableDigest {
         TableDigest(self.sum)
--- a/src/gateway/endpoint_table/delta.rs
+++ b/src/gateway/endpoint_table/delta.rs
@@ -33,6 +33,8 @@
 pub struct TableView {
     /// Endpoints whose removal the sender has read, but holds for one that an outage of the store caused.
     pub doubted: Vec<EndpointId>,
+    /// Offset of the store's topic before which the sender has applied all records; `None` if it does not know.
+    pub position: Option<u64>,
 }
 
 impl TableDelta {
@@ -90,6 +92,7 @@
         let doubted = self.endpoints.values().filter(|e| e.removal.is_some());
         TableView {
             doubted: doubted.map(|e| e.id.clone()).collect(),
+            position: self.position,
         }
     }
 
@@ -102,7 +105,14 @@
             .collect()
     }
 
-    /// Applies changes received from an entry that reads the store; returns the effect on each endpoint that changed.
+    /// Returns whether the sender of changes had applied less of the store's topic than this table.
+    pub fn is_ahead(&self, delta: &TableDelta) -> bool {
+        let both = self.position.zip(delta.view.position);
+        both.is_some_and(|(own, sent)| sent < own)
+    }
+
+    /// Applies changes received from an entry that reads the store; returns the effect on each endpoint that changed. The
+    /// changes must not be older than this table; see [`Self::is_ahead`].
     pub fn apply_delta(&mut self, delta: TableDelta, now: Millis) -> Vec<(EndpointId, Change)> {
         let mut removed = delta.removed;
         if delta.full {
@@ -134,6 +144,7 @@
                 changes.push((id, Change::Removed));
             }
         }
+        self.position = self.position.max(delta.view.position);
         changes.retain(|c| !matches!(c.1, Change::Renewed | Change::Stale));
         changes
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -47,8 +47,17 @@
     /// Called when a read succeeds after an outage of the store, before its records are applied.
     fn store_recovered(&self);
 
-    /// Called when all records of a read are applied.
-    fn batch_applied(&self) {}
+    /// Called when all records of a read are applied; `next` is the offset of the next record.
+    fn batch_applied(&self, _next: u64) {}
+
+    /// Returns the offset before which all records are applied, if another process passed on the content of the topic up
+    /// to there.
+    fn applied_until(&self) -> Option<u64> {
+        None
+    }
+
+    /// Called when the log turns out to have begun anew, so that offsets of before tell nothing.
+    fn log_restarted(&self) {}
 
     /// Called after each successful read, before its records are applied.
     fn read_succeeded(&self) {}
@@ -107,8 +116,10 @@
             tokio::time::sleep(INACTIVE_POLL.duration()).await;
             continue;
         }
+        state.offset = state.offset.max(state.offset.and(follower.applied_until()));
         // While reads fail, a long poll would delay the detection that the store is back.
         let wait = if state.failing { Millis::ZERO } else { wait };
+        let known = follower.applied_until();
         let (result, pending) = match state.offset {
             None => Pending::observe(&clock, store.newest(topic)).await,
             Some(from) => {
@@ -121,6 +132,12 @@
         };
         let from = state.offset;
         match result {
+            Ok(records) if from.is_some_and(|at| records.end < at) => {
+                log_restart(topic, from, records.end);
+                follower.log_restarted();
+                state.offset = None;
+                tokio::time::sleep(jitter(READ_RETRY).duration()).await;
+            }
             Ok(_) if from.is_some() && state.is_store_lost(clock.now()) => {
                 // The backlog of an outage would come in pages, and other processes must not rely on this one before
                 // the last page; the newest record of each key comes at once.
@@ -137,12 +154,20 @@
                         follower.apply(record);
                     }
                 } else {
+                    if known > Some(next) {
+                        // The store answers with its present state, so that the log has begun anew.
+                        log_restart(topic, known, next);
+                        follower.log_restarted();
+                    }
                     follower.note_age(bounds.age(&state.times, state.read, clock.now()));
-                    follower.replace(records.records);
+                    // What another process passed on during the read may be newer.
+                    if follower.applied_until().is_none_or(|at| at <= next) {
+                        follower.replace(records.records);
+                    }
                 }
                 state.read = next;
                 state.times.record_end(end, bounds.made, next);
-                follower.batch_applied();
+                follower.batch_applied(next);
                 tokio::time::sleep(follower.pause().duration()).await;
             }
             Err(StoreError::Trimmed) => {
@@ -166,6 +191,13 @@
     }
 }
 
+fn log_restart(topic: Topic, known: Option<u64>, end: u64) {
+    emit!(
+        log_event::STORE,
+        "topic={topic:?} outcome=restarted offset={known:?} end={end}"
+    );
+}
+
 /// Progress of reading one topic, and whether the store answers.
 struct FollowState {
     /// Offset of the next record to read; `None` before the first read and when all records must be read again.
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -176,7 +176,16 @@
         self.apply_record(&record);
     }
 
-    fn batch_applied(&self) {
+    fn applied_until(&self) -> Option<u64> {
+        self.ctx.endpoints.borrow().position()
+    }
+
+    fn log_restarted(&self) {
+        self.ctx.endpoints.borrow_mut().forget_position();
+    }
+
+    fn batch_applied(&self, next: u64) {
+        self.ctx.endpoints.borrow_mut().advance(next);
         if self.ctx.table_changed.get() {
             self.ctx.notify_changed();
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,4 +1,4 @@
-//! Gossip between entries, and replication of the catalog and the endpoint table from one entry to another.
+//! Gossip between entries, and replication of the catalog from one entry to another.
 
 use std::{net::SocketAddr, rc::Rc};
 
@@ -10,7 +10,7 @@
     compression::decompress,
     context::Context,
     datagram::send_to_all,
-    endpoint_table::{Change, EndpointHash, EndpointUpdate, TableDelta, TableDigest, RENEWAL},
+    endpoint_table::{Change, EndpointHash, EndpointUpdate},
     followers::{apply_catalog, endpoint_changed},
     log_event,
     members::HEARTBEAT_INTERVAL,
@@ -186,12 +186,12 @@
 }
 
 /// Waits until the status of another entry shows that this one lacks something, or for a gossip interval.
-async fn wait_for_change(ctx: &Context) {
+pub(super) async fn wait_for_change(ctx: &Context) {
     let _ = tokio::time::timeout(HEARTBEAT_INTERVAL.duration(), ctx.peer_ahead.notified()).await;
 }
 
 /// Queries another entry; `None` if it does not respond or has no data for the path.
-async fn query(ctx: &Context, peer: SocketAddr, path: &str) -> Option<Bytes> {
+pub(super) async fn query(ctx: &Context, peer: SocketAddr, path: &str) -> Option<Bytes> {
     match get(&ctx.pool, peer, path, ctx.now(), QUERY_TIMEOUT).await {
         Ok(res) if res.status() == hyper::StatusCode::OK => Some(res.into_body()),
         Ok(res) => {
@@ -205,73 +205,6 @@
     }
 }
 
-/// Progress of the replication of another entry's endpoint table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Replication {
-    peer: SocketAddr,
-    /// Start of that entry's process in Unix milliseconds.
-    boot: u64,
-    /// Hash of its table that led to the last query; `None` while it doubts removals, which no hash shows.
-    digest: Option<TableDigest>,
-    /// Value of its change counter up to which its changes are applied here.
-    count: u64,
-}
-
-/// Replicates the endpoint table of an entry that reads the store, while this one does not read it.
-pub(super) async fn mirror_table(ctx: Rc<Context>) {
-    let mut replication: Option<Replication> = None;
-    loop {
-        wait_for_change(&ctx).await;
-        if ctx.is_reading() {
-            replication = None;
-            continue;
-        }
-        let reader = ctx.members.borrow().zone_reader(ctx.now()).cloned();
-        let Some(reader) = reader else {
-            continue;
-        };
-        let (peer, boot, digest) = (reader.peer, reader.boot, reader.status.table);
-        let before = replication.filter(|m| m.peer == peer && m.boot == boot);
-        if before.is_some_and(|m| m.digest == Some(digest)) {
-            continue;
-        }
-        let count = before.map_or_else(|| "-".to_owned(), |m| m.count.to_string());
-        let path = format!("{}{boot}/{count}", serve::TABLE_PATH);
-        let data = query(&ctx, peer, &path).await;
-        let delta = data.and_then(|data| TableDelta::decode(&data).ok());
-        let Some(mut delta) = delta else {
-            emit!(log_event::MEMBER, "entry={peer} outcome=no-table");
-            ctx.members.borrow_mut().back_off(peer, ctx.now());
-            continue;
-        };
-        if before.is_none() {
-            let (whole, records) = (delta.full, delta.records.len());
-            emit!(
-                log_event::READER,
-                "source={peer} whole={whole} records={records}"
-            );
-        }
-        let settled = delta.view.doubted.is_empty();
-        replication = Some(Replication {
-            peer,
-            boot,
-            digest: settled.then_some(digest),
-            count: delta.count,
-        });
-        if !settled && ctx.members.borrow().store_was_up(RENEWAL, ctx.now()) {
-            delta.settle();
-        }
-        let changes = ctx.endpoints.borrow_mut().apply_delta(delta, ctx.now());
-        for (id, change) in &changes {
-            endpoint_changed(&ctx, id, *change);
-        }
-        ctx.table_loaded.set(true);
-        if !changes.is_empty() {
-            ctx.notify_changed();
-        }
-    }
-}
-
 /// Marks endpoints as leaving that another entry reports so.
 fn merge_leaving(ctx: &Context, leaving: &[EndpointHash]) {
     let left = ctx.endpoints.borrow_mut().merge_leaving(leaving, ctx.now());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod members;
 mod message;
 mod metrics;
+mod mirror;
 mod operator_records;
 mod ownership;
 mod permit_requests;
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -4,7 +4,9 @@
 
 use sesamewing::{
     base::{HashSet, Millis},
-    gateway::{Change, EndpointRecord, EndpointTable, EndpointUpdate, WeightVersion, RENEWAL},
+    gateway::{
+        Change, EndpointRecord, EndpointTable, EndpointUpdate, TableDelta, WeightVersion, RENEWAL,
+    },
 };
 use table_support::{id, record};
 
@@ -315,3 +317,29 @@
         assert!(table.get(&id("live")).is_some(), "it was renewed");
     }
 }
+
+/// Guards against entries that take no table any more after the log of the store has begun anew, and against one that
+/// takes a table which is behind its own.
+#[test]
+fn positions_order_tables() {
+    let (mut table, mut copy) = (EndpointTable::default(), EndpointTable::default());
+    table.apply(&id("e"), Some(record(10, 1)), Millis(0));
+    assert!(!copy.is_ahead(&table.delta_since(None)), "nothing is known");
+    copy.advance(7);
+    assert!(!copy.is_ahead(&table.delta_since(None)), "a build without");
+    table.advance(6);
+    assert!(copy.is_ahead(&table.delta_since(None)));
+    table.advance(7);
+    table.advance(5);
+    let data = table.delta_since(None).encode().expect("encoded");
+    let delta = TableDelta::decode(&data).expect("decoded");
+    assert_eq!(delta.view.position, Some(7));
+    assert!(!copy.is_ahead(&delta));
+    copy.forget_position();
+    copy.apply_delta(delta, Millis(10));
+    assert_eq!(copy.position(), Some(7));
+    // The bytes of a build that sends no view.
+    let data = postcard::to_stdvec(&table.delta_since(None)).expect("encoded");
+    let delta = TableDelta::decode(&data).expect("decoded");
+    assert_eq!((delta.records.len(), delta.view.position), (1, None));
+}
