fix(gateway): responses without end do not exhaust the memory together

Callers: faulty endpoints that send bytes without end to many requests at once would end the process, and with it all other requests of the host: each response was limited to 2 MiB (an event to 1 MiB), but not their sum.

Cause: no bound on what all buffered responses hold together.

A response that the entry itself gives up no longer counts as a connection that the endpoint ended (which the quarantine of prompt parts watches).

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -9,6 +9,7 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use super::{
+    buffers::Buffers,
     catalog::{Catalog, CatalogVersion},
     desired::DesiredVersions,
     endpoint_table::{EndpointId, EndpointTable},
@@ -51,6 +52,7 @@
     pub(super) bounds: Cell<Bounds>,
     pub(super) headers: Headers,
     pub(super) pool: Pool,
+    pub(super) buffers: Rc<Buffers>,
     pub(super) metrics: GatewayMetrics,
     pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
     /// Encoded catalog, and its compressed form from the first query of another entry on.
@@ -123,6 +125,7 @@
             settings,
             headers,
             pool: Pool::default(),
+            buffers: Rc::default(),
             metrics,
             catalog: RefCell::default(),
             raw_catalog: RefCell::default(),
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     body::{Body, Incoming},
     header::{
@@ -16,6 +16,7 @@
 use super::{
     accept::Job,
     attempt::{Attempt, Attempts, StreamingResponse, Target},
+    buffers::{self, BufferError},
     context::Context,
     dropped::note_dropped,
     ending::{Ending, Progress},
@@ -279,9 +280,10 @@
 ) -> Attempt {
     let known = screen::generations(ctx, job);
     let left = job.deadline - ctx.now();
-    let read = Limited::new(body, RESPONSE_MAX).collect();
+    let mut held = ctx.buffers.hold();
+    let read = buffers::collect(body, RESPONSE_MAX, &mut held);
     let body = match tokio::time::timeout(left.duration(), read).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(e)) => {
             emit!(
                 log_event::ATTEMPT,
@@ -289,8 +291,10 @@
                 job.id(),
                 target.id
             );
-            let ending = Ending::of(&*e);
-            note_dropped(ctx, job, &target.id, &target.known, Progress::Body, ending);
+            if let BufferError::Connection(e) = &e {
+                let ending = Ending::of(e);
+                note_dropped(ctx, job, &target.id, &target.known, Progress::Body, ending);
+            }
             target.flight.end(Outcome::Failed);
             return Attempt::Lost;
         }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -88,6 +88,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the size of the part of an event that is buffered, in bytes.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the endpoint has sent an event; comments are none.
     pub fn has_begun(&self) -> bool {
         self.begun
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod assignment;
 mod attempt;
 mod body;
+mod buffers;
 mod catalog;
 mod choose;
 mod compression;
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -12,6 +12,7 @@
 use super::{
     accept::Job,
     attempt::{StreamingResponse, Target},
+    buffers::Held,
     context::Context,
     dropped::note_dropped,
     ending::{Ending, Progress},
@@ -33,6 +34,8 @@
     headers: HeaderMap,
     body: Incoming,
     events: Events,
+    /// Memory of the event that is not whole yet.
+    held: Held,
     progress: Progress,
     /// Ends of endpoints that were known of the parts of the prompt when the first event arrived.
     known: Vec<Generation>,
@@ -72,6 +75,7 @@
             headers: response.head.headers,
             body: response.body,
             events: Events::after(last),
+            held: ctx.buffers.hold(),
             progress: Progress::Head,
             known: Vec::new(),
             heard_at: ctx.now(),
@@ -149,7 +153,11 @@
                 Err(_) if until < job.deadline => return ReadResult::Silent,
                 Err(_) => return ReadResult::DeadlinePassed,
             };
-            match self.events.push(&data) {
+            let pushed = self.events.push(&data);
+            if self.held.resize(self.events.buffered()).is_err() {
+                return ReadResult::Broken("no memory");
+            }
+            match pushed {
                 Ok(events) if events.is_empty() => {}
                 Ok(comments) if !self.events.has_advanced() => {
                     return ReadResult::Comments(comments);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -122,12 +122,18 @@
     /// Returns the rejection with which the entry responds if the stream is cut or too large.
     pub(super) async fn collect(&mut self) -> Result<Bytes, Reject> {
         let mut body = BytesMut::new();
+        let mut held = self.ctx.buffers.hold();
         while let Some(data) = self.next().await {
             body.extend_from_slice(&data.map_err(|Cut| self.reject())?);
-            if body.len() > RESPONSE_MAX {
-                self.fail("too large");
-                return Err(Reject::Lost);
-            }
+            let reason = if body.len() > RESPONSE_MAX {
+                "too large"
+            } else if held.resize(body.len()).is_err() {
+                "no memory"
+            } else {
+                continue;
+            };
+            self.fail(reason);
+            return Err(Reject::Lost);
         }
         Ok(body.freeze())
     }
