perf(gateway): a long event is searched once for its end

Callers: endpoints whose events do not end took the processor of an entry, as each part that arrived made it search the whole event again.

Cause: the search for the end of an event began anew with each part.

Change: the search goes on where it stopped.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -57,6 +57,8 @@
 #[derive(Debug, Default)]
 pub struct Events {
     buffer: BytesMut,
+    /// How far the buffer was searched for the end of its first event.
+    search: Search,
     /// Last event that was forwarded or that the caller had before.
     last: Option<EventId>,
     /// Last event that the endpoint sent, forwarded or not.
@@ -134,7 +136,8 @@
 
     /// Moves whole events from the buffer to `new`, up to the first fault.
     fn split(&mut self, new: &mut BytesMut) -> Result<(), EventError> {
-        while let Some(end) = event_end(&self.buffer) {
+        while let Some(end) = self.search.event_end(&self.buffer) {
+            self.search = Search::default();
             let event = self.buffer.split_to(end);
             if self.admit(&event)? {
                 new.unsplit(event);
@@ -178,20 +181,32 @@
     lines.all(|line| line.is_empty() || line[0] == b':')
 }
 
-/// Returns the length of the first event in bytes, with the empty line that ends it.
-fn event_end(data: &[u8]) -> Option<usize> {
-    let mut line = 0;
-    for (i, &b) in data.iter().enumerate() {
-        if b != b'\n' {
-            continue;
-        }
-        let text = &data[line..i];
-        if i > 0 && (text.is_empty() || text == b"\r") {
-            return Some(i + 1);
+/// Search for the end of an event of which parts arrive; no byte is looked at twice, however small the parts are.
+#[derive(Clone, Copy, Debug, Default)]
+struct Search {
+    /// Start of the line that is not whole yet.
+    line: usize,
+    /// Number of bytes that were searched.
+    done: usize,
+}
+
+impl Search {
+    /// Returns the length of the first event in bytes, with the empty line that ends it. `data` begins with what was
+    /// searched before.
+    fn event_end(&mut self, data: &[u8]) -> Option<usize> {
+        for (i, &b) in data.iter().enumerate().skip(self.done) {
+            if b != b'\n' {
+                continue;
+            }
+            let text = &data[self.line..i];
+            if i > 0 && (text.is_empty() || text == b"\r") {
+                return Some(i + 1);
+            }
+            self.line = i + 1;
         }
-        line = i + 1;
+        self.done = data.len();
+        None
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<EventId> {
--- a/tests/gateway_events.rs
+++ b/tests/gateway_events.rs
@@ -1,9 +1,14 @@
 //! Splitting of a server-sent event stream that several endpoints produce in turn.
 
+use std::time::{Duration, Instant};
+
 use bytes::Bytes;
 use proptest::prelude::*;
 use sesamewing::gateway::{EventError, EventId, Events};
 
+/// Size of an event in bytes, nearly the largest one.
+const LONG_EVENT: usize = 1_000_000;
+
 fn event(id: u64) -> String {
     format!("id: {id}\ndata: token {id}\n\n")
 }
@@ -58,3 +63,19 @@
         prop_assert!(!events.is_partial());
     }
 }
+
+/// Guards against an entry that spends its processor on one event which arrives in many small parts, because it searches
+/// all of them again for each.
+#[test]
+fn long_events_take_linear_time() {
+    let mut events = Events::after(None);
+    let part = Bytes::from_static(&[b'x'; 64]);
+    let begun = Instant::now();
+    for _ in 0..LONG_EVENT / part.len() {
+        assert_eq!(events.push(&part), Ok(Bytes::new()));
+    }
+    let time = begun.elapsed();
+    assert!(time < Duration::from_secs(1), "{time:?}");
+    let end = Bytes::from_static(b"\nid: 1\n\n");
+    assert!(events.push(&end).is_ok_and(|e| e.len() > LONG_EVENT));
+}
