fix(staging): a chunk is read no further than its size

Callers: an agent whose origin, or another agent, sends bytes without end read up to 8 MiB for each chunk, ten at once from the origin; agents have 128 MB.

Cause: calls limited each body to 8 MiB, whatever size the caller expects.

Change: calls take a limit of the body; chunks are limited to the size in the manifest. The memory for responses that an entry buffers is lowered from 32 to 16 MiB, because the smallest hosts have 160 MB; the test's limit is theirs now.

--- a/src/gateway/buffers.rs
+++ b/src/gateway/buffers.rs
@@ -10,9 +10,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-/// Memory for all buffered responses, in bytes: an eighth of that of the smallest hosts, as vectors that grow take up to
+/// Memory for all buffered responses, in bytes: a tenth of that of the smallest hosts, as vectors that grow take up to
 /// twice their content, and shares that were taken earlier may add as much again.
-pub(super) const BUFFERED_MAX: usize = 32 << 20;
+const BUFFERED_MAX: usize = 16 << 20;
 
 /// The memory that buffered responses hold.
 #[derive(Debug, Default)]
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -16,6 +16,25 @@
 /// Largest response body of a call, in bytes.
 pub const BODY_MAX: usize = 8 << 20;
 
+/// Limits of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallLimit {
+    /// Longest time for the whole call.
+    pub time: Millis,
+    /// Largest body of the response, in bytes.
+    pub body: usize,
+}
+
+impl From<Millis> for CallLimit {
+    /// Limits the time, and the body to [`BODY_MAX`].
+    fn from(time: Millis) -> Self {
+        Self {
+            time,
+            body: BODY_MAX,
+        }
+    }
+}
+
 /// Longest time to open a connection.
 const CONNECT: Millis = Millis(600);
 
@@ -47,20 +66,21 @@
 ///
 /// # Errors
 ///
-/// Returns [`CallError::Lost`] if the connection ends early or the time is over.
+/// Returns [`CallError::Lost`] if the connection ends early, the time is over or the body is larger than `limit`.
 pub async fn call(
     pool: &Pool,
     addr: SocketAddr,
     req: Request<Full<Bytes>>,
     now: Millis,
-    limit: Millis,
+    limit: impl Into<CallLimit>,
 ) -> Result<Response<Bytes>, CallError> {
+    let limit = limit.into();
     let mut conn = pool
-        .checkout(addr, now, CONNECT.min(limit))
+        .checkout(addr, now, CONNECT.min(limit.time))
         .await
         .map_err(|e| CallError::Connect(addr, e.to_string()))?;
     let res = exchange(&mut conn, addr, req, limit).await?;
-    pool.put(addr, conn, now + limit + IDLE, IDLE_MAX);
+    pool.put(addr, conn, now + limit.time + IDLE, IDLE_MAX);
     Ok(res)
 }
 
@@ -74,7 +94,7 @@
     addr: SocketAddr,
     path: &str,
     now: Millis,
-    limit: Millis,
+    limit: impl Into<CallLimit>,
 ) -> Result<Response<Bytes>, CallError> {
     let mut req = Request::new(Full::default());
     *req.uri_mut() = path.parse().map_err(|_| CallError::Path(path.to_owned()))?;
@@ -89,9 +109,10 @@
 pub async fn call_once(
     addr: SocketAddr,
     req: Request<Full<Bytes>>,
-    limit: Millis,
+    limit: impl Into<CallLimit>,
 ) -> Result<Response<Bytes>, CallError> {
-    let mut conn = connect(addr, CONNECT.min(limit))
+    let limit = limit.into();
+    let mut conn = connect(addr, CONNECT.min(limit.time))
         .await
         .map_err(|e| CallError::Connect(addr, e.to_string()))?;
     exchange(&mut conn, addr, req, limit).await
@@ -101,7 +122,7 @@
     conn: &mut Connection,
     addr: SocketAddr,
     req: Request<Full<Bytes>>,
-    limit: Millis,
+    limit: CallLimit,
 ) -> Result<Response<Bytes>, CallError> {
     let lost = |text: String| CallError::Lost(addr, text);
     let exchange = async {
@@ -114,13 +135,13 @@
         if has_unknown_coding(&head.headers) {
             return Err(lost("a transfer coding that is not `chunked`".to_owned()));
         }
-        let body = Limited::new(body, BODY_MAX)
+        let body = Limited::new(body, limit.body)
             .collect()
             .await
             .map_err(|e| lost(e.to_string()))?;
         Ok(Response::from_parts(head, body.to_bytes()))
     };
-    tokio::time::timeout(limit.duration(), exchange)
+    tokio::time::timeout(limit.time.duration(), exchange)
         .await
-        .map_err(|_| lost(format!("no response within {limit}")))?
+        .map_err(|_| lost(format!("no response within {}", limit.time)))?
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -12,7 +12,7 @@
 mod server;
 mod tcp_info;
 
-pub use call::{call, call_once, get, CallError, HeadReceived, BODY_MAX};
+pub use call::{call, call_once, get, CallError, CallLimit, HeadReceived, BODY_MAX};
 pub use connect::{connect, Connection};
 pub(crate) use framing::has_unknown_coding;
 pub use pool::Pool;
--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -221,11 +221,19 @@
         Source::Peer(_) => {
             let client = &ctx.client;
             client
-                .chunk(addr, &ctx.model, version, chunk, digest)
+                .chunk(
+                    addr,
+                    &ctx.model,
+                    version,
+                    (chunk, digest),
+                    ctx.manifest.chunk,
+                )
                 .await?
         }
         Source::Origin => {
-            let data = ctx.origin.chunk(addr, &ctx.model, version, chunk).await;
+            let size = ctx.manifest.chunk;
+            let origin = &ctx.origin;
+            let data = origin.chunk(addr, &ctx.model, version, chunk, size).await;
             let data = data.map_err(|e| {
                 emit!(log_event::ORIGIN, "chunk={chunk} reason=\"{e}\"");
                 Fault::Lost
--- a/src/staging/exchange.rs
+++ b/src/staging/exchange.rs
@@ -8,11 +8,11 @@
 
 use super::{inventory::is_intact, inventory::ChunkInventory, log_event, EndpointHost, Manifest};
 use crate::{
-    base::{Clock, Digest, Millis, Percent, SystemClock},
+    base::{Clock, Digest, Millis, Percent, Size, SystemClock},
     decide::chunk::Fault,
     emit,
     gateway::WeightVersion,
-    http::{get, CallError, Pool},
+    http::{get, CallError, CallLimit, Pool},
     net::Pacer,
 };
 
@@ -211,7 +211,7 @@
         &self,
         addr: SocketAddr,
         path: String,
-        limit: Millis,
+        limit: impl Into<CallLimit>,
     ) -> Result<Response<Bytes>, CallError> {
         get(&self.pool, addr, &path, self.clock.now(), limit).await
     }
@@ -261,17 +261,21 @@
         }
     }
 
-    /// Fetches a chunk from another host and checks its digest.
+    /// Fetches a chunk of at most `size` from another host and checks its digest.
     pub(super) async fn chunk(
         &self,
         addr: SocketAddr,
         model: &str,
         version: WeightVersion,
-        chunk: u32,
-        digest: &Digest,
+        (chunk, digest): (u32, &Digest),
+        size: Size,
     ) -> Result<Bytes, Fault> {
+        let limit = CallLimit {
+            time: TRANSFER_TIMEOUT,
+            body: size.0 as usize,
+        };
         let path = format!("/chunk/{model}/{version}/{chunk}");
-        match self.get(addr, path, TRANSFER_TIMEOUT).await {
+        match self.get(addr, path, limit).await {
             Ok(res) if res.status() == StatusCode::SERVICE_UNAVAILABLE => Err(Fault::Busy),
             Ok(res) if res.status() != StatusCode::OK => Err(Fault::Missing),
             Ok(res) if is_intact(res.body(), digest) => Ok(res.into_body()),
--- a/src/staging/host.rs
+++ b/src/staging/host.rs
@@ -154,16 +154,17 @@
         version: Option<WeightVersion>,
     ) -> impl Future<Output = Result<Manifest, HostError>>;
 
-    /// Reads a chunk without a check of its digest.
+    /// Reads a chunk of at most `size` without a check of its digest.
     ///
     /// # Errors
     ///
-    /// Returns an error if the origin does not respond or does not have the version.
+    /// Returns an error if the origin does not respond, does not have the version, or sends more than `size`.
     fn chunk(
         &self,
         addr: SocketAddr,
         model: &str,
         version: WeightVersion,
         chunk: u32,
+        size: Size,
     ) -> impl Future<Output = Result<Bytes, HostError>>;
 }
--- a/tests/copy_support/mod.rs
+++ b/tests/copy_support/mod.rs
@@ -52,6 +52,7 @@
         _: &str,
         version: WeightVersion,
         _: u32,
+        _: Size,
     ) -> Result<Bytes, HostError> {
         Ok(content(version.0))
     }
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -155,6 +155,7 @@
         _: &str,
         version: WeightVersion,
         chunk: u32,
+        _: Size,
     ) -> Result<Bytes, HostError> {
         tokio::time::sleep(Millis(4).duration()).await;
         if self.0.gone.get() {
