--- a/tests/table_order.rs
+++ b/tests/table_order.rs
@@ -6,7 +6,7 @@
     cell::Cell,
     net::{SocketAddr, UdpSocket},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -37,7 +37,7 @@
 /// Time after which all answers have arrived.
 const SETTLED: Millis = Millis(2500);
 
-/// A store whose answers on endpoints take a time.
+/// A store whose first answer on endpoints takes a time, after which it no longer is its present state.
 #[derive(Clone)]
 struct SlowStore {
     store: MemoryStore,
@@ -46,10 +46,11 @@
 
 impl RecordStore for SlowStore {
     async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+        let state = self.store.newest(topic).await;
         if topic == Topic::Endpoints {
             sleep(self.delay.duration()).await;
         }
-        self.store.newest(topic).await
+        state
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
@@ -214,3 +215,29 @@
         assert!(got.ends_with("new"), "`{got}` after {}", first.addr);
     });
 }
+
+/// Guards against an entry that starts and sends requests to a removed endpoint, because an answer of the store that was
+/// long under way replaces the newer table of another entry.
+#[test]
+fn late_answer_does_not_replace_a_newer_table() {
+    run_local(async {
+        let (new, old) = endpoints().await;
+        let store = MemoryStore::default();
+        store.write(Topic::Endpoints, "gone", &text(old));
+        let later = store.clone();
+        spawn_local(async move {
+            sleep(INTERVAL).await;
+            later.write(Topic::Endpoints, "gone", "");
+            later.write(Topic::Endpoints, &format!("e-{new}"), &text(new));
+        });
+        let table = encode_table(new, Some(3));
+        let _reader = Reader::start(2, addr(1, 8004), table, Millis::ZERO);
+        start(1, store, STORE_TIME).await;
+        let end = Instant::now() + STORE_TIME.times(2).duration();
+        while Instant::now() < end {
+            let got = answer(1).await;
+            assert!(got.ends_with("new"), "`{got}`");
+            sleep(INTERVAL).await;
+        }
+    });
+}
