--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -19,8 +19,8 @@
 use sesamewing::{
     base::{HashMap, Millis},
     gateway::{
-        Catalog, Decode, EndpointRecord, OperatorRecord, Record, RecordStore, Records, Revision,
-        StoreError, Topic, WeightVersion,
+        Catalog, Decode, EndpointRecord, Gossip, Heartbeat, Message, OperatorRecord, Record,
+        RecordStore, Records, Revision, StoreError, Topic, WeightVersion,
     },
 };
 use tokio::{
@@ -179,6 +179,16 @@
     }
 }
 
+/// Returns a datagram's message that holds one heartbeat and nothing else.
+pub fn heartbeat_message(heartbeat: Heartbeat) -> Message {
+    Message::Gossip(Gossip {
+        heartbeats: vec![heartbeat],
+        desired: Vec::new(),
+        in_flight: Vec::new(),
+        leaving: Vec::new(),
+    })
+}
+
 /// A step of a scripted response.
 #[derive(Clone)]
 pub enum Step {
--- a/tests/paused_entry.rs
+++ b/tests/paused_entry.rs
@@ -15,11 +15,11 @@
 use gateway_support::{
     addr,
     gateway::{request, respond, with_store, CALLERS},
-    send_request, MemoryStore,
+    heartbeat_message, send_request, MemoryStore,
 };
 use sesamewing::{
     base::Millis,
-    gateway::{CatalogVersion, Gossip, Heartbeat, Message, Status, TableDigest, Topic},
+    gateway::{CatalogVersion, Heartbeat, Status, TableDigest, Topic},
 };
 
 /// Time for which the process is paused: longer than the reads of the store may be overdue.
@@ -57,13 +57,7 @@
         if ended.load(Ordering::Relaxed) {
             return;
         }
-        let gossip = Gossip {
-            heartbeats: vec![heartbeat(peer, count)],
-            desired: Vec::new(),
-            in_flight: Vec::new(),
-            leaving: Vec::new(),
-        };
-        let data = (Message::Gossip(gossip), vec![READ_FOR]);
+        let data = (heartbeat_message(heartbeat(peer, count)), vec![READ_FOR]);
         let data = postcard::to_stdvec(&data).expect("encoded");
         socket.send_to(&data, to).expect("it is sent");
         sleep(INTERVAL);
--- a/tests/stop_duties.rs
+++ b/tests/stop_duties.rs
@@ -7,13 +7,13 @@
 use gateway_support::{
     addr, endpoint,
     gateway::{catalog, request, route, CALLERS},
-    run_local, send_request,
+    heartbeat_message, run_local, send_request,
     stopping::{run_entry, signal_self, wait_until_ready},
     Step,
 };
 use sesamewing::{
     base::Millis,
-    gateway::{Catalog, CatalogVersion, Gossip, Heartbeat, Message, Repeat, Route, Status},
+    gateway::{Catalog, CatalogVersion, Heartbeat, Message, Repeat, Route, Status},
 };
 use tokio::{net::UdpSocket, task::spawn_local, time::timeout};
 
@@ -51,13 +51,7 @@
             ..Status::default()
         },
     };
-    let gossip = Gossip {
-        heartbeats: vec![heartbeat],
-        desired: Vec::new(),
-        in_flight: Vec::new(),
-        leaving: Vec::new(),
-    };
-    let data = postcard::to_stdvec(&Message::Gossip(gossip)).expect("encoded");
+    let data = postcard::to_stdvec(&heartbeat_message(heartbeat)).expect("encoded");
     socket.send_to(&data, addr(1, 8004)).await.expect("sent");
 }
 
--- a/tests/table_order.rs
+++ b/tests/table_order.rs
@@ -13,15 +13,15 @@
 use gateway_support::{
     addr, endpoint,
     gateway::{catalog, request, respond, settings_of, start_stored, CALLERS, HELD, MODEL},
-    run_local, send_request, set_catalog, MemoryStore, TestDecode,
+    heartbeat_message, run_local, send_request, set_catalog, MemoryStore, TestDecode,
 };
 use http_body_util::Full;
 use hyper::Response;
 use sesamewing::{
     base::{rendezvous, Millis},
     gateway::{
-        CatalogVersion, Decode, EndpointId, Gossip, Heartbeat, Message, Record, RecordStore,
-        Records, Status, StoreError, TableDelta, TableDigest, Topic,
+        CatalogVersion, Decode, EndpointId, Heartbeat, Record, RecordStore, Records, Status,
+        StoreError, TableDelta, TableDigest, Topic,
     },
     http::{listen, ServeOptions},
 };
@@ -134,13 +134,7 @@
             table: TableDigest(rendezvous(b"table", peer.to_string().as_bytes())),
         },
     };
-    let gossip = Gossip {
-        heartbeats: vec![heartbeat],
-        desired: Vec::new(),
-        in_flight: Vec::new(),
-        leaving: Vec::new(),
-    };
-    postcard::to_stdvec(&Message::Gossip(gossip)).expect("encoded")
+    postcard::to_stdvec(&heartbeat_message(heartbeat)).expect("encoded")
 }
 
 /// Starts the endpoints of the newer and the older table, and returns their addresses.
