fix(gateway): a witness that is heard late ends the doubt of removals

Callers: after a pause or a cut of an entry, a removed endpoint got requests for up to 2.3 s more if the store answered the entry before it heard another entry again.

Cause: whether the store was away is decided once, when it answers. Heartbeats of a witness that are still in the socket, or arrive a little later, came too late for that, and the doubt lasted until its end.

Change: while removals are doubted, each expiry round (250 ms) asks since when another entry has read the store. One that read it through the whole time in question ends the doubt, and the endpoints are removed.

--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -284,6 +284,34 @@
         self.tentative_until = now + RENEWAL;
     }
 
+    /// Ends doubts that another entry shows to be wrong: `up_since` is the time since which the store has answered it.
+    /// Returns the endpoints that are removed thereby.
+    pub fn end_doubts(&mut self, up_since: Millis, now: Millis) -> Vec<EndpointId> {
+        // Each doubt lasts for `RENEWAL`, and is right if the store was away in as long a time before it.
+        let wrong = |until: Millis| up_since + RENEWAL + RENEWAL <= until;
+        if wrong(self.tentative_until) {
+            self.tentative_until = Millis::ZERO;
+        }
+        self.remove_tentative(wrong, now)
+    }
+
+    /// Removes the endpoints whose tentative removal is due by its time; returns these.
+    fn remove_tentative(
+        &mut self,
+        is_due: impl Fn(Millis) -> bool,
+        now: Millis,
+    ) -> Vec<EndpointId> {
+        let endpoints = self.endpoints.values();
+        let due: Vec<_> = endpoints
+            .filter(|e| e.removal.is_some_and(&is_due))
+            .map(|e| e.id.clone())
+            .collect();
+        for id in &due {
+            self.drop_endpoint(id, now);
+        }
+        due
+    }
+
     /// Removes the endpoints that are not among the ids of all records of the store, and returns the ids of these;
     /// right after an outage the removals are tentative.
     pub fn retain_present(
@@ -393,16 +421,7 @@
         let endpoints = &self.endpoints;
         self.announced
             .retain(|id, l| endpoints.contains_key(id) || now < l.at + TOMBSTONE_RETENTION);
-        let due: Vec<_> = self
-            .endpoints
-            .values()
-            .filter(|e| e.removal.is_some_and(|at| at <= now))
-            .map(|e| e.id.clone())
-            .collect();
-        for id in &due {
-            self.drop_endpoint(id, now);
-        }
-        due
+        self.remove_tentative(|at| at <= now, now)
     }
 
     /// Returns the endpoints of a service.
--- a/src/gateway/members/readers.rs
+++ b/src/gateway/members/readers.rs
@@ -35,8 +35,14 @@
     /// Returns whether another entry has read the store for `time`, so that an outage which this entry saw in that time
     /// was not one of the store.
     pub fn store_was_up(&self, time: Millis, now: Millis) -> bool {
-        let reads = |m: &Member| m.reads_since.is_some_and(|at| at + time <= now);
-        self.others.values().any(|m| m.is_reader(now) && reads(m))
+        self.store_up_since(now).is_some_and(|at| at + time <= now)
+    }
+
+    /// Returns the time since which the store has answered another entry without a gap; `None` if none is known that
+    /// reads it now.
+    pub fn store_up_since(&self, now: Millis) -> Option<Millis> {
+        let readers = self.others.values().filter(|m| m.is_reader(now));
+        readers.filter_map(|m| m.reads_since).min()
     }
 
     /// Returns how many entries of each zone have to read the store.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -235,13 +235,7 @@
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL.duration()).await;
         let now = ctx.now();
-        let expired = ctx.endpoints.borrow_mut().expire(now);
-        for id in &expired {
-            endpoint_changed(&ctx, id, Change::Removed);
-        }
-        if !expired.is_empty() {
-            ctx.notify_changed();
-        }
+        remove_endpoints(&ctx, now);
         ctx.update_ownership();
         ctx.pool.sweep(now);
         expire_limits(&ctx);
@@ -253,6 +247,22 @@
     }
 }
 
+/// Removes the endpoints whose tentative removal takes effect, and those of which another entry shows that the store was
+/// not away.
+fn remove_endpoints(ctx: &Context, now: Millis) {
+    let up_since = ctx.members.borrow().store_up_since(now);
+    let mut removed = ctx.endpoints.borrow_mut().expire(now);
+    if let Some(at) = up_since {
+        removed.extend(ctx.endpoints.borrow_mut().end_doubts(at, now));
+    }
+    for id in &removed {
+        endpoint_changed(ctx, id, Change::Removed);
+    }
+    if !removed.is_empty() {
+        ctx.notify_changed();
+    }
+}
+
 /// Stops the process: other entries stop naming it to callers, then connections close after their responses.
 async fn stop(
     ctx: &Rc<Context>,
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -61,6 +61,26 @@
     assert!(table.get(&live).is_some());
 }
 
+/// Guards against a doubt that outlasts the news that another entry read the store all the while, and against one that ends
+/// because of an entry that has itself only just got the store back.
+#[test]
+fn doubts_end_by_a_witness() {
+    let (mut table, dead) = (EndpointTable::default(), id("dead"));
+    table.apply(&dead, Some(record(10, 1)), Millis(0));
+    let back = Millis(9000);
+    table.store_recovered(back);
+    assert_eq!(table.apply(&dead, None, back), Change::Doubted);
+    let now = back + Millis(400);
+    let late = back - RENEWAL + Millis(1);
+    assert!(table.end_doubts(late, now).is_empty());
+    assert!(table.get(&dead).is_some());
+    assert_eq!(table.end_doubts(back - RENEWAL, now), vec![dead]);
+    // Removals that are read afterwards are not doubted either.
+    let other = id("other");
+    table.apply(&other, Some(record(10, 1)), now);
+    assert_eq!(table.apply(&other, None, now), Change::Removed);
+}
+
 fn loaded(sequence: u64, version: Option<u64>) -> EndpointRecord {
     let models = version.map(|v| ("m".into(), WeightVersion(v)));
     EndpointRecord {
--- a/tests/paused_entry.rs
+++ b/tests/paused_entry.rs
@@ -50,43 +50,66 @@
     }
 }
 
-/// Sends the heartbeats of an entry of another zone that reads the store, from a process that is not paused.
-fn send_heartbeats(to: SocketAddr, peer: SocketAddr, ended: Arc<AtomicBool>) {
-    let socket = UdpSocket::bind(peer).expect("a socket");
-    for count in 1.. {
-        if ended.load(Ordering::Relaxed) {
-            return;
+/// Time after the pause in which no heartbeat arrives, though the store answers.
+const LATE: Millis = Millis(300);
+
+/// Another entry, of another zone, that reads the store; its process is not paused.
+#[derive(Default)]
+struct Other {
+    /// Whether its heartbeats are lost.
+    cut: AtomicBool,
+    ended: AtomicBool,
+}
+
+impl Other {
+    /// Sends heartbeats until the end.
+    fn run(&self, to: SocketAddr, peer: SocketAddr) {
+        let socket = UdpSocket::bind(peer).expect("a socket");
+        for count in 1.. {
+            if self.ended.load(Ordering::Relaxed) {
+                return;
+            }
+            let data = (heartbeat_message(heartbeat(peer, count)), vec![READ_FOR]);
+            let data = postcard::to_stdvec(&data).expect("encoded");
+            if !self.cut.load(Ordering::Relaxed) {
+                socket.send_to(&data, to).expect("it is sent");
+            }
+            sleep(INTERVAL);
         }
-        let data = (heartbeat_message(heartbeat(peer, count)), vec![READ_FOR]);
-        let data = postcard::to_stdvec(&data).expect("encoded");
-        socket.send_to(&data, to).expect("it is sent");
-        sleep(INTERVAL);
     }
 }
 
-/// Guards against an entry that takes its own pause for an outage of the store: it would keep an endpoint that was
-/// removed meanwhile, and send requests to it until it exits.
-#[test]
-fn pause_is_no_outage() {
-    let store = MemoryStore::default();
-    let ended = Arc::new(AtomicBool::new(false));
+/// Removes an endpoint while an entry is paused, and returns the answer to a request to it [`READ_TIME`] later. If `late`,
+/// the heartbeats of the other entry are lost from the start of the pause to [`LATE`] after its end.
+async fn answer_after_pause(store: MemoryStore, peer: SocketAddr, late: bool) -> String {
+    let to = addr(1, 8004);
+    let other = Arc::new(Other::default());
+    let sender = other.clone();
+    let thread = spawn(move || sender.run(to, peer));
+    tokio::time::sleep(Millis(1500).duration()).await;
+    let before = send_request(addr(1, CALLERS), &request("/once/x"), 1000).await;
+    assert!(before.ends_with("yes"), "`{before}`");
+    other.cut.store(late, Ordering::Relaxed);
+    store.write(Topic::Endpoints, "e0", "");
+    sleep(PAUSE);
+    tokio::time::sleep(LATE.duration()).await;
+    other.cut.store(false, Ordering::Relaxed);
+    tokio::time::sleep((READ_TIME - LATE).duration()).await;
+    let after = send_request(addr(1, CALLERS), &request("/once/x"), 1000).await;
+    other.ended.store(true, Ordering::Relaxed);
+    thread.join().expect("it ends");
+    after
+}
+
+fn check_pause(late: bool) {
+    let catalog = gateway_support::gateway::catalog();
     let scripts = vec![respond("200 OK", "yes")];
     with_store(
-        store,
-        gateway_support::gateway::catalog(),
+        MemoryStore::default(),
+        catalog,
         scripts,
         |_, store| async move {
-            let (to, peer, stop) = (addr(1, 8004), addr(2, 8004), ended.clone());
-            let other = spawn(move || send_heartbeats(to, peer, stop));
-            tokio::time::sleep(Millis(1500).duration()).await;
-            let before = send_request(addr(1, CALLERS), &request("/once/x"), 1000).await;
-            assert!(before.ends_with("yes"), "`{before}`");
-            store.write(Topic::Endpoints, "e0", "");
-            sleep(PAUSE);
-            tokio::time::sleep(READ_TIME.duration()).await;
-            let after = send_request(addr(1, CALLERS), &request("/once/x"), 1000).await;
-            ended.store(true, Ordering::Relaxed);
-            other.join().expect("it ends");
+            let after = answer_after_pause(store, addr(2, 8004), late).await;
             assert!(
                 !after.ends_with("yes"),
                 "the removed endpoint got a request"
@@ -94,3 +117,17 @@
         },
     );
 }
+
+/// Guards against an entry that takes its own pause for an outage of the store: it would keep an endpoint that was
+/// removed meanwhile, and send requests to it until it exits.
+#[test]
+fn pause_is_no_outage() {
+    check_pause(false);
+}
+
+/// Guards against a doubt that outlasts the news that the store was not away, because the store answered the paused entry
+/// before another entry was heard again.
+#[test]
+fn late_witness_ends_the_doubt() {
+    check_pause(true);
+}
