fix(gateway): configurations are read at intervals while the store is slow

Cause: entries wait for the next record by a long poll of 5 s. One that begins while the store is slow ends only with its wait, and it was abandoned only after reads that had failed.

Change: Steadiness compares response times with the quickest of late. While the store is slow, late or failing, and 1 s beyond, the long poll is abandoned and the operator's records are read each 0.4 s.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -24,6 +24,7 @@
     permit_requests::Permits,
     record::WeightVersion,
     schedule::LoadSchedule,
+    steadiness::Steadiness,
     write_time::WriteAge,
     Bounds, GatewaySettings, Headers,
 };
@@ -60,6 +61,8 @@
     pub(super) compressed_catalog: RefCell<Option<Bytes>>,
     /// Wakes the follower of the operator's records.
     pub(super) operator_wake: Notify,
+    /// Whether the store responds as soon as usual.
+    pub(super) steadiness: RefCell<Steadiness>,
     pub(super) endpoints: RefCell<EndpointTable>,
     pub(super) balancer: RefCell<LoadBalancer>,
     /// Limits of the request rate that endpoints named.
@@ -131,6 +134,7 @@
             raw_catalog: RefCell::default(),
             compressed_catalog: RefCell::default(),
             operator_wake: Notify::new(),
+            steadiness: RefCell::default(),
             endpoints: RefCell::default(),
             balancer: RefCell::default(),
             limits: RefCell::default(),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -17,6 +17,9 @@
 /// Mean pause after a failed read; short, because the time limit on applying a new configuration continues to run.
 const READ_RETRY: Millis = Millis(300);
 
+/// Pause between reads of a topic that is followed by long poll, while the store is unsteady.
+const UNSTEADY_PAUSE: Millis = Millis(400);
+
 /// Interval at which [`Follower::should_read`] is checked while the topic is not read.
 const INACTIVE_POLL: Millis = Millis(120);
 
@@ -72,6 +75,18 @@
         Millis::ZERO
     }
 
+    /// Returns whether the store responds as soon as usual. While it does not, the topic is read at short intervals, because
+    /// a long poll may not end with the next record.
+    fn is_steady(&self) -> bool {
+        true
+    }
+
+    /// Called while a read has no response, with the time since its wait was over.
+    fn read_pending(&self, _time: Millis) {}
+
+    /// Called with the time that a response took beyond the wait of its read, and after a read that failed with `None`.
+    fn read_ended(&self, _time: Option<Millis>) {}
+
     /// Completes when a waiting read must be abandoned and issued again, because there may be records that would not end
     /// its wait, for example after the read of another topic found the store to be back.
     fn read_interrupted(&self) -> impl Future<Output = ()> {
@@ -118,19 +133,27 @@
         }
         state.offset = state.offset.max(state.offset.and(follower.applied_until()));
         // While reads fail, a long poll would delay the detection that the store is back.
-        let wait = if state.failing { Millis::ZERO } else { wait };
+        let polls = !state.failing && follower.is_steady();
+        let pause = if polls || wait == Millis::ZERO {
+            follower.pause()
+        } else {
+            follower.pause().max(UNSTEADY_PAUSE)
+        };
+        let wait = if polls { wait } else { Millis::ZERO };
         let known = follower.applied_until();
         let (result, pending) = match state.offset {
-            None => Pending::observe(&clock, store.newest(topic)).await,
+            None => Pending::observe(&clock, store.newest(topic), |_| {}).await,
             Some(from) => {
                 let read = store.read(topic, from, wait);
+                let late = |time| follower.read_pending(time - wait);
                 tokio::select! {
-                    observed = Pending::observe(&clock, read) => observed,
+                    observed = Pending::observe(&clock, read, late) => observed,
                     () = follower.read_interrupted() => continue,
                 }
             }
         };
         let from = state.offset;
+        note_response(follower, from.is_some(), wait, &result, &pending);
         match result {
             Ok(records) if from.is_some_and(|at| records.end < at) => {
                 log_restart(topic, from, records.end);
@@ -168,7 +191,7 @@
                 state.read = next;
                 state.times.record_end(end, bounds.made, next);
                 follower.batch_applied(next);
-                tokio::time::sleep(follower.pause().duration()).await;
+                tokio::time::sleep(pause.duration()).await;
             }
             Err(StoreError::Trimmed) => {
                 emit!(
@@ -191,6 +214,26 @@
     }
 }
 
+/// Tells the follower how long a response took beyond its wait. Of a read of all records, which takes longer, only a
+/// failure is told, and of a long poll that a record ended nothing is known.
+fn note_response(
+    follower: &impl Follower,
+    is_continued: bool,
+    wait: Millis,
+    result: &Result<Records, StoreError>,
+    pending: &Pending,
+) {
+    let Ok(records) = result else {
+        follower.read_ended(None);
+        return;
+    };
+    let waited = records.records.is_empty() || wait == Millis::ZERO;
+    if is_continued && waited {
+        let taken = pending.ended - pending.begun - records.body_time;
+        follower.read_ended(Some(taken - wait));
+    }
+}
+
 fn log_restart(topic: Topic, known: Option<u64>, end: u64) {
     emit!(
         log_event::STORE,
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -83,6 +83,18 @@
         Some(HANDOVER_TIME)
     }
 
+    fn is_steady(&self) -> bool {
+        self.is_store_steady()
+    }
+
+    fn read_pending(&self, time: Millis) {
+        self.note_pending(time);
+    }
+
+    fn read_ended(&self, time: Option<Millis>) {
+        self.note_read(time);
+    }
+
     async fn read_interrupted(&self) {
         self.operator_wake.notified().await;
     }
@@ -222,6 +234,14 @@
         }
     }
 
+    fn read_pending(&self, time: Millis) {
+        self.ctx.note_pending(time);
+    }
+
+    fn read_ended(&self, time: Option<Millis>) {
+        self.ctx.note_read(time);
+    }
+
     fn read_succeeded(&self) {
         self.ctx.record_read(self.pause());
     }
--- a/src/gateway/operator_records.rs
+++ b/src/gateway/operator_records.rs
@@ -64,6 +64,17 @@
         true
     }
 
+    /// See [`Follower::is_steady`].
+    fn is_steady(&self) -> bool {
+        true
+    }
+
+    /// See [`Follower::read_pending`].
+    fn read_pending(&self, _time: Millis) {}
+
+    /// See [`Follower::read_ended`].
+    fn read_ended(&self, _time: Option<Millis>) {}
+
     /// See [`Follower::read_interrupted`].
     fn read_interrupted(&self) -> impl Future<Output = ()> {
         std::future::pending()
@@ -169,6 +180,18 @@
         (!self.on_demand && !self.read.get()) || self.sink.should_read()
     }
 
+    fn is_steady(&self) -> bool {
+        self.sink.is_steady()
+    }
+
+    fn read_pending(&self, time: Millis) {
+        self.sink.read_pending(time);
+    }
+
+    fn read_ended(&self, time: Option<Millis>) {
+        self.sink.read_ended(time);
+    }
+
     async fn read_interrupted(&self) {
         self.sink.read_interrupted().await;
     }
--- a/src/gateway/write_time.rs
+++ b/src/gateway/write_time.rs
@@ -105,8 +105,13 @@
 }
 
 impl Pending {
-    /// Waits for a read, and notes when it has no response yet.
-    pub(super) async fn observe<T>(clock: &impl Clock, read: impl Future<Output = T>) -> (T, Self) {
+    /// Waits for a read, and notes when it has no response yet; `pending` is called each time with the time since the read
+    /// began.
+    pub(super) async fn observe<T>(
+        clock: &impl Clock,
+        read: impl Future<Output = T>,
+        pending: impl Fn(Millis),
+    ) -> (T, Self) {
         let begun = clock.now();
         let mut checks = Vec::new();
         let mut read = pin!(read);
@@ -121,7 +126,9 @@
                 };
                 return (result, pending);
             }
-            checks.push(clock.now());
+            let now = clock.now();
+            pending(now - begun);
+            checks.push(now);
         }
     }
 
--- a/src/gateway/zone_reader.rs
+++ b/src/gateway/zone_reader.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 
-use super::{compression::compress, context::Context, log_event, members::Status};
+use super::{
+    compression::compress, context::Context, log_event, members::Status, steadiness::Steadiness,
+};
 use crate::{base::Millis, emit};
 
 /// Time by which a read of the store may be overdue before this entry no longer reports that it reads the store.
@@ -57,6 +59,34 @@
         self.now() - self.read_from.get()
     }
 
+    /// Returns whether the store responds as soon as usual.
+    pub(super) fn is_store_steady(&self) -> bool {
+        self.steadiness.borrow().is_steady(self.now())
+    }
+
+    /// Notes that a read of the store has had no response for a time beyond its wait.
+    pub(super) fn note_pending(&self, time: Millis) {
+        self.note_steadiness(|s, now| s.record_pending(time, now));
+    }
+
+    /// Notes the time that a response of the store took beyond its wait; `None` if the read failed.
+    pub(super) fn note_read(&self, time: Option<Millis>) {
+        self.note_steadiness(|s, now| match time {
+            Some(time) => s.record(time, now),
+            None => s.record_failure(now),
+        });
+    }
+
+    /// Abandons the long poll in progress if the store turns out to be unsteady.
+    fn note_steadiness(&self, note: impl FnOnce(&mut Steadiness, Millis)) {
+        let (now, before) = (self.now(), self.is_store_steady());
+        note(&mut self.steadiness.borrow_mut(), now);
+        if before && !self.is_store_steady() {
+            emit!(log_event::STORE, "topic=Operator outcome=unsteady");
+            self.operator_wake.notify_waiters();
+        }
+    }
+
     /// Returns this entry's status for its next heartbeat. A stopping entry goes on reading for its own requests, but no
     /// other one is to rely on it.
     pub(super) fn status(&self) -> Status {
