fix(gateway): a zone does not wait long for readers that pass nothing on

Callers: a configuration whose responses to the readers of one zone were lost counted up to 6.8 s late in that zone, though other zones had it at once.

Cause: while an entry of the own zone says that it reads the store, catalogs are taken from entries of the own zone alone, for however long that has one that is older than that of other zones.

Change: after 0.6 s (ZONE_TIME) in which heartbeats have shown a newer catalog, it is taken from any zone. In calm the own zone has it earlier, so that large catalogs still cross between zones once.

Evidence: lost_polls_of_a_zone fails on ("entry 1 has an older configuration" after 2 s) and passes, as do catalogs_come_from_other_zones_if_needed with the overdue case and newer_catalogs_are_found.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -29,6 +29,10 @@
 /// Timeout of a query to another entry; a large catalog takes a while to arrive where many entries query it.
 const QUERY_TIMEOUT: Millis = Millis(1000);
 
+/// Time that the readers of the own zone have to pass on a catalog that entries of other zones have. They may wait for a
+/// response of the store that is lost, or stand still.
+const ZONE_TIME: Millis = Millis(600);
+
 /// Log lines in a second about datagrams that cannot be decoded.
 const IGNORED_LINES: u32 = 5;
 
@@ -153,12 +157,17 @@
 
 /// Fetches the catalog from an entry that has a newer one, for example while the store rejects the reads of this host.
 pub(super) async fn follow_peers<D: Decode>(ctx: Rc<Context>) {
+    // Time since which other entries have had a newer catalog.
+    let mut behind_since: Option<Millis> = None;
     loop {
         wait_for_change(&ctx).await;
-        let newer = {
-            let members = ctx.members.borrow();
-            members.newer_catalog(ctx.catalog_version(), ctx.now())
-        };
+        let (own, now) = (ctx.catalog_version(), ctx.now());
+        if ctx.members.borrow().newest_catalog(now) <= own {
+            behind_since = None;
+            continue;
+        }
+        let overdue = now >= *behind_since.get_or_insert(now) + ZONE_TIME;
+        let newer = ctx.members.borrow().newer_catalog(own, overdue, now);
         let Some(peer) = newer else {
             continue;
         };
--- a/src/gateway/members/readers.rs
+++ b/src/gateway/members/readers.rs
@@ -107,10 +107,23 @@
         }
     }
 
+    /// Returns the newest catalog that a live entry has.
+    pub fn newest_catalog(&self, now: Millis) -> CatalogVersion {
+        let live = self.others.values().filter(|m| m.is_live(now));
+        let versions = live.map(|m| m.heartbeat.status.catalog);
+        versions.max().unwrap_or_default()
+    }
+
     /// Returns a live entry with the newest catalog, if that is newer than `than`. While an entry of the own zone reads
-    /// the catalogs from the store, only entries of the own zone are considered.
-    pub fn newer_catalog(&self, than: CatalogVersion, now: Millis) -> Option<SocketAddr> {
-        let near = self.others.values().any(|m| self.is_catalog_reader(m, now));
+    /// the catalogs from the store, only entries of the own zone are considered, unless the catalog is `overdue`.
+    pub fn newer_catalog(
+        &self,
+        than: CatalogVersion,
+        overdue: bool,
+        now: Millis,
+    ) -> Option<SocketAddr> {
+        let read_near = || self.others.values().any(|m| self.is_catalog_reader(m, now));
+        let near = !overdue && read_near();
         let newer = |m: &&Member| {
             let answers = m.is_live(now) && m.catalog_until <= now;
             answers && m.heartbeat.status.catalog > than && (!near || self.is_near(m))
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -88,7 +88,7 @@
 fn newer_catalogs_are_found() {
     let mut members = members();
     members.merge(heartbeat(2, "a", 7), Millis(100));
-    let newer = |than| members.newer_catalog(CatalogVersion(than), Millis(200));
+    let newer = |than| members.newer_catalog(CatalogVersion(than), false, Millis(200));
     assert_eq!(newer(6), Some(addr(2, 1)));
     assert_eq!(newer(7), None);
 }
@@ -276,7 +276,7 @@
 fn catalogs_come_from_other_zones_if_needed() {
     let mut members = members();
     let now = Millis(100_000);
-    let newer = |m: &Membership| m.newer_catalog(CatalogVersion(0), now);
+    let newer = |m: &Membership| m.newer_catalog(CatalogVersion(0), false, now);
     members.merge_timed(reader_heartbeat(2, "a", 1), Some(Millis(300)), now);
     members.merge(heartbeat(3, "b", 5), now);
     assert_eq!(newer(&members), Some(addr(3, 1)), "the newest of all zones");
@@ -286,6 +286,8 @@
         Some(addr(2, 1)),
         "the own zone has a reader"
     );
+    let overdue = members.newer_catalog(CatalogVersion(0), true, now);
+    assert_eq!(overdue, Some(addr(3, 1)), "the reader does not pass it on");
     members.back_off_catalog(addr(2, 1), now);
     assert_eq!(newer(&members), Some(addr(3, 1)), "the reader sent none");
 }
--- a/tests/store_steadiness.rs
+++ b/tests/store_steadiness.rs
@@ -23,6 +23,9 @@
 /// Longest time from the write of a configuration to its effect, as the platform promises it.
 const APPLY_MAX: Millis = Millis(2000);
 
+/// Time after which an entry does not get a response that was lost.
+const LOST: Millis = Millis(6500);
+
 async fn sleep(time: Millis) {
     tokio::time::sleep(time.duration()).await;
 }
@@ -34,6 +37,8 @@
     None,
     /// Responses are slow, and a long poll that begins meanwhile does not end with a record.
     Slow,
+    /// Responses to long polls are lost.
+    Lost,
 }
 
 #[derive(Clone, Default)]
@@ -45,6 +50,14 @@
 }
 
 impl Store {
+    /// Returns the same store as another entry reads it.
+    fn share(&self) -> Self {
+        Self {
+            records: self.records.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Writes a configuration with or without the route of the test.
     fn write(&self, version: u64, with_route: bool) {
         let mut next = catalog();
@@ -79,7 +92,12 @@
             sleep(wait).await;
         }
         self.delay().await;
-        self.records.read(topic, from, wait).await
+        let read = self.records.read(topic, from, wait).await;
+        if polls && begun != Trouble::Slow && self.trouble.get() == Trouble::Lost {
+            sleep(LOST).await;
+            return Err(StoreError::Unknown("the response was lost".to_owned()));
+        }
+        read
     }
 
     async fn append(&self, topic: Topic, record: &Record) -> Result<(), StoreError> {
@@ -157,3 +175,30 @@
         check_applied(1, written).await;
     });
 }
+
+/// Guards against entries that wait for a reader of their zone whose response is lost, although another zone has the
+/// configuration.
+#[test]
+fn lost_polls_of_a_zone() {
+    run_local(async {
+        let near = Store::default();
+        let far = near.share();
+        near.write(1, true);
+        for n in 1..=3 {
+            let mut settings = settings_of(n);
+            settings.seeds = (1..=3).map(|n| addr(n, 8004)).collect();
+            let store = if n == 3 { &far } else { &near };
+            if n == 3 {
+                settings.zone = "b".parse().expect("a valid name");
+            }
+            start_stored::<_, TestDecode>(settings, store.clone()).await;
+        }
+        sleep(Millis(4000)).await;
+        near.trouble.set(Trouble::Lost);
+        near.write(2, false);
+        let written = Instant::now();
+        for n in 1..=3 {
+            check_applied(n, written).await;
+        }
+    });
+}
