fix(staging): a load is ordered only after recent checks of all chunks

Callers: streams came from spoilt weights.

Cause: the agent checked 64 chunks in turn, each read for up to 1.5 s, and nothing bounded the time from the first check to the order.

Change: the order is given only if the check of each chunk began within the last 1.2 s, which with the order's timeout stays below the 3 s that the rule excuses. Older checks are repeated, eight at a time. If that takes over 6 s, the agent logs the reason, gives no order and pauses for 2 s.

--- a/src/staging/load.rs
+++ b/src/staging/load.rs
@@ -9,7 +9,7 @@
 
 use super::{
     agent::{Agent, RETRY_DELAY},
-    inventory::is_intact,
+    check::CheckError,
     log_event,
     run::POLL_INTERVAL,
     EndpointHost, LoadResponse, Manifest, Origin,
@@ -24,6 +24,9 @@
 /// Time without a loaded version or a busy endpoint after which a load counts as not begun and is ordered again.
 const ORDER_RETRY: Millis = Millis(1000);
 
+/// Pause after checks that the endpoint answered too slowly.
+const CHECK_RETRY: Millis = Millis(2000);
+
 /// State of the load of a complete version.
 #[derive(Debug, Default)]
 pub(super) struct Loader {
@@ -108,42 +111,21 @@
             tokio::time::sleep(POLL_INTERVAL.duration()).await;
         }
         self.wait_for_start(model, manifest).await;
-        if self.verify(model, manifest).await < manifest.digests.len() {
+        if let Err(e) = self.check_for_load(model, manifest).await {
+            emit!(
+                log_event::LOAD,
+                "model={model} version={} state=unchecked reason=\"{e}\"",
+                manifest.version
+            );
             self.loader.staging_reserved.set(false);
+            if e == CheckError::Slow {
+                tokio::time::sleep(CHECK_RETRY.duration()).await;
+            }
             return false;
         }
         self.load(model, manifest.version).await
     }
 
-    /// Checks the digests of the staged chunks; returns how many chunks are held, in memory or at the endpoint.
-    pub(super) async fn verify(&self, model: &str, manifest: &Manifest) -> usize {
-        let staged = self.host.staged(model).await.unwrap_or_else(|e| {
-            log::debug!("cannot list the staged chunks: {e}");
-            Vec::new()
-        });
-        let version = manifest.version;
-        for (i, digest) in manifest.digests.iter().enumerate() {
-            let chunk = i as u32;
-            if self.inventory.buffered(model, version, chunk).is_some() {
-                continue;
-            }
-            let intact = staged.contains(&chunk)
-                && match self.host.read(model, chunk).await {
-                    Ok(data) => data.is_some_and(|d| is_intact(&d, digest)),
-                    Err(e) => {
-                        log::debug!("cannot read staged chunk {chunk}: {e}");
-                        false
-                    }
-                };
-            if intact {
-                self.inventory.insert(model, version, chunk);
-            } else {
-                self.inventory.remove(model, version, chunk);
-            }
-        }
-        self.inventory.held(model, version).len()
-    }
-
     /// Waits for the scheduled load start of this host.
     async fn wait_for_start(&self, model: &str, manifest: &Manifest) {
         let (rank, hosts) = self.peers.borrow().load_rank(manifest.version);
--- a/src/staging/log_event.rs
+++ b/src/staging/log_event.rs
@@ -7,9 +7,10 @@
     /// A chunk was not received or staged, or a staged chunk no longer matches its digest.
     CHUNK = 651, "staging-chunk", Info,
         "a chunk is corrupt or missing, or was not received or staged", "check the source of the chunk";
-    /// A load at the endpoint was scheduled, ordered or completed.
+    /// A load at the endpoint was scheduled, ordered or completed, or not ordered because of its chunks.
     LOAD = 652, "staging-load", Info,
-        "a load was scheduled, ordered from the endpoint or completed", "see the response of the endpoint";
+        "a load was scheduled, ordered from the endpoint or completed, or not ordered because chunks are corrupt or their checks take too long",
+        "see the response of the endpoint, or the reason";
     /// The endpoint stopped or resumed responding, restarted, or reports another state.
     ENDPOINT = 653, "staging-endpoint", Info,
         "the endpoint on this host stopped or resumed responding, restarted or changed its state", "check the endpoint";
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -7,6 +7,7 @@
 
 mod agent;
 mod assignment;
+mod check;
 mod copy;
 mod entries;
 mod exchange;
