fix(http): a dark host is noticed when its time is over, not at the next look

Cause: undelivered bytes are looked at each 0.2 s. A look a few ms before 1.2 s without an acknowledgement was followed by one 0.2 s later.

Change: the watch says when the peer is to be taken for dark, and the next look is due then if that is earlier than the interval.

--- a/src/decide/silence.rs
+++ b/src/decide/silence.rs
@@ -48,6 +48,12 @@
         Self { asked: Some(at) }
     }
 
+    /// Returns when the peer is to be taken for dark if it acknowledges nothing until then; `None` if it is not asked
+    /// anything.
+    pub fn due(&self) -> Option<Millis> {
+        self.asked.map(|at| at + SILENCE)
+    }
+
     /// Judges the peer by the present state of its connection.
     pub fn judge(&mut self, state: SendState, now: Millis) -> Verdict {
         let (sent, acked) = (now - state.sent_ago, now - state.acked_ago);
--- a/src/http/guarded.rs
+++ b/src/http/guarded.rs
@@ -66,6 +66,13 @@
             waits: true,
         }
     }
+
+    /// Returns when to look again: after the interval, or when the peer would be dark if that is earlier.
+    fn next_look(&self) -> Instant {
+        let regular = Instant::now() + CHECK_INTERVAL;
+        let due = self.watch.due();
+        due.map_or(regular, |at| regular.min(self.began + at.duration()))
+    }
 }
 
 /// A connection whose undelivered bytes are looked at.
@@ -126,7 +133,7 @@
             check.waits = false;
             match look(&self.stream, check) {
                 Ok(Verdict::Present | Verdict::Silent) => {
-                    let next = Instant::now() + CHECK_INTERVAL;
+                    let next = check.next_look();
                     check.timer.as_mut().reset(next);
                 }
                 Ok(Verdict::Delivered) => {
--- a/tests/dark_hosts.rs
+++ b/tests/dark_hosts.rs
@@ -236,6 +236,18 @@
     assert_eq!(Millis(dark - 60_000), SILENCE);
 }
 
+/// Guards against a dark host that is noticed an interval late because the next look was not due when its time was over.
+#[test]
+fn look_is_due_when_the_time_is_over() {
+    let mut watch = SilenceWatch::default();
+    assert_eq!(watch.due(), None);
+    let verdict = watch.judge(state(3, 9, 0, 190, 500), Millis(1200));
+    assert_eq!(verdict, Verdict::Silent);
+    assert_eq!(watch.due(), Some(Millis(1010) + SILENCE));
+    watch.judge(state(0, 9, 0, 400, 100), Millis(1400));
+    assert_eq!(watch.due(), None);
+}
+
 /// Guards against a peer that is taken for dark because bytes are under way to it at each look.
 #[test]
 fn peer_that_acknowledges_is_kept() {
