fix(gateway): each catalog gives the own zone its time anew

Callers saw nothing of it; found by reading the change before it lands. While configurations follow each other quickly, other zones always show a newer one, so that after 0.6 s each of them would have been taken from any zone, and large catalogs would cross between zones once an entry instead of once.

Cause: the time since which others have a newer catalog began with the first one, and went on although newer ones arrived from the own zone.

Change: the time begins anew with each catalog that this entry puts in force.

Evidence: by reading; lost_polls_of_a_zone passes as before.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    catalog::Catalog,
+    catalog::{Catalog, CatalogVersion},
     compression::decompress,
     context::Context,
     datagram::send_to_all,
@@ -157,16 +157,18 @@
 
 /// Fetches the catalog from an entry that has a newer one, for example while the store rejects the reads of this host.
 pub(super) async fn follow_peers<D: Decode>(ctx: Rc<Context>) {
-    // Time since which other entries have had a newer catalog.
-    let mut behind_since: Option<Millis> = None;
+    // Catalog of this entry, and the time since which others have had a newer one.
+    let mut behind: Option<(CatalogVersion, Millis)> = None;
     loop {
         wait_for_change(&ctx).await;
         let (own, now) = (ctx.catalog_version(), ctx.now());
         if ctx.members.borrow().newest_catalog(now) <= own {
-            behind_since = None;
+            behind = None;
             continue;
         }
-        let overdue = now >= *behind_since.get_or_insert(now) + ZONE_TIME;
+        let since = behind.filter(|b| b.0 == own).map_or(now, |b| b.1);
+        behind = Some((own, since));
+        let overdue = now >= since + ZONE_TIME;
         let newer = ctx.members.borrow().newer_catalog(own, overdue, now);
         let Some(peer) = newer else {
             continue;
