fix(gateway): the pause after a read follows what it brought

Callers saw nothing measured; found by reading again. After a read that showed a load of weights, the next read of the endpoints was due after 0.5 s instead of 0.3 s, so that an endpoint got requests up to 0.2 s later.

Cause: asked the follower for its pause before the read, as it had to know whether the read was a long poll.

Change: only that is decided before the read; the pause is asked for after the records are applied, as before.

Evidence: pause_follows_what_was_read fails on ("no read within 200 ms") and passes; gateway_follow, store_steadiness and table_order pass.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -134,10 +134,10 @@
         state.offset = state.offset.max(state.offset.and(follower.applied_until()));
         // While reads fail, a long poll would delay the detection that the store is back.
         let polls = !state.failing && follower.is_steady();
-        let pause = if polls || wait == Millis::ZERO {
-            follower.pause()
+        let least_pause = if polls || wait == Millis::ZERO {
+            Millis::ZERO
         } else {
-            follower.pause().max(UNSTEADY_PAUSE)
+            UNSTEADY_PAUSE
         };
         let wait = if polls { wait } else { Millis::ZERO };
         let known = follower.applied_until();
@@ -191,6 +191,7 @@
                 state.read = next;
                 state.times.record_end(end, bounds.made, next);
                 follower.batch_applied(next);
+                let pause = follower.pause().max(least_pause);
                 tokio::time::sleep(pause.duration()).await;
             }
             Err(StoreError::Trimmed) => {
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -198,3 +198,52 @@
         assert_eq!(*calls, expected);
     });
 }
+
+/// A follower that reads on soon once it knows a record, and counts the reads.
+#[derive(Default)]
+struct Hurried {
+    known: Cell<bool>,
+    reads: Cell<u32>,
+}
+
+impl Follower for Hurried {
+    fn apply(&self, _: Record) {
+        self.known.set(true);
+    }
+
+    fn replace(&self, _: Vec<Record>) {}
+
+    fn store_recovered(&self) {}
+
+    fn read_succeeded(&self) {
+        self.reads.set(self.reads.get() + 1);
+    }
+
+    fn pause(&self) -> Millis {
+        if self.known.get() {
+            Millis(20)
+        } else {
+            Millis(400)
+        }
+    }
+}
+
+/// Guards against a follower that waits for the pause that held before a read, although the read brought a record after
+/// which the next one is due sooner.
+#[test]
+fn pause_follows_what_was_read() {
+    run_local(async {
+        let store = MemoryStore::default();
+        let follower = Rc::new(Hurried::default());
+        let topic = Topic::Endpoints;
+        tokio::task::spawn_local(follow(store.clone(), topic, Millis::ZERO, follower.clone()));
+        tokio::time::sleep(Millis(100).duration()).await;
+        store.write(topic, "a", "1");
+        while !follower.known.get() {
+            tokio::time::sleep(Millis(5).duration()).await;
+        }
+        let reads = follower.reads.get();
+        tokio::time::sleep(Millis(200).duration()).await;
+        assert!(follower.reads.get() > reads, "no read within 200 ms");
+    });
+}
