refactor(gateway): one call for what is known of a response of the store

Two calls of Follower, repeated in OperatorSink, both followers and Context, told of the same thing in different forms, and Steadiness had three methods for it. ResponseTime says whether a response is pending, took a time or failed, in one call each. follow_topic asks once, not twice, up to where records are applied.

No change of behaviour: the assertions of store_steadiness are unchanged, its calls name ResponseTime. gateway_follow, store_steadiness, table_order and version_time run without a new failure.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,6 +7,7 @@
 use super::{
     log_event,
     record::{Record, RecordStore, Records, StoreError, Topic},
+    steadiness::ResponseTime,
     write_time::{LogTimes, Pending, WriteAge},
 };
 use crate::{
@@ -81,11 +82,8 @@
         true
     }
 
-    /// Called while a read has no response, with the time since its wait was over.
-    fn read_pending(&self, _time: Millis) {}
-
-    /// Called with the time that a response took beyond the wait of its read, and after a read that failed with `None`.
-    fn read_ended(&self, _time: Option<Millis>) {}
+    /// Called at intervals while a read has no response, and when it ends.
+    fn note_response(&self, _response: ResponseTime) {}
 
     /// Completes when a waiting read must be abandoned and issued again, because there may be records that would not end
     /// its wait, for example after the read of another topic found the store to be back.
@@ -131,7 +129,8 @@
             tokio::time::sleep(INACTIVE_POLL.duration()).await;
             continue;
         }
-        state.offset = state.offset.max(state.offset.and(follower.applied_until()));
+        let known = follower.applied_until();
+        state.offset = state.offset.max(state.offset.and(known));
         // While reads fail, a long poll would delay the detection that the store is back.
         let polls = !state.failing && follower.is_steady();
         let least_pause = if polls || wait == Millis::ZERO {
@@ -140,14 +139,13 @@
             UNSTEADY_PAUSE
         };
         let wait = if polls { wait } else { Millis::ZERO };
-        let known = follower.applied_until();
         let (result, pending) = match state.offset {
             None => Pending::observe(&clock, store.newest(topic), |_| {}).await,
             Some(from) => {
                 let read = store.read(topic, from, wait);
-                let late = |time| follower.read_pending(time - wait);
+                let pending = |time| follower.note_response(ResponseTime::Pending(time - wait));
                 tokio::select! {
-                    observed = Pending::observe(&clock, read, late) => observed,
+                    observed = Pending::observe(&clock, read, pending) => observed,
                     () = follower.read_interrupted() => continue,
                 }
             }
@@ -225,13 +223,13 @@
     pending: &Pending,
 ) {
     let Ok(records) = result else {
-        follower.read_ended(None);
+        follower.note_response(ResponseTime::Failed);
         return;
     };
     let waited = records.records.is_empty() || wait == Millis::ZERO;
     if is_continued && waited {
         let taken = pending.ended - pending.begun - records.body_time;
-        follower.read_ended(Some(taken - wait));
+        follower.note_response(ResponseTime::Taken(taken - wait));
     }
 }
 
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -13,6 +13,7 @@
     members::Heartbeat,
     operator_records::{Decode, OperatorSink},
     record::{EndpointRecord, Record, WeightVersion},
+    steadiness::ResponseTime,
     write_time::{LoggedAge, WriteAge},
 };
 use crate::{
@@ -87,12 +88,8 @@
         self.is_store_steady()
     }
 
-    fn read_pending(&self, time: Millis) {
-        self.note_pending(time);
-    }
-
-    fn read_ended(&self, time: Option<Millis>) {
-        self.note_read(time);
+    fn note_response(&self, response: ResponseTime) {
+        self.note_steadiness(response);
     }
 
     async fn read_interrupted(&self) {
@@ -234,12 +231,8 @@
         }
     }
 
-    fn read_pending(&self, time: Millis) {
-        self.ctx.note_pending(time);
-    }
-
-    fn read_ended(&self, time: Option<Millis>) {
-        self.ctx.note_read(time);
+    fn note_response(&self, response: ResponseTime) {
+        self.ctx.note_steadiness(response);
     }
 
     fn read_succeeded(&self) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -94,6 +94,6 @@
 pub use run::{run, run_with};
 pub use schedule::LoadSchedule;
 pub use settings::{Bounds, GatewaySettings, Listen};
-pub use steadiness::Steadiness;
+pub use steadiness::{ResponseTime, Steadiness};
 pub(crate) use write_time::LoggedAge;
 pub use write_time::WriteAge;
--- a/src/gateway/operator_records.rs
+++ b/src/gateway/operator_records.rs
@@ -13,6 +13,7 @@
     catalog::Catalog,
     follow::Follower,
     record::{EndpointRecord, OperatorRecord, Record, WeightVersion},
+    steadiness::ResponseTime,
     write_time::WriteAge,
 };
 use crate::base::{Clock, HashMap, Millis, SystemClock};
@@ -69,11 +70,8 @@
         true
     }
 
-    /// See [`Follower::read_pending`].
-    fn read_pending(&self, _time: Millis) {}
-
-    /// See [`Follower::read_ended`].
-    fn read_ended(&self, _time: Option<Millis>) {}
+    /// See [`Follower::note_response`].
+    fn note_response(&self, _response: ResponseTime) {}
 
     /// See [`Follower::read_interrupted`].
     fn read_interrupted(&self) -> impl Future<Output = ()> {
@@ -184,12 +182,8 @@
         self.sink.is_steady()
     }
 
-    fn read_pending(&self, time: Millis) {
-        self.sink.read_pending(time);
-    }
-
-    fn read_ended(&self, time: Option<Millis>) {
-        self.sink.read_ended(time);
+    fn note_response(&self, response: ResponseTime) {
+        self.sink.note_response(response);
     }
 
     async fn read_interrupted(&self) {
--- a/src/gateway/steadiness.rs
+++ b/src/gateway/steadiness.rs
@@ -14,6 +14,17 @@
 /// Responses after which the quickest one of before is forgotten, once as many more have come.
 const WINDOW: u32 = 256;
 
+/// What is known of the response to a read; times count from the end of the read's wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseTime {
+    /// There is none yet after a time.
+    Pending(Millis),
+    /// It took a time.
+    Taken(Millis),
+    /// The read failed.
+    Failed,
+}
+
 /// What the response times of the store tell.
 ///
 /// A long poll that begins while the store is slow may end only with its wait, although a record was written meanwhile.
@@ -33,9 +44,21 @@
         now >= self.until
     }
 
-    /// Records the time that a response took beyond the wait of its read.
-    pub fn record(&mut self, time: Millis, now: Millis) {
-        self.record_pending(time, now);
+    /// Records what is known of a response.
+    pub fn record(&mut self, response: ResponseTime, now: Millis) {
+        let is_slow = match response {
+            ResponseTime::Pending(time) | ResponseTime::Taken(time) => time > self.limit(),
+            ResponseTime::Failed => true,
+        };
+        if is_slow {
+            self.until = now + UNSTEADY_TIME;
+        }
+        if let ResponseTime::Taken(time) = response {
+            self.record_taken(time);
+        }
+    }
+
+    fn record_taken(&mut self, time: Millis) {
         if self.count == WINDOW {
             self.count = 0;
             self.quickest = [None, self.quickest[0]];
@@ -45,18 +68,6 @@
         self.quickest[0] = Some(quickest);
     }
 
-    /// Records that a read has had no response for a time beyond its wait.
-    pub fn record_pending(&mut self, time: Millis, now: Millis) {
-        if time > self.limit() {
-            self.record_failure(now);
-        }
-    }
-
-    /// Records that a read failed.
-    pub fn record_failure(&mut self, now: Millis) {
-        self.until = now + UNSTEADY_TIME;
-    }
-
     /// Returns the longest usual response time.
     fn limit(&self) -> Millis {
         let quickest = self.quickest.iter().flatten().min().copied();
--- a/src/gateway/zone_reader.rs
+++ b/src/gateway/zone_reader.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use super::{
-    compression::compress, context::Context, log_event, members::Status, steadiness::Steadiness,
+    compression::compress, context::Context, log_event, members::Status, steadiness::ResponseTime,
 };
 use crate::{base::Millis, emit};
 
@@ -64,23 +64,11 @@
         self.steadiness.borrow().is_steady(self.now())
     }
 
-    /// Notes that a read of the store has had no response for a time beyond its wait.
-    pub(super) fn note_pending(&self, time: Millis) {
-        self.note_steadiness(|s, now| s.record_pending(time, now));
-    }
-
-    /// Notes the time that a response of the store took beyond its wait; `None` if the read failed.
-    pub(super) fn note_read(&self, time: Option<Millis>) {
-        self.note_steadiness(|s, now| match time {
-            Some(time) => s.record(time, now),
-            None => s.record_failure(now),
-        });
-    }
-
-    /// Abandons the long poll in progress if the store turns out to be unsteady.
-    fn note_steadiness(&self, note: impl FnOnce(&mut Steadiness, Millis)) {
+    /// Notes what is known of a response of the store, and abandons the long poll in progress if the store turns out to be
+    /// unsteady.
+    pub(super) fn note_steadiness(&self, response: ResponseTime) {
         let (now, before) = (self.now(), self.is_store_steady());
-        note(&mut self.steadiness.borrow_mut(), now);
+        self.steadiness.borrow_mut().record(response, now);
         if before && !self.is_store_steady() {
             emit!(log_event::STORE, "topic=Operator outcome=unsteady");
             self.operator_wake.notify_waiters();
--- a/tests/store_steadiness.rs
+++ b/tests/store_steadiness.rs
@@ -11,7 +11,9 @@
 };
 use sesamewing::{
     base::Millis,
-    gateway::{CatalogVersion, Record, RecordStore, Records, Steadiness, StoreError, Topic},
+    gateway::{
+        CatalogVersion, Record, RecordStore, Records, ResponseTime, Steadiness, StoreError, Topic,
+    },
 };
 
 /// Time of a response in calm.
@@ -123,20 +125,20 @@
 fn slow_is_relative() {
     let mut near = Steadiness::default();
     let mut now = Millis(1000);
-    near.record(QUICK, now);
+    near.record(ResponseTime::Taken(QUICK), now);
     assert!(near.is_steady(now));
-    near.record(SLOW, now);
+    near.record(ResponseTime::Taken(SLOW), now);
     assert!(!near.is_steady(now + Millis(900)));
     assert!(near.is_steady(now + Millis(1000)));
     let mut far = Steadiness::default();
-    far.record(SLOW, now);
+    far.record(ResponseTime::Taken(SLOW), now);
     assert!(!far.is_steady(now), "nothing quicker is known yet");
     for _ in 0..8 {
         now += Millis(500);
-        far.record(SLOW, now);
+        far.record(ResponseTime::Taken(SLOW), now);
     }
     assert!(far.is_steady(now));
-    far.record_failure(now);
+    far.record(ResponseTime::Failed, now);
     assert!(!far.is_steady(now));
 }
 
@@ -145,10 +147,10 @@
 fn late_is_slow() {
     let mut store = Steadiness::default();
     let now = Millis(1000);
-    store.record(QUICK, now);
-    store.record_pending(Millis(50), now);
+    store.record(ResponseTime::Taken(QUICK), now);
+    store.record(ResponseTime::Pending(Millis(50)), now);
     assert!(store.is_steady(now));
-    store.record_pending(Millis(100), now);
+    store.record(ResponseTime::Pending(Millis(100)), now);
     assert!(!store.is_steady(now));
 }
 
