refactor(staging): a chunk of another host is named by its manifest

PeerClient::chunk took version, size and a pair of index and digest, all of which its caller had read from the manifest. It takes the manifest and the index now. No change of behaviour; staging_copy, agent_stop and silent_orders pass.

--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -220,15 +220,7 @@
     let data: Bytes = match from {
         Source::Peer(_) => {
             let client = &ctx.client;
-            client
-                .chunk(
-                    addr,
-                    &ctx.model,
-                    version,
-                    (chunk, digest),
-                    ctx.manifest.chunk,
-                )
-                .await?
+            client.chunk(addr, &ctx.model, &ctx.manifest, chunk).await?
         }
         Source::Origin => {
             let size = ctx.manifest.chunk;
--- a/src/staging/exchange.rs
+++ b/src/staging/exchange.rs
@@ -8,7 +8,7 @@
 
 use super::{inventory::is_intact, inventory::ChunkInventory, log_event, EndpointHost, Manifest};
 use crate::{
-    base::{Clock, Digest, Millis, Percent, Size, SystemClock},
+    base::{Clock, Millis, Percent, SystemClock},
     decide::chunk::Fault,
     emit,
     gateway::WeightVersion,
@@ -261,20 +261,20 @@
         }
     }
 
-    /// Fetches a chunk of at most `size` from another host and checks its digest.
+    /// Fetches a chunk of a version from another host, at most of the manifest's size, and checks its digest.
     pub(super) async fn chunk(
         &self,
         addr: SocketAddr,
         model: &str,
-        version: WeightVersion,
-        (chunk, digest): (u32, &Digest),
-        size: Size,
+        manifest: &Manifest,
+        chunk: u32,
     ) -> Result<Bytes, Fault> {
         let limit = CallLimit {
             time: TRANSFER_TIMEOUT,
-            body: size.0 as usize,
+            body: manifest.chunk.0 as usize,
         };
-        let path = format!("/chunk/{model}/{version}/{chunk}");
+        let digest = &manifest.digests[chunk as usize];
+        let path = format!("/chunk/{model}/{}/{chunk}", manifest.version);
         match self.get(addr, path, limit).await {
             Ok(res) if res.status() == StatusCode::SERVICE_UNAVAILABLE => Err(Fault::Busy),
             Ok(res) if res.status() != StatusCode::OK => Err(Fault::Missing),
