test(staging): one origin, manifest, report and start of an agent for four tests

chunk_checks wrote again what staging_copy, silent_orders and agent_stop have: the content of a chunk, the manifest over several chunks, an origin in memory, an endpoint's report and the start of an agent before a store. They stand in copy_support now; its origin has any number of chunks, and a chunk's first byte still names its version.

Assertions are unchanged.

--- a/tests/agent_stop.rs
+++ b/tests/agent_stop.rs
@@ -12,8 +12,8 @@
 };
 
 use bytes::Bytes;
-use copy_support::{catalog, content, settings, MemoryOrigin, PORT};
-use gateway_support::{addr, run_local, send_request, set_catalog, MemoryStore, TestDecode};
+use copy_support::{content, report, settings, start_agent, MemoryOrigin, PORT};
+use gateway_support::{addr, run_local, send_request, MemoryStore, TestDecode};
 use sesamewing::{
     base::{HashMap, Millis},
     gateway::{Topic, WeightVersion},
@@ -24,9 +24,6 @@
 /// Age of a desired version from which it is enforced; its load starts at 42 % of that.
 const BOUND: Millis = Millis(3000);
 
-/// Time after which an agent without entries reads the store.
-const READING: Millis = Millis(3000);
-
 /// Longest time until a copy of one chunk is complete.
 const COPY_MAX: Millis = Millis(1000);
 
@@ -47,11 +44,7 @@
 
 impl EndpointHost for Engine {
     async fn report(&self) -> Result<HostReport, HostError> {
-        Ok(HostReport {
-            models: vec![(Rc::from("m"), WeightVersion(self.0.loaded.get()))],
-            busy: false,
-            born: 1,
-        })
+        Ok(report(self.0.loaded.get()))
     }
 
     async fn staged(&self, _: &str) -> Result<Vec<u32>, HostError> {
@@ -77,23 +70,12 @@
 /// Starts an agent on an endpoint that serves version 1, and makes version 2 desired; returns when the copy is complete,
 /// before its load starts.
 async fn copied(engine: &Engine) -> JoinHandle<eyre::Result<()>> {
-    set_catalog(catalog());
     engine.0.loaded.set(1);
     let store = MemoryStore::default();
-    store.write(Topic::Operator, "config", "1");
-    let value = format!("llm {} a m 1", addr(1, 9000));
-    store.write(Topic::Endpoints, "e1", &value);
-    let run = staging::run::<_, TestDecode, _, _>(
-        settings(1, BOUND),
-        store.clone(),
-        engine.clone(),
-        MemoryOrigin,
-    );
-    let agent = spawn_local(run);
-    tokio::time::sleep(READING.duration()).await;
+    let agent = start_agent(&store, engine.clone(), 1, BOUND).await;
     store.write(Topic::Operator, "m", "2");
     let copied = async {
-        while engine.0.staged.borrow().get(&0) != Some(&content(2)) {
+        while engine.0.staged.borrow().get(&0) != Some(&content(2, 0)) {
             tokio::time::sleep(Millis(10).duration()).await;
         }
     };
@@ -181,7 +163,7 @@
             settings(1, BOUND),
             MemoryStore::default(),
             Engine::default(),
-            MemoryOrigin,
+            MemoryOrigin(1),
         );
         assert!(run.await.is_err(), "the address is in use");
         raise("-HUP");
--- a/tests/chunk_checks.rs
+++ b/tests/chunk_checks.rs
@@ -5,20 +5,17 @@
 
 use std::{
     cell::{Cell, RefCell},
-    net::SocketAddr,
     rc::Rc,
 };
 
 use bytes::Bytes;
-use copy_support::{catalog, settings, CHUNK};
-use gateway_support::{addr, run_local, set_catalog, MemoryStore, TestDecode};
+use copy_support::{content, report, start_agent, CHUNK};
+use gateway_support::{run_local, MemoryStore};
 use sesamewing::{
-    base::{Clock, Digest, HashMap, Millis, Size, SystemClock},
+    base::{Clock, HashMap, Millis, SystemClock},
     gateway::{Topic, WeightVersion},
-    staging::{self, EndpointHost, HostError, HostReport, LoadResponse, Manifest, Origin},
+    staging::{EndpointHost, HostError, HostReport, LoadResponse},
 };
-use sha2::{Digest as _, Sha256};
-use tokio::task::spawn_local;
 
 const CHUNKS: u32 = 64;
 
@@ -29,9 +26,6 @@
 /// Time after which a desired version is enforced; its load starts at 42 % of that.
 const BOUND: Millis = Millis(4000);
 
-/// Time after which an agent without entries reads the store.
-const READING: Millis = Millis(3000);
-
 /// Time for which a chunk may have been corrupt before the endpoint loads it.
 const CORRUPT_MAX: Millis = Millis(3000);
 
@@ -53,42 +47,6 @@
 const CHECKED: Millis = Millis(10_000);
 const PAUSE_MIN: Millis = Millis(1500);
 
-fn content(version: u64, chunk: u32) -> Bytes {
-    Bytes::from(vec![(version * 31 + u64::from(chunk)) as u8; CHUNK])
-}
-
-/// Origin in memory of versions with [`CHUNKS`] chunks.
-#[derive(Clone)]
-struct MemoryOrigin;
-
-impl Origin for MemoryOrigin {
-    async fn manifest(
-        &self,
-        _: SocketAddr,
-        _: &str,
-        version: Option<WeightVersion>,
-    ) -> Result<Manifest, HostError> {
-        let version = version.unwrap_or(WeightVersion(OLD));
-        let digest = |c| Digest(Sha256::digest(content(version.0, c)).into());
-        Ok(Manifest {
-            version,
-            chunk: Size(CHUNK as u64),
-            digests: (0..CHUNKS).map(digest).collect(),
-        })
-    }
-
-    async fn chunk(
-        &self,
-        _: SocketAddr,
-        _: &str,
-        version: WeightVersion,
-        chunk: u32,
-        _: Size,
-    ) -> Result<Bytes, HostError> {
-        Ok(content(version.0, chunk))
-    }
-}
-
 /// Endpoint in memory.
 #[derive(Clone)]
 struct Engine(Rc<EngineState>);
@@ -168,11 +126,7 @@
 
 impl EndpointHost for Engine {
     async fn report(&self) -> Result<HostReport, HostError> {
-        Ok(HostReport {
-            models: vec![(Rc::from("m"), WeightVersion(self.0.loaded.get()))],
-            busy: false,
-            born: 1,
-        })
+        Ok(report(self.0.loaded.get()))
     }
 
     async fn staged(&self, _: &str) -> Result<Vec<u32>, HostError> {
@@ -211,18 +165,8 @@
 
 /// Runs an agent beside an endpoint, names the new version, and waits until it is loaded or `time` has passed.
 async fn roll_out(engine: &Engine, time: Millis) {
-    set_catalog(catalog());
     let store = MemoryStore::default();
-    store.write(Topic::Operator, "config", "1");
-    let value = format!("llm {} a m {OLD}", addr(1, 9000));
-    store.write(Topic::Endpoints, "e1", &value);
-    spawn_local(staging::run::<_, TestDecode, _, _>(
-        settings(1, BOUND),
-        store.clone(),
-        engine.clone(),
-        MemoryOrigin,
-    ));
-    tokio::time::sleep(READING.duration()).await;
+    start_agent(&store, engine.clone(), CHUNKS, BOUND).await;
     store.write(Topic::Operator, "m", &NEW.to_string());
     let loaded = async {
         while engine.0.loaded.get() != NEW {
--- a/tests/copy_support/mod.rs
+++ b/tests/copy_support/mod.rs
@@ -7,14 +7,15 @@
 use sesamewing::{
     base::{Digest, Millis, Rate, Size},
     gateway::{
-        Catalog, CatalogVersion, EngineSpeed, OriginSpec, ServiceSpec, ServiceWeights,
+        Catalog, CatalogVersion, EngineSpeed, OriginSpec, ServiceSpec, ServiceWeights, Topic,
         WeightVersion,
     },
-    staging::{AgentSettings, HostError, Manifest, Origin},
+    staging::{self, AgentSettings, EndpointHost, HostError, HostReport, Manifest, Origin},
 };
 use sha2::{Digest as _, Sha256};
+use tokio::task::{spawn_local, JoinHandle};
 
-use crate::gateway_support::addr;
+use crate::gateway_support::{addr, set_catalog, MemoryStore, TestDecode};
 
 /// Size of a chunk in bytes.
 pub const CHUNK: usize = 8 << 10;
@@ -22,14 +23,39 @@
 /// Port at which agents serve each other.
 pub const PORT: u16 = 7000;
 
-/// Returns the only chunk of a version.
-pub fn content(version: u64) -> Bytes {
-    Bytes::from(vec![version as u8; CHUNK])
+/// Time after which an agent without entries reads the store.
+const READING: Millis = Millis(3000);
+
+/// Returns a chunk of a version; its first byte is the version.
+pub fn content(version: u64, chunk: u32) -> Bytes {
+    let mut data = vec![version as u8; CHUNK];
+    data[1] = chunk as u8;
+    data.into()
 }
 
-/// Origin in memory of versions with one chunk each.
+/// Returns the manifest of a version with a number of chunks.
+pub fn manifest(version: WeightVersion, chunks: u32) -> Manifest {
+    let digest = |c| Digest(Sha256::digest(content(version.0, c)).into());
+    Manifest {
+        version,
+        chunk: Size(CHUNK as u64),
+        digests: (0..chunks).map(digest).collect(),
+    }
+}
+
+/// Returns the report of an idle endpoint that has loaded a version; 0 for none.
+pub fn report(loaded: u64) -> HostReport {
+    let version = Some(WeightVersion(loaded)).filter(|v| v.0 > 0);
+    HostReport {
+        models: version.map(|v| ("m".into(), v)).into_iter().collect(),
+        busy: false,
+        born: 1,
+    }
+}
+
+/// Origin in memory of versions with a number of chunks each.
 #[derive(Clone)]
-pub struct MemoryOrigin;
+pub struct MemoryOrigin(pub u32);
 
 impl Origin for MemoryOrigin {
     async fn manifest(
@@ -38,12 +64,7 @@
         _: &str,
         version: Option<WeightVersion>,
     ) -> Result<Manifest, HostError> {
-        let version = version.unwrap_or(WeightVersion(1));
-        Ok(Manifest {
-            version,
-            chunk: Size(CHUNK as u64),
-            digests: vec![Digest(Sha256::digest(content(version.0)).into())],
-        })
+        Ok(manifest(version.unwrap_or(WeightVersion(1)), self.0))
     }
 
     async fn chunk(
@@ -51,13 +72,35 @@
         _: SocketAddr,
         _: &str,
         version: WeightVersion,
-        _: u32,
+        chunk: u32,
         _: Size,
     ) -> Result<Bytes, HostError> {
-        Ok(content(version.0))
+        Ok(content(version.0, chunk))
     }
 }
 
+/// Starts an agent on an endpoint that has loaded version 1, and waits until it reads the store. Versions have `chunks`
+/// chunks and are enforced at an age of `bound`.
+pub async fn start_agent(
+    store: &MemoryStore,
+    endpoint: impl EndpointHost,
+    chunks: u32,
+    bound: Millis,
+) -> JoinHandle<eyre::Result<()>> {
+    set_catalog(catalog());
+    store.write(Topic::Operator, "config", "1");
+    let value = format!("llm {} a m 1", addr(1, 9000));
+    store.write(Topic::Endpoints, "e1", &value);
+    let agent = spawn_local(staging::run::<_, TestDecode, _, _>(
+        settings(1, bound),
+        store.clone(),
+        endpoint,
+        MemoryOrigin(chunks),
+    ));
+    tokio::time::sleep(READING.duration()).await;
+    agent
+}
+
 /// Returns a catalog with one service, whose endpoints hold a model.
 pub fn catalog() -> Catalog {
     let mut out = Catalog {
--- a/tests/silent_orders.rs
+++ b/tests/silent_orders.rs
@@ -9,21 +9,18 @@
 };
 
 use bytes::Bytes;
-use copy_support::{catalog, settings, MemoryOrigin};
-use gateway_support::{addr, run_local, set_catalog, MemoryStore, TestDecode};
+use copy_support::{report, start_agent};
+use gateway_support::{run_local, MemoryStore};
 use sesamewing::{
     base::{Clock, Millis, SystemClock},
     gateway::{Topic, WeightVersion},
-    staging::{self, EndpointHost, HostError, HostReport, LoadResponse},
+    staging::{EndpointHost, HostError, HostReport, LoadResponse},
 };
 use tokio::task::spawn_local;
 
 /// Time after which a desired version is enforced; its load starts at 42 % of that.
 const BOUND: Millis = Millis(4000);
 
-/// Time after which an agent without entries reads the store.
-const READING: Millis = Millis(3000);
-
 /// Longest time until the endpoint has loaded what it was ordered to load.
 const LOADED_MAX: Millis = Millis(8000);
 
@@ -96,11 +93,7 @@
 
 impl EndpointHost for Engine {
     async fn report(&self) -> Result<HostReport, HostError> {
-        let report = |state: &EngineState| HostReport {
-            models: vec![(Rc::from("m"), WeightVersion(state.loaded.get()))],
-            busy: false,
-            born: 1,
-        };
+        let report = |state: &EngineState| report(state.loaded.get());
         self.0.call(Millis::ZERO, report).await
     }
 
@@ -136,7 +129,6 @@
 #[test]
 fn staged_chunks_stay_while_an_order_is_unread() {
     run_local(async {
-        set_catalog(catalog());
         let store = MemoryStore::default();
         let engine = Engine(Rc::new(EngineState {
             clock: SystemClock::start_late(),
@@ -147,16 +139,7 @@
             was_silent: Cell::default(),
             orders: RefCell::default(),
         }));
-        store.write(Topic::Operator, "config", "1");
-        let value = format!("llm {} a m 1", addr(1, 9000));
-        store.write(Topic::Endpoints, "e1", &value);
-        spawn_local(staging::run::<_, TestDecode, _, _>(
-            settings(1, BOUND),
-            store.clone(),
-            engine.clone(),
-            MemoryOrigin,
-        ));
-        tokio::time::sleep(READING.duration()).await;
+        start_agent(&store, engine.clone(), 1, BOUND).await;
         store.write(Topic::Operator, "m", "2");
         let loaded = async {
             while engine.0.loaded.get() < 3 {
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -10,22 +10,16 @@
 };
 
 use bytes::Bytes;
-use copy_support::{catalog, settings, CHUNK};
+use copy_support::{catalog, content, manifest, report, settings, CHUNK};
 use gateway_support::{addr, run_local, set_catalog, MemoryStore, TestDecode};
 use sesamewing::{
     base::{Digest, HashMap, Millis, Size},
     gateway::{Topic, WeightVersion},
     staging::{self, EndpointHost, HostError, HostReport, LoadResponse, Manifest, Origin},
 };
-use sha2::{Digest as _, Sha256};
 
 const CHUNKS: u32 = 24;
 
-/// Returns the content of a chunk of a version.
-fn content(version: u64, chunk: u32) -> Bytes {
-    Bytes::from(vec![(version * 31 + u64::from(chunk)) as u8; CHUNK])
-}
-
 /// Endpoint in memory.
 #[derive(Clone, Default)]
 struct Engine(Rc<EngineState>);
@@ -54,15 +48,7 @@
 impl EndpointHost for Engine {
     async fn report(&self) -> Result<HostReport, HostError> {
         self.check_up()?;
-        let models = match self.0.loaded.get() {
-            0 => Vec::new(),
-            v => vec![(Rc::from("m"), WeightVersion(v))],
-        };
-        Ok(HostReport {
-            models,
-            busy: false,
-            born: 1,
-        })
+        Ok(report(self.0.loaded.get()))
     }
 
     async fn staged(&self, _: &str) -> Result<Vec<u32>, HostError> {
@@ -128,25 +114,20 @@
     ) -> Result<Manifest, HostError> {
         let by_version = version.is_some();
         let version = version.unwrap_or(WeightVersion(1));
-        let digest = |c| Digest(Sha256::digest(content(version.0, c)).into());
-        let mut digests: Vec<_> = (0..CHUNKS).map(digest).collect();
+        let mut manifest = manifest(version, CHUNKS);
         if version.0 == self.0.hidden.get() {
             return Err(HostError::Lost("the origin is gone".to_owned()));
         }
         if by_version {
             self.0.manifests.set(self.0.manifests.get() + 1);
             if self.0.wrong.take() {
-                digests[5] = Digest([0; 32]);
+                manifest.digests[5] = Digest([0; 32]);
             }
             if let Some(odd) = self.0.odd.take() {
                 return Ok(odd);
             }
         }
-        Ok(Manifest {
-            version,
-            chunk: Size(CHUNK as u64),
-            digests,
-        })
+        Ok(manifest)
     }
 
     async fn chunk(
@@ -290,12 +271,7 @@
 /// was corrupted in transit.
 #[test]
 fn odd_manifest_is_not_used() {
-    let digest = |c| Digest(Sha256::digest(content(2, c)).into());
-    let good = Manifest {
-        version: WeightVersion(2),
-        chunk: Size(CHUNK as u64),
-        digests: (0..CHUNKS).map(digest).collect(),
-    };
+    let good = manifest(WeightVersion(2), CHUNKS);
     let sized = |bytes| Manifest {
         chunk: Size(bytes),
         ..good.clone()
