test(gateway): one heartbeat for three tests

paused_entry, table_order and stop_duties each wrote out a whole heartbeat. It stands beside heartbeat_message in gateway_support now. Assertions are unchanged; the three files pass (7 tests).

--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -20,7 +20,7 @@
     base::{HashMap, Millis},
     gateway::{
         Catalog, Decode, EndpointRecord, Gossip, Heartbeat, Message, OperatorRecord, Record,
-        RecordStore, Records, Revision, StoreError, Topic, WeightVersion,
+        RecordStore, Records, Revision, Status, StoreError, Topic, WeightVersion,
     },
 };
 use tokio::{
@@ -179,6 +179,18 @@
     }
 }
 
+/// Returns a heartbeat of an entry of a zone.
+pub fn heartbeat(peer: SocketAddr, zone: &str, count: u64, status: Status) -> Heartbeat {
+    Heartbeat {
+        peer,
+        callers: SocketAddr::new(peer.ip(), gateway::CALLERS),
+        zone: zone.parse().expect("a valid name"),
+        boot: 1,
+        count,
+        status,
+    }
+}
+
 /// Returns a datagram's message that holds one heartbeat and nothing else.
 pub fn heartbeat_message(heartbeat: Heartbeat) -> Message {
     Message::Gossip(Gossip {
--- a/tests/paused_entry.rs
+++ b/tests/paused_entry.rs
@@ -15,11 +15,11 @@
 use gateway_support::{
     addr,
     gateway::{request, respond, with_store, CALLERS},
-    heartbeat_message, send_request, MemoryStore,
+    heartbeat, heartbeat_message, send_request, MemoryStore,
 };
 use sesamewing::{
     base::Millis,
-    gateway::{CatalogVersion, Heartbeat, Status, TableDigest, Topic},
+    gateway::{CatalogVersion, Status, TableDigest, Topic},
 };
 
 /// Time for which the process is paused: longer than the reads of the store may be overdue.
@@ -34,22 +34,6 @@
 /// Interval of the other entry's heartbeats.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-fn heartbeat(peer: SocketAddr, count: u64) -> Heartbeat {
-    Heartbeat {
-        peer,
-        callers: SocketAddr::new(peer.ip(), CALLERS),
-        zone: "b".parse().expect("a valid name"),
-        boot: 1,
-        count,
-        status: Status {
-            ready: true,
-            catalog: CatalogVersion(1),
-            reads_store: true,
-            table: TableDigest(1),
-        },
-    }
-}
-
 /// Time after the pause in which no heartbeat arrives, though the store answers.
 const LATE: Millis = Millis(300);
 
@@ -65,11 +49,18 @@
     /// Sends heartbeats until the end.
     fn run(&self, to: SocketAddr, peer: SocketAddr) {
         let socket = UdpSocket::bind(peer).expect("a socket");
+        let status = Status {
+            ready: true,
+            catalog: CatalogVersion(1),
+            reads_store: true,
+            table: TableDigest(1),
+        };
         for count in 1.. {
             if self.ended.load(Ordering::Relaxed) {
                 return;
             }
-            let data = (heartbeat_message(heartbeat(peer, count)), vec![READ_FOR]);
+            let message = heartbeat_message(heartbeat(peer, "b", count, status));
+            let data = (message, vec![READ_FOR]);
             let data = postcard::to_stdvec(&data).expect("encoded");
             if !self.cut.load(Ordering::Relaxed) {
                 socket.send_to(&data, to).expect("it is sent");
--- a/tests/stop_duties.rs
+++ b/tests/stop_duties.rs
@@ -7,13 +7,13 @@
 use gateway_support::{
     addr, endpoint,
     gateway::{catalog, request, route, CALLERS},
-    heartbeat_message, run_local, send_request,
+    heartbeat, heartbeat_message, run_local, send_request,
     stopping::{run_entry, signal_self, wait_until_ready},
     Step,
 };
 use sesamewing::{
     base::Millis,
-    gateway::{Catalog, CatalogVersion, Heartbeat, Message, Repeat, Route, Status},
+    gateway::{Catalog, CatalogVersion, Message, Repeat, Route, Status},
 };
 use tokio::{net::UdpSocket, task::spawn_local, time::timeout};
 
@@ -40,18 +40,12 @@
 
 /// Tells the entry of another one, which then gets its heartbeats.
 async fn join(socket: &UdpSocket, peer: SocketAddr) {
-    let heartbeat = Heartbeat {
-        peer,
-        callers: SocketAddr::new(peer.ip(), CALLERS),
-        zone: "a".parse().expect("a valid name"),
-        boot: 1,
-        count: 1,
-        status: Status {
-            catalog: CatalogVersion(1),
-            ..Status::default()
-        },
+    let status = Status {
+        catalog: CatalogVersion(1),
+        ..Status::default()
     };
-    let data = postcard::to_stdvec(&heartbeat_message(heartbeat)).expect("encoded");
+    let message = heartbeat_message(heartbeat(peer, "a", 1, status));
+    let data = postcard::to_stdvec(&message).expect("encoded");
     socket.send_to(&data, addr(1, 8004)).await.expect("sent");
 }
 
--- a/tests/table_order.rs
+++ b/tests/table_order.rs
@@ -13,15 +13,15 @@
 use gateway_support::{
     addr, endpoint,
     gateway::{catalog, request, respond, settings_of, start_stored, CALLERS, HELD, MODEL},
-    heartbeat_message, run_local, send_request, set_catalog, MemoryStore, TestDecode,
+    heartbeat, heartbeat_message, run_local, send_request, set_catalog, MemoryStore, TestDecode,
 };
 use http_body_util::Full;
 use hyper::Response;
 use sesamewing::{
     base::{rendezvous, Millis},
     gateway::{
-        CatalogVersion, Decode, EndpointId, Heartbeat, Record, RecordStore, Records, Status,
-        StoreError, TableDelta, TableDigest, Topic,
+        CatalogVersion, Decode, EndpointId, Record, RecordStore, Records, Status, StoreError,
+        TableDelta, TableDigest, Topic,
     },
     http::{listen, ServeOptions},
 };
@@ -111,7 +111,7 @@
             let _open = open;
             let socket = UdpSocket::bind(at).expect("a socket");
             for count in 1.. {
-                let data = heartbeat(at, count, says.get());
+                let data = datagram(at, count, says.get());
                 let _ = socket.send_to(&data, entry);
                 sleep(INTERVAL).await;
             }
@@ -120,21 +120,15 @@
     }
 }
 
-fn heartbeat(peer: SocketAddr, count: u64, reads_store: bool) -> Vec<u8> {
-    let heartbeat = Heartbeat {
-        peer,
-        callers: SocketAddr::new(peer.ip(), CALLERS),
-        zone: "a".parse().expect("a valid name"),
-        boot: 1,
-        count,
-        status: Status {
-            ready: true,
-            catalog: CatalogVersion(0),
-            reads_store,
-            table: TableDigest(rendezvous(b"table", peer.to_string().as_bytes())),
-        },
+fn datagram(peer: SocketAddr, count: u64, reads_store: bool) -> Vec<u8> {
+    let status = Status {
+        ready: true,
+        catalog: CatalogVersion(0),
+        reads_store,
+        table: TableDigest(rendezvous(b"table", peer.to_string().as_bytes())),
     };
-    postcard::to_stdvec(&heartbeat_message(heartbeat)).expect("encoded")
+    let message = heartbeat_message(heartbeat(peer, "a", count, status));
+    postcard::to_stdvec(&message).expect("encoded")
 }
 
 /// Starts the endpoints of the newer and the older table, and returns their addresses.
