fix(gateway): what lay in the socket counts as of its arrival

After a pause an entry read what had lain in its socket and took each age in it as one of the read: limits and desired versions were younger by the pause, here and at the entries to which it passed them on. It also granted permits and probes to requests whose senders wait for 80 ms only; callers of an endpoint with a limit were rejected although nobody used these permits.

Ages of limits and versions count from then, and requests that waited for REPLY_TIMEOUT get no reply.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -6,6 +6,7 @@
 use tokio::net::UdpSocket;
 
 use super::{
+    arrival::{Datagram, Inbox},
     catalog::{Catalog, CatalogVersion},
     compression::decompress,
     context::Context,
@@ -20,9 +21,6 @@
 };
 use crate::{base::Millis, emit, http::get, observe::LineRate};
 
-/// Largest datagram, in bytes.
-const DATAGRAM_MAX: usize = 8 << 10;
-
 /// Largest number of limits in a datagram; keeps it below the smallest usual packet size.
 const LIMITS_MAX: usize = 80;
 
@@ -41,17 +39,17 @@
 
 /// Receives the datagrams of other entries and of agents, and merges their content.
 pub(super) async fn receive(ctx: Rc<Context>, socket: Rc<UdpSocket>) {
-    let mut data = vec![0; DATAGRAM_MAX];
+    let mut inbox = Inbox::new(socket.clone());
     let lines = LineRate::new(IGNORED_LINES);
     loop {
-        let (len, from) = match socket.recv_from(&mut data).await {
+        let Datagram { data, from, waited } = match inbox.receive().await {
             Ok(received) => received,
             Err(e) => {
                 log::debug!("cannot receive a datagram: {e}");
                 continue;
             }
         };
-        let (message, times) = match Message::decode(&data[..len]) {
+        let (message, times) = match Message::decode(data) {
             Ok(decoded) => decoded,
             Err(e) => {
                 ctx.metrics.ignored_datagrams.inc();
@@ -64,10 +62,16 @@
                 continue;
             }
         };
+        let message = message.aged(waited);
         match message {
             Message::Gossip(datagram) => merge_gossip(&ctx, datagram, &times),
             Message::Endpoint(update) => apply_update(&ctx, &update),
             Message::Limits(reports) => permits::merge_limits(&ctx, &reports),
+            Message::PermitRequest(_) | Message::ProbeRequest(_)
+                if waited >= permits::REPLY_TIMEOUT =>
+            {
+                log::debug!("{from} no longer waits for a reply: it asked {waited} ago");
+            }
             Message::PermitRequest(request) => {
                 permits::answer(&ctx, &socket, request, from).await;
             }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -113,4 +113,18 @@
         let (message, rest) = postcard::take_from_bytes(data)?;
         Ok((message, postcard::from_bytes(rest).unwrap_or_default()))
     }
+
+    /// Returns the message with the ages that hold after it has lain in the socket for a time.
+    pub(super) fn aged(mut self, waited: Millis) -> Self {
+        let ages: Vec<&mut Millis> = match &mut self {
+            Self::Gossip(gossip) => gossip.desired.iter_mut().map(|d| &mut d.age).collect(),
+            Self::Limits(reports) => reports.iter_mut().map(|r| &mut r.age).collect(),
+            Self::PermitRequest(request) => vec![&mut request.limit.age],
+            _ => Vec::new(),
+        };
+        for age in ages {
+            *age = *age + waited;
+        }
+        self
+    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 mod abandoned;
 mod accept;
+mod arrival;
 mod assignment;
 mod attempt;
 mod body;
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -21,7 +21,7 @@
 };
 
 /// Time after which an issuer that has not answered is not waited for.
-const REPLY_TIMEOUT: Millis = Millis(80);
+pub(super) const REPLY_TIMEOUT: Millis = Millis(80);
 
 /// Time for which an endpoint gets no requests of this entry after its issuer did not answer or was not the issuer: time
 /// for a heartbeat to change the view of one of them.
