fix(staging): an entry that is behind changes no agent's model or origin

An agent polls one entry after another, and each answer replaced the model and the origin of the one before, also if that entry had an older configuration. The agent then copied from an origin that the operator had replaced.

An assignment tells the version of the catalog from which it follows. Agents take model and origin from no older one, whether it comes from an entry or from the store. The version follows the assignment, so that both builds read each other.

--- a/src/gateway/assignment.rs
+++ b/src/gateway/assignment.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{context::Context, message::DesiredAge, OriginSpec, WeightVersion};
+use super::{context::Context, message::DesiredAge, CatalogVersion, OriginSpec, WeightVersion};
 use crate::base::{rendezvous, Millis, Service, Zone};
 
 /// Path of the assignment of a service's agents at an entry; followed by the service, the agent's zone and the tag of
@@ -37,6 +37,10 @@
     /// Hash of everything but ages and entries; the agent sends it with its next query. A reply to a query with the
     /// same tag leaves out hosts.
     pub tag: u64,
+    /// Version of the catalog from which `model` and `origin` are taken; `None` if an entry of a build sent the assignment
+    /// that does not tell it. It follows the rest, because builds that do not know it ignore what follows.
+    #[serde(skip)]
+    pub catalog: Option<CatalogVersion>,
 }
 
 impl Assignment {
@@ -59,6 +63,7 @@
             origin: catalog.as_ref().and_then(|c| c.origin().cloned()),
             newest: versions.and_then(|v| v.newest()),
             hosts,
+            catalog: catalog.as_ref().map(|c| c.version),
             ..Self::default()
         };
         if let (Some(model), Some(versions)) = (&model, versions) {
@@ -71,11 +76,33 @@
     }
 
     /// Fills in `entries` and `readers` for an agent of a zone, and encodes the reply.
-    fn encode(mut self, ctx: &Context, zone: &str) -> Option<Vec<u8>> {
+    fn reply(mut self, ctx: &Context, zone: &str) -> Option<Vec<u8>> {
         let (members, now) = (ctx.members.borrow(), ctx.now());
         self.entries = members.peers(zone, ENTRIES_MAX, now);
         self.readers = members.notify_targets(zone, now);
-        postcard::to_stdvec(&self).ok()
+        self.encode().ok()
+    }
+
+    /// Encodes the assignment for an agent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it cannot be encoded.
+    pub fn encode(&self) -> postcard::Result<Vec<u8>> {
+        postcard::to_stdvec(&(self, self.catalog))
+    }
+
+    /// Decodes an assignment from an entry, also of a build that does not tell the version of its catalog.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the data holds no assignment.
+    pub fn decode(data: &[u8]) -> postcard::Result<Self> {
+        let (assignment, rest): (Self, _) = postcard::take_from_bytes(data)?;
+        Ok(Self {
+            catalog: postcard::from_bytes(rest).unwrap_or_default(),
+            ..assignment
+        })
     }
 
     /// Returns the hash of the content on which an agent acts.
@@ -102,13 +129,13 @@
         let change = ctx.changed.notified();
         let mut current = Assignment::of(ctx, &service);
         if current.tag != tag {
-            return current.encode(ctx, zone);
+            return current.reply(ctx, zone);
         }
         let left = end - ctx.now();
         if left == Millis::ZERO {
             // The agent has these already. The ages of versions may have been corrected.
             current.hosts = Vec::new();
-            return current.encode(ctx, zone);
+            return current.reply(ctx, zone);
         }
         // The timeout has passed or the state has changed: either way the reply is computed again.
         let _ = tokio::time::timeout(left.duration(), change).await;
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -22,7 +22,7 @@
 use crate::{
     base::{jitter, Clock, Excerpt, HashMap, Millis, SystemClock},
     emit,
-    gateway::{Decode, DesiredVersions, OriginSpec, RecordStore, WeightVersion},
+    gateway::{CatalogVersion, Decode, DesiredVersions, OriginSpec, RecordStore, WeightVersion},
     net::Pacer,
 };
 
@@ -52,6 +52,8 @@
     pub(super) inventory: Rc<ChunkInventory>,
     client: PeerClient,
     pub(super) peers: Rc<RefCell<Rc<Peers>>>,
+    /// Version of the newest catalog from which `model` and `origin_spec` were taken, if it is known.
+    pub(super) catalog: Cell<Option<CatalogVersion>>,
     /// Model of this host's service, from the catalog.
     pub(super) model: RefCell<Option<Rc<str>>>,
     /// Address and zone of the origin of weights, from the catalog.
@@ -113,6 +115,7 @@
             inventory,
             client: PeerClient::new(),
             peers: Rc::new(RefCell::new(Rc::new(peers))),
+            catalog: Cell::default(),
             model: RefCell::default(),
             origin_spec: RefCell::default(),
             desired: RefCell::default(),
--- a/src/staging/assignment.rs
+++ b/src/staging/assignment.rs
@@ -13,8 +13,8 @@
     decide::chunk::Topology,
     emit,
     gateway::{
-        Assignment, Catalog, Decode, DesiredVersions, EndpointUpdate, LoggedAge, RecordStore,
-        Topic, WeightVersion, WriteAge,
+        Assignment, Catalog, CatalogVersion, Decode, DesiredVersions, EndpointUpdate, LoggedAge,
+        RecordStore, Topic, WeightVersion, WriteAge,
     },
 };
 
@@ -27,11 +27,25 @@
 impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
     /// Applies a configuration from the store: the origin and the model of this host's service.
     pub(super) fn set_catalog(&self, catalog: &Catalog) {
+        if !self.admits(Some(catalog.version)) {
+            return;
+        }
         let spec = catalog.services.get(&self.settings.service);
         let model = spec.and_then(|s| s.weights.as_ref()?.models.first().cloned());
         *self.origin_spec.borrow_mut() = catalog.origin().cloned();
-        let before = self.model.replace(model.clone());
-        if before != model {
+        self.set_model(model);
+    }
+
+    /// Notes the version of a catalog from which model and origin may be taken; returns whether they may: an older one
+    /// never replaces a newer one. `None` comes from a build that does not tell the version.
+    fn admits(&self, catalog: Option<CatalogVersion>) -> bool {
+        let newest = self.catalog.get().max(catalog);
+        self.catalog.set(newest);
+        catalog.is_none() || catalog == newest
+    }
+
+    fn set_model(&self, model: Option<Rc<str>>) {
+        if self.model.replace(model.clone()) != model {
             self.changed.notify_one();
         }
     }
@@ -65,15 +79,18 @@
         *self.readers.borrow_mut() = readers.to_vec();
     }
 
-    /// Applies the assignment from an entry.
+    /// Applies the assignment from an entry. One that is behind tells nothing of model and origin.
     pub(super) fn assign(&self, assignment: &Assignment) {
-        *self.origin_spec.borrow_mut() = assignment.origin.clone();
+        let admitted = self.admits(assignment.catalog);
+        if admitted {
+            *self.origin_spec.borrow_mut() = assignment.origin.clone();
+        }
         self.set_hosts(&assignment.hosts);
         let Some(model) = &assignment.model else {
             return;
         };
-        if self.model.replace(Some(model.clone())).as_ref() != Some(model) {
-            self.changed.notify_one();
+        if admitted {
+            self.set_model(Some(model.clone()));
         }
         self.merge_desired(model, assignment);
         let known = self
--- a/src/staging/entries.rs
+++ b/src/staging/entries.rs
@@ -85,7 +85,7 @@
     async fn request(&self, entry: SocketAddr, path: &str) -> Option<Assignment> {
         let limit = ASSIGNMENT_WAIT + RESPONSE_TIMEOUT;
         match get(&self.pool, entry, path, self.clock.now(), limit).await {
-            Ok(res) if res.status() == StatusCode::OK => postcard::from_bytes(res.body()).ok(),
+            Ok(res) if res.status() == StatusCode::OK => Assignment::decode(res.body()).ok(),
             Ok(res) => {
                 log::debug!(
                     "{entry} responded to a request for the assignment with status {}",
--- a/tests/extreme_records.rs
+++ b/tests/extreme_records.rs
@@ -173,7 +173,7 @@
         let data = [&[head], &data[..]].concat();
         let _ = postcard::from_bytes::<Message>(&data);
         let _ = postcard::from_bytes::<Heartbeat>(&data);
-        let _ = postcard::from_bytes::<Assignment>(&data);
+        let _ = Assignment::decode(&data);
         let _ = gateway::decompress(&data);
         if let Ok(delta) = postcard::from_bytes::<TableDelta>(&data) {
             EndpointTable::default().apply_delta(delta, Millis(1));
--- a/tests/version_time.rs
+++ b/tests/version_time.rs
@@ -37,7 +37,7 @@
     let pool = Pool::default();
     let path = format!("/assignment/plain/a/{tag}");
     let res = get(&pool, entry, &path, Millis::ZERO, Millis(2500)).await;
-    postcard::from_bytes(res.expect("a response").body()).expect("an assignment")
+    Assignment::decode(res.expect("a response").body()).expect("an assignment")
 }
 
 /// Waits until an entry knows a version, and returns how much later than its write the entry counts it from, and how
