--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -80,7 +80,7 @@
 fn read_datagram(
     socket: &UdpSocket,
     data: &mut [u8],
-    control: &mut Vec<u8>,
+    control: &mut [u8],
 ) -> io::Result<(usize, SocketAddr, Option<Duration>)> {
     let mut parts = [IoSliceMut::new(data)];
     let flags = MsgFlags::empty();
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -123,7 +123,7 @@
             _ => Vec::new(),
         };
         for age in ages {
-            *age = *age + waited;
+            *age += waited;
         }
         self
     }
