test(gateway): no probe for a request that lay in the socket

Without the guard the probe goes to the request of before the pause, and the next one is denied: replies (1, granted) (2, denied).

--- a/tests/held_datagrams.rs
+++ b/tests/held_datagrams.rs
@@ -14,9 +14,12 @@
 };
 use sesamewing::{
     base::{Millis, RequestRate},
+    decide::quarantine::{
+        End, EndId, Generation, PartId, PartKey, PartReport, ProbeProgress, Strength,
+    },
     gateway::{
         CatalogVersion, DesiredAge, EndpointHash, EndpointId, Gossip, Grant, LimitReport, Message,
-        PermitId, PermitReply, PermitRequest, Status, TableDigest, WeightVersion,
+        PermitId, PermitReply, PermitRequest, ProbeRequest, Status, TableDigest, WeightVersion,
     },
 };
 
@@ -26,6 +29,12 @@
 /// Time in which the entry sends what it knows to others, or replies.
 const SEND_TIME: Millis = Millis(600);
 
+/// Time from which an entry knows which parts used to be answered, and a little.
+const STARTED: Millis = Millis(3200);
+
+/// Time after which the first probe of a part is due, and a little.
+const FIRST_PROBE: Millis = Millis(1700);
+
 /// Limit that an endpoint names: two requests a second.
 const RATE: RequestRate = RequestRate(2000);
 
@@ -47,6 +56,24 @@
     }
 }
 
+/// Returns what an entry reports of a part that ended three endpoints.
+fn deadly_part() -> PartReport {
+    let end = |n: u64| End {
+        id: EndId(n as u32),
+        generation: Generation(n),
+        after: Generation(n - 1),
+        strength: Strength::Strong,
+    };
+    let service = "plain".parse().expect("a valid name");
+    PartReport {
+        part: PartKey::new(&service, PartId(7)),
+        cleared: Generation::default(),
+        ends: (1..=3).map(end).collect(),
+        served: false,
+        probes: Some(ProbeProgress::default()),
+    }
+}
+
 fn peer_heartbeat(peer: SocketAddr) -> sesamewing::gateway::Heartbeat {
     let status = Status {
         ready: true,
@@ -92,7 +119,15 @@
         }));
     }
 
-    /// Returns the replies to requests for permits.
+    /// Asks the entry for a probe of a part.
+    fn ask_probe(&self, id: u64) {
+        self.send(&Message::ProbeRequest(ProbeRequest {
+            id: PermitId(id),
+            report: deadly_part(),
+        }));
+    }
+
+    /// Returns the replies to requests for permits or probes.
     async fn replies(&self) -> Vec<(u64, bool)> {
         let reply = |message| match message {
             Message::PermitReply(PermitReply { id, grant }) => {
@@ -182,3 +217,20 @@
         assert_eq!(peer.replies().await, [(6, true)]);
     });
 }
+
+/// Guards against probes that are spent on requests of before a pause: the next one would be due 1.5 s later, and callers
+/// of a part that was accused wrongly would be rejected meanwhile.
+#[test]
+fn held_requests_get_no_probe() {
+    with_gateway(vec![respond("200 OK", "yes")], |_| async {
+        let peer = Peer::bind(addr(9, 0));
+        tokio::time::sleep(STARTED.duration()).await;
+        peer.send(&Message::Parts(vec![deadly_part()]));
+        tokio::time::sleep(FIRST_PROBE.duration()).await;
+        peer.ask_probe(1);
+        sleep(HELD.duration());
+        tokio::time::sleep(Millis(50).duration()).await;
+        peer.ask_probe(2);
+        assert_eq!(peer.replies().await, [(2, true)]);
+    });
+}
