--- a/tests/version_margins.rs
+++ b/tests/version_margins/main.rs
@@ -1,8 +1,11 @@
 //! Model without network: versions follow each other while endpoints are silent at random; which requests begin on an
 //! older version after its end, and how many callers are served meanwhile.
 
+mod engine;
+
 use std::{collections::VecDeque, rc::Rc};
 
+use engine::{Engine, Request, State};
 use sesamewing::{
     base::{HashSet, Millis, Zone},
     decide::{
@@ -10,8 +13,8 @@
         supersede::{Margins, SILENCE_MAX},
     },
     gateway::{
-        DesiredVersions, EndpointId, EndpointQuery, EndpointRecord, EndpointTable, LoadBalancer,
-        LoadSchedule, Outcome, PendingLoads, Revision, WeightRequirement, WeightVersion,
+        DesiredVersions, EndpointQuery, EndpointRecord, EndpointTable, LoadBalancer, LoadSchedule,
+        Outcome, PendingLoads, Revision, WeightRequirement, WeightVersion,
     },
 };
 
@@ -83,51 +86,6 @@
 /// Numbers of entries and of engines.
 const SIZES: [(usize, usize); 4] = [(1, 3), (9, 11), (48, 108), (410, 1200)];
 
-/// A request at an engine.
-#[derive(Clone, Copy, Debug)]
-struct Request {
-    entry: usize,
-    arrived: Millis,
-    /// When its prompt is read, if the engine is not silent.
-    read: Millis,
-    duration: Millis,
-    /// When the entry cancels it if it has not begun.
-    begin_by: Option<Millis>,
-    /// Whether the entry has closed its connection.
-    closed: bool,
-}
-
-/// What an engine does beside its requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Serving,
-    /// It takes no requests and loads when the running ones have ended.
-    Draining(WeightVersion),
-    Loading(WeightVersion, Millis),
-}
-
-#[derive(Debug)]
-struct Engine {
-    id: EndpointId,
-    near: bool,
-    version: WeightVersion,
-    state: State,
-    /// When it loads which version.
-    start: Option<(Millis, WeightVersion)>,
-    waiting: VecDeque<Request>,
-    running: Vec<(Millis, usize)>,
-    silence: Option<(Millis, Millis)>,
-    /// Number of its record's state.
-    sequence: u64,
-}
-
-impl Engine {
-    fn is_silent(&self, now: Millis) -> bool {
-        self.silence
-            .is_some_and(|(from, to)| now >= from && now < to)
-    }
-}
-
 /// Result of a run.
 #[derive(Debug, Default)]
 struct Outcomes {
