--- a/src/gateway/assignment.rs
+++ b/src/gateway/assignment.rs
@@ -37,8 +37,8 @@
     /// Hash of everything but ages and entries; the agent sends it with its next query. A reply to a query with the
     /// same tag leaves out hosts.
     pub tag: u64,
-    /// Version of the catalog from which `model` and `origin` are taken; `None` if an entry of a build sent the assignment
-    /// that does not tell it. It follows the rest, because builds that do not know it ignore what follows.
+    /// Version of the catalog from which `model` and `origin` are taken; `None` if the sender's build does not tell it. It
+    /// is sent after all else, where builds that do not know it ignore it.
     #[serde(skip)]
     pub catalog: Option<CatalogVersion>,
 }
