fix(quarantine): a probe that was lost has failed, whatever its end says

Cause: a probe counted as failed only by an end with strong evidence, the head of the response without an event. Where the crash comes before the head, the probe stayed without a result and the next ones followed after 1.5, 1.5, 4.5 and 13.5 s instead of 30 s. Now the entry that sent the probe records its result, and notes a grant of another entry at once.

--- a/src/decide/quarantine/probe.rs
+++ b/src/decide/quarantine/probe.rs
@@ -58,6 +58,12 @@
         if now < self.next {
             return false;
         }
+        self.count_granted(now);
+        true
+    }
+
+    /// Counts a probe that was granted.
+    pub(super) fn count_granted(&mut self, now: Millis) {
         let granted = self.progress.granted + 1;
         self.set(
             ProbeProgress {
@@ -66,16 +72,17 @@
             },
             now,
         );
-        true
     }
 
-    /// Records an end of an endpoint that points strongly to the part; after a granted probe, that is the probe's result.
-    pub(super) fn record_end(&mut self, now: Millis) {
+    /// Counts a granted probe as failed, because an endpoint ended that points strongly to the part, or because the end of
+    /// the probe itself is known; the second report of the same probe changes nothing. Returns whether it was counted.
+    pub(super) fn record_failure(&mut self, now: Millis) -> bool {
         if self.progress.granted == 0 {
-            return;
+            return false;
         }
         let failed = self.progress.failed + 1;
         self.set(ProbeProgress { failed, granted: 0 }, now);
+        true
     }
 
     /// Merges the progress that another process knows; returns whether it is newer.
--- a/src/decide/quarantine/suspect.rs
+++ b/src/decide/quarantine/suspect.rs
@@ -127,7 +127,7 @@
         }
         let strong = end.strength == Strength::Strong;
         if let Some(probes) = self.probes.as_mut().filter(|_| strong) {
-            probes.record_end(now);
+            probes.record_failure(now);
         }
         true
     }
--- a/src/decide/quarantine/table.rs
+++ b/src/decide/quarantine/table.rs
@@ -276,6 +276,30 @@
         ProbeGrant::Granted
     }
 
+    /// Notes that another process granted a probe of a part to this one.
+    pub fn note_granted(&mut self, part: PartKey, now: Millis) {
+        if let Some(probes) = self.suspects.get_mut(&part).and_then(|s| s.probes.as_mut()) {
+            probes.count_granted(now);
+        }
+    }
+
+    /// Records that the connection of a probe ended before its response showed that the endpoint runs it. That is the
+    /// probe's result, also where the end is no strong evidence: an endpoint may end before anything of its response
+    /// arrives, or start again under the id that it had.
+    pub fn record_failed_probe(&mut self, parts: &[PartKey], now: Millis) {
+        for part in parts {
+            let Some(suspect) = self.suspects.get_mut(part) else {
+                continue;
+            };
+            let Some(probes) = &mut suspect.probes else {
+                continue;
+            };
+            if probes.record_failure(now) {
+                suspect.changed = now;
+            }
+        }
+    }
+
     /// Returns what this process knows of a part, for other processes.
     pub fn report(&self, part: PartKey) -> Option<PartReport> {
         self.suspects.get(&part).map(|s| s.report(part))
--- a/src/gateway/dropped.rs
+++ b/src/gateway/dropped.rs
@@ -2,24 +2,23 @@
 
 use super::{
     accept::Job,
+    attempt::Target,
     context::Context,
     ending::{Ending, Progress},
-    endpoint_table::EndpointId,
     log_event,
     screen::record_end,
 };
-use crate::{decide::quarantine::Generation, emit};
+use crate::emit;
 
 /// Logs and counts a request in flight whose connection ended, and records what that says of the parts of its prompt.
-/// `known` are the generations of the parts from the time at which the request was sent.
 pub(super) fn note_dropped(
     ctx: &Context,
     job: &Job,
-    endpoint: &EndpointId,
-    known: &[Generation],
+    target: &Target,
     progress: Progress,
     ending: Ending,
 ) {
+    let endpoint = &target.id;
     ctx.metrics.count_dropped(progress.name());
     let parts: Vec<_> = job.parts.iter().map(|p| p.part.to_string()).collect();
     emit!(
@@ -29,5 +28,5 @@
         progress.name(),
         parts.join(",")
     );
-    record_end(ctx, job, endpoint, known, progress, ending);
+    record_end(ctx, job, target, progress, ending);
 }
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -293,7 +293,7 @@
             );
             if let BufferError::Connection(e) = &e {
                 let ending = Ending::of(e);
-                note_dropped(ctx, job, &target.id, &target.known, Progress::Body, ending);
+                note_dropped(ctx, job, &target, Progress::Body, ending);
             }
             target.flight.end(Outcome::Failed);
             return Attempt::Lost;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -394,7 +394,7 @@
                 return Attempt::NotSent;
             }
             let ending = Ending::of(&error);
-            note_dropped(ctx, job, &target.id, &target.known, Progress::Sent, ending);
+            note_dropped(ctx, job, &target, Progress::Sent, ending);
             if target.reused && !error.is_parse() {
                 // The end of an idle connection says nothing of the endpoint, which may get the request once more.
                 attempts.readmit(&target.id);
--- a/src/gateway/screen.rs
+++ b/src/gateway/screen.rs
@@ -7,7 +7,7 @@
 
 use super::{
     accept::Job,
-    attempt::{Attempts, Pass},
+    attempt::{Attempts, Pass, Target},
     choose::choose,
     context::Context,
     datagram::send_to_all,
@@ -129,7 +129,12 @@
         job.service
     );
     let wait = match grant {
-        Some(Grant::Granted) => return Ok(()),
+        Some(Grant::Granted) => {
+            if coordinator != me {
+                ctx.quarantine.borrow_mut().note_granted(part, ctx.now());
+            }
+            return Ok(());
+        }
         Some(Grant::Denied { wait, .. }) => wait,
         Some(Grant::NotIssuer) | None => crate::base::jitter(PROBE_RETRY),
     };
@@ -174,13 +179,11 @@
     send_to_all(socket, &reply, &[from]).await;
 }
 
-/// Records that the connection of a request in flight ended. `known` are the generations from the time at which the
-/// request was sent.
+/// Records that the connection of a request in flight ended.
 pub(super) fn record_end(
     ctx: &Context,
     job: &Job,
-    endpoint: &EndpointId,
-    known: &[Generation],
+    target: &Target,
     progress: Progress,
     ending: Ending,
 ) {
@@ -192,12 +195,15 @@
     if job.parts.is_empty() || ending == Ending::Silent {
         return;
     }
-    let Some(id) = end_id(ctx, endpoint) else {
-        return;
-    };
     let now = ctx.now();
+    let id = end_id(ctx, &target.id);
     let mut quarantine = ctx.quarantine.borrow_mut();
-    quarantine.record_end(id, &job.parts, known, strength, wall_ms(), now);
+    if let Some(id) = id {
+        quarantine.record_end(id, &job.parts, &target.known, strength, wall_ms(), now);
+    }
+    if target.probe {
+        quarantine.record_failed_probe(&job.parts, now);
+    }
     drop(quarantine);
     apply_changes(ctx, "here");
     wake_gossip(ctx);
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -193,7 +193,6 @@
 
     /// Logs and counts that the connection ended.
     fn note_dropped(&self, ctx: &Rc<Context>, job: &Job, ending: Ending) {
-        let (id, known) = (&self.target.id, &self.target.known);
-        note_dropped(ctx, job, id, known, self.progress, ending);
+        note_dropped(ctx, job, &self.target, self.progress, ending);
     }
 }
--- a/tests/part_quarantine.rs
+++ b/tests/part_quarantine.rs
@@ -85,6 +85,18 @@
     }
 }
 
+/// Guards against probes that are repeated at the first interval although each one ends its endpoint, because the end of
+/// an engine whose response shows nothing before its first event does not point strongly to the request.
+#[test]
+fn failed_probes_count_without_heads() {
+    for count in COUNTS {
+        let mut model = Model::new(count, &[(DEADLY, 50)]);
+        model.early_head = false;
+        model.run(Millis(60_000));
+        model.assert_kept("probes without heads");
+    }
+}
+
 /// Load pattern: requests wait at endpoints for longer than it takes to end many of them. Guards against evidence that
 /// needs a request which was sent after the first end.
 #[test]
--- a/tests/quarantine_support/mod.rs
+++ b/tests/quarantine_support/mod.rs
@@ -236,7 +236,12 @@
                 self.entries[j].quarantine.merge(&report, now);
             }
             match self.entries[j].quarantine.grant_probe(part, now) {
-                ProbeGrant::Granted => return true,
+                ProbeGrant::Granted => {
+                    if i != j {
+                        self.entries[i].quarantine.note_granted(part, now);
+                    }
+                    return true;
+                }
                 ProbeGrant::Denied { wait: time } => wait = time,
                 ProbeGrant::NotQuarantined => {}
             }
@@ -303,6 +308,9 @@
             let now = self.now;
             let quarantine = &mut self.entries[r.entry].quarantine;
             quarantine.record_end(id, &r.parts, &r.known, strength, now.0, now);
+            if r.probe {
+                quarantine.record_failed_probe(&r.parts, now);
+            }
         }
         for r in lost {
             if r.attempts < 2 {
