fix(http): a status outside 200 to 599 is no response

Callers got 600 and 999 of a faulty endpoint as a response, and a 503 that promises "not run" where such a response carried the header for it. Cause: the parser accepts each number from 100 to 999, and only informational ones were left out. The agent before a plain service or an engine passed them on as well, and a write to the store that was answered so counted as not done. Now one check (http/framing.rs) stands before anything of a response is used, at the three places that read one.

--- a/src/endpoint/http.rs
+++ b/src/endpoint/http.rs
@@ -6,7 +6,7 @@
 use super::{EndpointError, Part};
 use crate::{
     base::{Millis, RequestId},
-    http::has_unknown_coding,
+    http::{has_unknown_coding, is_final},
 };
 
 /// Time to open a connection; the endpoint is on the same host.
@@ -64,6 +64,10 @@
         Ok(Ok(resp)) if has_unknown_coding(resp.headers()) => Err(EndpointError::Lost(
             "a transfer coding that is not `chunked`".to_owned(),
         )),
+        Ok(Ok(resp)) if !is_final(resp.status()) => Err(EndpointError::Lost(format!(
+            "status {}, which is no final response",
+            resp.status().as_u16()
+        ))),
         Ok(Ok(resp)) => Ok(resp),
         Ok(Err(e)) => Err(transport(&e)),
         Err(_) => Err(EndpointError::Silent(limit)),
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -30,7 +30,7 @@
 use crate::{
     base::Millis,
     emit,
-    http::{has_unknown_coding, Connection},
+    http::{has_unknown_coding, is_final, Connection},
 };
 
 /// Largest response body, in bytes, that is buffered until it is complete.
@@ -157,6 +157,11 @@
         target.flight.end(Outcome::Failed);
         return Attempt::Lost;
     }
+    // Nothing that such a response says is used, not even that the request did not run. No request asks for an upgrade, and
+    // hyper skips all other informational responses.
+    if !is_final(status) {
+        return discard(job, target, status);
+    }
     apply_status_headers(ctx, &target.id, &head);
     record_limit(ctx, &target, &head);
     let load_text = text(&head.headers, &names.load);
@@ -181,8 +186,7 @@
         target.flight.end(Outcome::Failed);
         return Attempt::Lost;
     }
-    // No request asks for an upgrade. hyper skips all other informational responses.
-    if status.is_informational() || has_unknown_coding(&head.headers) {
+    if has_unknown_coding(&head.headers) {
         return discard(job, target, status);
     }
     let streams = is_event_stream(job, &head);
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -8,7 +8,7 @@
 
 use super::{
     connect::{connect, Connection},
-    framing::has_unknown_coding,
+    framing::{has_unknown_coding, is_final},
     pool::Pool,
 };
 use crate::base::Millis;
@@ -132,6 +132,10 @@
             .map_err(|e| lost(e.into_error().to_string()))?;
         let (mut head, body) = res.into_parts();
         head.extensions.insert(HeadReceived(Instant::now()));
+        if !is_final(head.status) {
+            let status = head.status.as_u16();
+            return Err(lost(format!("status {status}, which is no final response")));
+        }
         if has_unknown_coding(&head.headers) {
             return Err(lost("a transfer coding that is not `chunked`".to_owned()));
         }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -14,6 +14,6 @@
 
 pub use call::{call, call_once, get, CallError, CallLimit, HeadReceived, BODY_MAX};
 pub use connect::{connect, Connection};
-pub(crate) use framing::has_unknown_coding;
+pub(crate) use framing::{has_unknown_coding, is_final};
 pub use pool::Pool;
 pub use server::{listen, Listener, ServeOptions};
--- a/tests/agent_plain.rs
+++ b/tests/agent_plain.rs
@@ -48,6 +48,7 @@
         self.runs.lock().unwrap().push(id.clone());
         match req.path.as_str() {
             "/cut" => {}
+            "/invalid" => http::head(&mut out, 600, &[("Content-Length", "0")]).await,
             "/redirect" => {
                 http::head(
                     &mut out,
@@ -145,13 +146,19 @@
     for _ in 0..2 {
         assert_eq!(failed(&rig.client.run(&cut).await), &RunOutcome::MayHaveRun);
     }
+    let mut invalid = daemon::request(None, 0);
+    invalid.path = "/invalid".to_owned();
+    assert_eq!(
+        failed(&rig.client.run(&invalid).await),
+        &RunOutcome::MayHaveRun
+    );
     let mut redirect = daemon::request(None, 0);
     redirect.path = "/redirect".to_owned();
     assert_matches!(
         rig.client.run(&redirect).await[0],
         Reply::Head { status: 307, .. }
     );
-    assert_eq!(rig.plain.runs(), before + 3);
+    assert_eq!(rig.plain.runs(), before + 4);
 }
 
 /// Guards against a run of an attempt that was settled, and of a request that only an outdated entry takes as
