feat(priority): less urgent requests leave slots to more urgent ones under overload

Cause: an entry takes all requests alike, and only the engine's own queue looks at the priority. Now a first attempt leaves a sixth of an engine's slots free for each more urgent priority for 2 s after a rejection for want of a slot; a priority that begins less than 0.4 of the usual share leaves none. It applies only where routes or workspaces of one service have different priorities.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod limit;
 pub mod member;
 pub mod permit;
+pub mod priority;
 pub mod quarantine;
 pub mod retry;
 pub mod returning;
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -9,6 +9,7 @@
     endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement},
     endpoint_table::EndpointId,
     load_balancer::{LoadBalancer, Refusal},
+    priority,
     record::WeightVersion,
 };
 use crate::{base::Millis, decide::supersede::Margins};
@@ -125,6 +126,11 @@
         owned: &owned,
         // Of a request that was sent, something may have begun that only another endpoint can finish.
         returning: job.returning && attempts.sent.get() == 0,
+        reserve: if attempts.sent.get() == 0 {
+            engine.map_or(0, |e| priority::reserve(ctx, job, e.slots))
+        } else {
+            0
+        },
         read_rate: engine.map(|e| e.prompt_rate),
         duration: engine.map_or(Millis::ZERO, |e| {
             e.duration(job.prompt_tokens, job.output_max, job.output_hint)
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -31,6 +31,7 @@
 use crate::{
     base::{Clock, HashMap, HashSet, Millis, Service, SystemClock},
     decide::{
+        priority::PriorityLoad,
         quarantine::Quarantine,
         retry::{RetryBudget, RetryDraw},
         returning::Rejections,
@@ -83,6 +84,8 @@
     /// Load schedule of each service, for its newest desired versions and the endpoints since the last change.
     schedules: RefCell<HashMap<Service, Rc<LoadSchedule>>>,
     budgets: RefCell<HashMap<Service, RetryBudget>>,
+    /// Requests for engines by priority.
+    pub(super) priorities: RefCell<HashMap<Service, PriorityLoad>>,
     /// Endpoints that this entry owns.
     pub(super) owned: RefCell<HashSet<EndpointId>>,
     /// Whether the endpoint table was loaded, from the store or from another entry.
@@ -148,6 +151,7 @@
             desired: RefCell::default(),
             schedules: RefCell::default(),
             budgets: RefCell::default(),
+            priorities: RefCell::default(),
             owned: RefCell::default(),
             table_loaded: Cell::default(),
             table_changed: Cell::default(),
--- a/src/gateway/endpoint_query.rs
+++ b/src/gateway/endpoint_query.rs
@@ -52,6 +52,8 @@
     pub read_rate: Option<f64>,
     /// Whether the caller returns after a rejection.
     pub returning: bool,
+    /// Slots of each engine that the request leaves free for more urgent ones.
+    pub reserve: u32,
     /// Estimated time for which the request occupies a slot.
     pub duration: Millis,
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,6 +26,7 @@
     load_view::Outcome,
     log_event,
     permits::{self, Permit},
+    priority,
     record::WeightVersion,
     screen,
 };
@@ -202,6 +203,9 @@
         }
         attempts.draw.set(RetryDraw::random());
     }
+    if sent == 0 {
+        priority::record(ctx, job, true);
+    }
     attempts.sent.set(sent + 1);
     Ok(())
 }
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -7,6 +7,7 @@
 //! | more than the endpoints can serve in time | rejected beyond the slots, with a short, jittered `Retry-After` |
 //! | a new version becomes desired | an endpoint gets only requests that end by its scheduled load start |
 //! | copies of a new version are late | schedule ignored while more hosts missed it than kept it |
+//! | less urgent requests beside more urgent ones | leave slots free while requests are rejected |
 //! | callers return after a rejection | get no slot while few are free, so that first attempts find one |
 //! | an endpoint rejects requests | skipped for a short backoff that doubles |
 //! | an endpoint sends `Retry-After` | paused until then, whatever else is reported of it |
@@ -328,8 +329,9 @@
         } else {
             slots - slots / FREE_DIVISOR
         };
+        let limit = limit.saturating_sub(query.reserve);
         if !query.returning {
-            return limit;
+            return limit.max(1);
         }
         limit.saturating_sub(slots.div_ceil(FIRST_DIVISOR)).max(1)
     }
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -55,6 +55,9 @@
     /// The wait for a response ended of a request at an endpoint with superseded weights.
     SUPERSEDED = 468, "gateway-superseded", Info,
         "a request to an endpoint with superseded weights began there or did not", "compare `sent` and `begun`, the times left until it had to begin";
+    /// A request was rejected while slots were kept free for more urgent ones.
+    RESERVED = 478, "gateway-reserved", Info,
+        "a request was rejected while slots of engines were kept free for more urgent ones", "check the load of the service, and the priorities of its routes and workspaces";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -52,6 +52,8 @@
     pub(super) retries: Counter,
     /// Requests sent to endpoints that limited their request rate.
     pub(super) limited: Counter,
+    /// Requests rejected while slots were kept free for more urgent ones.
+    pub(super) reserved: Counter,
     /// Requests in flight whose connections ended, by the progress of their responses.
     dropped: Family<ProgressLabel, Counter>,
     /// Requests rejected because of a quarantined part.
@@ -88,6 +90,7 @@
             streams: Family::default(),
             retries: Counter::default(),
             limited: Counter::default(),
+            reserved: Counter::default(),
             dropped: Family::default(),
             quarantined: Counter::default(),
             quarantines: Family::default(),
@@ -107,6 +110,8 @@
             r.register("gateway_retries", "Further attempts", out.retries.clone());
             let help = "Requests sent to endpoints that limit their request rate";
             r.register("gateway_limited_requests", help, out.limited.clone());
+            let help = "Requests rejected while slots were kept free for more urgent ones";
+            r.register("gateway_reserved_rejections", help, out.reserved.clone());
             let help =
                 "Requests in flight whose connections ended, by the progress of their responses";
             r.register("gateway_dropped_requests", help, out.dropped.clone());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod ownership;
 mod permit_requests;
 mod permits;
+mod priority;
 mod prompt;
 mod race;
 mod record;
--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -5,7 +5,7 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    accept::Job, context::Context, datagram::send_to_all, message::Message, reply::Reject,
+    accept::Job, context::Context, datagram::send_to_all, message::Message, priority, reply::Reject,
 };
 use crate::decide::returning::{Rejection, RequestKey};
 
@@ -47,6 +47,9 @@
 /// Records a rejected request whose caller was told to return, if it competes with others for slots of an engine.
 pub(super) fn record_rejected(ctx: &Context, job: &Job, reject: Reject) {
     let overloaded = matches!(reject, Reject::Overloaded(_) | Reject::Refused(_));
+    if matches!(reject, Reject::Overloaded(_)) {
+        priority::record(ctx, job, false);
+    }
     let Some(deadline) = job.caller_deadline.filter(|_| overloaded) else {
         return;
     };
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -277,6 +277,7 @@
             owned: &HashSet::default(),
             read_rate: None,
             returning,
+            reserve: 0,
             duration: WORK,
         };
         let (away, ids, now) = (&self.away, &self.ids, self.now);
--- a/tests/extreme_records.rs
+++ b/tests/extreme_records.rs
@@ -42,6 +42,7 @@
         owned,
         read_rate: Some(30.0),
         returning: true,
+        reserve: 0,
         duration: Millis(1000),
     }
 }
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -58,6 +58,7 @@
         owned,
         read_rate: None,
         returning: false,
+        reserve: 0,
         duration: Millis(1000),
     }
 }
--- a/tests/gateway_homes.rs
+++ b/tests/gateway_homes.rs
@@ -94,6 +94,7 @@
         owned,
         read_rate: Some(20.0),
         returning: false,
+        reserve: 0,
         duration: Millis(1000),
     }
 }
--- a/tests/version_margins/main.rs
+++ b/tests/version_margins/main.rs
@@ -238,6 +238,7 @@
             owned: &none,
             read_rate: None,
             returning: false,
+            reserve: 0,
             duration,
         };
         let balancer = &mut self.balancers[entry];
