feat(gateway): requests go by the time that they would need on a host of uneven speed

Callers waited at slow hosts as many at a time as at fast ones: the fourth figure of the load header was ignored. Now an entry keeps a moving average of it for each endpoint, and load, idle slots and unread prompts cost by it. Absent or odd figures change nothing.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 pub mod lease;
 pub mod limit;
 pub mod member;
+pub mod pace;
 pub mod permit;
 pub mod priority;
 pub mod quarantine;
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -9,6 +9,7 @@
 //! | copies of a new version are late | schedule ignored while more hosts missed it than kept it |
 //! | less urgent requests beside more urgent ones | leave slots free while requests are rejected |
 //! | callers return after a rejection | get no slot while few are free, so that first attempts find one |
+//! | hosts of uneven speed | an endpoint costs as much as the time that a request would take there |
 //! | an endpoint rejects requests | skipped for a short backoff that doubles |
 //! | an endpoint sends `Retry-After` | paused until then, whatever else is reported of it |
 //! | an endpoint limits its request rate | closed after each denied permit until another may be granted |
@@ -229,7 +230,7 @@
             if load >= limit {
                 continue;
             }
-            let cost = drain + view.cost(e, query, load);
+            let cost = drain + view.cost(e, query, load, now);
             if query.owned.contains(&e.id) {
                 found.owned.push((e, cost));
             } else {
--- a/src/gateway/load_view.rs
+++ b/src/gateway/load_view.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 
 use super::{endpoint_query::EndpointQuery, endpoint_table::Endpoint, record::WeightVersion};
-use crate::{base::Millis, decide::route::Breaker};
+use crate::{
+    base::Millis,
+    decide::{pace::Pace, route::Breaker},
+};
 
 /// Time in milliseconds that an endpoint needs to read its unread prompts at which these cost as much as a full set of
 /// slots.
@@ -12,6 +15,9 @@
 /// Cost of an endpoint in another availability zone, as a share of its slots.
 const ZONE_COST: f64 = 0.12;
 
+/// Cost of an idle endpoint on whose host work takes twice its usual time, as a share of its slots.
+const PACE_COST: f64 = 0.5;
+
 /// Cost of an endpoint whose recent requests all failed, as a share of its slots.
 const FAILURE_COST: f64 = 3.0;
 
@@ -37,12 +43,14 @@
     pub waiting: u32,
     /// Requests that the endpoint can run at once.
     pub slots: u32,
+    /// Time that work takes on its host at present, in hundredths of the usual time; `None` if it does not say.
+    pub pace: Option<u32>,
 }
 
 impl std::str::FromStr for ReportedLoad {
     type Err = std::num::ParseIntError;
 
-    /// Parses `running,waiting,slots`; a missing part counts as 0.
+    /// Parses `running,waiting,slots[,pace]`; a missing number counts as 0, and a pace that is 0 or no number as none.
     fn from_str(s: &str) -> Result<Self, Self::Err> {
         let mut parts = s.split(',').map(|p| p.trim().parse());
         let mut next = || parts.next().unwrap_or(Ok(0));
@@ -50,13 +58,15 @@
             running: next()?,
             waiting: next()?,
             slots: next()?,
+            pace: parts.next().and_then(Result::ok).filter(|p| *p > 0),
         })
     }
 }
 
 impl std::fmt::Display for ReportedLoad {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{},{},{}", self.running, self.waiting, self.slots)
+        write!(f, "{},{},{}", self.running, self.waiting, self.slots)?;
+        self.pace.map_or(Ok(()), |pace| write!(f, ",{pace}"))
     }
 }
 
@@ -127,6 +137,8 @@
     reported_at: Option<Millis>,
     /// Address of each other entry with requests in flight here, their number and the time of its report.
     pub(super) peer_load: Vec<(SocketAddr, u16, Millis)>,
+    /// How long work takes on the endpoint's host.
+    pace: Pace,
     /// Moving average of failures, 0 to 1.
     failures: f64,
     /// End of the backoff after a rejected request, and the length of that backoff.
@@ -173,11 +185,19 @@
     }
 
     /// Returns the cost of one more request at a load of `load` requests, as a share of the endpoint's slots.
-    pub(super) fn cost(&self, e: &Endpoint, query: &EndpointQuery<'_>, load: u32) -> f64 {
-        let share = f64::from(load) / f64::from(e.record.slots.max(1));
+    pub(super) fn cost(
+        &self,
+        e: &Endpoint,
+        query: &EndpointQuery<'_>,
+        load: u32,
+        now: Millis,
+    ) -> f64 {
+        let pace = self.pace.factor(now);
+        let share =
+            f64::from(load) / f64::from(e.record.slots.max(1)) * pace + (pace - 1.0) * PACE_COST;
         let far = f64::from(u8::from(e.record.zone != *query.zone)) * ZONE_COST;
         let read = query.read_rate.map_or(0.0, |rate| {
-            f64::from(self.unread_tokens) / rate / READ_MS_PER_SLOTS
+            f64::from(self.unread_tokens) / rate / READ_MS_PER_SLOTS * pace
         });
         share + far + read + self.failures * FAILURE_COST
     }
@@ -205,6 +225,9 @@
             let all = load.running.saturating_add(load.waiting);
             self.other_load = all.saturating_sub(self.in_flight);
             self.reported_at = Some(now);
+            if let Some(pace) = load.pace {
+                self.pace.report(pace, now);
+            }
         }
         if let Some(version) = version {
             self.version = self.version.max(version);
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -310,6 +310,7 @@
                     running: count.min(SLOTS),
                     waiting: count.saturating_sub(SLOTS),
                     slots: SLOTS,
+                    pace: None,
                 };
                 let balancer = &mut self.entries[flight.entry].balancer;
                 balancer.end(id, Outcome::Served, now);
--- a/tests/extreme_records.rs
+++ b/tests/extreme_records.rs
@@ -78,6 +78,7 @@
             running: u32::MAX,
             waiting: u32::MAX,
             slots: u32::MAX,
+            pace: None,
         };
         balancer.report(
             &id("e"),
