feat(gateway): zone evacuation by the operator's record

Callers saw: a record `evacuate/ZONE` was ignored, and requests went on to endpoints of the zone.

Change: entries read the records with the other ones of the operator's topic and copy the set of evacuated zones from each other in their datagrams, with the position in the log up to which it holds; the later position holds, and a log that begins anew is told from an older copy by the time of the read. An endpoint of an evacuated zone is not capable of any request, and the zone is checked again just before a send. Older builds ignore what follows the times in a datagram.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 pub mod chunk;
 pub mod claim;
 pub mod drain;
+pub mod evacuation;
 pub mod feed;
 pub mod lease;
 pub mod limit;
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -116,11 +116,13 @@
         }
     });
     let owned = ctx.owned.borrow();
+    let evacuation = ctx.evacuation.borrow();
     let tried = attempts.tried();
     let query = EndpointQuery {
         zone: &ctx.settings.zone,
         weights,
         exact: attempts.version.get(),
+        evacuation: Some(&evacuation),
         tried: &tried,
         owned: &owned,
         // Of a request that was sent, something may have begun that only another endpoint can finish.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -31,6 +31,7 @@
 use crate::{
     base::{Clock, HashMap, HashSet, Millis, Service, SystemClock},
     decide::{
+        evacuation::Evacuation,
         quarantine::Quarantine,
         retry::{RetryBudget, RetryDraw},
         returning::Rejections,
@@ -68,6 +69,8 @@
     /// Limits of the request rate that endpoints named.
     pub(super) limits: RefCell<Limits>,
     pub(super) permits: RefCell<Permits>,
+    /// Zones whose endpoints get no requests.
+    pub(super) evacuation: RefCell<Evacuation>,
     /// Parts of prompts that were in flight when endpoints ended.
     pub(super) quarantine: RefCell<Quarantine>,
     /// Requests that entries rejected and whose callers may return.
@@ -139,6 +142,7 @@
             balancer: RefCell::default(),
             limits: RefCell::default(),
             permits: RefCell::default(),
+            evacuation: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(clock.now())),
             rejections: RefCell::default(),
             quarantined: Notify::new(),
@@ -201,9 +205,9 @@
         }
     }
 
-    /// Returns whether this entry has an endpoint table and a catalog.
+    /// Returns whether this entry has an endpoint table and a catalog, and knows which zones are evacuated.
     pub(super) fn is_informed(&self) -> bool {
-        self.table_loaded.get() && self.catalog.borrow().is_some()
+        self.table_loaded.get() && self.catalog.borrow().is_some() && self.knows_evacuation()
     }
 
     /// Returns the version of the catalog in force; zero before the first one.
--- a/src/gateway/endpoint_query.rs
+++ b/src/gateway/endpoint_query.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     base::{HashSet, Millis, Zone},
-    decide::supersede::Margins,
+    decide::{evacuation::Evacuation, supersede::Margins},
 };
 
 /// Loads of a newer version that the hosts of a service have still to begin.
@@ -44,6 +44,8 @@
     pub weights: Option<WeightRequirement<'a>>,
     /// The one version on which a broken stream may be continued; `None` if the request has not streamed anything.
     pub exact: Option<WeightVersion>,
+    /// Evacuated zones and those put back into service lately; `None` if there are none.
+    pub evacuation: Option<&'a Evacuation>,
     /// Endpoints to which this request was sent before.
     pub tried: &'a [EndpointId],
     /// Endpoints that this entry owns; see [`owned_endpoints`](super::owned_endpoints()).
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -51,8 +51,9 @@
     /// Called when a read succeeds after an outage of the store, before its records are applied.
     fn store_recovered(&self);
 
-    /// Called when all records of a read are applied; `next` is the offset of the next record.
-    fn batch_applied(&self, _next: u64) {}
+    /// Called when all records of a read are applied; `next` is the offset of the next record, and `age` the time since
+    /// the moment at which the log ended there, `None` if it holds further records.
+    fn batch_applied(&self, _next: u64, _age: Option<Millis>) {}
 
     /// Returns the offset before which all records are applied, if another process passed on the content of the topic up
     /// to there.
@@ -188,7 +189,8 @@
                 }
                 state.read = next;
                 state.times.record_end(end, bounds.made, next);
-                follower.batch_applied(next);
+                let age = (next >= end).then(|| clock.now() - bounds.made);
+                follower.batch_applied(next, age);
                 let pause = follower.pause().max(least_pause);
                 tokio::time::sleep(pause.duration()).await;
             }
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -18,6 +18,7 @@
 };
 use crate::{
     base::{Excerpt, HashSet, Millis},
+    decide::evacuation::EvacuationRead,
     emit,
     observe::LineRate,
 };
@@ -71,6 +72,10 @@
         );
     }
 
+    fn evacuation(&self, read: EvacuationRead) {
+        self.apply_evacuation(read);
+    }
+
     fn malformed(&self, key: &str, reason: &str) {
         let (key, reason) = (Excerpt(key), Excerpt(reason));
         emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
@@ -193,7 +198,7 @@
         self.ctx.endpoints.borrow_mut().forget_position();
     }
 
-    fn batch_applied(&self, next: u64) {
+    fn batch_applied(&self, next: u64, _age: Option<Millis>) {
         self.ctx.endpoints.borrow_mut().advance(next);
         if self.ctx.table_changed.get() {
             self.ctx.notify_changed();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -182,7 +182,7 @@
     match ctx.endpoints.borrow().get(id) {
         None => Some("the endpoint was removed"),
         Some(e) if e.record.draining => Some("the endpoint is draining"),
-        Some(_) => None,
+        Some(e) => ctx.evacuation_reason(e),
     }
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -19,7 +19,7 @@
     operator_records::Decode,
     permits, returning, screen, serve,
 };
-use crate::{base::Millis, emit, http::get, observe::LineRate};
+use crate::{base::Millis, decide::evacuation::EvacuationCopy, emit, http::get, observe::LineRate};
 
 /// Largest number of limits in a datagram; keeps it below the smallest usual packet size.
 const LIMITS_MAX: usize = 80;
@@ -49,7 +49,7 @@
                 continue;
             }
         };
-        let (message, times) = match Message::decode(data) {
+        let (message, appended) = match Message::decode(data) {
             Ok(decoded) => decoded,
             Err(e) => {
                 ctx.metrics.ignored_datagrams.inc();
@@ -64,7 +64,10 @@
         };
         let message = message.aged(waited);
         match message {
-            Message::Gossip(datagram) => merge_gossip(&ctx, datagram, &times),
+            Message::Gossip(datagram) => {
+                merge_evacuation(&ctx, &datagram, appended.evacuation, waited);
+                merge_gossip(&ctx, datagram, &appended.times);
+            }
             Message::Endpoint(update) => apply_update(&ctx, &update),
             Message::Limits(reports) => permits::merge_limits(&ctx, &reports),
             Message::PermitRequest(_) | Message::ProbeRequest(_)
@@ -85,6 +88,24 @@
     }
 }
 
+/// Merges what the sender of a datagram knows of evacuated zones; the datagram has lain in the socket for a time.
+fn merge_evacuation(
+    ctx: &Context,
+    datagram: &Gossip,
+    copy: Option<EvacuationCopy>,
+    waited: Millis,
+) {
+    let (Some(mut copy), Some(sender)) = (copy, datagram.heartbeats.first()) else {
+        return;
+    };
+    copy.add_age(waited);
+    if !ctx.members.borrow().is_newest(sender) {
+        // It was overtaken, so that its position says nothing of the present end of the log.
+        copy.age = Millis::MAX;
+    }
+    ctx.merge_evacuation(copy, &sender.peer.to_string());
+}
+
 /// Merges a datagram of another entry; `times` are those of its heartbeats.
 fn merge_gossip(ctx: &Context, datagram: Gossip, times: &ReadTimes) {
     let now = ctx.now();
@@ -125,7 +146,12 @@
         in_flight: ctx.balancer.borrow().in_flight(),
         leaving: ctx.endpoints.borrow().leaving(ctx.now()),
     };
-    send_to_all(socket, &(Message::Gossip(datagram), times), targets).await;
+    let message = Message::Gossip(datagram);
+    let copy = ctx.evacuation.borrow().copy(ctx.now());
+    match copy {
+        Some(copy) => send_to_all(socket, &(message, times, copy), targets).await,
+        None => send_to_all(socket, &(message, times), targets).await,
+    }
 }
 
 pub(super) async fn send_periodically(ctx: Rc<Context>, socket: Rc<UdpSocket>) {
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -13,12 +13,15 @@
 //! | an endpoint limits its request rate | closed after each denied permit until another may be granted |
 //! | an endpoint fails part of its requests | its cost grows, so that it is used only when the others are loaded |
 //! | an endpoint is lost | its circuit breaker opens |
+//! | a zone is evacuated | its endpoints are not capable; the others are chosen by load as before |
+//! | a zone is put back into service | a rising share of requests considers it, with a rising limit of load |
 
 use std::net::SocketAddr;
 
 use super::{
     endpoint_query::EndpointQuery,
     endpoint_table::{Endpoint, EndpointHash, EndpointId},
+    evacuation::limit_of_share,
     load_view::{LoadView, Outcome, ReportedLoad},
     record::WeightVersion,
 };
@@ -94,6 +97,8 @@
     /// Endpoints that this entry owns.
     owned: Vec<(&'e Endpoint, f64)>,
     others: Vec<(&'e Endpoint, f64)>,
+    /// Endpoints of zones that were put back into service lately; used if there are no others.
+    ramping: Vec<(&'e Endpoint, f64)>,
     /// Whether any endpoint can run the request, now or later.
     any_capable: bool,
     /// Capable endpoint that is expected to take requests first, and when it does.
@@ -116,7 +121,10 @@
             self.others[i]
         });
         let all = self.owned.into_iter().chain(others);
-        all.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(e, _)| e)
+        let cheaper = |a: &(&Endpoint, f64), b: &(&Endpoint, f64)| a.1.total_cmp(&b.1);
+        let best = all.min_by(cheaper);
+        let best = best.or_else(|| self.ramping.into_iter().min_by(cheaper));
+        best.map(|(e, _)| e)
     }
 }
 
@@ -138,9 +146,9 @@
 }
 
 /// Returns the jittered `Retry-After` for a request that no endpoint can run.
-fn unavailable_retry_after(endpoints: &[&Endpoint]) -> Millis {
-    let loading = |e: &&Endpoint| !e.record.draining && e.record.models.is_empty();
-    let mean = if endpoints.iter().any(loading) {
+fn unavailable_retry_after<'e>(mut endpoints: impl Iterator<Item = &'e Endpoint>) -> Millis {
+    let loading = |e: &Endpoint| !e.record.draining && e.record.models.is_empty();
+    let mean = if endpoints.any(loading) {
         RETRY_AFTER_LOADING
     } else {
         RETRY_AFTER_UNAVAILABLE
@@ -163,7 +171,8 @@
         let endpoints: Vec<_> = endpoints.collect();
         let found = self.candidates(&endpoints, query, now);
         if !found.any_capable {
-            return Err(Refusal::Unavailable(unavailable_retry_after(&endpoints)));
+            let in_service = endpoints.into_iter().filter(|e| !query.is_evacuated(e));
+            return Err(Refusal::Unavailable(unavailable_retry_after(in_service)));
         }
         let available = found.available;
         found.best().ok_or_else(|| self.overloaded(available, now))
@@ -178,7 +187,7 @@
     ) -> bool {
         let endpoints: Vec<_> = endpoints.collect();
         let found = self.candidates(&endpoints, query, now);
-        !found.owned.is_empty() || !found.others.is_empty()
+        found.best().is_some()
     }
 
     /// Returns the refusal of a request while no endpoint takes it; `available` is the endpoint that is expected to take
@@ -212,7 +221,8 @@
                 continue;
             }
             found.any_capable = true;
-            let limit = self.limit(e, query);
+            let share = query.zone_share(e, now);
+            let limit = limit_of_share(self.limit(e, query), share);
             let start = start.filter(|_| !stalled);
             let Some(drain) = drain_cost(start, query, now) else {
                 found.note_available(e, now);
@@ -229,7 +239,9 @@
                 continue;
             }
             let cost = drain + view.cost(e, query, load);
-            if query.owned.contains(&e.id) {
+            if share < 1.0 && fastrand::f64() >= share {
+                found.ramping.push((e, cost));
+            } else if query.owned.contains(&e.id) {
                 found.owned.push((e, cost));
             } else {
                 found.others.push((e, cost + NOT_OWNED_COST));
@@ -258,7 +270,7 @@
     }
 
     fn is_capable(&self, e: &Endpoint, query: &EndpointQuery<'_>) -> bool {
-        if e.record.draining || query.tried.contains(&e.id) {
+        if e.record.draining || query.tried.contains(&e.id) || query.is_evacuated(e) {
             return false;
         }
         let Some(required) = query.weights else {
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -55,6 +55,9 @@
     /// The wait for a response ended of a request at an endpoint with superseded weights.
     SUPERSEDED = 468, "gateway-superseded", Info,
         "a request to an endpoint with superseded weights began there or did not", "compare `sent` and `begun`, the times left until it had to begin";
+    /// A zone was evacuated or put back into service, as the operator's record says.
+    EVACUATION = 472, "gateway-evacuation", Info,
+        "a zone was evacuated, so that its endpoints get no requests, or put back into service", "for endpoints=0 check the name of the zone in the operator's record; for change=Ignored remove records of zones that don't exist";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -246,6 +246,13 @@
         changed
     }
 
+    /// Returns whether no newer heartbeat of the same entry than this one has arrived.
+    pub fn is_newest(&self, heartbeat: &Heartbeat) -> bool {
+        let known = self.others.get(&heartbeat.peer);
+        let known = known.filter(|m| m.sends_heartbeats);
+        known.is_none_or(|m| heartbeat.order() >= m.heartbeat.order())
+    }
+
     /// Notes that a datagram of an entry arrived. One that joined lately gets the next datagram, whatever its zone, because
     /// it may know only the entries to which it sends.
     pub fn note_sender(&mut self, peer: SocketAddr, now: Millis) {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     base::Millis,
-    decide::{quarantine::PartReport, returning::Rejection},
+    decide::{evacuation::EvacuationCopy, quarantine::PartReport, returning::Rejection},
 };
 
 /// A desired version of weights and the time since it became desired, as a process knows it; see [`WriteAge`].
@@ -72,6 +72,29 @@
     pub const MAX: Millis = Millis(16_000);
 }
 
+/// What may follow the message in a datagram.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Appended {
+    /// Times for which the senders of the heartbeats have read the store.
+    pub times: ReadTimes,
+    /// What the sender of a [`Gossip`] knows of evacuated zones; entries of a build without it ignore what follows the
+    /// times.
+    pub evacuation: Option<EvacuationCopy>,
+}
+
+impl Appended {
+    /// Decodes what follows a message. What cannot be decoded is left out.
+    fn decode(data: &[u8]) -> Self {
+        let Ok((times, rest)) = postcard::take_from_bytes(data) else {
+            return Self::default();
+        };
+        Self {
+            times,
+            evacuation: postcard::from_bytes(rest).ok(),
+        }
+    }
+}
+
 /// Request of an entry for permission to send a probe of a quarantined part; the reply is a [`PermitReply`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProbeRequest {
@@ -103,15 +126,15 @@
 }
 
 impl Message {
-    /// Decodes a datagram: a message, and the times that may follow it. What another build may send in their place does
-    /// not make this one reject the message.
+    /// Decodes a datagram: a message, and what may follow it. What another build may send in its place does not make
+    /// this one reject the message.
     ///
     /// # Errors
     ///
     /// Returns an error if the datagram holds no message.
-    pub fn decode(data: &[u8]) -> postcard::Result<(Self, ReadTimes)> {
+    pub fn decode(data: &[u8]) -> postcard::Result<(Self, Appended)> {
         let (message, rest) = postcard::take_from_bytes(data)?;
-        Ok((message, postcard::from_bytes(rest).unwrap_or_default()))
+        Ok((message, Appended::decode(rest)))
     }
 
     /// Returns the message with the ages that hold after it has lain in the socket for a time.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,6 +5,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{exponential_buckets, Histogram},
     },
 };
@@ -66,6 +67,10 @@
     pub(super) response: Family<ServiceLabel, Histogram>,
     /// Time to the first event of a stream, in seconds.
     pub(super) first: Family<ServiceLabel, Histogram>,
+    /// Zones whose endpoints get no requests.
+    pub(super) evacuated_zones: Gauge,
+    /// Requests that were not sent after all because the zone of the chosen endpoint was evacuated meanwhile.
+    pub(super) evacuation_withheld: Counter,
     /// Datagrams that could not be decoded.
     pub(super) ignored_datagrams: Counter,
     /// Log lines left out under load.
@@ -95,6 +100,8 @@
             permits: Family::default(),
             response: Family::new_with_constructor(latency_histogram),
             first: Family::new_with_constructor(latency_histogram),
+            evacuated_zones: Gauge::default(),
+            evacuation_withheld: Counter::default(),
             ignored_datagrams: Counter::default(),
             left_out: Counter::default(),
             lines,
@@ -126,6 +133,11 @@
             r.register("gateway_response_seconds", help, out.response.clone());
             let help = "Time to the first event of a stream";
             r.register("gateway_first_event_seconds", help, out.first.clone());
+            let help = "Zones whose endpoints get no requests";
+            r.register("gateway_evacuated_zones", help, out.evacuated_zones.clone());
+            let help = "Requests withheld just before the send because of an evacuated zone";
+            let withheld = out.evacuation_withheld.clone();
+            r.register("gateway_evacuation_withheld", help, withheld);
             let help = "Datagrams that could not be decoded";
             let ignored = out.ignored_datagrams.clone();
             r.register("gateway_ignored_datagrams", help, ignored);
--- a/src/gateway/operator_records.rs
+++ b/src/gateway/operator_records.rs
@@ -16,7 +16,10 @@
     steadiness::ResponseTime,
     write_time::WriteAge,
 };
-use crate::base::{Clock, HashMap, Millis, SystemClock};
+use crate::{
+    base::{Clock, HashMap, Millis, SystemClock, Zone},
+    decide::evacuation::EvacuationRead,
+};
 
 /// Decodes the records of the platform's store.
 pub trait Decode: 'static {
@@ -28,6 +31,12 @@
     /// Returns why the value cannot be decoded.
     fn operator_record(key: &[u8], value: &[u8]) -> Result<Option<OperatorRecord>, String>;
 
+    /// Returns the name of the zone that a record of [`Topic::Operator`](super::Topic::Operator) with this key evacuates
+    /// while it has a value; `None` if records with the key do not evacuate zones.
+    fn evacuated_zone(_key: &[u8]) -> Option<&[u8]> {
+        None
+    }
+
     /// Decodes the value of a configuration record.
     ///
     /// # Errors
@@ -52,6 +61,9 @@
     /// process started.
     fn weights(&self, model: Rc<str>, version: WeightVersion, age: Option<WriteAge>);
 
+    /// Applies what a read of the log says of evacuated zones; called after each read.
+    fn evacuation(&self, _read: EvacuationRead) {}
+
     /// See [`Follower::handover_time`].
     fn handover_time(&self) -> Option<Millis> {
         None
@@ -88,6 +100,8 @@
     age: Cell<(Option<WriteAge>, Millis)>,
     /// Newest version of each model that was applied.
     applied: RefCell<HashMap<Rc<str>, WeightVersion>>,
+    /// What the read in progress says of evacuated zones.
+    evacuation: RefCell<EvacuationRead>,
     /// Whether the first read is done.
     read: Cell<bool>,
     /// Whether even the first read waits until the sink's [`OperatorSink::should_read`] is true.
@@ -103,6 +117,7 @@
             clock: SystemClock::start(),
             age: Cell::default(),
             applied: RefCell::default(),
+            evacuation: RefCell::default(),
             read: Cell::new(false),
             on_demand: false,
             _decode: PhantomData,
@@ -138,6 +153,27 @@
     }
 }
 
+impl<D: Decode, T: OperatorSink> OperatorFollower<D, T> {
+    /// Notes a record that evacuates a zone, or that puts it back into service because it has no value. Returns whether
+    /// the record is such a one.
+    fn note_evacuation(&self, record: &Record) -> bool {
+        let Some(name) = D::evacuated_zone(&record.key) else {
+            return false;
+        };
+        match String::from_utf8_lossy(name).parse::<Zone>() {
+            Ok(zone) => {
+                let zones = &mut self.evacuation.borrow_mut().zones;
+                zones.push((zone, record.value.is_some()));
+            }
+            Err(e) => {
+                let key = String::from_utf8_lossy(&record.key);
+                self.sink.malformed(&key, &e.to_string());
+            }
+        }
+        true
+    }
+}
+
 impl<D: Decode, T: OperatorSink> Follower for OperatorFollower<D, T> {
     fn note_age(&self, age: Option<WriteAge>) {
         self.age.set((age, self.clock.now()));
@@ -148,6 +184,9 @@
     }
 
     fn apply(&self, record: Record) {
+        if self.note_evacuation(&record) {
+            return;
+        }
         let Some(value) = record.value else {
             return;
         };
@@ -166,12 +205,26 @@
     }
 
     fn replace(&self, records: Vec<Record>) {
+        // Zones whose records are absent are in service.
+        self.evacuation.replace(EvacuationRead {
+            whole: true,
+            ..EvacuationRead::default()
+        });
         for record in records {
             self.apply(record);
         }
         self.read.set(true);
     }
 
+    fn batch_applied(&self, next: u64, age: Option<Millis>) {
+        let read = self.evacuation.take();
+        self.sink.evacuation(EvacuationRead {
+            position: next,
+            age,
+            ..read
+        });
+    }
+
     fn store_recovered(&self) {}
 
     fn should_read(&self) -> bool {
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -273,6 +273,7 @@
                 oldest_queued: WeightVersion(0),
             }),
             exact: None,
+            evacuation: None,
             tried: &[],
             owned: &HashSet::default(),
             read_rate: None,
--- a/tests/extreme_records.rs
+++ b/tests/extreme_records.rs
@@ -38,6 +38,7 @@
             oldest_queued: WeightVersion(0),
         }),
         exact: None,
+        evacuation: None,
         tried: &[],
         owned,
         read_rate: Some(30.0),
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -54,6 +54,7 @@
             oldest_queued: WeightVersion(0),
         }),
         exact: None,
+        evacuation: None,
         tried: &[],
         owned,
         read_rate: None,
--- a/tests/gateway_homes.rs
+++ b/tests/gateway_homes.rs
@@ -90,6 +90,7 @@
         zone,
         weights: None,
         exact: None,
+        evacuation: None,
         tried: &[],
         owned,
         read_rate: Some(20.0),
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -89,6 +89,10 @@
         Ok(Some(OperatorRecord::Weights(model.into(), version)))
     }
 
+    fn evacuated_zone(key: &[u8]) -> Option<&[u8]> {
+        key.strip_prefix(b"evacuate/")
+    }
+
     fn catalog(_: &[u8]) -> Result<Catalog, String> {
         CATALOG.with_borrow(Clone::clone).ok_or("no catalog".into())
     }
--- a/tests/version_margins/main.rs
+++ b/tests/version_margins/main.rs
@@ -234,6 +234,7 @@
                 oldest_queued: enforced(self.margins.queue()).unwrap_or_default(),
             }),
             exact: None,
+            evacuation: None,
             tried: &[],
             owned: &none,
             read_rate: None,
