--- a/tests/uneven_endpoints.rs
+++ b/tests/uneven_endpoints.rs
@@ -131,6 +131,7 @@
                 zone: &zone,
                 weights: None,
                 exact: None,
+                evacuation: None,
                 tried: &[],
                 owned: &owned[entry],
                 read_rate: None,
