feat(gateway): requests stay in the regions that their route and workspace allow

Callers would see requests of restricted routes and workspaces served in any region: `allowed_regions` was not read.

Routes and tenants are decoded with `allowed_regions`; a value that is no list counts as absent, and an entry that can name no region is left out, each with one log line. When a catalog takes force, the zones of its lists are determined once from `[zones]`. A request keeps the lists of its route and its workspace from its acceptance. `is_capable` and `withhold_reason` check the endpoint's zone against both, so that first attempts, retries, resumed streams and attempts beside a silent endpoint go through the same check. `Retry-After` is computed from the allowed endpoints only. One line (SW476) per configuration names what no endpoint can serve.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,6 +10,7 @@
 pub mod member;
 pub mod permit;
 pub mod quarantine;
+pub mod residency;
 pub mod retry;
 pub mod returning;
 pub mod rollout;
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -26,7 +26,7 @@
 };
 use crate::{
     base::{rendezvous, Millis, Service},
-    decide::{quarantine::PartKey, stop},
+    decide::{quarantine::PartKey, residency::Residency, stop},
 };
 
 /// Deadline of requests without a deadline header, counted from their arrival.
@@ -73,6 +73,8 @@
     pub(super) returning: bool,
     /// Priority of the workspace, or else of the route; 0 is the most urgent.
     pub(super) priority: u8,
+    /// Where the request may be served.
+    pub(super) residency: Residency,
 }
 
 impl Job {
@@ -238,6 +240,8 @@
     let service = route.service(rendezvous(b"split", id.as_bytes())).clone();
     let parts = parts.into_iter().map(|id| PartKey::new(&service, id));
     let parts = parts.collect();
+    let regions = workspace.as_ref().and_then(|w| w.allowed_regions.clone());
+    let residency = Residency::new(route.allowed_regions.clone(), regions);
     let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
     let mut job = Job {
         returning: false,
@@ -257,6 +261,7 @@
         start,
         last_event,
         priority,
+        residency,
         route,
     };
     job.returning = is_returning(ctx, &job);
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::base::{HashMap, Millis, Service, Workspace, Zone};
+use crate::{
+    base::{HashMap, Millis, Service, Workspace, Zone},
+    decide::residency::AllowedRegions,
+};
 
 /// Version of a catalog; a later one has a higher number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -59,6 +62,8 @@
     pub priority: u8,
     /// Whether callers need no API key.
     pub public: bool,
+    /// Regions in which requests may be served; `None` if in all.
+    pub allowed_regions: Option<Rc<AllowedRegions>>,
 }
 
 impl Route {
@@ -148,6 +153,8 @@
     pub name: Workspace,
     /// Priority that replaces the route's; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Regions in which requests may be served; `None` if in all.
+    pub allowed_regions: Option<Rc<AllowedRegions>>,
 }
 
 /// Limits for connections and requests of callers.
@@ -187,6 +194,8 @@
     pub keys: Option<HashMap<Bytes, Rc<WorkspaceSpec>>>,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// Fields whose values were invalid, so that their defaults are used; for the log.
+    pub faults: Vec<String>,
 }
 
 impl Catalog {
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -119,6 +119,7 @@
     let tried = attempts.tried();
     let query = EndpointQuery {
         zone: &ctx.settings.zone,
+        residency: Some(&job.residency),
         weights,
         exact: attempts.version.get(),
         tried: &tried,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -214,12 +214,14 @@
 
     /// Puts a catalog in force unless it is no newer than the present one; returns whether it did. `raw` is its encoded
     /// form, for other entries.
-    pub(super) fn set_catalog(&self, catalog: Catalog, raw: Bytes) -> bool {
+    pub(super) fn set_catalog(&self, mut catalog: Catalog, raw: Bytes) -> bool {
         let mut current = self.catalog.borrow_mut();
         let known = current.as_ref().map(|c| c.version);
         if known.is_some_and(|v: CatalogVersion| v >= catalog.version) {
             return false;
         }
+        catalog.resolve_regions(&self.settings.zones);
+        catalog.log_faults();
         *current = Some(Rc::new(catalog));
         *self.raw_catalog.borrow_mut() = raw;
         *self.compressed_catalog.borrow_mut() = None;
--- a/src/gateway/endpoint_query.rs
+++ b/src/gateway/endpoint_query.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     base::{HashSet, Millis, Zone},
-    decide::supersede::Margins,
+    decide::{residency::Residency, supersede::Margins},
 };
 
 /// Loads of a newer version that the hosts of a service have still to begin.
@@ -40,6 +40,8 @@
 pub struct EndpointQuery<'a> {
     /// Availability zone of the entry.
     pub zone: &'a Zone,
+    /// Regions in which the request may be served; `None` if in all.
+    pub residency: Option<&'a Residency>,
     /// Required weights; `None` for services without engines.
     pub weights: Option<WeightRequirement<'a>>,
     /// The one version on which a broken stream may be continued; `None` if the request has not streamed anything.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -182,6 +182,9 @@
     match ctx.endpoints.borrow().get(id) {
         None => Some("the endpoint was removed"),
         Some(e) if e.record.draining => Some("the endpoint is draining"),
+        Some(e) if !job.residency.allows(&e.record.zone) => {
+            Some("the endpoint is in a region that is not allowed")
+        }
         Some(_) => None,
     }
 }
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -12,6 +12,7 @@
 //! | an endpoint sends `Retry-After` | paused until then, whatever else is reported of it |
 //! | an endpoint limits its request rate | closed after each denied permit until another may be granted |
 //! | an endpoint fails part of its requests | its cost grows, so that it is used only when the others are loaded |
+//! | the request may be served in some regions only | the others' endpoints neither get it nor count for `Retry-After` |
 //! | an endpoint is lost | its circuit breaker opens |
 
 use std::net::SocketAddr;
@@ -138,9 +139,9 @@
 }
 
 /// Returns the jittered `Retry-After` for a request that no endpoint can run.
-fn unavailable_retry_after(endpoints: &[&Endpoint]) -> Millis {
-    let loading = |e: &&Endpoint| !e.record.draining && e.record.models.is_empty();
-    let mean = if endpoints.iter().any(loading) {
+fn unavailable_retry_after<'e>(mut endpoints: impl Iterator<Item = &'e Endpoint>) -> Millis {
+    let loading = |e: &Endpoint| !e.record.draining && e.record.models.is_empty();
+    let mean = if endpoints.any(loading) {
         RETRY_AFTER_LOADING
     } else {
         RETRY_AFTER_UNAVAILABLE
@@ -163,7 +164,8 @@
         let endpoints: Vec<_> = endpoints.collect();
         let found = self.candidates(&endpoints, query, now);
         if !found.any_capable {
-            return Err(Refusal::Unavailable(unavailable_retry_after(&endpoints)));
+            let allowed = endpoints.into_iter().filter(|e| query.is_allowed(e));
+            return Err(Refusal::Unavailable(unavailable_retry_after(allowed)));
         }
         let available = found.available;
         found.best().ok_or_else(|| self.overloaded(available, now))
@@ -258,6 +260,9 @@
     }
 
     fn is_capable(&self, e: &Endpoint, query: &EndpointQuery<'_>) -> bool {
+        if !query.is_allowed(e) {
+            return false;
+        }
         if e.record.draining || query.tried.contains(&e.id) {
             return false;
         }
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -55,6 +55,9 @@
     /// The wait for a response ended of a request at an endpoint with superseded weights.
     SUPERSEDED = 468, "gateway-superseded", Info,
         "a request to an endpoint with superseded weights began there or did not", "compare `sent` and `begun`, the times left until it had to begin";
+    /// Requests of a route or a workspace can be served in no region.
+    RESIDENCY = 476, "gateway-residency", Warn,
+        "no endpoint may serve the requests of a route or a workspace, because of the regions that it allows", "correct allowed_regions in the configuration, or the zones in the settings";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod race;
 mod record;
 mod reply;
+mod residency;
 mod returning;
 mod run;
 mod schedule;
@@ -92,6 +93,7 @@
     StoreError, Topic, WeightVersion,
 };
 pub use reply::Reject;
+pub use residency::Unservable;
 pub use run::{run, run_with};
 pub use schedule::LoadSchedule;
 pub use settings::{Bounds, GatewaySettings, Listen};
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use crate::base::{Millis, Percent, ProcessName, Region, Zone};
+use crate::{
+    base::{Millis, Percent, ProcessName, Region, Zone},
+    decide::residency::ZoneRegions,
+};
 
 /// Addresses on which an entry listens.
 #[derive(Clone, Copy, Debug)]
@@ -66,6 +69,8 @@
     pub zone: Zone,
     /// Region in which the entry runs.
     pub region: Region,
+    /// Region of each availability zone.
+    pub zones: ZoneRegions,
     /// Addresses on which the entry listens.
     pub listen: Listen,
     /// Gossip addresses of entries to contact at the start; may be stale.
--- a/tests/catalog_change.rs
+++ b/tests/catalog_change.rs
@@ -56,6 +56,7 @@
         let spec = WorkspaceSpec {
             name: "other".parse().expect("a valid name"),
             priority: Some(9),
+            allowed_regions: None,
         };
         let keys = c.keys.get_or_insert_default();
         keys.insert("key".into(), Rc::new(spec));
--- a/tests/gateway_catalog.rs
+++ b/tests/gateway_catalog.rs
@@ -20,6 +20,7 @@
         objective: Millis(100),
         priority: 0,
         public: false,
+        allowed_regions: None,
     }
 }
 
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -36,6 +36,7 @@
         name: "entry".parse().expect("a valid name"),
         zone: "a".parse().expect("a valid name"),
         region: "r".parse().expect("a valid name"),
+        zones: Default::default(),
         listen: Listen {
             callers: addr(n, CALLERS),
             readiness: Some(addr(n, 8002)),
@@ -62,6 +63,7 @@
         objective: Millis(100),
         priority: 0,
         public: false,
+        allowed_regions: None,
     }
 }
 
@@ -69,6 +71,7 @@
     let workspace = WorkspaceSpec {
         name: "w".parse().expect("a valid name"),
         priority: None,
+        allowed_regions: None,
     };
     let mut keys = HashMap::default();
     keys.insert("key".into(), Rc::new(workspace));
