feat(gateway): the directory names entries in allowed regions, and none that is gone

Callers of a host whose routes allow some regions would be sent to entries of any region. After an entry was held up, or had just started, callers could be sent to entries that had ended long before.

Causes: the directory saw only the zone in the query. Heartbeats that lay in the socket during a pause counted from the read, and the announcement in the store, which outlasts an entry, counted as a sign of life.

The directory reads `name` and `region` too. For a host with restricted routes it names entries in the caller's region or in a region that all these routes allow, the caller's region first; other hosts get what they got. Until the entry has a catalog it prefers the caller's region. Liveness for all else is unchanged.

--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -119,9 +119,68 @@
         Self { route, workspace }
     }
 
+    /// Returns whether not all endpoints may serve the request.
+    pub fn is_restricted(&self) -> bool {
+        self.route.is_some() || self.workspace.is_some()
+    }
+
     /// Returns whether endpoints in a zone may serve the request.
     pub fn allows(&self, zone: &Zone) -> bool {
         let mut lists = self.route.iter().chain(&self.workspace);
         lists.all(|list| list.allows(zone))
     }
 }
+
+/// Regions whose entries a caller of a host may be sent to: its own, and those that all restricted routes of the host
+/// allow. The default is any.
+#[derive(Clone, Debug, Default)]
+pub struct EntryScope<'a> {
+    map: Option<&'a ZoneRegions>,
+    /// Region of the caller, if it is known.
+    home: Option<&'a str>,
+    /// Lists of the routes that have one.
+    lists: Vec<&'a AllowedRegions>,
+    prefers_home: bool,
+}
+
+impl<'a> EntryScope<'a> {
+    /// Creates the scope of a caller that is in the region `home`, or else in that of its zone. `lists` are those of the
+    /// host's routes; `None` if the routes are not known yet, so that entries of the own region are safe.
+    pub fn new(
+        map: &'a ZoneRegions,
+        home: &'a str,
+        zone: &str,
+        lists: Option<Vec<&'a AllowedRegions>>,
+    ) -> Self {
+        let by_zone = || map.region(zone).map(Region::as_str);
+        Self {
+            map: Some(map),
+            home: Some(home).filter(|h| !h.is_empty()).or_else(by_zone),
+            prefers_home: lists.as_ref().is_none_or(|l| !l.is_empty()),
+            lists: lists.unwrap_or_default(),
+        }
+    }
+
+    fn region(&self, zone: &Zone) -> Option<&'a Region> {
+        self.map?.region(zone.as_str())
+    }
+
+    /// Returns whether entries of a zone are in the caller's region, and these come before others.
+    pub fn prefers(&self, zone: &Zone) -> bool {
+        self.prefers_home && self.is_home(zone)
+    }
+
+    fn is_home(&self, zone: &Zone) -> bool {
+        let region = self.region(zone).map(Region::as_str);
+        region.is_some() && region == self.home
+    }
+
+    /// Returns whether the caller may be sent to entries of a zone.
+    pub fn admits(&self, zone: &Zone) -> bool {
+        if self.lists.is_empty() || self.is_home(zone) {
+            return true;
+        }
+        let region = self.region(zone);
+        region.is_some_and(|r| self.lists.iter().all(|l| l.contains(r)))
+    }
+}
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -209,14 +209,18 @@
         list.insert(at, Rc::new(route));
     }
 
+    /// Returns the routes of a host; its name may be followed by a port.
+    pub fn routes_of(&self, host: &str) -> Option<&[Rc<Route>]> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let list = self.routes.get(name);
+        let list = list.or_else(|| self.routes.get(name.to_ascii_lowercase().as_str()));
+        list.map(Vec::as_slice)
+    }
+
     /// Returns the route of a request: the one of its host whose prefix is the longest that begins the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let list = match self.routes.get(name) {
-            Some(list) => list,
-            None => self.routes.get(name.to_ascii_lowercase().as_str())?,
-        };
-        list.iter().find(|r| path.starts_with(&*r.prefix))
+        let mut list = self.routes_of(host)?.iter();
+        list.find(|r| path.starts_with(&*r.prefix))
     }
 
     /// Returns the location of the weight store, if a service is the weight store.
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use super::Membership;
-use crate::base::Millis;
+use crate::{base::Millis, decide::residency::EntryScope};
 
 /// Largest number of addresses in one response.
 const ADDRESSES_MAX: usize = 64;
@@ -22,15 +22,42 @@
     pub ttl_s: u64,
 }
 
+/// What a caller asks the directory for. A part that it leaves out is empty.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DirectoryQuery<'a> {
+    /// Host name to which the caller's requests go.
+    pub host: &'a str,
+    /// Region of the caller.
+    pub region: &'a str,
+    /// Availability zone of the caller.
+    pub zone: &'a str,
+}
+
+impl<'a> DirectoryQuery<'a> {
+    /// Parses the query of a URI; unknown parts are ignored.
+    pub fn parse(text: &'a str) -> Self {
+        let part = |name: &str| {
+            let mut pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(n, _)| *n == name).map_or("", |(_, v)| v)
+        };
+        Self {
+            host: part("name"),
+            region: part("region"),
+            zone: part("zone"),
+        }
+    }
+}
+
 impl Directory {
-    /// Returns the entries for a caller of a zone, valid for `ttl_max` at most; `None` if no entry is ready.
+    /// Returns the entries of a scope for a caller of a zone, valid for `ttl_max` at most; `None` if none is ready.
     pub fn for_caller(
         members: &Membership,
         zone: &str,
+        scope: &EntryScope<'_>,
         ttl_max: Millis,
         now: Millis,
     ) -> Option<Self> {
-        let addresses = members.addresses(zone, ADDRESSES_MAX, now);
+        let addresses = members.addresses_within(zone, scope, ADDRESSES_MAX, now);
         if addresses.is_empty() {
             return None;
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -64,7 +64,7 @@
         };
         let message = message.aged(waited);
         match message {
-            Message::Gossip(datagram) => merge_gossip(&ctx, datagram, &times),
+            Message::Gossip(datagram) => merge_gossip(&ctx, datagram, &times, waited),
             Message::Endpoint(update) => apply_update(&ctx, &update),
             Message::Limits(reports) => permits::merge_limits(&ctx, &reports),
             Message::PermitRequest(_) | Message::ProbeRequest(_)
@@ -85,8 +85,9 @@
     }
 }
 
-/// Merges a datagram of another entry; `times` are those of its heartbeats.
-fn merge_gossip(ctx: &Context, datagram: Gossip, times: &ReadTimes) {
+/// Merges a datagram of another entry; `times` are those of its heartbeats, `waited` is the time for which it lay in the
+/// socket.
+fn merge_gossip(ctx: &Context, datagram: Gossip, times: &ReadTimes, waited: Millis) {
     let now = ctx.now();
     ctx.merge_desired(datagram.desired);
     let sender = datagram.heartbeats.first().map(|h| h.peer);
@@ -99,7 +100,7 @@
     for (i, heartbeat) in datagram.heartbeats.into_iter().enumerate() {
         let (peer, status) = (heartbeat.peer, heartbeat.status);
         let time = times.0.get(i).copied();
-        if members.merge_timed(heartbeat, time, now) {
+        if members.merge_waited(heartbeat, time, waited, now) {
             emit!(log_event::MEMBER, "entry={peer} ready={}", status.ready);
         }
         if ctx.is_ahead(&status) {
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -5,6 +5,7 @@
 //! heartbeats of other entries if they do not go to all, or if an entry joined lately. An entry whose heartbeat count does
 //! not increase is left out of the directory.
 
+mod directory;
 mod readers;
 
 use std::net::SocketAddr;
@@ -100,6 +101,8 @@
     pub heartbeat: Heartbeat,
     /// Time at which this entry received that heartbeat or announcement.
     last_seen: Millis,
+    /// Time at which that arrived at this host, which is earlier if this process was held up.
+    heard: Millis,
     /// Time at which this entry first received a heartbeat or the announcement of the entry's present process.
     joined: Millis,
     /// Whether a heartbeat arrived, not only the announcement in the store.
@@ -122,6 +125,7 @@
             reads_since: heartbeat.status.reads_store.then_some(now),
             heartbeat,
             last_seen: now,
+            heard: now,
             joined: now,
             sends_heartbeats,
             backoff_until: Millis::ZERO,
@@ -208,15 +212,27 @@
         self.merge_timed(heartbeat, None, now)
     }
 
+    /// Merges a received heartbeat that did not lie in the socket; see [`Self::merge_waited`].
+    pub fn merge_timed(
+        &mut self,
+        heartbeat: Heartbeat,
+        read_time: Option<Millis>,
+        now: Millis,
+    ) -> bool {
+        self.merge_waited(heartbeat, read_time, Millis::ZERO, now)
+    }
+
     /// Merges a received heartbeat; returns whether the entry thereby became live or changed its readiness. `read_time`
-    /// is the time for which the entry has read the store without a gap, if it says so.
+    /// is the time for which the entry has read the store without a gap, if it says so; `waited` is the time for which the
+    /// heartbeat lay in the socket.
     ///
     /// A gap between the heartbeats that arrive may be a pause of this process, or lost datagrams; what another entry says
     /// of its own reads holds all the same.
-    pub fn merge_timed(
+    pub fn merge_waited(
         &mut self,
         heartbeat: Heartbeat,
         read_time: Option<Millis>,
+        waited: Millis,
         now: Millis,
     ) -> bool {
         if heartbeat.peer == self.me.peer {
@@ -226,6 +242,7 @@
         let Some(known) = self.others.get_mut(&heartbeat.peer) else {
             let mut member = Member::new(heartbeat, true, now);
             member.reads_since = member.reads_since.map(|at| told.unwrap_or(at));
+            member.heard = now - waited;
             self.others.insert(member.heartbeat.peer, member);
             return true;
         };
@@ -242,6 +259,7 @@
         known.reads_since = reads.then(|| told.or(since).unwrap_or(now));
         known.heartbeat = heartbeat;
         known.last_seen = now;
+        known.heard = now - waited;
         known.sends_heartbeats = true;
         changed
     }
@@ -267,7 +285,7 @@
         let mut newest: Vec<_> = self
             .others
             .values()
-            .filter(|m| m.sends_heartbeats && m.is_live(now))
+            .filter(|m| m.sends_heartbeats && m.is_live(now) && now < m.heard + TIMEOUT)
             .collect();
         newest.sort_unstable_by_key(|m| std::cmp::Reverse(m.last_seen));
         // Entries that joined lately come first, but do not displace all others.
@@ -398,31 +416,4 @@
         }
         Fleet { live, known }
     }
-
-    /// Returns up to `max` addresses for a caller of `zone`: entries of the zone if at least `NEAR_MIN` are ready,
-    /// else of all zones; in random order.
-    pub fn addresses(&self, zone: &str, max: usize, now: Millis) -> Vec<SocketAddr> {
-        let others = self.others.values().filter(|m| m.is_live(now));
-        let all: Vec<&Heartbeat> = others
-            .map(|m| &m.heartbeat)
-            .chain([&self.me])
-            .filter(|b| b.status.ready)
-            .collect();
-        let near: Vec<_> = all
-            .iter()
-            .filter(|b| b.zone.as_str() == zone)
-            .map(|b| b.callers)
-            .collect();
-        let mut out = if near.len() >= NEAR_MIN {
-            near
-        } else {
-            all.iter().map(|b| b.callers).collect()
-        };
-        fastrand::shuffle(&mut out);
-        out.truncate(max);
-        out
-    }
 }
-
-/// Ready entries of a zone from which on its callers get no entries of other zones.
-const NEAR_MIN: usize = 2;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -56,6 +56,8 @@
     dropped: Family<ProgressLabel, Counter>,
     /// Requests rejected because of a quarantined part.
     pub(super) quarantined: Counter,
+    /// Requests that no endpoint took, of routes or workspaces that allow some regions only.
+    pub(super) restricted: Counter,
     /// Parts that were quarantined or released.
     quarantines: Family<OutcomeLabel, Counter>,
     /// Replies to requests for probes.
@@ -90,6 +92,7 @@
             limited: Counter::default(),
             dropped: Family::default(),
             quarantined: Counter::default(),
+            restricted: Counter::default(),
             quarantines: Family::default(),
             probes: Family::default(),
             permits: Family::default(),
@@ -116,6 +119,12 @@
                 help,
                 out.quarantined.clone(),
             );
+            let help = "Requests rejected whose route or workspace allows some regions only";
+            r.register(
+                "gateway_restricted_rejections",
+                help,
+                out.restricted.clone(),
+            );
             let help = "Parts of prompts that were quarantined or released";
             r.register("gateway_quarantines", help, out.quarantines.clone());
             let help = "Replies to requests for probes; `none` if no entry replied";
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -70,7 +70,7 @@
 };
 pub use compression::{compress, decompress};
 pub use desired::DesiredVersions;
-pub use directory::Directory;
+pub use directory::{Directory, DirectoryQuery};
 pub use endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement};
 pub use endpoint_table::{
     Change, Endpoint, EndpointHash, EndpointId, EndpointTable, EndpointUpdate, TableDelta,
--- a/src/gateway/residency.rs
+++ b/src/gateway/residency.rs
@@ -4,10 +4,13 @@
 use std::{fmt, rc::Rc};
 
 use super::{
+    accept::Job,
     catalog::{Catalog, WorkspaceSpec},
+    context::Context,
     endpoint_query::EndpointQuery,
     endpoint_table::Endpoint,
     log_event,
+    reply::Reject,
 };
 use crate::{
     base::{Excerpt, HashMap, HashSet},
@@ -21,6 +24,14 @@
 /// Largest number of invalid fields of a catalog that are logged.
 const FAULTS_MAX: usize = 16;
 
+/// Counts a rejected request whose route or workspace allows some regions only.
+pub(super) fn count_rejected(ctx: &Context, job: &Job, reject: Reject) {
+    let no_endpoint = matches!(reject, Reject::Unavailable(_) | Reject::Overloaded(_));
+    if no_endpoint && job.residency.is_restricted() {
+        ctx.metrics.restricted.inc();
+    }
+}
+
 impl EndpointQuery<'_> {
     /// Returns whether the request may be served in the region of an endpoint.
     pub(super) fn is_allowed(&self, e: &Endpoint) -> bool {
@@ -81,6 +92,14 @@
         }
     }
 
+    /// Returns the lists of regions of a host's routes; none if the host is unknown.
+    pub fn region_lists(&self, host: &str) -> Vec<&AllowedRegions> {
+        let routes = self.routes_of(host).into_iter().flatten();
+        routes
+            .filter_map(|r| r.allowed_regions.as_deref())
+            .collect()
+    }
+
     /// Returns the routes and workspaces whose requests no endpoint can serve because of their regions.
     pub fn unservable(&self) -> Unservable {
         let mut out = Unservable::default();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,16 +17,20 @@
     assignment::{self, ASSIGNMENT_PATH},
     attempt::Attempts,
     context::{Context, Running},
-    directory::Directory,
+    directory::{Directory, DirectoryQuery},
     evaluate::response_headers,
     log_event,
     metrics::{RequestLabels, ServiceLabel},
     race::{forward, Answer},
     reply::Reject,
+    residency,
     returning::record_rejected,
     stream::{Cut, Relay},
 };
-use crate::{decide::stop, emit};
+use crate::{
+    decide::{residency::EntryScope, stop},
+    emit,
+};
 
 /// Path at which an entry serves its catalog, compressed, to other entries.
 pub(super) const CATALOG_PATH: &str = "/catalog";
@@ -200,6 +204,7 @@
     reject: Reject,
 ) -> CallerResponse<S> {
     record_rejected(ctx, job, reject);
+    residency::count_rejected(ctx, job, reject);
     log_ended(ctx, job, attempts, reject.status(), &reject.to_string());
     count_ended(ctx, job.service.as_str(), reject.status(), reject.reason());
     CallerResponse::Full(reject.response())
@@ -281,17 +286,17 @@
     })
 }
 
-/// Handles a directory request: addresses of ready entries for callers of the zone in the query.
+/// Handles a directory request: addresses of ready entries for callers of the host, region and zone in the query.
 pub(super) fn directory(ctx: &Context, path: &str, query: &str) -> FullResponse {
     if path != ctx.settings.directory_path {
         return empty(StatusCode::NOT_FOUND);
     }
-    let zone = query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("zone="))
-        .unwrap_or_default();
-    let ttl_max = ctx.bounds.get().directory_ttl;
-    let directory = Directory::for_caller(&ctx.members.borrow(), zone, ttl_max, ctx.now());
+    let query = DirectoryQuery::parse(query);
+    let catalog = ctx.catalog.borrow();
+    let lists = catalog.as_ref().map(|c| c.region_lists(query.host));
+    let scope = EntryScope::new(&ctx.settings.zones, query.region, query.zone, lists);
+    let (members, ttl_max) = (ctx.members.borrow(), ctx.bounds.get().directory_ttl);
+    let directory = Directory::for_caller(&members, query.zone, &scope, ttl_max, ctx.now());
     let body = directory.and_then(|d| serde_json::to_vec(&d).ok());
     let Some(body) = body else {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -4,6 +4,7 @@
 
 use sesamewing::{
     base::Millis,
+    decide::residency::EntryScope,
     gateway::{CatalogVersion, Directory, Heartbeat, Membership, ReadTimes, Status, TableDigest},
 };
 
@@ -37,7 +38,8 @@
 }
 
 fn addresses(members: &Membership, zone: &str, now: Millis) -> Vec<SocketAddr> {
-    let directory = Directory::for_caller(members, zone, Millis(5000), now);
+    let scope = EntryScope::default();
+    let directory = Directory::for_caller(members, zone, &scope, Millis(5000), now);
     let mut out = directory.map(|a| a.addresses).unwrap_or_default();
     out.sort_unstable();
     out
