--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
 pub mod permit;
 pub mod priority;
 pub mod quarantine;
+pub mod residency;
 pub mod retry;
 pub mod returning;
 pub mod rollout;
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::base::{HashMap, Millis, Service, Workspace, Zone};
+use crate::{
+    base::{HashMap, Millis, Service, Workspace, Zone},
+    decide::residency::AllowedRegions,
+};
 
 /// Version of a catalog; a later one has a higher number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -59,6 +62,8 @@
     pub priority: u8,
     /// Whether callers need no API key.
     pub public: bool,
+    /// Regions in which requests may be served; `None` if in all.
+    pub allowed_regions: Option<Rc<AllowedRegions>>,
 }
 
 impl Route {
@@ -148,6 +153,8 @@
     pub name: Workspace,
     /// Priority that replaces the route's; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Regions in which requests may be served; `None` if in all.
+    pub allowed_regions: Option<Rc<AllowedRegions>>,
 }
 
 /// Limits for connections and requests of callers.
@@ -187,6 +194,8 @@
     pub keys: Option<HashMap<Bytes, Rc<WorkspaceSpec>>>,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// Fields whose values were invalid, so that their defaults are used; for the log.
+    pub faults: Vec<String>,
 }
 
 impl Catalog {
@@ -200,14 +209,18 @@
         list.insert(at, Rc::new(route));
     }
 
+    /// Returns the routes of a host; its name may be followed by a port.
+    pub fn routes_of(&self, host: &str) -> Option<&[Rc<Route>]> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let list = self.routes.get(name);
+        let list = list.or_else(|| self.routes.get(name.to_ascii_lowercase().as_str()));
+        list.map(Vec::as_slice)
+    }
+
     /// Returns the route of a request: the one of its host whose prefix is the longest that begins the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let list = match self.routes.get(name) {
-            Some(list) => list,
-            None => self.routes.get(name.to_ascii_lowercase().as_str())?,
-        };
-        list.iter().find(|r| path.starts_with(&*r.prefix))
+        let mut list = self.routes_of(host)?.iter();
+        list.find(|r| path.starts_with(&*r.prefix))
     }
 
     /// Returns the location of the weight store, if a service is the weight store.
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -14,6 +14,7 @@
 //! | an endpoint sends `Retry-After` | paused until then, whatever else is reported of it |
 //! | an endpoint limits its request rate | closed after each denied permit until another may be granted |
 //! | an endpoint fails part of its requests | its cost grows, so that it is used only when the others are loaded |
+//! | the request may be served in some regions only | the others' endpoints neither get it nor count for `Retry-After` |
 //! | an endpoint is lost | its circuit breaker opens |
 //! | a zone is evacuated | its endpoints are not capable; the others are chosen by load as before |
 //! | a zone is put back into service | a rising share of requests considers it, with a rising limit of load |
@@ -173,8 +174,9 @@
         let endpoints: Vec<_> = endpoints.collect();
         let found = self.candidates(&endpoints, query, now);
         if !found.any_capable {
-            let in_service = endpoints.into_iter().filter(|e| !query.is_evacuated(e));
-            return Err(Refusal::Unavailable(unavailable_retry_after(in_service)));
+            let usable = |e: &&Endpoint| query.is_allowed(e) && !query.is_evacuated(e);
+            let usable = endpoints.into_iter().filter(usable);
+            return Err(Refusal::Unavailable(unavailable_retry_after(usable)));
         }
         let available = found.available;
         found.best().ok_or_else(|| self.overloaded(available, now))
@@ -272,7 +274,10 @@
     }
 
     fn is_capable(&self, e: &Endpoint, query: &EndpointQuery<'_>) -> bool {
-        if e.record.draining || query.tried.contains(&e.id) || query.is_evacuated(e) {
+        if !query.is_allowed(e) || query.is_evacuated(e) {
+            return false;
+        }
+        if e.record.draining || query.tried.contains(&e.id) {
             return false;
         }
         let Some(required) = query.weights else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -50,6 +50,7 @@
 mod race;
 mod record;
 mod reply;
+mod residency;
 mod returning;
 mod run;
 mod schedule;
@@ -71,7 +72,7 @@
 };
 pub use compression::{compress, decompress};
 pub use desired::DesiredVersions;
-pub use directory::Directory;
+pub use directory::{Directory, DirectoryQuery};
 pub use endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement};
 pub use endpoint_table::{
     Change, Endpoint, EndpointHash, EndpointId, EndpointTable, EndpointUpdate, TableDelta,
@@ -94,6 +95,7 @@
     StoreError, Topic, WeightVersion,
 };
 pub use reply::Reject;
+pub use residency::Unservable;
 pub use run::{run, run_with};
 pub use schedule::LoadSchedule;
 pub use settings::{Bounds, GatewaySettings, Listen};
--- a/tests/evacuated_load.rs
+++ b/tests/evacuated_load.rs
@@ -78,6 +78,7 @@
         returning: false,
         reserve: 0,
         duration: Millis::ZERO,
+        residency: None,
     };
     let e = balancer.pick(table.iter(), &query, now)?;
     balancer.begin(&e.id, 0, now);
--- a/tests/uneven_endpoints.rs
+++ b/tests/uneven_endpoints.rs
@@ -138,6 +138,7 @@
                 returning: false,
                 reserve: 0,
                 duration: Millis::ZERO,
+                residency: None,
             };
             let balancer = &mut balancers[entry];
             let Ok(e) = balancer.pick(table.iter(), &query, now) else {
