--- a/tests/gone_entries.rs
+++ b/tests/gone_entries.rs
@@ -180,7 +180,7 @@
             let settled = now > Millis(3000) && e.plan == Plan::Runs;
             few += usize::from(settled && named.len() < count / 2);
         }
-        now = now + STEP;
+        now += STEP;
     }
     (gone, few)
 }
