fix(gateway): an entry that starts learns of a zone put back from a copy

Callers would see: an entry that read the store after a zone was put back gave it its full share at once, although copies of others named it.

Cause: a copy of the position that is known already was dropped whole. Change: zones put back lately are merged from it.

--- a/src/decide/evacuation.rs
+++ b/src/decide/evacuation.rs
@@ -187,11 +187,14 @@
         if known.is_some_and(|p| now - copy.age < p.since) {
             return Vec::new();
         }
-        let accepted = self.advance(copy.position, Some(copy.age), now);
-        if !accepted || known.is_some_and(|p| p.offset == copy.position) {
+        if !self.advance(copy.position, Some(copy.age), now) {
             return Vec::new();
         }
-        let changes = self.replace(copy.zones.into_iter().collect(), now);
+        let mut changes = Vec::new();
+        if known.is_none_or(|p| p.offset != copy.position) {
+            changes = self.replace(copy.zones.into_iter().collect(), now);
+        }
+        // A process that started since the zone was put back learns of it only by a copy.
         for (zone, age) in copy.restored {
             if !self.zones.contains(&zone) {
                 let at = self.restored.entry(zone).or_insert(now);
--- a/tests/evacuated_zones.rs
+++ b/tests/evacuated_zones.rs
@@ -120,6 +120,7 @@
     assert_eq!(zones.share(&a, NOW + RAMP_TIME), 1.0);
     assert_eq!(zones.share(&zone("b"), NOW), 1.0);
     let mut other = Evacuation::default();
+    other.apply(whole(2, &[]), NOW);
     let sent = zones.copy(NOW + Millis(3000)).expect("a state");
     other.merge(sent, NOW);
     assert_eq!(other.share(&a, NOW), zones.share(&a, NOW + Millis(3000)));
