fix(gateway): one budget for what callers hold, with a decision who is shed

Callers saw an entry that ended for lack of memory, or accepted nobody for lack of descriptors, while others sent large bodies without their end. Cause: bodies of requests were read without a common bound, each frame kept the buffer that it was read into, and nothing bounded the connections.

A budget (decide/shed.rs) counts what each connection holds: its task, the head, the body's buffer, what of a response is not written, and buffered responses of endpoints. When it is used up, the connection longest without progress is shed, then the one that holds most; a complete request that is served never. A request whose body is read is rejected with 503 and Retry-After, any other connection is closed. Bodies are copied out of the read buffers, which stay at 8 KiB. Agents have the same budget at their peers' address.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,6 +14,7 @@
 pub mod returning;
 pub mod rollout;
 pub mod route;
+pub mod shed;
 pub mod silence;
 pub mod stop;
 pub mod supersede;
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -27,6 +27,7 @@
 use crate::{
     base::{rendezvous, Millis, Service},
     decide::{quarantine::PartKey, stop},
+    http::HeldBody,
 };
 
 /// Deadline of requests without a deadline header, counted from their arrival.
@@ -53,6 +54,8 @@
     /// Request headers for the endpoint, without those that differ between attempts.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Keeps the memory of the body counted.
+    _held: Option<HeldBody>,
     pub(super) model: Option<Rc<str>>,
     /// Parts of the prompt that other requests may share.
     pub(super) parts: Vec<PartKey>,
@@ -194,8 +197,9 @@
     let start = ctx.now();
     let catalog = ctx.catalog.borrow().clone();
     let (head, body) = req.into_parts();
+    let held = ctx.callers.body(head.extensions.get());
     let Some(catalog) = catalog.filter(|_| ctx.table_loaded.get()) else {
-        body::discard(body, CallerLimits::default().send_time).await;
+        body::discard(body, CallerLimits::default().send_time, held).await;
         return Err(Reject::Starting(crate::base::jitter(STARTING_RETRY_AFTER)));
     };
     let names = &ctx.headers;
@@ -208,7 +212,7 @@
     } = match address(&head, &catalog, names) {
         Ok(addressed) => addressed,
         Err(reject) => {
-            body::discard(body, limits.send_time).await;
+            body::discard(body, limits.send_time, held).await;
             return Err(reject);
         }
     };
@@ -216,7 +220,7 @@
     let caller_deadline = time_left.map(|left| start + left);
     let deadline = start + time_left.unwrap_or(DEADLINE_DEFAULT).min(route.timeout);
     let time = limits.send_time.min(deadline - ctx.now());
-    let body = body::read(body, limits.body_max, time).await?;
+    let body = body::read(body, limits.body_max, time, held).await?;
     let mut headers = head.headers;
     let model = text(&headers, &names.model).map(Rc::from);
     let parts = shared_parts(text(&headers, &names.parts).unwrap_or_default());
@@ -248,7 +252,8 @@
         method: head.method,
         uri,
         headers,
-        body,
+        body: body.data,
+        _held: body.held,
         model,
         parts,
         prompt_tokens,
--- a/src/gateway/buffers.rs
+++ b/src/gateway/buffers.rs
@@ -1,32 +1,21 @@
-//! Memory for responses of endpoints that are not passed on yet, shared by all requests of an entry.
+//! Memory of endpoints' responses that are not passed on yet, within the budget for callers.
 //!
 //! The size of each response is limited, but not how many a faulty endpoint begins at once: a process whose responses
 //! together need more memory than its host has is killed with all its requests. So a response that grows over its equal
-//! share of the memory is given up once the memory is used up.
+//! share of the memory is given up once the memory is used up (`decide/shed.rs`).
 
-use std::{cell::Cell, rc::Rc};
+use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-/// Memory for all buffered responses, in bytes: a tenth of that of the smallest hosts, as vectors that grow take up to
-/// twice their content, and shares that were taken earlier may add as much again.
-const BUFFERED_MAX: usize = 16 << 20;
-
-/// The memory that buffered responses hold.
-#[derive(Debug, Default)]
-pub(super) struct Buffers {
-    /// Sum of the sizes of all responses, in bytes.
-    used: Cell<usize>,
-    /// Number of responses that hold memory.
-    holders: Cell<usize>,
-}
+use crate::http::Callers;
 
 /// The memory that one response holds, until it is dropped.
 #[derive(Debug)]
 pub(super) struct Held {
-    buffers: Rc<Buffers>,
+    callers: Rc<Callers>,
     /// Size of the response so far, in bytes.
     size: usize,
 }
@@ -50,35 +39,24 @@
     NoMemory(#[from] NoMemory),
 }
 
-impl Buffers {
+impl Held {
     /// Begins a response, which holds nothing yet.
-    pub(super) fn hold(self: &Rc<Self>) -> Held {
-        self.holders.set(self.holders.get() + 1);
-        Held {
-            buffers: self.clone(),
+    pub(super) fn new(callers: &Rc<Callers>) -> Self {
+        callers.begin_response();
+        Self {
+            callers: callers.clone(),
             size: 0,
         }
     }
 
-    /// Returns the size that each response may have, however much memory is used.
-    fn share(&self) -> usize {
-        BUFFERED_MAX / self.holders.get().max(1)
-    }
-}
-
-impl Held {
     /// Sets the size of the response.
     ///
     /// # Errors
     ///
     /// Returns an error, and leaves the size as it was, if the response grows over its share and the memory is used up.
     pub(super) fn resize(&mut self, size: usize) -> Result<(), NoMemory> {
-        let buffers = &self.buffers;
-        let used = buffers.used.get() - self.size + size;
-        if size > self.size && used > BUFFERED_MAX && size > buffers.share() {
-            return Err(NoMemory(self.size));
-        }
-        buffers.used.set(used);
+        let resized = self.callers.resize_response(self.size, size);
+        resized.map_err(|_| NoMemory(self.size))?;
         self.size = size;
         Ok(())
     }
@@ -86,9 +64,7 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        let buffers = &self.buffers;
-        buffers.used.set(buffers.used.get() - self.size);
-        buffers.holders.set(buffers.holders.get() - 1);
+        self.callers.end_response(self.size);
     }
 }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -9,7 +9,6 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use super::{
-    buffers::Buffers,
     catalog::{Catalog, CatalogVersion},
     desired::DesiredVersions,
     endpoint_table::{EndpointId, EndpointTable},
@@ -38,7 +37,7 @@
         supersede::{Expiry, Margins},
     },
     emit,
-    http::Pool,
+    http::{Callers, Pool},
 };
 
 /// Number of newest desired versions that have a load schedule; hosts skip versions older than these.
@@ -53,7 +52,8 @@
     pub(super) bounds: Cell<Bounds>,
     pub(super) headers: Headers,
     pub(super) pool: Pool,
-    pub(super) buffers: Rc<Buffers>,
+    /// Memory and connections for callers.
+    pub(super) callers: Rc<Callers>,
     pub(super) metrics: GatewayMetrics,
     pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
     /// Encoded catalog, and its compressed form from the first query of another entry on.
@@ -125,10 +125,10 @@
             started: clock.now(),
             clock,
             bounds: Cell::new(settings.bounds),
+            callers: Callers::new(settings.host.capacity()),
             settings,
             headers,
             pool: Pool::default(),
-            buffers: Rc::default(),
             metrics,
             catalog: RefCell::default(),
             raw_catalog: RefCell::default(),
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -16,7 +16,7 @@
 use super::{
     accept::Job,
     attempt::{Attempt, Attempts, StreamingResponse, Target},
-    buffers::{self, BufferError},
+    buffers::{self, BufferError, Held},
     context::Context,
     dropped::note_dropped,
     ending::{Ending, Progress},
@@ -280,7 +280,7 @@
 ) -> Attempt {
     let known = screen::generations(ctx, job);
     let left = job.deadline - ctx.now();
-    let mut held = ctx.buffers.hold();
+    let mut held = Held::new(&ctx.callers);
     let read = buffers::collect(body, RESPONSE_MAX, &mut held);
     let body = match tokio::time::timeout(left.duration(), read).await {
         Ok(Ok(body)) => body,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,11 +5,15 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{exponential_buckets, Histogram},
     },
 };
 
-use crate::observe::{LeftOut, Metrics};
+use crate::{
+    http::Callers,
+    observe::{LeftOut, Metrics},
+};
 
 /// Buckets of the latency histograms: the first in seconds, the growth factor and the number; 1 ms to about 8 s.
 const LATENCY_BUCKETS: (f64, f64, u16) = (0.001, 2.0, 14);
@@ -68,6 +72,12 @@
     pub(super) first: Family<ServiceLabel, Histogram>,
     /// Datagrams that could not be decoded.
     pub(super) ignored_datagrams: Counter,
+    /// Memory that is held for callers, in bytes, and their connections.
+    held: Gauge,
+    connections: Gauge,
+    /// Connections of callers that were shed or not accepted.
+    shed: Counter,
+    refused: Counter,
     /// Log lines left out under load.
     pub(super) left_out: Counter,
     lines: LeftOut,
@@ -96,6 +106,10 @@
             response: Family::new_with_constructor(latency_histogram),
             first: Family::new_with_constructor(latency_histogram),
             ignored_datagrams: Counter::default(),
+            held: Gauge::default(),
+            connections: Gauge::default(),
+            shed: Counter::default(),
+            refused: Counter::default(),
             left_out: Counter::default(),
             lines,
         };
@@ -129,12 +143,31 @@
             let help = "Datagrams that could not be decoded";
             let ignored = out.ignored_datagrams.clone();
             r.register("gateway_ignored_datagrams", help, ignored);
+            let help = "Memory that is held for callers, in bytes";
+            r.register("gateway_held_bytes", help, out.held.clone());
+            let help = "Connections of callers";
+            r.register("gateway_connections", help, out.connections.clone());
+            let help = "Connections of callers that were shed";
+            r.register("gateway_shed_connections", help, out.shed.clone());
+            let help = "Connections of callers that were not accepted";
+            r.register("gateway_refused_connections", help, out.refused.clone());
             let help = "Log lines left out under load";
             r.register("log_lines_left_out", help, out.left_out.clone());
         });
         out
     }
 
+    /// Brings the metrics of what callers hold up to date.
+    pub(super) fn set_held(&self, callers: &Callers) {
+        let usage = callers.usage();
+        self.held.set(usage.bytes as i64);
+        self.connections.set(usage.connections as i64);
+        let (shed, refused) = callers.counts();
+        self.shed.inc_by(shed.saturating_sub(self.shed.get()));
+        let new = refused.saturating_sub(self.refused.get());
+        self.refused.inc_by(new);
+    }
+
     /// Counts a request in flight whose connection ended.
     pub(super) fn count_dropped(&self, progress: &'static str) {
         let label = ProgressLabel { progress };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -94,7 +94,7 @@
 pub use reply::Reject;
 pub use run::{run, run_with};
 pub use schedule::LoadSchedule;
-pub use settings::{Bounds, GatewaySettings, Listen};
+pub use settings::{Bounds, GatewaySettings, HostLimits, Listen};
 pub use steadiness::{ResponseTime, Steadiness};
 pub(crate) use write_time::LoggedAge;
 pub use write_time::WriteAge;
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -47,6 +47,9 @@
     /// This entry is stopping and exits before the request's deadline; the request was not run.
     #[error("not run, this entry is stopping; retry at another entry after {0}")]
     Stopping(Millis),
+    /// The memory for callers is used up; the request was not run.
+    #[error("not run, the memory for callers is used up; retry after {0}")]
+    Crowded(Millis),
     /// No endpoint of the service can run the request; it was not run.
     #[error("not run, no endpoint can run it; retry after {0}")]
     Unavailable(Millis),
@@ -85,6 +88,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Starting(_)
             | Self::Stopping(_)
+            | Self::Crowded(_)
             | Self::Unavailable(_)
             | Self::Overloaded(_)
             | Self::Quarantined(_)
@@ -105,6 +109,7 @@
             Self::HeadTooLarge | Self::TooLarge => "too-large",
             Self::Starting(_) => "starting",
             Self::Stopping(_) => "stopping",
+            Self::Crowded(_) => "crowded",
             Self::Unavailable(_) => "no-endpoint",
             Self::Overloaded(_) => "overloaded",
             Self::Quarantined(_) => "quarantined",
@@ -121,6 +126,7 @@
         match self {
             Self::Starting(t)
             | Self::Stopping(t)
+            | Self::Crowded(t)
             | Self::Unavailable(t)
             | Self::Overloaded(t)
             | Self::Quarantined(t)
@@ -139,7 +145,10 @@
                 res.headers_mut().insert(RETRY_AFTER, value);
             }
         }
-        if matches!(self, Self::RequestTimeout | Self::TooLarge) {
+        if matches!(
+            self,
+            Self::RequestTimeout | Self::TooLarge | Self::Crowded(_)
+        ) {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(CONNECTION, close);
         }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -179,7 +179,12 @@
     };
     let context = ctx.clone();
     let handler = move |req| serve::respond(context.clone(), req);
-    let task = spawn_local(callers.serve(options, handler, closed.clone()));
+    let task = spawn_local(callers.serve_within(
+        Some(ctx.callers.clone()),
+        options,
+        handler,
+        closed.clone(),
+    ));
     if let Some(addr) = sockets.readiness {
         let context = ctx.clone();
         let handler = move |req: hyper::Request<_>| {
@@ -203,7 +208,9 @@
             let query = uri.query().unwrap_or_default();
             std::future::ready(serve::directory(&context, uri.path(), query))
         };
-        let serving = listen_on(addr)?.serve(ServeOptions::default, handler, closed.clone());
+        let listener = listen_on(addr)?;
+        let within = Some(ctx.callers.clone());
+        let serving = listener.serve_within(within, ServeOptions::default, handler, closed.clone());
         spawn_local(serving);
     }
     Ok(task)
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -266,6 +266,7 @@
     if path != METRICS_PATH {
         return empty(StatusCode::NOT_FOUND);
     }
+    ctx.metrics.set_held(&ctx.callers);
     Response::new(Full::from(ctx.metrics.encode()))
 }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,7 +2,12 @@
 
 use std::net::SocketAddr;
 
-use crate::base::{Millis, Percent, ProcessName, Region, Zone};
+use nix::sys::resource::{getrlimit, Resource};
+
+use crate::{
+    base::{Millis, Percent, ProcessName, Region, Size, Zone},
+    decide::shed::Capacity,
+};
 
 /// Addresses on which an entry listens.
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +62,36 @@
     }
 }
 
+/// What the host of a process has, of which callers get a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostLimits {
+    /// Memory.
+    pub memory: Size,
+    /// Number of descriptors that the process may open.
+    pub descriptors: u32,
+}
+
+impl Default for HostLimits {
+    /// Returns those of the smallest hosts of the users.
+    fn default() -> Self {
+        Self {
+            memory: Size(160 << 20),
+            descriptors: 4100,
+        }
+    }
+}
+
+impl HostLimits {
+    /// Returns what callers may hold. The descriptors are those that the system allows if these are fewer.
+    pub(crate) fn capacity(self) -> Capacity {
+        let memory = usize::try_from(self.memory.0).unwrap_or(usize::MAX);
+        let allowed = getrlimit(Resource::RLIMIT_NOFILE).map(|(soft, _)| soft);
+        let descriptors = allowed.unwrap_or(u64::MAX).min(self.descriptors.into());
+        let descriptors = usize::try_from(descriptors).unwrap_or(usize::MAX);
+        Capacity::of_host(memory, descriptors)
+    }
+}
+
 /// Settings of an entry process.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -72,6 +107,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Guaranteed limits; reloaded on SIGHUP.
     pub bounds: Bounds,
+    /// Memory and descriptors of the host.
+    pub host: HostLimits,
     /// HTTP path of the directory.
     pub directory_path: String,
     /// HTTP path of the readiness check.
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -75,7 +75,7 @@
             headers: response.head.headers,
             body: response.body,
             events: Events::after(last),
-            held: ctx.buffers.hold(),
+            held: Held::new(&ctx.callers),
             progress: Progress::Head,
             known: Vec::new(),
             heard_at: ctx.now(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,6 +10,7 @@
     abandoned::log_abandoned,
     accept::Job,
     attempt::{Attempts, StreamingResponse},
+    buffers::Held,
     catalog::Repeat,
     context::{Context, Running},
     endpoint_table::EndpointId,
@@ -122,7 +123,7 @@
     /// Returns the rejection with which the entry responds if the stream is cut or too large.
     pub(super) async fn collect(&mut self) -> Result<Bytes, Reject> {
         let mut body = BytesMut::new();
-        let mut held = self.ctx.buffers.hold();
+        let mut held = Held::new(&self.ctx.callers);
         while let Some(data) = self.next().await {
             body.extend_from_slice(&data.map_err(|Cut| self.reject())?);
             let reason = if body.len() > RESPONSE_MAX {
--- a/src/http/accepted.rs
+++ b/src/http/accepted.rs
@@ -13,6 +13,7 @@
 use tokio::{io::AsyncWriteExt, net::TcpStream, sync::watch, time::Instant};
 
 use super::{
+    callers::{Counted, Held, HeldConnection},
     head_timer::{HeadLimit, HeadTimer},
     lingering::Lingering,
     log_event,
@@ -64,10 +65,36 @@
     }
 }
 
-/// Serves a connection until it ends; after `closing` becomes `true`, until the response to what had arrived by then.
+/// Serves a connection like [`serve_whole`]; ends it when it is shed. `held` is what it holds, if that counts.
 pub(super) async fn serve_stream<H, F, B>(
     stream: TcpStream,
     peer: SocketAddr,
+    held: Option<HeldConnection>,
+    options: Rc<impl Fn() -> ServeOptions>,
+    handler: Rc<H>,
+    closing: watch::Receiver<bool>,
+) where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let Some(held) = held else {
+        return serve_whole(stream, peer, None, options, handler, closing).await;
+    };
+    let inner = Some(held.inner());
+    tokio::select! {
+        biased;
+        () = serve_whole(stream, peer, inner, options, handler, closing) => {}
+        () = held.ended() => {}
+    }
+}
+
+/// Serves a connection until it ends; after `closing` becomes `true`, until the response to what had arrived by then.
+async fn serve_whole<H, F, B>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    held: Option<Rc<Held>>,
     options: Rc<impl Fn() -> ServeOptions>,
     handler: Rc<H>,
     closing: watch::Receiver<bool>,
@@ -79,17 +106,25 @@
 {
     let exchanges = Rc::new(Exchanges::new(peer));
     let counts = exchanges.clone();
-    let service = service_fn(move |req| {
+    let holder = held.clone();
+    let service = service_fn(move |mut req: Request<Incoming>| {
         counts.requests.set(counts.requests.get() + 1);
-        let (response, counts) = (handler(req), counts.clone());
+        if let Some(held) = &holder {
+            held.begin(req.body().is_end_stream());
+            req.extensions_mut().insert(held.id());
+        }
+        let (response, counts, held) = (handler(req), counts.clone(), holder.clone());
         async move {
             let response = response.await;
             counts.answers.set(counts.answers.get() + 1);
-            Ok::<_, Infallible>(response)
+            if let Some(held) = &held {
+                held.answer();
+            }
+            Ok::<_, Infallible>(response.map(|body| Counted::new(body, held)))
         }
     });
     let limit = HeadLimit::default();
-    let mut stream = Lingering::new(stream);
+    let mut stream = Lingering::new(stream, held);
     let mut connection = http1::Builder::new()
         .timer(HeadTimer(limit.clone()))
         .header_read_timeout(limit.get())
--- a/src/http/lingering.rs
+++ b/src/http/lingering.rs
@@ -7,6 +7,7 @@
     future::Future,
     io,
     pin::Pin,
+    rc::Rc,
     task::{ready, Context, Poll},
 };
 
@@ -16,11 +17,16 @@
     time::{sleep, Sleep},
 };
 
+use super::callers::Held;
 use crate::base::Millis;
 
 /// Longest time for which a connection is read after its last response, until its peer closes it.
 const LINGER: Millis = Millis(1000);
 
+/// Largest number of bytes that are read at once before it: one less than at which the HTTP library doubles its buffer, so
+/// that a connection keeps a small one.
+const READ_MAX: usize = (8 << 10) - 1;
+
 /// Bytes that are read at once after the last response.
 const PART: usize = 4096;
 
@@ -32,14 +38,17 @@
     timer: Option<Pin<Box<Sleep>>>,
     /// Bytes that were read and dropped then.
     discarded: usize,
+    /// What the connection holds, if that counts.
+    held: Option<Rc<Held>>,
 }
 
 impl Lingering {
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(super) fn new(stream: TcpStream, held: Option<Rc<Held>>) -> Self {
         Self {
             stream,
             timer: None,
             discarded: 0,
+            held,
         }
     }
 
@@ -47,6 +56,12 @@
     pub(super) fn discarded(&self) -> usize {
         self.discarded
     }
+
+    fn count_written(&self, written: &Poll<io::Result<usize>>) {
+        if let (Some(held), Poll::Ready(Ok(n))) = (&self.held, written) {
+            held.wrote(*n);
+        }
+    }
 }
 
 impl AsyncRead for Lingering {
@@ -55,7 +70,17 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_read(cx, buf)
+        let this = self.get_mut();
+        let Some(held) = &this.held else {
+            return Pin::new(&mut this.stream).poll_read(cx, buf);
+        };
+        let limit = buf.remaining().min(READ_MAX);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(limit));
+        ready!(Pin::new(&mut this.stream).poll_read(cx, &mut part))?;
+        let n = part.filled().len();
+        buf.advance(n);
+        held.read(n);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -65,7 +90,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(cx, buf);
+        this.count_written(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -73,7 +101,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
+        this.count_written(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -87,6 +118,9 @@
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         if this.timer.is_none() {
+            if let Some(held) = &this.held {
+                held.close();
+            }
             ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
         }
         let timer = this
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod accepted;
 mod call;
+mod callers;
 mod connect;
 mod framing;
 mod guarded;
@@ -13,6 +14,7 @@
 mod tcp_info;
 
 pub use call::{call, call_once, get, CallError, CallLimit, HeadReceived, BODY_MAX};
+pub use callers::{Callers, HeldBody, Shed};
 pub use connect::{connect, Connection};
 pub(crate) use framing::has_unknown_coding;
 pub use pool::Pool;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -9,7 +9,7 @@
 };
 use tokio::{net::TcpListener, sync::watch};
 
-use super::{accepted::serve_stream, connect::harden};
+use super::{accepted::serve_stream, callers::Callers, connect::harden};
 use crate::{base::Millis, decide::stop::SETTLE};
 
 /// Time to wait after the system refused to accept a connection, for example for lack of descriptors.
@@ -89,6 +89,23 @@
         F: Future<Output = Response<B>> + 'static,
         B: Body<Data = Bytes> + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        self.serve_within(None, options, handler, closing).await;
+    }
+
+    /// Serves connections like [`Listener::serve`], with what they hold within the budget for callers. Requests have the
+    /// id of their connection as an extension.
+    pub async fn serve_within<H, F, B>(
+        self,
+        callers: Option<Rc<Callers>>,
+        options: impl Fn() -> ServeOptions + 'static,
+        handler: H,
+        closing: watch::Receiver<bool>,
+    ) where
+        H: Fn(Request<Incoming>) -> F + 'static,
+        F: Future<Output = Response<B>> + 'static,
+        B: Body<Data = Bytes> + 'static,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let handler = Rc::new(handler);
         let options = Rc::new(options);
@@ -115,9 +132,17 @@
                 log::debug!("the peer is gone before it was served: {e}");
                 continue;
             }
+            let held = match callers.as_ref().map(|c| c.admit(peer)).transpose() {
+                Ok(held) => held,
+                Err(e) => {
+                    log::debug!("a connection is closed at once: {e}");
+                    continue;
+                }
+            };
             let served = serve_stream(
                 stream,
                 peer,
+                held,
                 options.clone(),
                 handler.clone(),
                 closed.clone(),
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -16,10 +16,10 @@
     base::{Excerpt, Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
     emit,
     gateway::{
-        follow, Catalog, Decode, OperatorFollower, OperatorSink, RecordStore, Topic, WeightVersion,
-        WriteAge,
+        follow, Catalog, Decode, HostLimits, OperatorFollower, OperatorSink, RecordStore, Topic,
+        WeightVersion, WriteAge,
     },
-    http::{listen, ServeOptions},
+    http::{listen, Callers, ServeOptions},
     net::Pacer,
     process::Signals,
 };
@@ -60,6 +60,8 @@
     /// Whether to copy before the endpoint responds. False when the deployment starts for the first time, because its
     /// endpoints then hold weights from the start.
     pub prefetch: bool,
+    /// Memory and descriptors of the host.
+    pub host: HostLimits,
 }
 
 /// Runs an agent until it receives SIGTERM.
@@ -122,7 +124,9 @@
     })?;
     let (closing, closed) = watch::channel(false);
     let handler = move |req| server.clone().handle(req);
-    let serving = spawn_local(listener.serve(ServeOptions::default, handler, closed));
+    let callers = Callers::new(settings.host.capacity());
+    let serving = listener.serve_within(Some(callers), ServeOptions::default, handler, closed);
+    let serving = spawn_local(serving);
     let agent = Rc::new(Agent::<S, D, H, O>::new(
         settings,
         store.clone(),
--- a/tests/copy_support/mod.rs
+++ b/tests/copy_support/mod.rs
@@ -7,8 +7,8 @@
 use sesamewing::{
     base::{Digest, Millis, Rate, Size},
     gateway::{
-        Catalog, CatalogVersion, EngineSpeed, OriginSpec, ServiceSpec, ServiceWeights, Topic,
-        WeightVersion,
+        Catalog, CatalogVersion, EngineSpeed, HostLimits, OriginSpec, ServiceSpec, ServiceWeights,
+        Topic, WeightVersion,
     },
     staging::{self, AgentSettings, EndpointHost, HostError, HostReport, Manifest, Origin},
 };
@@ -141,5 +141,6 @@
         bound,
         link_rate: Rate(4_000_000),
         prefetch: true,
+        host: HostLimits::default(),
     }
 }
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -6,7 +6,7 @@
     base::{HashMap, Millis},
     gateway::{
         self, Bounds, Catalog, CatalogVersion, Decode, EngineSpeed, GatewaySettings, Headers,
-        Listen, RecordStore, Repeat, Route, ServiceSpec, Topic, WorkspaceSpec,
+        HostLimits, Listen, RecordStore, Repeat, Route, ServiceSpec, Topic, WorkspaceSpec,
     },
     observe::LeftOut,
 };
@@ -45,6 +45,7 @@
         },
         seeds: Vec::new(),
         bounds: Bounds::default(),
+        host: HostLimits::default(),
         directory_path: "/where".to_owned(),
         ready_path: "/ready".to_owned(),
     }
