--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -98,7 +98,7 @@
 pub use residency::Unservable;
 pub use run::{run, run_with};
 pub use schedule::LoadSchedule;
-pub use settings::{Bounds, GatewaySettings, Listen};
+pub use settings::{Bounds, GatewaySettings, HostLimits, Listen};
 pub use steadiness::{ResponseTime, Steadiness};
 pub(crate) use write_time::LoggedAge;
 pub use write_time::WriteAge;
