feat(gateway): cold endpoints get no more than their cold rate

What callers would see: an endpoint that starts during traffic gets its share of all requests at once, beyond what it tolerates while cold, and crashes; requests in flight there end without a response.

Cause: the remaining cold time of a record was decoded, but nothing used it.

While an endpoint is cold, each request to it needs a permit, as for endpoints that name a rate limit; the lower limit counts.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod burst;
 pub mod chunk;
 pub mod claim;
+pub mod cold;
 pub mod drain;
 pub mod feed;
 pub mod lease;
--- a/src/decide/permit.rs
+++ b/src/decide/permit.rs
@@ -33,6 +33,22 @@
 /// Time for which a process counts as asking after its last request; most that were denied have asked again by then.
 const ASKING_TIME: Millis = Millis(15_000);
 
+/// Rate at which an issuer grants permits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PermitRate {
+    /// Permits per second.
+    pub rate: RequestRate,
+    /// Most permits that are kept for a burst; fewer are kept at a low rate.
+    pub kept: f64,
+}
+
+impl From<RequestRate> for PermitRate {
+    fn from(rate: RequestRate) -> Self {
+        let kept = f64::INFINITY;
+        Self { rate, kept }
+    }
+}
+
 /// Processes that share a limit, as the issuer knows them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fleet {
@@ -59,7 +75,8 @@
 /// Issuer of the permits of one rate limit.
 #[derive(Clone, Debug)]
 pub struct PermitIssuer {
-    /// Credit in millionths of a request; at most that of [`BURST`] permits and of [`BURST_TIME`].
+    /// Credit in millionths of a request; at most that of [`BURST`] permits and of [`BURST_TIME`], or of
+    /// [`PermitRate::kept`].
     credit: u64,
     /// Time up to which credit was added; never decreases.
     refilled: Millis,
@@ -68,11 +85,11 @@
 }
 
 impl PermitIssuer {
-    /// Creates an issuer without credit.
-    pub fn new(now: Millis) -> Self {
+    /// Creates an issuer without credit that gains credit from `start` on.
+    pub fn new(start: Millis) -> Self {
         Self {
             credit: 0,
-            refilled: now,
+            refilled: start,
             asking: Vec::new(),
         }
     }
@@ -81,19 +98,20 @@
     pub fn request(
         &mut self,
         from: SocketAddr,
-        rate: RequestRate,
+        rate: impl Into<PermitRate>,
         fleet: Fleet,
         now: Millis,
     ) -> PermitDecision {
+        let PermitRate { rate, kept } = rate.into();
         let rate = granted_rate(rate, fleet);
         let interval = PERMIT / rate;
         self.record(from, now);
-        self.refill(rate, now);
+        self.refill(rate, kept, now);
         if self.credit >= PERMIT {
             self.credit -= PERMIT;
             return PermitDecision::Granted;
         }
-        let next = (PERMIT - self.credit).div_ceil(rate);
+        let next = (self.refilled - now).0 + (PERMIT - self.credit).div_ceil(rate);
         let asking = self.asking.len() as u64;
         // Half as many more requests than permits, so that hardly any permit expires where the rate is high.
         let aim = REQUESTS_AIM.max(rate + rate / 2);
@@ -104,11 +122,12 @@
         }
     }
 
-    /// Adds the credit of the time since the last call.
-    fn refill(&mut self, rate: u64, now: Millis) {
+    /// Adds the credit of the time since the last call; `kept` is the most permits that are kept.
+    fn refill(&mut self, rate: u64, kept: f64, now: Millis) {
         // Thousandths of a request per second are millionths per millisecond.
         let gained = rate.saturating_mul((now - self.refilled).0);
-        let most = BURST * PERMIT + rate * BURST_TIME.0;
+        let kept = (kept * PERMIT as f64) as u64;
+        let most = kept.min(BURST * PERMIT + rate * BURST_TIME.0);
         self.credit = self.credit.saturating_add(gained).min(most);
         self.refilled = self.refilled.max(now);
     }
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::base::{HashMap, Millis, Service, Workspace, Zone};
+use crate::{
+    base::{HashMap, Millis, Service, Workspace, Zone},
+    decide::cold::ColdStart,
+};
 
 /// Version of a catalog; a later one has a higher number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -130,6 +133,8 @@
     pub weights: Option<ServiceWeights>,
     /// Location of the weight store, if this service is the weight store.
     pub origin: Option<OriginSpec>,
+    /// How the service's endpoints start; `None` if cold ones need no limit.
+    pub cold: Option<ColdStart>,
 }
 
 /// Location of the weight store.
@@ -210,6 +215,11 @@
         list.iter().find(|r| path.starts_with(&*r.prefix))
     }
 
+    /// Returns whether a service limits the requests to its cold endpoints.
+    pub fn limits_cold(&self) -> bool {
+        self.services.values().any(|s| s.cold.is_some())
+    }
+
     /// Returns the location of the weight store, if a service is the weight store.
     pub fn origin(&self) -> Option<&OriginSpec> {
         self.services.values().find_map(|s| s.origin.as_ref())
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -11,6 +11,7 @@
 use super::{
     buffers::Buffers,
     catalog::{Catalog, CatalogVersion},
+    cold_times::ColdTimes,
     desired::DesiredVersions,
     endpoint_table::{EndpointId, EndpointTable},
     limits::Limits,
@@ -68,6 +69,8 @@
     /// Limits of the request rate that endpoints named.
     pub(super) limits: RefCell<Limits>,
     pub(super) permits: RefCell<Permits>,
+    /// Cold times that responses of endpoints told.
+    pub(super) cold: RefCell<ColdTimes>,
     /// Parts of prompts that were in flight when endpoints ended.
     pub(super) quarantine: RefCell<Quarantine>,
     /// Requests that entries rejected and whose callers may return.
@@ -139,6 +142,7 @@
             balancer: RefCell::default(),
             limits: RefCell::default(),
             permits: RefCell::default(),
+            cold: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(clock.now())),
             rejections: RefCell::default(),
             quarantined: Notify::new(),
--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -6,7 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::record::{EndpointRecord, Revision, WeightVersion};
+use super::{
+    cold_times::ColdTime,
+    record::{EndpointRecord, Revision, WeightVersion},
+};
 use crate::base::{rendezvous, HashMap, HashSet, Millis, Service};
 
 pub use delta::{TableDelta, TableView};
@@ -84,6 +87,8 @@
     hash: u64,
     /// Weights that the agent's update replaced in the record, until the record follows.
     overridden: Option<Overridden>,
+    /// Cold time that the record names, as of when this entry learned it.
+    cold: ColdTime,
 }
 
 /// Weights that an endpoint's record may still list although its agent has reported others since.
@@ -210,6 +215,7 @@
             self.changes += 1;
             let mut endpoint = Endpoint {
                 id: id.clone(),
+                cold: ColdTime::new(&record, now),
                 record,
                 renewed: now,
                 removal: None,
@@ -231,6 +237,9 @@
             }
         }
         let restarted = born != known.record.revision.born;
+        if record.revision != known.record.revision {
+            known.cold = ColdTime::new(&record, now);
+        }
         known.renewed = now;
         let doubted = known.removal.take().is_some();
         match &known.overridden {
@@ -461,6 +470,11 @@
         self.changed = *changes;
     }
 
+    /// Returns the cold time that the endpoint's record names.
+    pub fn cold_time(&self) -> ColdTime {
+        self.cold
+    }
+
     /// Returns the version of a model that the endpoint has loaded according to its record.
     pub fn weights(&self, model: &str) -> Option<WeightVersion> {
         self.record
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -17,6 +17,7 @@
     accept::Job,
     attempt::{Attempt, Attempts, StreamingResponse, Target},
     buffers::{self, BufferError},
+    cold::record_cold,
     context::Context,
     dropped::note_dropped,
     ending::{Ending, Progress},
@@ -159,6 +160,7 @@
     }
     apply_status_headers(ctx, &target.id, &head);
     record_limit(ctx, &target, &head);
+    record_cold(ctx, &target.id, &head);
     let load_text = text(&head.headers, &names.load);
     let load = load_text.and_then(|v| v.parse::<ReportedLoad>().ok());
     let version = text(&head.headers, &names.versions).and_then(|v| v.trim().parse().ok());
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -16,6 +16,7 @@
     attempt::{Attempt, Attempts, Pass, Target},
     catalog::Repeat,
     choose::{choose, has_room, Choice},
+    cold::limit_in_force,
     context::{Context, InFlight},
     dropped::note_dropped,
     ending::{Ending, Progress},
@@ -170,7 +171,7 @@
     permit: Permit,
 ) -> Option<&'static str> {
     let now = ctx.now();
-    if !permit.allows(ctx.limits.borrow().get(id), now) {
+    if !permit.allows(limit_in_force(ctx, id), now) {
         return Some("the endpoint limits its request rate");
     }
     if expiry(ctx, job, choice.version).is_some_and(|e| e.send_by <= now) {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -8,6 +8,8 @@
 use super::{
     arrival::{Datagram, Inbox},
     catalog::{Catalog, CatalogVersion},
+    cold,
+    cold_times::ColdNews,
     compression::decompress,
     context::Context,
     datagram::send_to_all,
@@ -62,6 +64,8 @@
                 continue;
             }
         };
+        let news = ColdNews::decode(&message, data);
+        cold::merge_cold(&ctx, &news.reports, waited);
         let message = message.aged(waited);
         match message {
             Message::Gossip(datagram) => merge_gossip(&ctx, datagram, &times),
@@ -73,7 +77,7 @@
                 log::debug!("{from} no longer waits for a reply: it asked {waited} ago");
             }
             Message::PermitRequest(request) => {
-                permits::answer(&ctx, &socket, request, from).await;
+                permits::answer(&ctx, &socket, request, news.rate, from).await;
             }
             Message::PermitReply(reply) => ctx.permits.borrow_mut().resolve(&reply),
             Message::Parts(reports) => screen::merge(&ctx, &reports),
@@ -146,6 +150,7 @@
         ctx.balancer.borrow_mut().set_peers_complete(all);
         send_gossip(&ctx, &socket, &targets).await;
         send_limits(&ctx, &socket, &targets).await;
+        cold::send_reports(&ctx, &socket, &targets).await;
         screen::send_reports(&ctx, &socket, &targets).await;
         returning::send_news(&ctx, &socket).await;
     }
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -33,6 +33,8 @@
     /// Requests per second that the endpoint takes from all entries together; present in each response while the
     /// endpoint limits them.
     pub limit: HeaderName,
+    /// Milliseconds for which the endpoint stays cold.
+    pub cold: HeaderName,
     /// Load that the endpoint reports in a response: running requests, waiting requests, slots.
     pub load: HeaderName,
     /// Version of the weights that produced a response.
@@ -65,6 +67,7 @@
             proof: name("x-endpoint-proof"),
             leaving: name("x-endpoint-leaving"),
             limit: name("x-endpoint-limit"),
+            cold: name("x-endpoint-cold-ms"),
             load: name("x-endpoint-load"),
             versions: name("x-weight-version"),
             model: name("x-model"),
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -55,6 +55,9 @@
     /// The wait for a response ended of a request at an endpoint with superseded weights.
     SUPERSEDED = 468, "gateway-superseded", Info,
         "a request to an endpoint with superseded weights began there or did not", "compare `sent` and `begun`, the times left until it had to begin";
+    /// An endpoint is cold or has warmed up, as a response told.
+    COLD = 472, "gateway-cold", Info,
+        "a response told that its endpoint is cold or has warmed up", "none";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -164,6 +164,8 @@
     others: HashMap<SocketAddr, Member>,
     /// Entries that joined lately and sent a datagram since the last one of this entry.
     joining: HashSet<SocketAddr>,
+    /// Time at which an entry last became live or changed its readiness.
+    changed: Millis,
 }
 
 impl Membership {
@@ -174,6 +176,7 @@
             me,
             others: HashMap::default(),
             joining: HashSet::default(),
+            changed: Millis::ZERO,
         }
     }
 
@@ -226,6 +229,7 @@
         let Some(known) = self.others.get_mut(&heartbeat.peer) else {
             let mut member = Member::new(heartbeat, true, now);
             member.reads_since = member.reads_since.map(|at| told.unwrap_or(at));
+            self.changed = now;
             self.others.insert(member.heartbeat.peer, member);
             return true;
         };
@@ -233,6 +237,9 @@
             return false;
         }
         let changed = known.heartbeat.status.ready != heartbeat.status.ready || !known.is_live(now);
+        if changed {
+            self.changed = now;
+        }
         if known.heartbeat.boot != heartbeat.boot {
             known.joined = now;
         }
@@ -259,6 +266,9 @@
     /// others. Also removes entries without a heartbeat for `RETENTION`.
     pub fn next_heartbeats(&mut self, status: Status, now: Millis) -> Vec<Heartbeat> {
         self.me.count += 1;
+        if self.me.status.ready != status.ready {
+            self.changed = now;
+        }
         self.me.status = status;
         self.others.retain(|_, m| now < m.last_seen + RETENTION);
         if self.sends_to_all() && !self.is_joining(now) {
@@ -366,11 +376,7 @@
     /// An entry that joins or leaves changes the coordinator only of the matters whose coordinator it becomes or was. One
     /// that has just started does not decide as long as there are others, because it may not know them all yet.
     pub fn coordinator(&self, key: u32, now: Millis) -> SocketAddr {
-        let timeout = if self.sends_to_all() {
-            TIMEOUT
-        } else {
-            RELAYED_TIMEOUT
-        };
+        let timeout = self.coordinator_timeout();
         let live = self.others.values().filter(|m| m.is_heard(timeout, now));
         let others = live.map(|m| (&m.heartbeat, m.rank));
         let all = others.chain([(&self.me, self.rank)]);
@@ -384,6 +390,23 @@
         nearest.map_or(self.me.peer, |(h, _)| h.peer)
     }
 
+    /// Heartbeat timeout in the choice of the coordinator.
+    fn coordinator_timeout(&self) -> Millis {
+        if self.sends_to_all() {
+            TIMEOUT
+        } else {
+            RELAYED_TIMEOUT
+        }
+    }
+
+    /// Returns whether an entry joined, failed or changed its readiness within `time`, so that others may still know
+    /// another coordinator than this entry does.
+    pub fn changed_within(&self, time: Millis, now: Millis) -> bool {
+        let timeout = self.coordinator_timeout();
+        let failed = |m: &Member| !m.is_heard(timeout, now) && m.is_heard(timeout + time, now);
+        now < self.changed + time || self.others.values().any(failed)
+    }
+
     /// Returns how many of the entries that may send requests this one hears. Entries that were drained do not count,
     /// and neither do those that never sent a heartbeat.
     pub fn fleet(&self, now: Millis) -> Fleet {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,8 @@
 mod buffers;
 mod catalog;
 mod choose;
+mod cold;
+mod cold_times;
 mod compression;
 mod context;
 mod datagram;
@@ -67,6 +69,7 @@
     CallerLimits, Catalog, CatalogVersion, EngineSpeed, OriginSpec, Repeat, Route, ServiceSpec,
     ServiceWeights, WorkspaceSpec,
 };
+pub use cold_times::{ColdNews, ColdReport, ColdTime, ColdTimes};
 pub use compression::{compress, decompress};
 pub use desired::DesiredVersions;
 pub use directory::Directory;
@@ -78,7 +81,7 @@
 pub use events::{EventError, EventId, Events};
 pub use follow::{follow, Follower};
 pub use headers::Headers;
-pub use issuer::{Grant, Issuers, PermitId, PermitReply, PermitRequest};
+pub use issuer::{Grant, Issuers, PermitId, PermitReply, PermitRequest, PermitTerms};
 pub use limits::{Limit, LimitReport, Limits, Observation};
 pub use load_balancer::{LoadBalancer, Refusal};
 pub use load_view::{Outcome, ReportedLoad};
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -3,20 +3,24 @@
 
 use std::net::SocketAddr;
 
+use serde::Serialize;
 use tokio::net::UdpSocket;
 
 use super::{
     accept::Job,
+    cold::{limit_in_force, LimitInForce},
+    cold_times::ColdNews,
     context::Context,
     datagram::send_to_all,
     endpoint_table::{EndpointHash, EndpointId},
-    issuer::{Grant, PermitId, PermitReply, PermitRequest},
-    limits::{Limit, LimitReport},
+    issuer::{Grant, PermitId, PermitReply, PermitRequest, PermitTerms},
+    limits::LimitReport,
     log_event,
     message::Message,
 };
 use crate::{
-    base::{HashSet, Millis, Service},
+    base::{HashSet, Millis, RequestRate, Service},
+    decide::cold::PERMIT_LIFETIME,
     emit,
 };
 
@@ -31,6 +35,9 @@
 /// permits.
 const DENIED_RETRY: Millis = Millis(100);
 
+/// Age of the withdrawal that stands for a limit which the endpoint did not name; older than any limit in force.
+const UNNAMED_AGE: Millis = Millis(1 << 40);
+
 /// Time from the request for a permit in which it must be used.
 const LIFETIME: Millis = Millis(1000);
 
@@ -48,9 +55,9 @@
 
 impl Permit {
     /// Returns whether a request may be sent now to an endpoint that has this limit.
-    pub(super) fn allows(self, limit: Option<Limit>, now: Millis) -> bool {
+    pub(super) fn allows(self, limit: LimitInForce, now: Millis) -> bool {
         match self {
-            Self::Unlimited => limit.is_none(),
+            Self::Unlimited => !limit.is_limited(),
             Self::Granted { until } => now < until,
         }
     }
@@ -59,7 +66,8 @@
 /// Obtains a permit for one request to an endpoint; `None` if the endpoint takes no request now. The endpoint is then
 /// closed for this entry until it may ask again.
 pub(super) async fn obtain(ctx: &Context, job: &Job, id: &EndpointId) -> Option<Permit> {
-    let Some(limit) = ctx.limits.borrow().get(id) else {
+    let limit = limit_in_force(ctx, id);
+    let Some(rate) = limit.rate() else {
         return Some(Permit::Unlimited);
     };
     let start = ctx.now();
@@ -67,20 +75,24 @@
     let issuer = ctx.members.borrow().issuer(endpoint, start);
     let me = ctx.settings.listen.peers;
     let grant = if issuer == me {
-        Some(decide(ctx, endpoint, me))
+        Some(decide(ctx, endpoint, limit.cold, me))
     } else {
-        let limit = LimitReport {
-            endpoint,
-            rate: Some(limit.rate),
-            age: start - limit.at,
+        let report = limit_report(endpoint, limit, start);
+        let news = ColdNews {
+            reports: Vec::new(),
+            rate: limit.cold,
+        };
+        let request = |id| {
+            let request = PermitRequest { id, limit: report };
+            (Message::PermitRequest(request), news)
         };
-        let request = |id| Message::PermitRequest(PermitRequest { id, limit });
         ask(ctx, issuer, request).await
     };
     ctx.metrics.count_permit(grant.map_or("none", Grant::name));
     let (wait, interval) = match grant {
         Some(Grant::Granted) => {
-            let until = start + LIFETIME;
+            let lifetime = limit.cold.map_or(LIFETIME, |_| PERMIT_LIFETIME);
+            let until = start + lifetime;
             return Some(Permit::Granted { until });
         }
         Some(Grant::Denied { wait, interval }) => (wait, interval),
@@ -92,21 +104,30 @@
         log_event::DENIED,
         "id={} endpoint={id} limit={} age={} issuer={issuer} grant={} wait={wait}",
         job.id(),
-        limit.rate,
-        now - limit.at,
+        rate,
+        limit.age(now),
         grant.map_or("none", Grant::name)
     );
     None
 }
 
+/// Returns the report of a limit for the issuer. One that the endpoint did not name is reported as withdrawn long ago,
+/// so that it changes nothing of what the issuer knows.
+fn limit_report(endpoint: EndpointHash, limit: LimitInForce, now: Millis) -> LimitReport {
+    LimitReport {
+        endpoint,
+        rate: limit.named.map(|l| l.rate),
+        age: limit.named.map_or(UNNAMED_AGE, |l| now - l.at),
+    }
+}
+
 /// Closes all endpoints of a service that have a limit, because one request was denied permits several times.
 pub(super) fn close_limited(ctx: &Context, service: &Service) {
     let until = ctx.now() + DENIED_RETRY;
-    let limits = ctx.limits.borrow();
     let table = ctx.endpoints.borrow();
     let limited = table
         .of_service(service)
-        .filter(|e| limits.get(&e.id).is_some());
+        .filter(|e| limit_in_force(ctx, &e.id).is_limited());
     for e in limited {
         let mut balancer = ctx.balancer.borrow_mut();
         balancer.close(&e.id, until, Millis::ZERO);
@@ -115,7 +136,8 @@
 
 /// Logs and counts a request that is sent to an endpoint with a limit of its request rate.
 pub(super) fn count_sent(ctx: &Context, job: &Job, id: &EndpointId) {
-    let Some(limit) = ctx.limits.borrow().get(id) else {
+    let limit = limit_in_force(ctx, id);
+    let Some(rate) = limit.rate() else {
         return;
     };
     ctx.metrics.limited.inc();
@@ -123,16 +145,16 @@
         log_event::LIMITED,
         "id={} endpoint={id} limit={} age={}",
         job.id(),
-        limit.rate,
-        ctx.now() - limit.at
+        rate,
+        limit.age(ctx.now())
     );
 }
 
 /// Sends a request to another entry and waits for its decision; `None` if it does not reply in time.
-pub(super) async fn ask(
+pub(super) async fn ask<T: Serialize>(
     ctx: &Context,
     to: SocketAddr,
-    request: impl FnOnce(PermitId) -> Message,
+    request: impl FnOnce(PermitId) -> T,
 ) -> Option<Grant> {
     let socket = ctx.socket.get()?.clone();
     let (id, reply) = ctx.permits.borrow_mut().register();
@@ -142,15 +164,19 @@
     grant.ok()?.ok()
 }
 
-/// Answers another entry's request for a permit.
+/// Answers another entry's request for a permit; `cold` is the rate that the endpoint tolerates if the other entry knows
+/// it as cold.
 pub(super) async fn answer(
     ctx: &Context,
     socket: &UdpSocket,
     request: PermitRequest,
+    cold: Option<RequestRate>,
     from: SocketAddr,
 ) {
-    merge_limits(ctx, std::slice::from_ref(&request.limit));
-    let grant = decide(ctx, request.limit.endpoint, from);
+    if request.limit.age < UNNAMED_AGE {
+        merge_limits(ctx, std::slice::from_ref(&request.limit));
+    }
+    let grant = decide(ctx, request.limit.endpoint, cold, from);
     let reply = Message::PermitReply(PermitReply {
         id: request.id,
         grant,
@@ -159,13 +185,22 @@
 }
 
 /// Decides on a request for a permit, as the issuer of the endpoint's permits if this entry is that.
-fn decide(ctx: &Context, endpoint: EndpointHash, from: SocketAddr) -> Grant {
-    let limit = ctx.limits.borrow().by_hash(endpoint);
+fn decide(
+    ctx: &Context,
+    endpoint: EndpointHash,
+    cold: Option<RequestRate>,
+    from: SocketAddr,
+) -> Grant {
+    let terms = PermitTerms {
+        limit: ctx.limits.borrow().by_hash(endpoint),
+        cold,
+        bound: ctx.bounds.get().cold,
+    };
     let members = ctx.members.borrow();
     let mut permits = ctx.permits.borrow_mut();
     permits
         .issuers
-        .decide(endpoint, limit, &members, from, ctx.now())
+        .decide(endpoint, terms, &members, from, ctx.now())
 }
 
 /// Merges limits of endpoints that another entry reported.
@@ -190,15 +225,15 @@
 /// Drops limits, issuers and requests for permits that are no longer needed.
 pub(super) fn expire_limits(ctx: &Context) {
     ctx.permits.borrow_mut().drop_abandoned();
+    let now = ctx.now();
+    ctx.cold.borrow_mut().expire(now);
     let mut limits = ctx.limits.borrow_mut();
-    if limits.is_empty() {
-        return;
+    if !limits.is_empty() {
+        let table = ctx.endpoints.borrow();
+        let present: HashSet<_> = table.iter().map(|e| e.id.hash()).collect();
+        limits.expire(|endpoint| present.contains(&endpoint), now);
     }
-    let table = ctx.endpoints.borrow();
-    let present: HashSet<_> = table.iter().map(|e| e.id.hash()).collect();
-    limits.expire(|endpoint| present.contains(&endpoint), ctx.now());
     let mut permits = ctx.permits.borrow_mut();
-    permits
-        .issuers
-        .retain(|endpoint| limits.by_hash(endpoint).is_some());
+    let limited = |endpoint| limits.by_hash(endpoint).is_some();
+    permits.issuers.retain(limited, &ctx.members.borrow(), now);
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use crate::base::{Millis, Percent, ProcessName, Region, Zone};
+use crate::{
+    base::{Millis, Percent, ProcessName, Region, Zone},
+    decide::cold::ColdBound,
+};
 
 /// Addresses on which an entry listens.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +45,8 @@
     pub retry_burst: u32,
     /// Longest time for which callers may cache a response of the directory.
     pub directory_ttl: Millis,
+    /// Requests that a cold endpoint may get in a second.
+    pub cold: ColdBound,
 }
 
 impl Default for Bounds {
@@ -53,6 +58,7 @@
             retries: Percent(20),
             retry_burst: 100,
             directory_ttl: Millis(5000),
+            cold: ColdBound::default(),
         }
     }
 }
--- a/tests/copy_support/mod.rs
+++ b/tests/copy_support/mod.rs
@@ -122,6 +122,7 @@
             addr: addr(15, 1),
             zone: Some("a".parse().expect("a valid name")),
         }),
+        cold: None,
     };
     out.services
         .insert("llm".parse().expect("a valid name"), spec);
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -82,6 +82,7 @@
         engine: None,
         weights: None,
         origin: None,
+        cold: None,
     };
     out.services
         .insert("plain".parse().expect("a valid name"), spec);
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -93,13 +93,16 @@
         CATALOG.with_borrow(Clone::clone).ok_or("no catalog".into())
     }
 
-    /// Decodes `service address zone model version`.
+    /// Decodes `service address zone model version`, which `cold-ms sequence` may follow.
     fn endpoint(value: &[u8]) -> Result<EndpointRecord, String> {
         let text = std::str::from_utf8(value).map_err(|e| e.to_string())?;
         let parts: Vec<_> = text.split(' ').collect();
-        let [service, addr, zone, model, version] = parts[..] else {
+        let [service, addr, zone, model, version, ref rest @ ..] = parts[..] else {
             return Err(format!("`{text}` is no endpoint"));
         };
+        let number = |i: usize| rest.get(i).map_or(Ok(0), |n| n.parse::<u64>());
+        let cold = number(0).map_err(|e| e.to_string())?;
+        let sequence = number(1).map_err(|e| e.to_string())?;
         let version: u64 = version.parse().map_err(|_| "no version".to_owned())?;
         let models = if version > 0 {
             vec![(model.into(), WeightVersion(version))]
@@ -112,9 +115,9 @@
             zone: zone.parse().map_err(|_| "no zone".to_owned())?,
             slots: 4,
             draining: false,
-            cold: Millis::ZERO,
+            cold: Millis(cold),
             models,
-            revision: Revision::default(),
+            revision: Revision { born: 0, sequence },
         })
     }
 }
--- a/tests/settings_reload.rs
+++ b/tests/settings_reload.rs
@@ -11,6 +11,7 @@
 };
 use sesamewing::{
     base::{Millis, Percent},
+    decide::cold::ColdBound,
     gateway::{self, Bounds, CatalogVersion, Headers, Topic},
     observe::LeftOut,
 };
@@ -29,6 +30,7 @@
         retries: Percent(0),
         retry_burst: 0,
         directory_ttl: Millis::ZERO,
+        cold: ColdBound::default(),
     }
 }
 
