feat(gateway): warm endpoints come before cold ones

What callers would see: requests that ask for a permit of a cold endpoint while warm ones have room, and, after a common start, 503 for 100 ms at an entry although permits of other cold endpoints are left; from 410 entries on, two issuers beside each other after one froze or stopped.

Change: a cold endpoint costs 0.1 of its slots more. Endpoints that are only cold are left out for 10 ms after three denied permits. An endpoint at whose address nothing listens counts as cold for `cold_start_s`; a refusal with 421 no longer does, since it may concern the weights. The pause of a new issuer follows the number of entries, 3 ms for each and at least 150 ms. The issuer grants 1.15 times the cold rate where the bound leaves room.

--- a/src/decide/cold.rs
+++ b/src/decide/cold.rs
@@ -18,16 +18,26 @@
 /// reach the endpoint together with those under newer ones.
 pub const PERMIT_LIFETIME: Millis = Millis(250);
 
-/// Time for which an entry that becomes the issuer of a cold endpoint grants nothing: the entries that still ask the
-/// issuer before it learn of the change meanwhile.
-pub const HANDOVER_TIME: Millis = Millis(1200);
+/// Time for which an entry that becomes the issuer of a cold endpoint grants nothing, for each entry of the deployment, and
+/// its bounds. The entries that still ask the issuer before it learn of the change meanwhile, later where heartbeats are
+/// relayed: without it, 32 requests came in a second at 410 entries in the model `cold_permits`, 30.5 were allowed.
+const HANDOVER_PER_ENTRY: Millis = Millis(3);
+const HANDOVER_MIN: Millis = Millis(150);
+const HANDOVER_MAX: Millis = Millis(2000);
+
+/// Returns the time for which an entry that becomes the issuer of a cold endpoint grants nothing, among `entries`.
+pub fn handover_time(entries: usize) -> Millis {
+    let time = HANDOVER_PER_ENTRY.times(entries as u64);
+    time.clamp(HANDOVER_MIN, HANDOVER_MAX)
+}
 
 /// Most permits of a cold endpoint that are kept while none is asked for, if the bound leaves room for them.
-const KEPT_MAX: f64 = 3.0;
+const KEPT_MAX: f64 = 5.0;
 
 /// Permits for each request that a cold endpoint tolerates, if the bound leaves room for them: some are lost on the way to
-/// the entry that asked, or expire. With 7 % of datagrams late or lost, nine tenths of the rate were not used without it.
-const SURPLUS: f64 = 1.1;
+/// the entry that asked, or expire, and an issuer grants less while it does not hear all entries. In the model
+/// `cold_permits`, with 7 % of datagrams late or lost, 1.1 gave 15.15 requests a second of 17 at 410 entries.
+const SURPLUS: f64 = 1.15;
 
 /// How a service's endpoints start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,7 +92,7 @@
         let granted = ((per_s * SURPLUS).min(most) * 1000.0) as u32;
         PermitRate {
             rate: RequestRate(granted.max(1)),
-            kept,
+            kept: Some(kept),
         }
     }
 }
--- a/src/decide/permit.rs
+++ b/src/decide/permit.rs
@@ -38,14 +38,13 @@
 pub struct PermitRate {
     /// Permits per second.
     pub rate: RequestRate,
-    /// Most permits that are kept for a burst; fewer are kept at a low rate.
-    pub kept: f64,
+    /// Most permits that are kept for a burst; [`BURST`] and those of [`BURST_TIME`] if `None`.
+    pub kept: Option<f64>,
 }
 
 impl From<RequestRate> for PermitRate {
     fn from(rate: RequestRate) -> Self {
-        let kept = f64::INFINITY;
-        Self { rate, kept }
+        Self { rate, kept: None }
     }
 }
 
@@ -123,11 +122,11 @@
     }
 
     /// Adds the credit of the time since the last call; `kept` is the most permits that are kept.
-    fn refill(&mut self, rate: u64, kept: f64, now: Millis) {
+    fn refill(&mut self, rate: u64, kept: Option<f64>, now: Millis) {
         // Thousandths of a request per second are millionths per millisecond.
         let gained = rate.saturating_mul((now - self.refilled).0);
-        let kept = (kept * PERMIT as f64) as u64;
-        let most = kept.min(BURST * PERMIT + rate * BURST_TIME.0);
+        let kept = kept.map(|n| (n * PERMIT as f64) as u64);
+        let most = kept.unwrap_or(BURST * PERMIT + rate * BURST_TIME.0);
         self.credit = self.credit.saturating_add(gained).min(most);
         self.refilled = self.refilled.max(now);
     }
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -82,12 +82,13 @@
     attempts: &Attempts,
     ask: impl FnOnce(&mut LoadBalancer, &EndpointQuery<'_>, u32) -> T,
 ) -> T {
-    let (engine, connections) = {
+    let (engine, connections, limits_cold) = {
         let catalog = ctx.catalog.borrow();
         let spec = catalog.as_ref().and_then(|c| c.services.get(&job.service));
         (
             spec.and_then(|s| s.engine),
             spec.map_or(0, |s| s.connections),
+            spec.is_some_and(|s| s.cold.is_some()),
         )
     };
     let all = ctx.desired.borrow();
@@ -116,6 +117,7 @@
         }
     });
     let owned = ctx.owned.borrow();
+    let cold = ctx.cold.borrow();
     let tried = attempts.tried();
     let query = EndpointQuery {
         zone: &ctx.settings.zone,
@@ -129,6 +131,7 @@
         duration: engine.map_or(Millis::ZERO, |e| {
             e.duration(job.prompt_tokens, job.output_max, job.output_hint)
         }),
+        cold: limits_cold.then_some(&cold),
     };
     ask(&mut ctx.balancer.borrow_mut(), &query, connections)
 }
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -1,8 +1,8 @@
 //! Limits the requests to cold endpoints: which endpoints are cold, and what entries tell each other of it.
 
-use std::net::SocketAddr;
+use std::{io, net::SocketAddr};
 
-use hyper::{http::response::Parts, StatusCode};
+use hyper::http::response::Parts;
 use tokio::net::UdpSocket;
 
 use super::{
@@ -82,15 +82,13 @@
     cold.then_some(start.rate)
 }
 
-/// Records what a response tells of the time for which its endpoint stays cold. One that refuses a request as meant for
-/// another endpoint shows that the endpoint's process was replaced, so that its successor is cold.
+/// Records what a response tells of the time for which its endpoint stays cold.
 pub(super) fn record_cold(ctx: &Context, id: &EndpointId, head: &Parts) {
-    let Some(start) = cold_start(ctx, id) else {
+    if cold_start(ctx, id).is_none() {
         return;
-    };
+    }
     let left = match text(&head.headers, &ctx.headers.cold).map(|v| v.trim().parse::<f64>()) {
         Some(Ok(ms)) if ms >= 0.0 => Millis(ms.min(COLD_MAX_MS) as u64),
-        None if head.status == StatusCode::MISDIRECTED_REQUEST => start.time,
         None => return,
         Some(_) => {
             emit!(
@@ -106,6 +104,25 @@
     }
 }
 
+/// Takes an endpoint for cold at whose address nothing listens: its process has ended, and the next one is cold before its
+/// record is read.
+pub(super) fn note_refused(ctx: &Context, id: &EndpointId, error: &io::Error) {
+    if error.kind() != io::ErrorKind::ConnectionRefused {
+        return;
+    }
+    let Some(start) = cold_start(ctx, id) else {
+        return;
+    };
+    let now = ctx.now();
+    if ctx.cold.borrow_mut().record(id.hash(), start.time, now) {
+        emit!(
+            log_event::COLD,
+            "endpoint={id} cold={} source=connection",
+            start.time
+        );
+    }
+}
+
 /// Merges cold times that another entry reported.
 pub(super) fn merge_cold(ctx: &Context, reports: &[ColdReport], waited: Millis) {
     let now = ctx.now();
--- a/src/gateway/endpoint_query.rs
+++ b/src/gateway/endpoint_query.rs
@@ -1,8 +1,8 @@
 //! Properties of a request by which its endpoint is chosen.
 
 use super::{
-    desired::DesiredVersions, endpoint_table::EndpointId, record::WeightVersion,
-    schedule::LoadSchedule,
+    cold_times::ColdTimes, desired::DesiredVersions, endpoint_table::EndpointId,
+    record::WeightVersion, schedule::LoadSchedule,
 };
 use crate::{
     base::{HashSet, Millis, Zone},
@@ -54,4 +54,6 @@
     pub returning: bool,
     /// Estimated time for which the request occupies a slot.
     pub duration: Millis,
+    /// Cold times of endpoints; `None` if the service does not limit the requests to cold ones.
+    pub cold: Option<&'a ColdTimes>,
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -16,7 +16,7 @@
     attempt::{Attempt, Attempts, Pass, Target},
     catalog::Repeat,
     choose::{choose, has_room, Choice},
-    cold::limit_in_force,
+    cold::{limit_in_force, note_refused},
     context::{Context, InFlight},
     dropped::note_dropped,
     ending::{Ending, Progress},
@@ -115,6 +115,7 @@
                 job.id()
             );
             ctx.pool.forget(addr);
+            note_refused(ctx, &id, &e);
             flight.end(Outcome::Unreachable);
             return Ok(Attempt::NotSent);
         }
--- a/src/gateway/issuer.rs
+++ b/src/gateway/issuer.rs
@@ -12,7 +12,7 @@
 use crate::{
     base::{HashMap, Millis, RequestRate},
     decide::{
-        cold::{ColdBound, HANDOVER_TIME},
+        cold::{handover_time, ColdBound},
         permit::{PermitDecision, PermitIssuer, PermitRate},
     },
 };
@@ -197,9 +197,10 @@
     /// Returns when the first permit of a cold endpoint may be granted: at once, unless another entry may have granted
     /// permits until now.
     fn first_grant(&self, members: &Membership, now: Millis) -> Millis {
-        let resumed = self.resumed.is_some_and(|at| now < at + HANDOVER_TIME);
-        if resumed || members.changed_within(HANDOVER_TIME, now) {
-            return now + HANDOVER_TIME;
+        let handover = handover_time(members.count());
+        let resumed = self.resumed.is_some_and(|at| now < at + handover);
+        if resumed || members.changed_within(handover, now) {
+            return now + handover;
         }
         now
     }
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -11,6 +11,7 @@
 //! | an endpoint rejects requests | skipped for a short backoff that doubles |
 //! | an endpoint sends `Retry-After` | paused until then, whatever else is reported of it |
 //! | an endpoint limits its request rate | closed after each denied permit until another may be granted |
+//! | an endpoint is cold, and its service limits cold ones | the same; costs more, so that warm ones come first |
 //! | an endpoint fails part of its requests | its cost grows, so that it is used only when the others are loaded |
 //! | an endpoint is lost | its circuit breaker opens |
 
@@ -50,6 +51,10 @@
 /// any moment.
 const OVERDUE_COST: f64 = 1.5;
 
+/// Cost of a cold endpoint, which may deny a permit, as a share of its slots: it gets requests once the others are loaded
+/// by that much. Low, so that its rate is used as soon as there is demand.
+const COLD_COST: f64 = 0.1;
+
 /// Divisor of an engine's slots that gives the slots kept free for requests that must not wait at the endpoint.
 const FREE_DIVISOR: u32 = 5;
 
@@ -137,6 +142,12 @@
     Some(delay.0 as f64 / OVERRUN_MAX.0 as f64 * OVERRUN_COST)
 }
 
+/// Returns the cost of an endpoint's cold time, as a share of its slots.
+fn cold_cost(e: &Endpoint, query: &EndpointQuery<'_>, now: Millis) -> f64 {
+    let cold = query.cold.is_some_and(|times| times.is_cold(e, now));
+    f64::from(u8::from(cold)) * COLD_COST
+}
+
 /// Returns the jittered `Retry-After` for a request that no endpoint can run.
 fn unavailable_retry_after(endpoints: &[&Endpoint]) -> Millis {
     let loading = |e: &&Endpoint| !e.record.draining && e.record.models.is_empty();
@@ -228,7 +239,7 @@
             if load >= limit {
                 continue;
             }
-            let cost = drain + view.cost(e, query, load);
+            let cost = drain + view.cost(e, query, load) + cold_cost(e, query, now);
             if query.owned.contains(&e.id) {
                 found.owned.push((e, cost));
             } else {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -52,6 +52,8 @@
     pub(super) retries: Counter,
     /// Requests sent to endpoints that limited their request rate.
     pub(super) limited: Counter,
+    /// Requests sent to cold endpoints of services that limit them.
+    pub(super) cold: Counter,
     /// Requests in flight whose connections ended, by the progress of their responses.
     dropped: Family<ProgressLabel, Counter>,
     /// Requests rejected because of a quarantined part.
@@ -88,6 +90,7 @@
             streams: Family::default(),
             retries: Counter::default(),
             limited: Counter::default(),
+            cold: Counter::default(),
             dropped: Family::default(),
             quarantined: Counter::default(),
             quarantines: Family::default(),
@@ -107,6 +110,8 @@
             r.register("gateway_retries", "Further attempts", out.retries.clone());
             let help = "Requests sent to endpoints that limit their request rate";
             r.register("gateway_limited_requests", help, out.limited.clone());
+            let help = "Requests sent to cold endpoints of services that limit them";
+            r.register("gateway_cold_requests", help, out.cold.clone());
             let help =
                 "Requests in flight whose connections ended, by the progress of their responses";
             r.register("gateway_dropped_requests", help, out.dropped.clone());
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -38,6 +38,10 @@
 /// Age of the withdrawal that stands for a limit which the endpoint did not name; older than any limit in force.
 const UNNAMED_AGE: Millis = Millis(1 << 40);
 
+/// The same for endpoints that are only cold. After a common start all are: a longer time would leave permits of the others
+/// unused.
+const COLD_DENIED_RETRY: Millis = Millis(10);
+
 /// Time from the request for a permit in which it must be used.
 const LIFETIME: Millis = Millis(1000);
 
@@ -123,14 +127,17 @@
 
 /// Closes all endpoints of a service that have a limit, because one request was denied permits several times.
 pub(super) fn close_limited(ctx: &Context, service: &Service) {
-    let until = ctx.now() + DENIED_RETRY;
+    let now = ctx.now();
     let table = ctx.endpoints.borrow();
-    let limited = table
-        .of_service(service)
-        .filter(|e| limit_in_force(ctx, &e.id).is_limited());
-    for e in limited {
+    for e in table.of_service(service) {
+        let limit = limit_in_force(ctx, &e.id);
+        let retry = match limit.named {
+            Some(_) => DENIED_RETRY,
+            None if limit.is_limited() => COLD_DENIED_RETRY,
+            None => continue,
+        };
         let mut balancer = ctx.balancer.borrow_mut();
-        balancer.close(&e.id, until, Millis::ZERO);
+        balancer.close(&e.id, now + retry, Millis::ZERO);
     }
 }
 
@@ -141,6 +148,9 @@
         return;
     };
     ctx.metrics.limited.inc();
+    if limit.cold.is_some() {
+        ctx.metrics.cold.inc();
+    }
     emit!(
         log_event::LIMITED,
         "id={} endpoint={id} limit={} age={}",
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -266,6 +266,7 @@
         let zone: Zone = "a".parse().expect("a valid name");
         let query = EndpointQuery {
             zone: &zone,
+            cold: None,
             weights: Some(WeightRequirement {
                 model: MODEL,
                 pending: None,
--- a/tests/cold_endpoints.rs
+++ b/tests/cold_endpoints.rs
@@ -50,6 +50,13 @@
     with_header(respond("200 OK", "yes"), "Connection: close")
 }
 
+/// Returns the same with a time for which each request occupies a slot, so that endpoints are loaded.
+fn busy() -> Vec<Step> {
+    let mut script = vec![Step::Pause(100)];
+    script.extend(warm());
+    script
+}
+
 fn cold() -> Vec<Step> {
     with_header(warm(), "X-Endpoint-Cold-Ms: 30000")
 }
@@ -127,7 +134,7 @@
 /// against callers that are turned away although warm endpoints are free.
 #[test]
 fn cold_rate_sums_over_entries() {
-    let scripts = vec![warm(), warm(), warm()];
+    let scripts = vec![busy(), busy(), busy()];
     let catalog = cold_catalog(RATE as f64);
     with_store(
         MemoryStore::default(),
@@ -139,11 +146,7 @@
             tokio::time::sleep(LEARNING.duration()).await;
             let arrivals = count(&seen[0], TIME).await;
             tasks.iter().for_each(|t| t.abort());
-            assert!(
-                arrivals.peak <= RATE,
-                "{arrivals:?}, {RATE} allowed in a second"
-            );
-            assert!(arrivals.all > 0, "the endpoint gets nothing");
+            assert_limited(&arrivals);
             for (res, _) in served.borrow().iter() {
                 assert!(res.starts_with("HTTP/1.1 200"), "{res}");
             }
--- a/tests/cold_permits.rs
+++ b/tests/cold_permits.rs
@@ -74,6 +74,8 @@
     asked: Option<Millis>,
     running: bool,
     ready: bool,
+    /// Part of a partitioned network in which the entry is.
+    part: usize,
     /// What arrived while the process did not run, with the times of arrival.
     held: Vec<(Millis, Event)>,
 }
@@ -97,6 +99,7 @@
             asked: None,
             running: true,
             ready: true,
+            part: 0,
             held: Vec::new(),
         }
     }
@@ -137,8 +140,11 @@
         model
     }
 
-    /// Sends an event to an entry; one in 50 is lost, one in 20 is late.
-    fn send(&mut self, to: usize, event: Event) {
+    /// Sends an event from an entry to another one; one in 50 is lost, one in 20 is late.
+    fn send(&mut self, from: usize, to: usize, event: Event) {
+        if self.entries[from].part != self.entries[to].part {
+            return;
+        }
         let delay = match self.random.u32(0..100) {
             0..2 => return,
             2..7 => self.random.u64(100..900),
@@ -160,7 +166,7 @@
         let targets = me.members.gossip_targets(now);
         let heartbeats = me.members.next_heartbeats(status(me.ready), now);
         for target in targets {
-            self.send(index(target), Event::Heartbeats(heartbeats.clone()));
+            self.send(i, index(target), Event::Heartbeats(heartbeats.clone()));
         }
     }
 
@@ -194,7 +200,7 @@
             let grant = self.decide(i, i);
             self.receive(i, Event::Reply { asked: now, grant }, now);
         } else {
-            self.send(j, Event::Request { from: i, sent: now });
+            self.send(i, j, Event::Request { from: i, sent: now });
         }
     }
 
@@ -213,7 +219,7 @@
             Event::Request { .. } if now >= at + REPLY_TIMEOUT => {}
             Event::Request { from, sent } => {
                 let grant = self.decide(i, from);
-                self.send(from, Event::Reply { asked: sent, grant });
+                self.send(i, from, Event::Reply { asked: sent, grant });
             }
             Event::Reply { asked, grant } => {
                 if self.entries[i].asked != Some(asked) || now >= asked + REPLY_TIMEOUT {
@@ -334,7 +340,7 @@
     if count < 100 {
         4
     } else {
-        1
+        2
     }
 }
 
@@ -405,3 +411,24 @@
         }
     }
 }
+
+/// Load pattern: the network is cut in two while callers go on at both sides. Guards against parts that each use the whole
+/// rate, and against issuers of both parts that go on beside each other when the cut ends.
+#[test]
+fn partitions_share_the_cold_rate() {
+    for (count, cut) in [(9, 1), (9, 4), (48, 16), (48, 24)] {
+        for seed in 0..2 {
+            let mut model = Model::new(count, RATE, BOUND, seed);
+            model.run(Millis(3000));
+            for i in 0..cut {
+                model.entries[i].part = 1;
+            }
+            model.run(Millis(9000));
+            for entry in &mut model.entries {
+                entry.part = 0;
+            }
+            model.run(Millis(6000));
+            model.assert_bound("partition");
+        }
+    }
+}
--- a/tests/extreme_records.rs
+++ b/tests/extreme_records.rs
@@ -31,6 +31,7 @@
 ) -> EndpointQuery<'a> {
     EndpointQuery {
         zone,
+        cold: None,
         weights: model.map(|model| WeightRequirement {
             model,
             pending: None,
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -47,6 +47,7 @@
 fn query<'a>(zone: &'a Zone, owned: &'a HashSet<EndpointId>) -> EndpointQuery<'a> {
     EndpointQuery {
         zone,
+        cold: None,
         weights: Some(WeightRequirement {
             model: MODEL,
             pending: None,
--- a/tests/gateway_homes.rs
+++ b/tests/gateway_homes.rs
@@ -88,6 +88,7 @@
 fn query<'a>(zone: &'a Zone, owned: &'a HashSet<EndpointId>) -> EndpointQuery<'a> {
     EndpointQuery {
         zone,
+        cold: None,
         weights: None,
         exact: None,
         tried: &[],
--- a/tests/version_margins/main.rs
+++ b/tests/version_margins/main.rs
@@ -222,6 +222,7 @@
         let (own_zone, none) = (zone(true), HashSet::default());
         let query = EndpointQuery {
             zone: &own_zone,
+            cold: None,
             weights: Some(WeightRequirement {
                 model: MODEL,
                 pending: Some(PendingLoads {
