--- a/tests/cold_permits.rs
+++ b/tests/cold_permits.rs
@@ -432,3 +432,16 @@
         }
     }
 }
+
+/// Load pattern: as in calm, without bounds in the settings. Guards against more requests in any one second than the cold
+/// rate itself, and against an endpoint that is starved for it.
+#[test]
+fn the_rate_itself_is_kept_without_bounds() {
+    for count in [1, 9, 48] {
+        let mut model = Model::new(count, RATE, ColdBound::default(), 0);
+        model.run(Millis(20_000));
+        model.assert_bound("no bounds");
+        let used = model.arrived.len() as f64 / 20.0;
+        assert!(used >= 0.4 * 17.0, "{count} entries: {used} a second");
+    }
+}
