--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -10,6 +10,7 @@
 
 use super::{
     catalog::{Catalog, CatalogVersion},
+    cold_times::ColdTimes,
     desired::DesiredVersions,
     endpoint_table::{EndpointId, EndpointTable},
     limits::Limits,
@@ -72,6 +73,8 @@
     pub(super) permits: RefCell<Permits>,
     /// Zones whose endpoints get no requests.
     pub(super) evacuation: RefCell<Evacuation>,
+    /// Cold times that responses of endpoints told.
+    pub(super) cold: RefCell<ColdTimes>,
     /// Parts of prompts that were in flight when endpoints ended.
     pub(super) quarantine: RefCell<Quarantine>,
     /// Requests that entries rejected and whose callers may return.
@@ -146,6 +149,7 @@
             limits: RefCell::default(),
             permits: RefCell::default(),
             evacuation: RefCell::default(),
+            cold: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(clock.now())),
             rejections: RefCell::default(),
             quarantined: Notify::new(),
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -64,6 +64,9 @@
     /// Requests of a route or a workspace can be served in no region.
     RESIDENCY = 476, "gateway-residency", Warn,
         "no endpoint may serve the requests of a route or a workspace, because of the regions that it allows", "correct allowed_regions in the configuration, or the zones in the settings";
+    /// An endpoint is cold or has warmed up, as a response told.
+    COLD = 474, "gateway-cold", Info,
+        "a response told that its endpoint is cold or has warmed up", "none";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -58,6 +58,8 @@
     pub(super) limited: Counter,
     /// Requests rejected while slots were kept free for more urgent ones.
     pub(super) reserved: Counter,
+    /// Requests sent to cold endpoints of services that limit them.
+    pub(super) cold: Counter,
     /// Requests in flight whose connections ended, by the progress of their responses.
     dropped: Family<ProgressLabel, Counter>,
     /// Requests rejected because of a quarantined part.
@@ -107,6 +109,7 @@
             retries: Counter::default(),
             limited: Counter::default(),
             reserved: Counter::default(),
+            cold: Counter::default(),
             dropped: Family::default(),
             quarantined: Counter::default(),
             restricted: Counter::default(),
@@ -135,6 +138,8 @@
             r.register("gateway_limited_requests", help, out.limited.clone());
             let help = "Requests rejected while slots were kept free for more urgent ones";
             r.register("gateway_reserved_rejections", help, out.reserved.clone());
+            let help = "Requests sent to cold endpoints of services that limit them";
+            r.register("gateway_cold_requests", help, out.cold.clone());
             let help =
                 "Requests in flight whose connections ended, by the progress of their responses";
             r.register("gateway_dropped_requests", help, out.dropped.clone());
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     base::{Millis, Percent, ProcessName, Region, Size, Zone},
-    decide::{residency::ZoneRegions, shed::Capacity},
+    decide::{cold::ColdBound, residency::ZoneRegions, shed::Capacity},
 };
 
 /// Addresses on which an entry listens.
@@ -47,6 +47,8 @@
     pub retry_burst: u32,
     /// Longest time for which callers may cache a response of the directory.
     pub directory_ttl: Millis,
+    /// Requests that a cold endpoint may get in a second.
+    pub cold: ColdBound,
 }
 
 impl Default for Bounds {
@@ -58,6 +60,7 @@
             retries: Percent(20),
             retry_burst: 100,
             directory_ttl: Millis(5000),
+            cold: ColdBound::default(),
         }
     }
 }
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -267,6 +267,7 @@
         let query = EndpointQuery {
             zone: &zone,
             residency: None,
+            cold: None,
             weights: Some(WeightRequirement {
                 model: MODEL,
                 pending: None,
--- a/tests/evacuated_load.rs
+++ b/tests/evacuated_load.rs
@@ -79,6 +79,7 @@
         reserve: 0,
         duration: Millis::ZERO,
         residency: None,
+        cold: None,
     };
     let e = balancer.pick(table.iter(), &query, now)?;
     balancer.begin(&e.id, 0, now);
--- a/tests/extreme_records.rs
+++ b/tests/extreme_records.rs
@@ -32,6 +32,7 @@
     EndpointQuery {
         zone,
         residency: None,
+        cold: None,
         weights: model.map(|model| WeightRequirement {
             model,
             pending: None,
--- a/tests/gateway_balance.rs
+++ b/tests/gateway_balance.rs
@@ -48,6 +48,7 @@
     EndpointQuery {
         zone,
         residency: None,
+        cold: None,
         weights: Some(WeightRequirement {
             model: MODEL,
             pending: None,
--- a/tests/gateway_homes.rs
+++ b/tests/gateway_homes.rs
@@ -89,6 +89,7 @@
     EndpointQuery {
         zone,
         residency: None,
+        cold: None,
         weights: None,
         exact: None,
         evacuation: None,
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -86,6 +86,7 @@
         engine: None,
         weights: None,
         origin: None,
+        cold: None,
     };
     out.services
         .insert("plain".parse().expect("a valid name"), spec);
--- a/tests/region_rules.rs
+++ b/tests/region_rules.rs
@@ -184,6 +184,7 @@
         duration: Millis::ZERO,
         evacuation: None,
         reserve: 0,
+        cold: None,
     };
     let mut balancer = LoadBalancer::default();
     let mut sent = 0;
--- a/tests/uneven_endpoints.rs
+++ b/tests/uneven_endpoints.rs
@@ -139,6 +139,7 @@
                 reserve: 0,
                 duration: Millis::ZERO,
                 residency: None,
+                cold: None,
             };
             let balancer = &mut balancers[entry];
             let Ok(e) = balancer.pick(table.iter(), &query, now) else {
--- a/tests/version_margins/main.rs
+++ b/tests/version_margins/main.rs
@@ -223,6 +223,7 @@
         let query = EndpointQuery {
             zone: &own_zone,
             residency: None,
+            cold: None,
             weights: Some(WeightRequirement {
                 model: MODEL,
                 pending: Some(PendingLoads {
