--- a/tests/chunk_schedule/main.rs
+++ b/tests/chunk_schedule/main.rs
@@ -12,7 +12,7 @@
     decide::chunk::{Action, Event, Fault, Scheduler, Source},
     settings::Prefer,
 };
-use swarm::{scheduler, Outcome, Setup, Swarm, HOST};
+use swarm::{leads, scheduler, Outcome, Setup, Swarm, HOST};
 
 /// Runs a setup with the seeds 1 to `seeds` and returns the worst value of each figure.
 fn worst(mut setup: Setup, seeds: u64) -> Outcome {
@@ -140,6 +140,22 @@
     assert!(out.ratio <= 1.5 && out.copies <= 1.25, "{out:?}");
 }
 
+/// Guards against chunks that no host seeds because a region has few leaders and some of them have failed.
+#[test]
+fn dead_leaders_among_few_are_replaced() {
+    for seed in 1..=3 {
+        let mut setup = Setup::new(50, Prefer::Origin);
+        setup.seed = seed;
+        setup.leaders = 14;
+        let leaders: Vec<_> = (0..50).filter(|&i| leads(&setup, i)).collect();
+        assert_eq!(leaders.len(), 14);
+        setup.dead = leaders[..5].to_vec();
+        let out = Swarm::new(setup, scheduler).run();
+        println!("{out:?}");
+        assert!(out.ratio <= 1.8 && out.copies <= 1.25, "{out:?}");
+    }
+}
+
 /// Guards against a copy that does not recover after the origin failed for 10 s, and against hosts of all ranks that
 /// then fetch the same chunks from it.
 #[test]
--- a/tests/chunk_schedule/swarm.rs
+++ b/tests/chunk_schedule/swarm.rs
@@ -65,6 +65,8 @@
     pub(crate) dead: Vec<usize>,
     /// Start and end, in milliseconds, of the time in which the origin fails every request.
     pub(crate) outage: (u64, u64),
+    /// Number of nodes of a region that lead all chunks.
+    pub(crate) leaders: usize,
     /// Number of chunks that every node holds from an older version.
     pub(crate) shared: usize,
 }
@@ -81,6 +83,7 @@
             seed: 1,
             dead: Vec::new(),
             outage: (0, 0),
+            leaders: usize::MAX,
             shared: 0,
         }
     }
@@ -173,9 +176,18 @@
     Topology::new(id(i), setup.sites.iter().enumerate().map(member).collect())
 }
 
+/// Returns whether a node leads chunks of the version.
+pub(crate) fn leads(setup: &Setup, i: usize) -> bool {
+    let chunks: Vec<_> = (0..CHUNKS).map(|c| digest(c, setup.seed)).collect();
+    let manifest = digest(CHUNKS, setup.seed);
+    let ranks = topology(setup, i).ranks(&manifest, &chunks, setup.leaders);
+    ranks.contains(&0)
+}
+
 pub(crate) fn scheduler(setup: &Setup, i: usize) -> Scheduler {
     let mut config = Config::new(setup.prefer, CHUNK, HOST);
     config.cross_region = setup.crossing;
+    config.leaders = setup.leaders;
     let chunks = (0..CHUNKS).map(|c| digest(c, setup.seed)).collect();
     let seed = setup.seed * 1000 + i as u64;
     let manifest = digest(CHUNKS, setup.seed);
