fix(gateway): a longer cold time is told, and each cold bucket waits for its predecessor

Found by a reader of the change. An endpoint that started again while it was cold stayed cold for longer than other entries knew, and these would have sent requests without a permit: only the begin and the end of a cold time counted as news. And an issuer with a bucket of a named limit granted permits of a cold endpoint at once after it had taken over. Now an end that is later by over 0.5 s is news, and a bucket that begins to count as cold begins empty after the pause. cold_times longer_cold_times_are_told is new; cold_times, cold_permits, cold_endpoints, limit_permits, endpoint_limit pass.

--- a/src/gateway/cold_times.rs
+++ b/src/gateway/cold_times.rs
@@ -15,6 +15,9 @@
     decide::cold::{is_cold, HeardCold},
 };
 
+/// Difference below which two ends of a cold time count as the same: the time that responses and reports are under way.
+const SAME: Millis = Millis(500);
+
 /// Time for which a report is repeated to other entries: a few gossip intervals, because datagrams are lost.
 const REPEAT: Millis = Millis(1500);
 
@@ -99,7 +102,8 @@
         is_cold(cold.learned, cold.until, heard, now)
     }
 
-    /// Records what a response told, and whether it is news; a response that tells the same as the known one is none.
+    /// Records what a response told; returns whether it is news: the endpoint became cold or warm, or stays cold for longer
+    /// than was known.
     pub fn record(&mut self, endpoint: EndpointHash, left: Millis, now: Millis) -> bool {
         self.apply(endpoint, left, now, now)
     }
@@ -120,7 +124,8 @@
         }
         let until = now + left;
         let was_cold = known.is_some_and(|k| now < k.heard.until);
-        let news = was_cold != (now < until);
+        let longer = known.is_some_and(|k| until > k.heard.until + SAME);
+        let news = was_cold != (now < until) || longer;
         let changed = if news {
             now
         } else {
--- a/src/gateway/issuer.rs
+++ b/src/gateway/issuer.rs
@@ -181,14 +181,15 @@
         let Some(rate) = terms.rate() else {
             return Grant::Granted;
         };
-        let start = match claim {
-            Some(_) if known.is_none() => self.first_grant(members, now),
-            _ => now,
-        };
+        // A bucket of a named limit alone did not wait for the permits that another entry may have granted.
+        if claim.is_some() && known.is_none_or(|i| i.claim.is_none()) {
+            let start = self.first_grant(members, now);
+            self.issuers.insert(endpoint, EndpointIssuer::new(start));
+        }
         let issuer = self
             .issuers
             .entry(endpoint)
-            .or_insert_with(|| EndpointIssuer::new(start));
+            .or_insert_with(|| EndpointIssuer::new(now));
         issuer.claim = claim.or(issuer.claim);
         let fleet = members.fleet(now);
         issuer.issuer.request(from, rate, fleet, now).into()
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -35,13 +35,13 @@
 /// permits.
 const DENIED_RETRY: Millis = Millis(100);
 
+/// Like [`DENIED_RETRY`], for endpoints that have a limit only because they are cold. After a common start all are, and a
+/// longer time would leave their permits unused.
+const COLD_DENIED_RETRY: Millis = Millis(10);
+
 /// Age of the withdrawal that stands for a limit which the endpoint did not name; older than any limit in force.
 const UNNAMED_AGE: Millis = Millis(1 << 40);
 
-/// The same for endpoints that are only cold. After a common start all are: a longer time would leave permits of the others
-/// unused.
-const COLD_DENIED_RETRY: Millis = Millis(10);
-
 /// Time from the request for a permit in which it must be used.
 const LIFETIME: Millis = Millis(1000);
 
--- a/tests/cold_times.rs
+++ b/tests/cold_times.rs
@@ -120,6 +120,22 @@
     assert!(one.times.reports(NOW).is_empty(), "forgotten");
 }
 
+/// Guards against entries that go on with an earlier end of a cold time: the endpoint started again, or became cold again,
+/// while it was cold.
+#[test]
+fn longer_cold_times_are_told() {
+    let mut times = ColdTimes::default();
+    let endpoint = id(1).hash();
+    assert!(times.record(endpoint, Millis(8000), NOW));
+    let later = NOW + Millis(3000);
+    assert!(!times.record(endpoint, Millis(5000), later), "the same end");
+    assert!(times.record(endpoint, Millis(15_000), later));
+    let reports = times.reports(later + Millis(1000));
+    assert_eq!(reports.len(), 1);
+    let mut other = ColdTimes::default();
+    assert!(other.merge(&reports[0], later + Millis(1000)));
+}
+
 /// Guards against datagrams that builds without cold times cannot read, and against theirs being misread.
 #[test]
 fn news_follow_messages_of_older_builds() {
