fix(evacuation): all processes take the same zones beyond the bound

Found by a reader of the change. With more than 32 records, a process that followed the log and one that read the newest records held different zones at the same position, for good. Now the first 32 by name count. A position of which it is not known that the log ended there is sent without an age instead of with the sender's clock. evacuated_zones the_same_zones_are_evacuated_everywhere is new; evacuated_zones, evacuation_copies, gateway_evacuation pass.

--- a/src/decide/evacuation.rs
+++ b/src/decide/evacuation.rs
@@ -165,17 +165,19 @@
         }
         let mut ignored = Vec::new();
         for (zone, evacuated) in read.zones {
-            if !evacuated {
-                self.read.remove(&zone);
-            } else if self.read.len() < ZONES_MAX || self.read.contains(&zone) {
-                self.read.insert(zone);
-            } else {
+            if evacuated {
+                self.read.insert(zone.clone());
                 ignored.push((zone, ZoneChange::Ignored));
+            } else {
+                self.read.remove(&zone);
             }
         }
+        // The first ones by name, so that all processes take the same, whatever the order of the records.
+        let zones: BTreeSet<_> = self.read.iter().take(ZONES_MAX).cloned().collect();
+        ignored.retain(|(zone, _)| self.read.contains(zone) && !zones.contains(zone));
         let mut changes = Vec::new();
         if self.advance(read.position, read.age, now) {
-            changes = self.replace(self.read.clone(), now);
+            changes = self.replace(zones, now);
         }
         changes.append(&mut ignored);
         changes
@@ -228,7 +230,12 @@
         let restored = restored.filter(|(_, at)| now < **at + RAMP_TIME);
         Some(EvacuationCopy {
             position: position.offset,
-            age: now - position.confirmed,
+            // Unknown if it was never known to end there.
+            age: if position.confirmed == Millis::ZERO {
+                Millis::MAX
+            } else {
+                now - position.confirmed
+            },
             zones: self.zones.iter().cloned().collect(),
             restored: restored.map(|(z, at)| (z.clone(), now - *at)).collect(),
         })
--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -4,7 +4,7 @@
 //! |---|---|
 //! | a route or a workspace lists regions | only endpoints of zones in these regions are eligible |
 //! | both list regions | only endpoints in regions of both lists are |
-//! | the list is empty, or no zone is in its regions | no endpoint is |
+//! | no name is left in the list, or no zone is in its regions | no endpoint is |
 //! | an endpoint's zone is in no known region | it is eligible only without a list |
 
 use std::{
--- a/tests/evacuated_zones.rs
+++ b/tests/evacuated_zones.rs
@@ -129,6 +129,23 @@
     assert_eq!(zones.share(&a, NOW + Millis(4000)), 0.0);
 }
 
+/// Guards against processes that take different zones beyond the bound, by whether they followed the log or read the newest
+/// records.
+#[test]
+fn the_same_zones_are_evacuated_everywhere() {
+    let names: Vec<String> = (0..33).map(|i| format!("zone-{i:02}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut follower = Evacuation::default();
+    follower.apply(whole(33, &names), NOW);
+    follower.apply(news(34, &names[..1], false), NOW);
+    let mut starter = Evacuation::default();
+    starter.apply(whole(34, &names[1..]), NOW);
+    for name in names {
+        let zone = zone(name);
+        assert_eq!(follower.contains(&zone), starter.contains(&zone), "{name}");
+    }
+}
+
 /// Load: an operator's tool that writes many records. Guards against datagrams that grow with the number of records until
 /// no heartbeat arrives any more.
 #[test]
