fix(http): a caller that reads a response is not shed as one that sends a request

Found by a reader of the change, by reading: a byte of the next request, or the end of what the caller sends, put a connection whose response was still being read among those that arrive, which are shed after 1 s instead of 5 s.

--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -200,11 +200,15 @@
 
     /// Counts bytes that were read; between two requests they belong to a head.
     pub(super) fn read(&self, bytes: usize) {
+        if bytes == 0 {
+            return;
+        }
         if self.busy.get() {
             self.progress(bytes);
             return;
         }
-        if self.head.get() == 0 {
+        // A caller that still reads a response is not one whose request arrives.
+        if self.head.get() == 0 && self.sizes().unsent == 0 {
             self.set_phase(Phase::Arriving);
         }
         self.progress(bytes);
@@ -246,11 +250,16 @@
         self.set_phase(Phase::Closing);
     }
 
-    /// Returns to rest after a response, once its caller has it.
+    /// Ends the phase of a response, once its caller has it.
     fn rest(&self) {
-        if !self.busy.get() && self.head.get() == 0 && self.sizes().unsent == 0 {
-            self.set_phase(Phase::Idle);
+        if self.busy.get() || self.sizes().unsent > 0 {
+            return;
         }
+        self.set_phase(if self.head.get() == 0 {
+            Phase::Idle
+        } else {
+            Phase::Arriving
+        });
     }
 }
 
