--- a/src/decide/chunk/topology.rs
+++ b/src/decide/chunk/topology.rs
@@ -176,7 +176,7 @@
         chunks.iter().map(rank).collect()
     }
 
-    /// Returns at most [`CROSS_SOURCES`] hosts of the origin's region by their rank for a chunk of a manifest with `count`
+    /// Returns at most `CROSS_SOURCES` hosts of the origin's region by their rank for a chunk of a manifest with `count`
     /// leaders; none if this host is in that region.
     pub fn chunk_sources(&self, manifest: &Digest, id: &Digest, count: usize) -> Vec<PeerId> {
         let key = key(id);
--- a/src/decide/evacuation.rs
+++ b/src/decide/evacuation.rs
@@ -14,7 +14,7 @@
 /// Largest number of evacuated zones; bounds the size of the datagrams that contain their names.
 const ZONES_MAX: usize = 32;
 
-/// Time in which the share of a zone rises from [`SHARE_MIN`] to its full share after the zone was put back into service.
+/// Time in which the share of a zone rises from a twentieth to its full share after the zone was put back into service.
 /// Endpoints that started meanwhile are slow for some seconds.
 pub const RAMP_TIME: Millis = Millis(10_000);
 
--- a/src/decide/permit.rs
+++ b/src/decide/permit.rs
@@ -38,7 +38,7 @@
 pub struct PermitRate {
     /// Permits per second.
     pub rate: RequestRate,
-    /// Most permits that are kept for a burst; [`BURST`] and those of [`BURST_TIME`] if `None`.
+    /// Most permits that are kept for a burst; `BURST` and those of `BURST_TIME` if `None`.
     pub kept: Option<f64>,
 }
 
