fix(staging): two requests at the origin in regions of up to ten hosts

Cause: since each host of such a region has one request in flight, and the link is idle between the requests of the host with the last chunks. Now one request each only where more than ten hosts request, as many as the window of the origin.

--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -45,12 +45,13 @@
 
 /// Requests of one host in flight to the origin and to other regions. With 2, chunks that the origin sends at the same
 /// time all arrive late: in the simulation half of 60 hosts were complete 0.3 s later. A region with few hosts needs 2, so
-/// that the link is not idle between two requests: with 1 and three hosts, a copy took 20 ms longer.
+/// that the link is not idle between two requests: with 1 and seven hosts, the last chunk came more than 0.4 s later.
 const ORIGIN_REQUESTS: usize = 1;
 const ORIGIN_REQUESTS_FEW: usize = 2;
 
-/// Number of other hosts in the region from which on their requests keep the origin's link busy.
-const REQUESTERS_MIN: usize = 6;
+/// Number of other hosts in the region from which on their requests keep the origin's link busy, also while the last chunks
+/// are fetched, of which some hosts have none to fetch.
+const REQUESTERS_MIN: usize = ORIGIN_WINDOW;
 
 /// Hosts of a region that seed chunks. They hold most chunks early and serve the others: in the simulation of 400 hosts in
 /// three regions the first copies are complete 0.8 s earlier after an outage of the origin. With 8, their links limit the
--- a/tests/version_copies/main.rs
+++ b/tests/version_copies/main.rs
@@ -30,7 +30,7 @@
         finishes: |c| prospect(c.named, c.known).finishes_older(c.now),
         keeps: true,
         chunk_wait: 500,
-        origin_requests: if hosts / REGIONS > 6 { 1 } else { 2 },
+        origin_requests: if hosts / REGIONS > 10 { 1 } else { 2 },
         leaders: 14,
         backoff_max: Millis(300),
     }
