refactor: names that a reader of the change stumbled on

A contributor who had not seen the work read it whole. Renamed: the pause of an issuer of cold endpoints (handover_time is that of readers of the store), the lifetimes of what entries say of cold endpoints (claims are another matter), followers of chunk leaders, the levels of a reserve, the rejection for want of memory. No behaviour is changed but the reason of that rejection in metrics, now memory.

--- a/src/decide/chunk/topology.rs
+++ b/src/decide/chunk/topology.rs
@@ -94,8 +94,8 @@
         }
     }
 
-    /// Returns whether a host is not a leader.
-    fn is_other(&self, host: PeerId) -> bool {
+    /// Returns whether a host is no leader.
+    fn is_follower(&self, host: PeerId) -> bool {
         score(host, self.key) > self.threshold
     }
 }
@@ -165,8 +165,8 @@
     /// `count` hosts of the region, come before the others, so that they lead all chunks.
     pub fn ranks(&self, manifest: &Digest, chunks: &[Digest], count: usize) -> Vec<usize> {
         let leaders = Leaders::new(self.local().chain([self.me]), manifest, count);
-        let others: Vec<_> = self.local().map(|p| (leaders.is_other(p), p)).collect();
-        let own = leaders.is_other(self.me);
+        let others: Vec<_> = self.local().map(|p| (leaders.is_follower(p), p)).collect();
+        let own = leaders.is_follower(self.me);
         let rank = |id: &Digest| {
             let key = key(id);
             let mine = (own, score(self.me, key));
@@ -184,7 +184,7 @@
         let store = self.members.iter().filter(in_store).map(|m| m.id);
         let leaders = Leaders::new(store.clone(), manifest, count);
         let mut all: Vec<_> = store
-            .map(|p| (leaders.is_other(p), score(p, key), p))
+            .map(|p| (leaders.is_follower(p), score(p, key), p))
             .collect();
         all.sort_unstable();
         let first = all.into_iter().take(CROSS_SOURCES);
--- a/src/decide/cold.rs
+++ b/src/decide/cold.rs
@@ -26,7 +26,7 @@
 const HANDOVER_MAX: Millis = Millis(2000);
 
 /// Returns the time for which an entry that becomes the issuer of a cold endpoint grants nothing, among `entries`.
-pub fn handover_time(entries: usize) -> Millis {
+pub fn issuer_pause(entries: usize) -> Millis {
     let time = HANDOVER_PER_ENTRY.times(entries as u64);
     time.clamp(HANDOVER_MIN, HANDOVER_MAX)
 }
--- a/src/decide/priority.rs
+++ b/src/decide/priority.rs
@@ -58,7 +58,7 @@
     /// Records whether a request of a priority began, or was rejected for want of a slot. A rejection by a reserve says
     /// nothing of the load, so that it does not prolong the reserve.
     pub fn record(&mut self, priority: u8, begun: bool, now: Millis) {
-        if !begun && self.share_kept(priority, now) == 0 {
+        if !begun && self.reserved_levels(priority, now) == 0 {
             self.pressed_until = now + PRESSURE_TIME;
         }
         self.decay(now);
@@ -69,13 +69,13 @@
 
     /// Returns the slots of an engine with `slots` slots that a request of a priority leaves free.
     pub fn reserve(&self, priority: u8, slots: u32, now: Millis) -> u32 {
-        let levels = self.share_kept(priority, now);
+        let levels = self.reserved_levels(priority, now);
         let reserve = slots.div_ceil(RESERVE_DIVISOR).saturating_mul(levels);
         reserve.min(slots.saturating_sub(1))
     }
 
     /// Returns the number of more urgent priorities for which a request leaves slots free.
-    fn share_kept(&self, priority: u8, now: Millis) -> u32 {
+    fn reserved_levels(&self, priority: u8, now: Millis) -> u32 {
         if now >= self.pressed_until {
             return 0;
         }
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -58,8 +58,8 @@
 }
 
 /// Returns the rejection of a request that was shed.
-fn crowded() -> Reject {
-    Reject::Crowded(crate::base::jitter(SHED_RETRY_AFTER))
+fn shed_reject() -> Reject {
+    Reject::MemoryUsedUp(crate::base::jitter(SHED_RETRY_AFTER))
 }
 
 /// Reads a body of at most `max` bytes, for `time` at most, which `held` counts.
@@ -87,7 +87,7 @@
     match read {
         Ok(data) => {
             if let Some(held) = &held {
-                held.serve().map_err(|Shed| crowded())?;
+                held.serve().map_err(|Shed| shed_reject())?;
             }
             Ok(RequestBody { data, held })
         }
@@ -96,7 +96,7 @@
             Err(Reject::TooLarge)
         }
         Err(ReadError::Broken) => Err(Reject::Malformed),
-        Err(ReadError::Shed) => Err(crowded()),
+        Err(ReadError::Shed) => Err(shed_reject()),
     }
 }
 
--- a/src/gateway/issuer.rs
+++ b/src/gateway/issuer.rs
@@ -12,14 +12,14 @@
 use crate::{
     base::{HashMap, Millis, RequestRate},
     decide::{
-        cold::{handover_time, ColdBound},
+        cold::{issuer_pause, ColdBound},
         permit::{PermitDecision, PermitIssuer, PermitRate},
     },
 };
 
 /// Time for which an endpoint counts as cold after an entry that knows it as cold asked for a permit; such entries ask
 /// again sooner while they have requests for it.
-const CLAIM_LIFETIME: Millis = Millis(2000);
+const COLD_REPORT_LIFETIME: Millis = Millis(2000);
 
 /// Number of a permit request. It is random, so that a late reply to an earlier process of the same host matches none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -80,7 +80,7 @@
 }
 
 /// Time for which the issuer of a cold endpoint is kept without requests for permits, so that rare ones find permits.
-const CLAIM_RETENTION: Millis = Millis(30_000);
+const COLD_ISSUER_RETENTION: Millis = Millis(30_000);
 
 /// Time without upkeep after which the process counts as having been paused; shorter than the time after which other
 /// entries replace an issuer.
@@ -138,12 +138,13 @@
 
     /// Returns whether an entry may ask again for permits of a cold endpoint.
     fn is_claimed(&self, now: Millis) -> bool {
-        self.claim.is_some_and(|c| now < c.1 + CLAIM_RETENTION)
+        self.claim
+            .is_some_and(|c| now < c.1 + COLD_ISSUER_RETENTION)
     }
 
     /// Returns the cold rate that an entry named lately.
     fn cold(&self, now: Millis) -> Option<RequestRate> {
-        let claim = self.claim.filter(|c| now < c.1 + CLAIM_LIFETIME);
+        let claim = self.claim.filter(|c| now < c.1 + COLD_REPORT_LIFETIME);
         claim.map(|c| c.0)
     }
 }
@@ -198,10 +199,10 @@
     /// Returns when the first permit of a cold endpoint may be granted: at once, unless another entry may have granted
     /// permits until now.
     fn first_grant(&self, members: &Membership, now: Millis) -> Millis {
-        let handover = handover_time(members.count());
-        let resumed = self.resumed.is_some_and(|at| now < at + handover);
-        if resumed || members.changed_within(handover, now) {
-            return now + handover;
+        let pause = issuer_pause(members.count());
+        let resumed = self.resumed.is_some_and(|at| now < at + pause);
+        if resumed || members.changed_within(pause, now) {
+            return now + pause;
         }
         now
     }
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -49,7 +49,7 @@
     Stopping(Millis),
     /// The memory for callers is used up; the request was not run.
     #[error("not run, the memory for callers is used up; retry after {0}")]
-    Crowded(Millis),
+    MemoryUsedUp(Millis),
     /// No endpoint of the service can run the request; it was not run.
     #[error("not run, no endpoint can run it; retry after {0}")]
     Unavailable(Millis),
@@ -88,7 +88,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Starting(_)
             | Self::Stopping(_)
-            | Self::Crowded(_)
+            | Self::MemoryUsedUp(_)
             | Self::Unavailable(_)
             | Self::Overloaded(_)
             | Self::Quarantined(_)
@@ -109,7 +109,7 @@
             Self::HeadTooLarge | Self::TooLarge => "too-large",
             Self::Starting(_) => "starting",
             Self::Stopping(_) => "stopping",
-            Self::Crowded(_) => "crowded",
+            Self::MemoryUsedUp(_) => "memory",
             Self::Unavailable(_) => "no-endpoint",
             Self::Overloaded(_) => "overloaded",
             Self::Quarantined(_) => "quarantined",
@@ -126,7 +126,7 @@
         match self {
             Self::Starting(t)
             | Self::Stopping(t)
-            | Self::Crowded(t)
+            | Self::MemoryUsedUp(t)
             | Self::Unavailable(t)
             | Self::Overloaded(t)
             | Self::Quarantined(t)
@@ -147,7 +147,7 @@
         }
         if matches!(
             self,
-            Self::RequestTimeout | Self::TooLarge | Self::Crowded(_)
+            Self::RequestTimeout | Self::TooLarge | Self::MemoryUsedUp(_)
         ) {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(CONNECTION, close);
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -80,7 +80,7 @@
     /// Target that superseded the present copy, with its manifest, which was fetched before the copy was given up.
     next_manifest: RefCell<Option<(Target, Manifest)>>,
     /// Newer version with which the present copy is compared, and when this agent learnt of it.
-    rival: Cell<Option<(WeightVersion, Millis)>>,
+    compared: Cell<Option<(WeightVersion, Millis)>>,
     /// Whether chunks did not match the last manifest, so that the next one is fetched from the origin.
     manifest_rejected: Cell<bool>,
     pub(super) loader: Loader,
@@ -129,7 +129,7 @@
             last_born: Cell::default(),
             copying: Cell::default(),
             next_manifest: RefCell::default(),
-            rival: Cell::default(),
+            compared: Cell::default(),
             manifest_rejected: Cell::default(),
             loader: Loader::default(),
             changed: Notify::new(),
@@ -253,9 +253,9 @@
         };
         let progress = self.inventory.progress();
         let now = self.now();
-        let known = self.rival.get().filter(|rival| rival.0 == newer);
-        let learnt = known.map_or(now, |rival| rival.1);
-        self.rival.set(Some((newer, learnt)));
+        let known = self.compared.get().filter(|compared| compared.0 == newer);
+        let learnt = known.map_or(now, |compared| compared.1);
+        self.compared.set(Some((newer, learnt)));
         let loaded = self.loaded().and_then(|v| desired.superseded_at(v));
         let prospect = Prospect {
             bound,
