test(gateway): a store that is restored from an older copy

A platform store may return from a copy that is some seconds old, and then uses offsets again. The store of the gateway's tests can be restored, and responds with 410 (Trimmed) beyond the end of its log.

--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -7,7 +7,7 @@
 pub mod stopping;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     future::Future,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -126,9 +126,17 @@
     }
 }
 
-/// An in-memory store: the records of each topic, and a wake-up for reads that wait.
+/// The records of each topic, in the order of the log.
+type Logs = HashMap<Topic, Vec<Record>>;
+
+/// An in-memory store: the records of each topic, a wake-up for reads that wait, and how often the store was restored from
+/// an older copy.
 #[derive(Clone, Default)]
-pub struct MemoryStore(Rc<RefCell<HashMap<Topic, Vec<Record>>>>, Rc<Notify>);
+pub struct MemoryStore(Rc<RefCell<Logs>>, Rc<Notify>, Rc<Cell<u64>>);
+
+/// A copy of all topics of a store.
+#[derive(Clone)]
+pub struct StoreCopy(Logs);
 
 impl MemoryStore {
     /// Appends a record; an empty value removes the key.
@@ -141,16 +149,37 @@
         self.1.notify_waiters();
     }
 
-    fn records_from(&self, topic: Topic, from: u64) -> Vec<Record> {
+    /// Returns a copy of the store, to be restored later.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.0.borrow().clone())
+    }
+
+    /// Restores the store from an older copy: what was written since is lost, its offsets are used again, and the next
+    /// era begins. Reads that wait go on waiting, as at a store that keeps their connections.
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.0.replace(copy.0.clone());
+        self.2.set(self.2.get() + 1);
+    }
+
+    /// Returns how many records of a topic have a key.
+    pub fn count(&self, topic: Topic, key: &str) -> usize {
+        let all = self.0.borrow();
+        let list = all.get(&topic).map(Vec::as_slice).unwrap_or_default();
+        list.iter().filter(|r| r.key == key).count()
+    }
+
+    /// Returns the records from an offset on; fails if the log ends before it.
+    fn records_from(&self, topic: Topic, from: u64) -> Result<Vec<Record>, StoreError> {
         let all = self.0.borrow();
         let list = all.get(&topic).map(Vec::as_slice).unwrap_or_default();
-        list.get(from as usize..).unwrap_or_default().to_vec()
+        let records = list.get(from as usize..).ok_or(StoreError::Trimmed)?;
+        Ok(records.to_vec())
     }
 }
 
 impl RecordStore for MemoryStore {
     async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
-        let records = self.records_from(topic, 0);
+        let records = self.records_from(topic, 0)?;
         let next = records.len() as u64;
         Ok(Records {
             records,
@@ -161,10 +190,10 @@
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
-        let mut records = self.records_from(topic, from);
+        let mut records = self.records_from(topic, from)?;
         if records.is_empty() && wait > Millis::ZERO {
             let _ = tokio::time::timeout(wait.duration(), self.1.notified()).await;
-            records = self.records_from(topic, from);
+            records = self.records_from(topic, from)?;
         }
         let next = from + records.len() as u64;
         Ok(Records {
