feat(gateway): heartbeats tell where the operator's log was last known to end

Entries that take over the reads of their zone, or that read again after an outage of the store, do not know when its log last ended before a version, and count the version from up to 3.5 s before or 2 s after its write.

LogView (era, position, age) follows the evacuated zones in the datagrams of heartbeats, as an Option; the era is 0 until the store's era is followed. Nothing uses it yet. Older builds ignore it, and their datagrams say nothing of the log. A view that cannot be decoded costs nothing that precedes it.

--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -73,6 +73,7 @@
     }
 
     fn evacuation(&self, read: EvacuationRead) {
+        self.note_log_end(read.position, read.age);
         self.apply_evacuation(read);
     }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -154,7 +154,10 @@
     let message = Message::Gossip(datagram);
     let copy = ctx.evacuation.borrow().copy(ctx.now());
     match copy {
-        Some(copy) => send_to_all(socket, &(message, times, copy), targets).await,
+        Some(copy) => {
+            let log = ctx.log_view();
+            send_to_all(socket, &(message, times, copy, log), targets).await;
+        }
         None => send_to_all(socket, &(message, times), targets).await,
     }
 }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -6,6 +6,7 @@
     endpoint_table::{EndpointHash, EndpointUpdate},
     issuer::{PermitId, PermitReply, PermitRequest},
     limits::LimitReport,
+    log_view::LogView,
     members::Heartbeat,
     record::WeightVersion,
     write_time::WriteAge,
@@ -80,6 +81,8 @@
     /// What the sender of a [`Gossip`] knows of evacuated zones; entries of a build without it ignore what follows the
     /// times.
     pub evacuation: Option<EvacuationCopy>,
+    /// What the sender of a [`Gossip`] knows of the end of the operator's log; follows the evacuated zones.
+    pub log: Option<LogView>,
 }
 
 impl Appended {
@@ -88,9 +91,16 @@
         let Ok((times, rest)) = postcard::take_from_bytes(data) else {
             return Self::default();
         };
+        let Ok((copy, rest)) = postcard::take_from_bytes(rest) else {
+            return Self {
+                times,
+                ..Self::default()
+            };
+        };
         Self {
             times,
-            evacuation: postcard::from_bytes(rest).ok(),
+            evacuation: Some(copy),
+            log: postcard::from_bytes(rest).unwrap_or_default(),
         }
     }
 }
