--- a/src/gateway/store_era.rs
+++ b/src/gateway/store_era.rs
@@ -28,7 +28,7 @@
             return;
         }
         self.evacuation.borrow_mut().begin_era(now);
-        self.log_end.set(None);
+        self.log_ends.borrow_mut().clear();
         let mut table = self.endpoints.borrow_mut();
         table.forget_position();
         let Some(before) = before else {
