--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 pub mod era;
 pub mod evacuation;
 pub mod feed;
+pub mod known_load;
 pub mod lease;
 pub mod limit;
 pub mod member;
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    endpoint_loads::EndpointLoads,
     endpoint_table::{EndpointHash, EndpointUpdate},
     issuer::{PermitId, PermitReply, PermitRequest},
     limits::LimitReport,
@@ -83,6 +84,8 @@
     pub evacuation: Option<EvacuationCopy>,
     /// What the sender of a [`Gossip`] knows of the end of the operator's log; follows the evacuated zones.
     pub log: Option<LogView>,
+    /// Loads of endpoints that the sender of a [`Gossip`] knows; they follow the end of the log.
+    pub loads: Option<EndpointLoads>,
 }
 
 impl Appended {
@@ -91,16 +94,18 @@
         let Ok((times, rest)) = postcard::take_from_bytes(data) else {
             return Self::default();
         };
-        let Ok((copy, rest)) = postcard::take_from_bytes(rest) else {
+        let Ok((evacuation, rest)) = postcard::take_from_bytes(rest) else {
             return Self {
                 times,
                 ..Self::default()
             };
         };
+        let (log, rest): (Option<LogView>, _) = postcard::take_from_bytes(rest).unwrap_or_default();
         Self {
             times,
-            evacuation: Some(copy),
-            log: postcard::from_bytes(rest).unwrap_or_default(),
+            evacuation: Some(evacuation),
+            log,
+            loads: postcard::from_bytes(rest).unwrap_or_default(),
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod dropped;
 mod ended;
 mod ending;
+mod endpoint_loads;
 mod endpoint_query;
 mod endpoint_table;
 mod evacuation;
@@ -78,6 +79,7 @@
 pub use compression::{compress, decompress};
 pub use desired::DesiredVersions;
 pub use directory::{Directory, DirectoryQuery};
+pub use endpoint_loads::{EndpointLoad, EndpointLoads};
 pub use endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement};
 pub use endpoint_table::{
     Change, Endpoint, EndpointHash, EndpointId, EndpointTable, EndpointUpdate, TableDelta,
