feat(gateway): spread the returns of rejected callers over the time in which they can be served

Seen by callers: with 1.35 times the capacity, 0.22 to 0.27 of the requests were rejected, came back and were rejected again; with 2.2 times, half of them.

Cause: every rejected caller was told to return after 250 ms on average, however many were told so before.

Change: an entry tells callers of services with engines to return at 1.25 times the rate at which returning ones began lately, in the interval with the fewest others (decide/return_times.rs). Others get their time left as `Retry-After`, which they don't use; the response stays 503, not run. In an outage the return follows the next end of a load by the load schedule, or the last quarter of the time that the caller accepts.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod quarantine;
 pub mod residency;
 pub mod retry;
+pub mod return_times;
 pub mod returning;
 pub mod rollout;
 pub mod route;
--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -107,7 +107,7 @@
 }
 
 /// Where one request may be served: what its route and its workspace allow.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Residency {
     route: Option<Rc<AllowedRegions>>,
     workspace: Option<Rc<AllowedRegions>>,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -34,7 +34,9 @@
         evacuation::Evacuation,
         priority::PriorityLoad,
         quarantine::Quarantine,
+        residency::Residency,
         retry::{RetryBudget, RetryDraw},
+        return_times::ReturnTimes,
         returning::Rejections,
         stop::StopPlan,
         supersede::{Expiry, Margins},
@@ -92,6 +94,8 @@
     budgets: RefCell<HashMap<Service, RetryBudget>>,
     /// Requests for engines by priority.
     pub(super) priorities: RefCell<HashMap<Service, PriorityLoad>>,
+    /// When rejected callers return, by service and by where their requests may be served.
+    pub(super) return_times: RefCell<HashMap<(Service, Residency), ReturnTimes>>,
     /// Endpoints that this entry owns.
     pub(super) owned: RefCell<HashSet<EndpointId>>,
     /// Whether the endpoint table was loaded, from the store or from another entry.
@@ -160,6 +164,7 @@
             schedules: RefCell::default(),
             budgets: RefCell::default(),
             priorities: RefCell::default(),
+            return_times: RefCell::default(),
             owned: RefCell::default(),
             table_loaded: Cell::default(),
             table_changed: Cell::default(),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -29,7 +29,7 @@
     permits::{self, Permit},
     priority,
     record::WeightVersion,
-    screen,
+    return_times, screen,
 };
 use crate::{
     base::Millis,
@@ -210,6 +210,7 @@
     }
     if sent == 0 {
         priority::record(ctx, job, true);
+        return_times::record_begun(ctx, job);
     }
     attempts.sent.set(sent + 1);
     Ok(())
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -51,7 +51,7 @@
 
 /// Time from the scheduled load start for which an endpoint is assumed to drain or to load. An endpoint that still runs
 /// the older version after it probably lacks a complete copy of the newer one.
-const LOAD_TIME: Millis = Millis(800);
+pub(super) const LOAD_TIME: Millis = Millis(800);
 
 /// Cost, as a share of its slots, of an endpoint whose host missed its scheduled load start: it may begin to load at
 /// any moment.
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -58,6 +58,9 @@
     /// A request was rejected while slots were kept free for more urgent ones.
     RESERVED = 478, "gateway-reserved", Info,
         "a request was rejected while slots of engines were kept free for more urgent ones", "check the load of the service, and the priorities of its routes and workspaces";
+    /// A rejected caller was told that its request is not expected to be served within its deadline.
+    TOO_LATE = 486, "gateway-too-late", Info,
+        "a rejected request is not expected to be served within its deadline, so that its caller was told to return later than that", "check the load of the service's engines";
     /// A zone was evacuated or put back into service, as the operator's record says.
     EVACUATION = 472, "gateway-evacuation", Info,
         "a zone was evacuated, so that its endpoints get no requests, or put back into service", "for endpoints=0 check the name of the zone in the operator's record; for change=Ignored remove records of zones that don't exist";
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -58,6 +58,8 @@
     pub(super) limited: Counter,
     /// Requests rejected while slots were kept free for more urgent ones.
     pub(super) reserved: Counter,
+    /// Rejected callers, by whether they were told to return within their deadline.
+    pub(super) returns: Family<OutcomeLabel, Counter>,
     /// Requests sent to cold endpoints of services that limit them.
     pub(super) cold: Counter,
     /// Requests in flight whose connections ended, by the progress of their responses.
@@ -109,6 +111,7 @@
             retries: Counter::default(),
             limited: Counter::default(),
             reserved: Counter::default(),
+            returns: Family::default(),
             cold: Counter::default(),
             dropped: Family::default(),
             quarantined: Counter::default(),
@@ -138,6 +141,8 @@
             r.register("gateway_limited_requests", help, out.limited.clone());
             let help = "Requests rejected while slots were kept free for more urgent ones";
             r.register("gateway_reserved_rejections", help, out.reserved.clone());
+            let help = "Rejected callers that were told to return, or that it is too late for that";
+            r.register("gateway_returns", help, out.returns.clone());
             let help = "Requests sent to cold endpoints of services that limit them";
             r.register("gateway_cold_requests", help, out.cold.clone());
             let help =
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -53,6 +53,7 @@
 mod record;
 mod reply;
 mod residency;
+mod return_times;
 mod returning;
 mod run;
 mod schedule;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -24,6 +24,7 @@
     race::{forward, Answer},
     reply::Reject,
     residency,
+    return_times::schedule_return,
     returning::record_rejected,
     stream::{Cut, Relay},
 };
@@ -204,6 +205,7 @@
     reject: Reject,
 ) -> CallerResponse<S> {
     record_rejected(ctx, job, reject);
+    let reject = schedule_return(ctx, job, reject);
     residency::count_rejected(ctx, job, reject);
     log_ended(ctx, job, attempts, reject.status(), &reject.to_string());
     count_ended(ctx, job.service.as_str(), reject.status(), reject.reason());
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -1,17 +1,28 @@
 //! Model of admission without a network: entries with their load balancers, engines with slots, and callers that return
 //! once after a rejection.
 
+mod crowd;
+
 use std::rc::Rc;
 
 use sesamewing::{
     base::{HashSet, Millis, Zone},
-    decide::returning::{Rejection, Rejections, RequestKey},
+    decide::{
+        return_times::{RejectedRequest, ReturnTimes},
+        returning::{Rejection, Rejections, RequestKey},
+    },
     gateway::{
         EndpointId, EndpointQuery, EndpointRecord, EndpointTable, LoadBalancer, Outcome, Refusal,
         ReportedLoad, Revision, WeightRequirement, WeightVersion,
     },
 };
 
+pub(crate) use crowd::{Crowd, Totals};
+use crowd::{
+    FIRST_EVENT, IMPATIENT, IMPATIENT_TIME, IMPATIENT_TRIES, OBJECTIVES, SHORT, SHORT_PATIENCE,
+    SHORT_SPREAD,
+};
+
 const MODEL: &str = "m";
 
 /// Slots of an engine, and the time for which a request occupies one.
@@ -83,19 +94,27 @@
     pub(crate) crowd: Vec<Count>,
     /// Requests that began in the crowd, in percent of what the engines serve that are there.
     pub(crate) used: u32,
+    /// What came of the callers of the crowd.
+    pub(crate) totals: Totals,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Caller {
     route: usize,
     key: RequestKey,
+    first_at: Millis,
     deadline: Millis,
+    objective: Millis,
     back: bool,
+    /// Attempts that an impatient caller still makes; 0 for others.
+    tries: u32,
+    counted: bool,
 }
 
 struct Entry {
     balancer: LoadBalancer,
     rejections: Rejections,
+    times: ReturnTimes,
     phase: u64,
 }
 
@@ -118,6 +137,8 @@
     sign: Sign,
     routes: usize,
     now: Millis,
+    crowd: Option<Crowd>,
+    totals: Totals,
 }
 
 fn engine(i: usize) -> EndpointRecord {
@@ -154,6 +175,7 @@
         let entries = (0..entries).map(|_| Entry {
             balancer: LoadBalancer::default(),
             rejections: Rejections::default(),
+            times: ReturnTimes::default(),
             phase: rng.u64(0..GOSSIP.0),
         });
         Self {
@@ -168,9 +190,17 @@
             sign,
             routes,
             now: Millis(1),
+            crowd: None,
+            totals: Totals::default(),
         }
     }
 
+    /// Plays callers as they are on the deployments.
+    pub(crate) fn with_crowd(self, crowd: Crowd) -> Self {
+        let crowd = Some(crowd);
+        Self { crowd, ..self }
+    }
+
     /// Plays a day.
     pub(crate) fn run(&mut self, load: Load) -> Outcomes {
         let count = vec![Count::default(); self.routes];
@@ -187,11 +217,17 @@
                 let there = self.away.iter().filter(|at| **at <= self.now);
                 available += capacity * there.count() as f64 / self.ids.len() as f64;
             }
+            if let Some((_, end)) = self.outage().filter(|o| o.0 == self.now) {
+                self.away.fill(end);
+                (0..self.ids.len()).for_each(|engine| self.lose_flights(engine));
+            }
             self.gossip();
             due += capacity * f64::from(percent) / 100.0;
             while due >= 1.0 {
                 due -= 1.0;
-                let caller = self.first_attempt(load.equal);
+                let mut caller = self.first_attempt(load.equal);
+                caller.counted = crowded;
+                self.totals.requests += u32::from(crowded);
                 self.attempt(caller, counts, load.returns);
             }
             for caller in self.due_returns() {
@@ -201,7 +237,17 @@
         }
         let begun: u32 = crowd.iter().map(|c| c.first_begun + c.back_begun).sum();
         let used = (f64::from(begun) * 100.0 / available) as u32;
-        Outcomes { calm, crowd, used }
+        let totals = self.totals;
+        Outcomes {
+            calm,
+            crowd,
+            used,
+            totals,
+        }
+    }
+
+    fn outage(&self) -> Option<(Millis, Millis)> {
+        self.crowd?.outage
     }
 
     fn first_attempt(&mut self, equal: Option<usize>) -> Caller {
@@ -210,11 +256,24 @@
         if equal == Some(route) {
             (content, spread) = (0, 0);
         }
+        let (mut patience, mut tries) = (PATIENCE, 0);
+        if self.crowd.is_some() {
+            if self.rng.u32(0..100) < SHORT {
+                (patience, spread) = (SHORT_PATIENCE, self.rng.u64(0..SHORT_SPREAD));
+            }
+            if self.rng.u32(0..100) < IMPATIENT {
+                tries = IMPATIENT_TRIES;
+            }
+        }
         Caller {
             route,
             key: RequestKey::new([&content.to_le_bytes()[..]]),
-            deadline: self.now + PATIENCE + Millis(spread),
+            first_at: self.now,
+            deadline: self.now + patience + Millis(spread),
+            objective: OBJECTIVES[route % OBJECTIVES.len()],
             back: false,
+            tries,
+            counted: false,
         }
     }
 
@@ -237,22 +296,53 @@
             count.first += 1;
             count.first_begun += u32::from(begun.is_ok());
         }
-        let wait = match begun {
-            Ok(engine) => return self.begin(entry, engine),
-            Err(Refusal::Overloaded(wait) | Refusal::Unavailable(wait)) => wait,
-            Err(Refusal::Quarantined(_)) => unreachable!("no part is quarantined"),
+        let refusal = match begun {
+            Ok(engine) => return self.begin(entry, engine, caller),
+            Err(refusal) => refusal,
         };
         let rejections = &mut self.entries[entry].rejections;
         rejections.record(caller.key, caller.deadline, self.now);
-        if !caller.back && self.rng.u32(0..100) < returns {
-            let back = Caller {
-                back: true,
-                ..caller
-            };
+        if caller.counted {
+            self.totals.rejections += 1;
+            self.totals.twice += u32::from(caller.back && caller.tries == 0);
+        }
+        let left = caller.deadline - self.now;
+        let wait = self.wait(entry, refusal, caller);
+        let back = Caller {
+            back: true,
+            tries: caller.tries.saturating_sub(1),
+            ..caller
+        };
+        if caller.tries > 1 {
+            self.returning.push((self.now + IMPATIENT_TIME, back));
+            return;
+        }
+        let comes = wait.0 <= left.0 / 3 && !caller.back;
+        if comes && self.rng.u32(0..100) < returns {
             self.returning.push((self.now + wait, back));
         }
     }
 
+    /// Returns the time after which an entry tells a rejected caller to return.
+    fn wait(&mut self, entry: usize, refusal: Refusal, caller: Caller) -> Millis {
+        let (wait, outage) = match refusal {
+            Refusal::Overloaded(wait) => (wait, false),
+            Refusal::Unavailable(wait) => (wait, true),
+            Refusal::Quarantined(_) => unreachable!("no part is quarantined"),
+        };
+        if !self.crowd.is_some_and(|c| c.spread) {
+            return wait;
+        }
+        let request = RejectedRequest {
+            left: Some(caller.deadline - self.now),
+            objective: Millis(caller.objective.0 / 2),
+            available: None,
+            outage,
+        };
+        let times = &mut self.entries[entry].times;
+        times.tell(request, self.now).wait()
+    }
+
     fn choose(&mut self, entry: usize, caller: Caller) -> Result<usize, Refusal> {
         let Entry {
             balancer,
@@ -290,7 +380,10 @@
         Ok(here(&id).expect("it was offered"))
     }
 
-    fn begin(&mut self, entry: usize, engine: usize) {
+    fn begin(&mut self, entry: usize, engine: usize, caller: Caller) {
+        self.entries[entry]
+            .times
+            .record_begun(caller.back && self.sign == Sign::Rejections, self.now);
         let id = &self.ids[engine];
         self.entries[entry].balancer.begin(id, 0, self.now);
         let busy = &mut self.flights[engine];
@@ -300,6 +393,11 @@
         let start = waits.map_or(self.now, |i| busy[i].end);
         let work = WORK.0 / 2 + self.rng.u64(0..=WORK.0);
         let end = start + Millis(work);
+        if caller.counted && end <= caller.deadline {
+            let in_time = start + FIRST_EVENT <= caller.first_at + caller.objective;
+            self.totals.in_time += u32::from(in_time);
+            self.totals.late += u32::from(!in_time);
+        }
         busy.push(Flight { entry, end });
     }
 
@@ -329,6 +427,10 @@
         }
         let engine = self.rng.usize(0..self.ids.len());
         self.away[engine] = self.now + CRASH;
+        self.lose_flights(engine);
+    }
+
+    fn lose_flights(&mut self, engine: usize) {
         for flight in std::mem::take(&mut self.flights[engine]) {
             let balancer = &mut self.entries[flight.entry].balancer;
             balancer.end(&self.ids[engine], Outcome::Unreachable, self.now);
--- a/tests/first_attempts.rs
+++ b/tests/first_attempts.rs
@@ -2,7 +2,7 @@
 
 mod admission_support;
 
-use admission_support::{Load, Model, Outcomes, Sign};
+use admission_support::{Crowd, Load, Model, Outcomes, Sign};
 use sesamewing::base::Millis;
 
 /// Entries and engines of the deployments.
@@ -87,3 +87,34 @@
         "crashes",
     );
 }
+
+/// Load pattern: twice the callers, of whom 40 % wait for 1.5 to 2.5 s and some send again at once, with and without an
+/// outage of all engines. Guards against callers that return as they were told and take the slots of first attempts.
+#[test]
+fn spread_returns_leave_half() {
+    for (entries, engines) in SIZES {
+        for outage in [None, Some((Millis(4000), Millis(6000)))] {
+            let crowd = Crowd {
+                spread: true,
+                outage,
+            };
+            let model = Model::new(entries, engines, ROUTES, Sign::Rejections, 7);
+            let out = model.with_crowd(crowd).run(CALM);
+            let t = out.totals;
+            let case = format!("{entries} entries, outage {outage:?}");
+            println!(
+                "{case}: {:.3} rejections per request, {:.3} rejected twice, {:.3} served, {:.3} in time, worth {:.3}",
+                t.rejections(),
+                t.twice(),
+                t.served(),
+                t.in_time(),
+                t.worth()
+            );
+            // No request begins in an outage of two of the seven seconds.
+            let there = if outage.is_some() { 5.0 / 7.0 } else { 1.0 };
+            for (calm, crowd) in out.calm.iter().zip(&out.crowd) {
+                assert!(crowd.share() >= calm.share() / 2.0 * there, "{case}");
+            }
+        }
+    }
+}
--- a/tests/returning_callers.rs
+++ b/tests/returning_callers.rs
@@ -282,3 +282,28 @@
         assert_eq!(back, first);
     });
 }
+
+/// Load pattern: more callers than the slots can begin, at once. Guards against callers that are told to return into the
+/// same overload, and against a time at which a caller returns that was told that it is too late.
+#[test]
+fn callers_beyond_the_capacity_are_told_so() {
+    const CALLERS: usize = 30;
+    with_endpoints(with_engines(), 1, work, |seen| async move {
+        let busy = occupy(&["1", "2", "3", "4"]).await;
+        let left = Millis(2600);
+        let mut waits = Vec::new();
+        for i in 0..CALLERS {
+            let rejected = send(1, &format!("a{i}"), left).await;
+            assert!(rejected.starts_with("HTTP/1.1 503"), "{rejected}");
+            let wait = header(&rejected, "retry-after").expect("a time");
+            waits.push(wait.parse::<f64>().expect("seconds") * 1000.0);
+        }
+        let left = left.0 as f64;
+        let told = waits.iter().filter(|w| **w <= left / 3.0).count();
+        assert!((1..=4).contains(&told), "{waits:?}");
+        let too_late = waits.iter().filter(|w| **w > left * 0.9).count();
+        assert_eq!(told + too_late, CALLERS, "{waits:?}");
+        assert_eq!(seen[0].requests.borrow().len(), SLOTS, "not run");
+        join(busy).await;
+    });
+}
