feat(gateway): requests that miss their latency objective leave slots to those that can meet it

Seen by callers: with 1.35 times the capacity, a fifth of the responses that callers got were later than their objective at 9 entries, a third at 48, in part because callers that returned waited at engines before others.

Cause: an entry weighs neither how long a caller has waited nor what its response is still worth.

A route or a workspace below 0.4 of the usual share leaves nothing free. Only where routes or workspaces of a service with engines differ in priority or objective. A request is not rejected for its length. SW488 gateway-late, counter gateway_late_requests.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -24,3 +24,4 @@
 pub mod silence;
 pub mod stop;
 pub mod supersede;
+pub mod worth;
--- a/src/decide/returning.rs
+++ b/src/decide/returning.rs
@@ -59,6 +59,8 @@
     /// That of the first rejection, so that many callers whose deadlines differ little from one to the next don't pass
     /// for one.
     deadline: Millis,
+    /// When the first rejection became known.
+    at: Millis,
     until: Millis,
     /// Whether several callers sent this request, so that it doesn't tell who returns.
     shared: bool,
@@ -101,6 +103,7 @@
             let shared = false;
             let request = Remembered {
                 deadline,
+                at: now,
                 until,
                 shared,
             };
@@ -124,8 +127,15 @@
     /// Returns whether the caller of a request, which waits until `deadline`, returns after a rejection; `false` if other
     /// callers that were rejected asked the same.
     pub fn is_returning(&self, key: RequestKey, deadline: Millis) -> bool {
-        let known = self.requests.get(&key);
-        known.is_some_and(|known| !known.shared && is_same_caller(known.deadline, deadline))
+        self.rejected_at(key, deadline).is_some()
+    }
+
+    /// Returns when the first rejection of the caller of a request became known, if the caller returns after one; as
+    /// [`Self::is_returning`].
+    pub fn rejected_at(&self, key: RequestKey, deadline: Millis) -> Option<Millis> {
+        let known = self.requests.get(&key)?;
+        let same = !known.shared && is_same_caller(known.deadline, deadline);
+        same.then_some(known.at)
     }
 
     /// Takes the rejections of this entry that others have not been told of.
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -21,12 +21,12 @@
     headers::text,
     prompt::shared_parts,
     reply::Reject,
-    returning::is_returning,
+    returning::rejected_at,
     Headers,
 };
 use crate::{
     base::{rendezvous, Millis, Service},
-    decide::{quarantine::PartKey, residency::Residency, stop},
+    decide::{quarantine::PartKey, residency::Residency, stop, worth::Group},
     http::HeldBody,
 };
 
@@ -66,6 +66,10 @@
     /// Number of output tokens that the caller expects.
     pub(super) output_hint: Option<u32>,
     pub(super) start: Millis,
+    /// Start, or the first rejection of the caller if it returns after one.
+    pub(super) first_at: Millis,
+    /// Route and workspace, as the floors of their shares of slots know them.
+    pub(super) groups: Vec<Group>,
     /// When the request times out: the earlier one of the caller's deadline and the end of the route's timeout.
     pub(super) deadline: Millis,
     /// Last event of the stream that the caller already has; set if it resumes a stream.
@@ -246,6 +250,9 @@
     let parts = parts.collect();
     let regions = workspace.as_ref().and_then(|w| w.allowed_regions.clone());
     let residency = Residency::new(route.allowed_regions.clone(), regions);
+    let groups = [Group::Route(route.name.clone())].into_iter();
+    let groups = groups.chain(workspace.iter().map(|w| Group::Workspace(w.name.clone())));
+    let groups = groups.collect();
     let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
     let mut job = Job {
         returning: false,
@@ -264,11 +271,16 @@
         output_max,
         output_hint,
         start,
+        first_at: start,
+        groups,
         last_event,
         priority,
         residency,
         route,
     };
-    job.returning = is_returning(ctx, &job);
+    if let Some(at) = rejected_at(ctx, &job) {
+        job.returning = true;
+        job.first_at = at;
+    }
     Ok(job)
 }
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -11,6 +11,7 @@
     load_balancer::{LoadBalancer, Refusal},
     priority,
     record::WeightVersion,
+    worth,
 };
 use crate::{base::Millis, decide::supersede::Margins};
 
@@ -132,7 +133,10 @@
         // Of a request that was sent, something may have begun that only another endpoint can finish.
         returning: job.returning && attempts.sent.get() == 0,
         reserve: if attempts.sent.get() == 0 {
-            engine.map_or(0, |e| priority::reserve(ctx, job, e.slots))
+            engine.map_or(0, |e| {
+                let reserve = priority::reserve(ctx, job, e.slots);
+                worth::reserve(ctx, job, e.slots, reserve)
+            })
         } else {
             0
         },
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -25,6 +25,7 @@
     record::WeightVersion,
     schedule::LoadSchedule,
     steadiness::Steadiness,
+    worth::WorthLoads,
     write_time::WriteAge,
     Bounds, GatewaySettings, Headers,
 };
@@ -94,6 +95,8 @@
     budgets: RefCell<HashMap<Service, RetryBudget>>,
     /// Requests for engines by priority.
     pub(super) priorities: RefCell<HashMap<Service, PriorityLoad>>,
+    /// Requests for engines by what they are worth.
+    pub(super) worth: RefCell<WorthLoads>,
     /// When rejected callers return, by service and by where their requests may be served.
     pub(super) return_times: RefCell<HashMap<(Service, Residency), ReturnTimes>>,
     /// Endpoints that this entry owns.
@@ -164,6 +167,7 @@
             schedules: RefCell::default(),
             budgets: RefCell::default(),
             priorities: RefCell::default(),
+            worth: RefCell::default(),
             return_times: RefCell::default(),
             owned: RefCell::default(),
             table_loaded: Cell::default(),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -29,7 +29,7 @@
     permits::{self, Permit},
     priority,
     record::WeightVersion,
-    return_times, screen,
+    return_times, screen, worth,
 };
 use crate::{
     base::Millis,
@@ -211,6 +211,7 @@
     if sent == 0 {
         priority::record(ctx, job, true);
         return_times::record_begun(ctx, job);
+        worth::record(ctx, job, true);
     }
     attempts.sent.set(sent + 1);
     Ok(())
@@ -260,6 +261,7 @@
     }
     if job.model.is_some() {
         let urgency = (4 + job.priority.min(2) + u8::from(job.returning)).min(9);
+        let urgency = worth::urgency(ctx, job, urgency);
         headers.insert(&names.priority, HeaderValue::from(u16::from(urgency)));
     }
     req
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -61,6 +61,9 @@
     /// A rejected caller was told that its request is not expected to be served within its deadline.
     TOO_LATE = 486, "gateway-too-late", Info,
         "a rejected request is not expected to be served within its deadline, so that its caller was told to return later than that", "check the load of the service's engines";
+    /// A request that can't meet its latency objective any more was sent with the lowest urgency.
+    LATE = 488, "gateway-late", Info,
+        "a request that can't meet its latency objective any more was sent with the lowest urgency, because slots are scarce", "check the load of the service's engines";
     /// A zone was evacuated or put back into service, as the operator's record says.
     EVACUATION = 472, "gateway-evacuation", Info,
         "a zone was evacuated, so that its endpoints get no requests, or put back into service", "for endpoints=0 check the name of the zone in the operator's record; for change=Ignored remove records of zones that don't exist";
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -58,6 +58,8 @@
     pub(super) limited: Counter,
     /// Requests rejected while slots were kept free for more urgent ones.
     pub(super) reserved: Counter,
+    /// Requests sent to engines with the lowest urgency because they can't meet their latency objective.
+    pub(super) late: Counter,
     /// Rejected callers, by whether they were told to return within their deadline.
     pub(super) returns: Family<OutcomeLabel, Counter>,
     /// Requests sent to cold endpoints of services that limit them.
@@ -111,6 +113,7 @@
             retries: Counter::default(),
             limited: Counter::default(),
             reserved: Counter::default(),
+            late: Counter::default(),
             returns: Family::default(),
             cold: Counter::default(),
             dropped: Family::default(),
@@ -141,6 +144,9 @@
             r.register("gateway_limited_requests", help, out.limited.clone());
             let help = "Requests rejected while slots were kept free for more urgent ones";
             r.register("gateway_reserved_rejections", help, out.reserved.clone());
+            let help =
+                "Requests that can't meet their latency objective, sent with the lowest urgency";
+            r.register("gateway_late_requests", help, out.late.clone());
             let help = "Rejected callers that were told to return, or that it is too late for that";
             r.register("gateway_returns", help, out.returns.clone());
             let help = "Requests sent to cold endpoints of services that limit them";
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -64,6 +64,7 @@
 mod standby;
 mod steadiness;
 mod stream;
+mod worth;
 mod write_time;
 mod zone_reader;
 
--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -5,9 +5,13 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    accept::Job, context::Context, datagram::send_to_all, message::Message, priority, reply::Reject,
+    accept::Job, context::Context, datagram::send_to_all, message::Message, priority,
+    reply::Reject, worth,
+};
+use crate::{
+    base::Millis,
+    decide::returning::{Rejection, RequestKey},
 };
-use crate::decide::returning::{Rejection, RequestKey};
 
 /// Largest number of rejections in a datagram; keeps it below the smallest usual packet size.
 const REJECTIONS_MAX: usize = 120;
@@ -30,18 +34,16 @@
     RequestKey::new(content.into_iter().chain(headers))
 }
 
-/// Returns whether the caller of a request returns after a rejection. One that resumes a stream doesn't count: the stream
-/// has begun, and goes on before others begin.
-pub(super) fn is_returning(ctx: &Context, job: &Job) -> bool {
-    let Some(deadline) = job.caller_deadline.filter(|_| job.last_event.is_none()) else {
-        return false;
-    };
+/// Returns when the caller of a request was first rejected, if it returns after that. One that resumes a stream doesn't
+/// count: the stream has begun, and goes on before others begin.
+pub(super) fn rejected_at(ctx: &Context, job: &Job) -> Option<Millis> {
+    let deadline = job.caller_deadline.filter(|_| job.last_event.is_none())?;
     // Without overload no request needs its key.
     if job.model.is_none() || ctx.rejections.borrow_mut().is_empty(ctx.now()) {
-        return false;
+        return None;
     }
     let key = request_key(ctx, job);
-    ctx.rejections.borrow().is_returning(key, deadline)
+    ctx.rejections.borrow().rejected_at(key, deadline)
 }
 
 /// Records a rejected request whose caller was told to return, if it competes with others for slots of an engine.
@@ -49,6 +51,7 @@
     let overloaded = matches!(reject, Reject::Overloaded(_) | Reject::Refused(_));
     if matches!(reject, Reject::Overloaded(_)) {
         priority::record(ctx, job, false);
+        worth::record(ctx, job, false);
     }
     let Some(deadline) = job.caller_deadline.filter(|_| overloaded) else {
         return;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -21,6 +21,7 @@
     reply::Reject,
     source::{ReadResult, Source, EVENT_TIMEOUT},
     standby::{Next, StreamView},
+    worth,
 };
 use crate::emit;
 
@@ -272,6 +273,10 @@
         let time = (self.ctx.now() - self.job.start).duration();
         let first = &self.ctx.metrics.first;
         first.get_or_create(&by_service).observe(time.as_secs_f64());
+        // A stream that needed another attempt tells nothing of the wait at one engine.
+        if self.attempts.sent.get() == 1 {
+            worth::record_first_event(&self.ctx, &self.job);
+        }
     }
 
     fn fail(&mut self, reason: &str) -> Option<Result<Bytes, Cut>> {
--- a/tests/returning_callers.rs
+++ b/tests/returning_callers.rs
@@ -13,7 +13,7 @@
 };
 use sesamewing::{
     base::Millis,
-    gateway::{Catalog, EngineSpeed, ServiceSpec, Topic},
+    gateway::{Catalog, EngineSpeed, Route, ServiceSpec, Topic},
 };
 use tokio::task::{spawn_local, JoinHandle};
 
@@ -307,3 +307,42 @@
         join(busy).await;
     });
 }
+
+/// Returns the urgency at the endpoint of a caller that returns long after its latency objective, and that of one at its
+/// first attempt, while slots are scarce.
+fn play_late(catalog: Catalog, check: fn(Option<u8>, Option<u8>)) {
+    with_endpoints(catalog, 1, work, move |seen| async move {
+        let busy = occupy(&["1", "2", "3", "4"]).await;
+        let rejected = send(1, "brief-a1", Millis(2600)).await;
+        assert!(rejected.starts_with("HTTP/1.1 503"), "{rejected}");
+        join(busy).await;
+        let left = Millis(2600) - WORK;
+        send(1, "brief-a1", left).await;
+        send(1, "brief-a2", PATIENCE).await;
+        check(urgency(&seen, "brief-a1"), urgency(&seen, "brief-a2"));
+    });
+}
+
+/// Load pattern: callers of several priorities, of whom some return after a rejection. Guards against requests that miss
+/// their latency objective anyway and wait at the engine before those that can meet it.
+#[test]
+fn late_returns_are_the_last() {
+    let mut catalog = with_engines();
+    let mut other = Route::clone(&catalog.routes["h.example"][0]);
+    other.prefix = "/other/".into();
+    other.priority += 1;
+    catalog.add_route("h.example", other);
+    play_late(catalog, |late, first| {
+        assert_eq!(late, Some(9));
+        assert!(first.is_some_and(|u| u < 6), "{first:?}");
+    });
+}
+
+/// Guards against another order where all requests have the same priority and latency objective.
+#[test]
+fn late_returns_among_equals_are_as_before() {
+    play_late(with_engines(), |late, first| {
+        let next = first.map(|u| u + 1);
+        assert_eq!(late, next);
+    });
+}
