--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 mod record;
 mod reply;
 mod residency;
+mod return_times;
 mod returning;
 mod run;
 mod schedule;
@@ -66,6 +67,7 @@
 mod steadiness;
 mod store_era;
 mod stream;
+mod worth;
 mod write_time;
 mod zone_reader;
 
