feat(staging): hosts without weights load what their neighbours serve

Cause: a host stages one copy of a model, and the chunks of the newer version overwrote those of the loaded one, so that no host could supply the older version any more. A new host tried the newest version in any case.

Change: an agent reads the chunk that is about to be replaced into memory and serves it from there. It keeps one version, if a copy takes at most a quarter of the memory, until another version is ordered, the endpoint restarts or requests may no longer begin on it. An agent whose endpoint has nothing loaded asks six neighbours for the versions that they hold and copies the older one first if that is in time (decide/chunk/first_load.rs); it never asks the origin for it.

Result: of the tests in tests/older_copies.rs, new_host_loads_what_neighbours_serve, version_out_of_use_is_dropped and loaded_version_is_kept_while_it_is_loaded failed before (10 of 24 chunks were lost, the new host loaded nothing while the origin was away) and pass now. slow_checks_give_no_order failed during the work, because reads of a slow endpoint delayed the newer copy, and led to the limit of 150 ms. No figure of a whole deployment was measured.

--- a/src/decide/chunk/mod.rs
+++ b/src/decide/chunk/mod.rs
@@ -7,6 +7,7 @@
 mod bitmap;
 mod config;
 mod event;
+mod first_load;
 mod peer;
 mod precedence;
 mod scheduler;
@@ -16,6 +17,7 @@
 pub use bitmap::Bitmap;
 pub use config::Config;
 pub use event::{Action, Event, Fault, Source, Waste};
+pub use first_load::{FirstLoad, Retention};
 pub use precedence::{Progress, Prospect};
 pub use scheduler::Scheduler;
 pub use topology::{Member, PeerId, Proximity, Topology};
--- a/src/decide/chunk/precedence.rs
+++ b/src/decide/chunk/precedence.rs
@@ -23,7 +23,7 @@
 
 /// Least time that finishing the older version must save: each host drains its requests and loads once more, and while it
 /// drains it serves no new ones.
-const LOAD_COST: Millis = Millis(600);
+pub(super) const LOAD_COST: Millis = Millis(600);
 
 /// Share of the chunks by which the expected progress may differ from the known one.
 const DEVIATION: (u32, u32) = (1, 4);
@@ -39,7 +39,7 @@
 
 impl Progress {
     /// Returns the time in which the origin sends the chunks that are not known, if it takes `copy` for all.
-    fn rest(self, copy: Millis) -> Millis {
+    pub(super) fn rest(self, copy: Millis) -> Millis {
         let missing = u64::from(self.chunks.saturating_sub(self.known));
         Millis(copy.0 * missing / u64::from(self.chunks.max(1)))
     }
--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -38,10 +38,13 @@
 
 /// The version of a model that the endpoint should load.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct Target {
-    model: Rc<str>,
+pub(super) struct Target {
+    pub(super) model: Rc<str>,
     /// `None` if the agent knows no desired version; the newest version of the origin is copied then.
-    version: Option<WeightVersion>,
+    pub(super) version: Option<WeightVersion>,
+    /// Whether this is an older version than the desired one. It is copied only from neighbours, because the origin's link
+    /// is needed for the desired one.
+    pub(super) older: bool,
 }
 
 /// State of an agent, shared by its tasks.
@@ -50,11 +53,11 @@
     pub(super) store: S,
     pub(super) host: H,
     origin: O,
-    clock: SystemClock,
+    pub(super) clock: SystemClock,
     /// Limits downloads to their share of the host's link while the endpoint serves requests.
     download_pacer: Rc<Pacer>,
     pub(super) inventory: Rc<ChunkInventory>,
-    client: PeerClient,
+    pub(super) client: PeerClient,
     pub(super) peers: Rc<RefCell<Rc<Peers>>>,
     /// Version of the newest catalog from which `model` and `origin_spec` were taken, if it is known.
     pub(super) catalog: Cell<Option<CatalogVersion>>,
@@ -78,7 +81,9 @@
     /// Whether a copy to this host is in progress.
     pub(super) copying: Cell<bool>,
     /// Target that superseded the present copy, with its manifest, which was fetched before the copy was given up.
-    next_manifest: RefCell<Option<(Target, Manifest)>>,
+    pub(super) next_manifest: RefCell<Option<(Target, Manifest)>>,
+    /// Older version that is copied before the desired one, because the endpoint has nothing loaded.
+    pub(super) first_load: RefCell<Option<Target>>,
     /// Newer version with which the present copy is compared, and when this agent learnt of it.
     compared: Cell<Option<(WeightVersion, Millis)>>,
     /// Whether chunks did not match the last manifest, so that the next one is fetched from the origin.
@@ -129,6 +134,7 @@
             last_born: Cell::default(),
             copying: Cell::default(),
             next_manifest: RefCell::default(),
+            first_load: RefCell::default(),
             compared: Cell::default(),
             manifest_rejected: Cell::default(),
             loader: Loader::default(),
@@ -187,9 +193,18 @@
 
     fn target(&self) -> Option<Target> {
         let model = self.model.borrow().clone()?;
+        let first = self.first_load.borrow();
+        let first = first.clone().filter(|first| first.model == model);
+        if let Some(first) = first.filter(|_| self.is_unloaded()) {
+            return Some(first);
+        }
         let desired = self.desired.borrow();
         let version = desired.get(&model).and_then(DesiredVersions::newest);
-        Some(Target { model, version })
+        Some(Target {
+            model,
+            version,
+            older: false,
+        })
     }
 
     /// Waits until the present copy should be given up: another version is the target, or the endpoint has restarted.
@@ -236,6 +251,10 @@
 
     /// Returns whether the copy in progress is finished and loaded before the copy of the next target begins.
     fn finishes_first(&self, target: &Target, next: &Target) -> bool {
+        if target.older || next.older {
+            // Compared by `choose_first_loads`.
+            return false;
+        }
         let same_model = target.model == next.model;
         let versions = target.version.zip(next.version).filter(|_| same_model);
         let Some((older, newer)) = versions.filter(|_| self.copying.get()) else {
@@ -281,6 +300,11 @@
         finishes
     }
 
+    /// Returns whether the endpoint has responded since the agent started.
+    pub(super) fn has_responded(&self) -> bool {
+        self.last_born.get().is_some()
+    }
+
     fn born(&self) -> Option<u64> {
         self.report.borrow().as_ref().map(|r| r.born)
     }
@@ -309,6 +333,7 @@
             return;
         };
         let manifest = Rc::new(manifest);
+        self.note_loaded();
         self.inventory.begin(&target.model, &manifest);
         if !self.copy_missing(target, &manifest).await {
             return;
@@ -342,7 +367,11 @@
                 "model={model} version={version} state=restarted reason=\"{e}\""
             );
             self.inventory.clear();
-            self.manifest_rejected.set(true);
+            if target.older {
+                self.first_load.take();
+            } else {
+                self.manifest_rejected.set(true);
+            }
             return false;
         }
         emit!(
@@ -357,19 +386,25 @@
         CopyContext {
             host: self.host.clone(),
             origin: self.origin.clone(),
-            origin_addr: self.origin_spec.borrow().as_ref().map(|o| o.addr),
+            origin_addr: self.origin_addr(target),
             client: self.client.clone(),
             inventory: self.inventory.clone(),
             staging_reserved: self.loader.staging_reserved.clone(),
             peers: self.peers.clone(),
             link_rate: self.settings.link_rate,
-            pacer: self.loaded().map(|_| self.download_pacer.clone()),
+            pacer: Some(self.download_pacer.clone())
+                .filter(|_| self.loaded().is_some() || self.loader.is_pending()),
             clock: self.clock,
             model: target.model.clone(),
             manifest: manifest.clone(),
         }
     }
 
+    fn origin_addr(&self, target: &Target) -> Option<SocketAddr> {
+        let origin = self.origin_spec.borrow();
+        origin.as_ref().filter(|_| !target.older).map(|o| o.addr)
+    }
+
     /// Returns the manifest of a target: one that is known here, else from another host, else from the origin.
     async fn manifest(&self, target: &Target) -> Option<Manifest> {
         let version = target
@@ -386,7 +421,7 @@
                 return Some(manifest);
             }
         }
-        let addr = self.origin_spec.borrow().as_ref().map(|o| o.addr)?;
+        let addr = self.origin_addr(target)?;
         let read = self.origin.manifest(addr, &target.model, target.version);
         let checked = read.await.map_err(|e| e.to_string()).and_then(|manifest| {
             let fault = manifest.check(target.version).err();
--- a/src/staging/copy.rs
+++ b/src/staging/copy.rs
@@ -271,6 +271,12 @@
         ctx.inventory.buffer(&ctx.model, version, chunk, data);
         return Ok(());
     }
+    ctx.inventory.read_kept(&ctx.host, &ctx.model, chunk).await;
+    if ctx.staging_reserved.get() {
+        // The load of another version became due during the read.
+        ctx.inventory.buffer(&ctx.model, version, chunk, data);
+        return Ok(());
+    }
     ctx.inventory.replace_staged(chunk);
     if let Err(e) = ctx.host.stage(&ctx.model, chunk, data.clone()).await {
         // The endpoint may not have started yet.
--- a/src/staging/exchange.rs
+++ b/src/staging/exchange.rs
@@ -6,7 +6,10 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, Request, Response, StatusCode};
 
-use super::{inventory::is_intact, inventory::ChunkInventory, log_event, EndpointHost, Manifest};
+use super::{
+    inventory::{is_intact, ChunkInventory, HeldVersion},
+    log_event, EndpointHost, Manifest,
+};
 use crate::{
     base::{Clock, Millis, Percent, SystemClock},
     decide::chunk::Fault,
@@ -37,6 +40,9 @@
 /// Last segment of the path of a request that waits for its chunk; builds that do not know it respond at once.
 const WAIT_SEGMENT: &str = "wait";
 
+/// First segment of the path of a request for the versions that a host holds; builds that do not know it respond with 404.
+const VERSIONS: &str = "versions";
+
 /// Time limit of a request beyond the wait of the long poll.
 const RESPONSE_TIMEOUT: Millis = Millis(700);
 
@@ -62,12 +68,17 @@
     Chunk(&'a str, WeightVersion, u32, bool),
     /// Manifest of a version.
     Manifest(&'a str, WeightVersion),
+    /// Versions of a model of which chunks are held.
+    Versions(&'a str),
 }
 
 fn parse(path: &str) -> Option<PeerRequest<'_>> {
     let mut parts = path.strip_prefix('/')?.split('/');
     let kind = parts.next()?;
     let model = parts.next()?;
+    if kind == VERSIONS {
+        return Some(PeerRequest::Versions(model));
+    }
     let version = WeightVersion(parts.next()?.parse().ok()?);
     if kind == "manifest" {
         return Some(PeerRequest::Manifest(model, version));
@@ -102,6 +113,15 @@
                 self.chunk(model, version, chunk).await
             }
             Some(PeerRequest::Manifest(model, version)) => self.manifest(model, version).await,
+            Some(PeerRequest::Versions(model)) => {
+                match postcard::to_stdvec(&self.inventory.versions(model)) {
+                    Ok(data) => respond(StatusCode::OK, data.into()),
+                    Err(e) => {
+                        log::warn!("cannot encode the list of versions: {e}");
+                        respond(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+                    }
+                }
+            }
             None => respond(StatusCode::NOT_FOUND, Bytes::new()),
         }
     }
@@ -190,6 +210,10 @@
         match self.host.read(model, chunk).await {
             Ok(Some(data)) if is_intact(&data, &digest) => respond(StatusCode::OK, data),
             Ok(_) => {
+                if let Some(data) = self.inventory.buffered(model, version, chunk) {
+                    // It was read into memory and replaced at the endpoint meanwhile.
+                    return respond(StatusCode::OK, data);
+                }
                 emit!(
                     log_event::CHUNK,
                     "model={model} version={version} chunk={chunk} outcome=spoilt"
@@ -290,6 +314,23 @@
         }
     }
 
+    /// Requests which versions of a model another host holds; empty if it does not respond with a list.
+    pub(super) async fn versions(&self, addr: SocketAddr, model: &str) -> Vec<HeldVersion> {
+        match self
+            .get(addr, format!("/{VERSIONS}/{model}"), RESPONSE_TIMEOUT)
+            .await
+        {
+            Ok(res) if res.status() == StatusCode::OK => {
+                postcard::from_bytes(res.body()).unwrap_or_default()
+            }
+            Ok(_) => Vec::new(),
+            Err(e) => {
+                log::debug!("no list of versions from {addr}: {e}");
+                Vec::new()
+            }
+        }
+    }
+
     /// Fetches a chunk of a version from another host, at most of the manifest's size, and checks its digest. `waits` asks
     /// the host to wait for the chunk, up to [`CHUNK_WAIT`], if it does not hold it yet.
     pub(super) async fn chunk(
--- a/src/staging/host.rs
+++ b/src/staging/host.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    base::{Digest, Size},
+    base::{Digest, Millis, Size},
+    decide::chunk::Retention,
     gateway::WeightVersion,
     http::BODY_MAX,
 };
@@ -125,6 +126,17 @@
 }
 
 impl Manifest {
+    /// Returns what decides whether a host with this much memory keeps the chunks, if requests may begin on the version
+    /// until `until`.
+    pub(super) fn retention(&self, memory: Size, until: Option<Millis>) -> Retention {
+        let chunks = self.digests.len() as u64;
+        Retention {
+            copy: Size(self.chunk.0.saturating_mul(chunks)),
+            memory,
+            until,
+        }
+    }
+
     /// Checks that the manifest is of the version that was requested, if one was, and that it can be copied.
     pub(super) fn check(&self, version: Option<WeightVersion>) -> Result<(), ManifestFault> {
         if version.is_some_and(|v| v != self.version) {
--- a/src/staging/load.rs
+++ b/src/staging/load.rs
@@ -45,6 +45,11 @@
 }
 
 impl Loader {
+    /// Returns whether a complete version waits for its load, or a load is in progress.
+    pub(super) fn is_pending(&self) -> bool {
+        self.staging_reserved.get() || self.ordering.get() || self.loading.get()
+    }
+
     /// Cancels the load and clears its state, because the endpoint has restarted.
     pub(super) fn reset(&self) {
         self.cancel();
@@ -84,6 +89,7 @@
         // From here on a newer version may be copied: the load goes on without the caller.
         self.copying.set(false);
         self.loader.staging_reserved.set(true);
+        self.changed.notify_one();
         let task = spawn_local({
             let (agent, model, manifest) = (self.clone(), model.clone(), manifest.clone());
             async move { agent.wait_and_load(&model, &manifest).await }
@@ -95,6 +101,8 @@
     /// Stages the chunks that are buffered in memory; returns whether the endpoint accepted all.
     async fn stage_buffered(&self, model: &str, version: WeightVersion) -> bool {
         while let Some((chunk, data)) = self.inventory.next_unstaged(model, version) {
+            self.inventory.read_kept(&self.host, model, chunk).await;
+            self.inventory.replace_staged(chunk);
             if let Err(e) = self.host.stage(model, chunk, data).await {
                 emit!(
                     log_event::CHUNK,
@@ -108,7 +116,7 @@
         true
     }
 
-    async fn wait_and_load(&self, model: &str, manifest: &Manifest) -> bool {
+    async fn wait_and_load(&self, model: &Rc<str>, manifest: &Manifest) -> bool {
         while self.loader.loading.get() {
             tokio::time::sleep(POLL_INTERVAL.duration()).await;
         }
@@ -160,7 +168,7 @@
     }
 
     /// Orders the load and waits until it is complete; returns whether the version is loaded.
-    async fn load(&self, model: &str, version: WeightVersion) -> bool {
+    async fn load(&self, model: &Rc<str>, version: WeightVersion) -> bool {
         self.loader.ordering.set(true);
         let response = self.host.load(model, version).await;
         let text = match &response {
@@ -175,6 +183,9 @@
             Ok(response) => matches!(response, LoadResponse::Begun | LoadResponse::Done),
             Err(_) => self.wait_order_read(model, version).await,
         };
+        if accepted {
+            self.inventory.set_loaded(model, version);
+        }
         // Once the endpoint has read the order, a newer version may replace the staged chunks.
         self.loader.ordering.set(false);
         self.loader.staging_reserved.set(false);
--- a/src/staging/log_event.rs
+++ b/src/staging/log_event.rs
@@ -3,7 +3,7 @@
 crate::events! {
     /// The agent started, received SIGHUP or is stopping, or a copy of a version changed its state.
     COPY = 650, "staging-copy", Info,
-        "the agent started or is stopping, or a copy of weights began, was compared with that of a newer version, was superseded, restarted or is complete", "none";
+        "the agent started or is stopping, or a copy of weights began, was compared with that of a newer version, was superseded, restarted or is complete; an older version was preferred because the endpoint has nothing loaded, or its chunks were dropped from memory", "none";
     /// A chunk was not received or staged, or a staged chunk no longer matches its digest.
     CHUNK = 651, "staging-chunk", Info,
         "a chunk is corrupt or missing, or was not received or staged", "check the source of the chunk";
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -11,6 +11,7 @@
 mod copy;
 mod entries;
 mod exchange;
+mod first_load;
 mod host;
 mod inventory;
 mod load;
--- a/src/staging/peers.rs
+++ b/src/staging/peers.rs
@@ -104,6 +104,16 @@
         self.addrs.get(&id).copied()
     }
 
+    /// Returns the addresses of up to `count` random hosts of the region.
+    pub(super) fn random_local(&self, count: usize) -> Vec<SocketAddr> {
+        let local = self.topology.members().iter();
+        let local = local.filter(|m| m.proximity.is_local());
+        let mut addrs: Vec<_> = local.filter_map(|m| self.addr(m.id)).collect();
+        fastrand::shuffle(&mut addrs);
+        addrs.truncate(count);
+        addrs
+    }
+
     /// Returns the hosts of the region from which to request the manifest of a version, in order: the parent of this
     /// host in the distribution tree of the version and a random one. Empty for the host that requests it from the
     /// origin for the region.
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -102,7 +102,7 @@
     H: EndpointHost,
     O: Origin,
 {
-    let inventory = Rc::new(ChunkInventory::default());
+    let inventory = Rc::new(ChunkInventory::new(settings.host.memory));
     let clock = SystemClock::start();
     let rate = settings.link_rate.share(LINK_SHARE);
     let pacer = || Rc::new(Pacer::new(rate, Size(0), clock));
@@ -148,6 +148,7 @@
     })?;
     spawn_local(agent.clone().notify_entries(socket));
     spawn_local(agent.clone().refresh_peers());
+    spawn_local(agent.clone().choose_first_loads());
     let main = spawn_local({
         let agent = agent.clone();
         async move {
@@ -201,6 +202,8 @@
     async fn poll_endpoint(self: Rc<Self>) {
         loop {
             self.poll_report().await;
+            self.note_loaded();
+            self.drop_unused();
             tokio::time::sleep(POLL_INTERVAL.duration()).await;
         }
     }
