perf(staging): check the chunks of a late copy before its last one arrives

Callers lost service for as long as late hosts checked their chunks: 0.45 s of the 1.2 to 2.1 s between the origin's last chunk and the first load.

Cause: the digests of all staged chunks were read back only when the copy was complete.

Change: the inventory records when each chunk was last found intact at the endpoint, and forgets it when a chunk is staged in its place. A host whose load is due within 0.6 s begins the checks with seven eighths of the chunks; before the order only chunks without a check within the last 1.2 s are read. A chunk that is only in memory gives no order.

The order in which hosts become complete is not changed.

--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     marker::PhantomData,
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
 };
 
@@ -361,7 +362,14 @@
         if kept == chunks {
             return true;
         }
-        if let Err(e) = copy(self.copy_context(target, manifest)).await {
+        let copied = {
+            let mut copied = pin!(copy(self.copy_context(target, manifest)));
+            tokio::select! {
+                copied = &mut copied => copied,
+                () = self.check_ahead(model, manifest) => copied.await,
+            }
+        };
+        if let Err(e) = copied {
             emit!(
                 log_event::COPY,
                 "model={model} version={version} state=restarted reason=\"{e}\""
--- a/src/staging/check.rs
+++ b/src/staging/check.rs
@@ -18,6 +18,14 @@
 /// Time after which checks that an endpoint answers too slowly for [`CHECK_AGE_MAX`] are given up.
 const CHECK_TIME_MAX: Millis = Millis(6000);
 
+/// Share of the chunks that are held when the checks begin for a load that is due as soon as the copy is complete. The origin
+/// sends the last eighth in about 0.5 s, in which the others are checked.
+const CHECKED_AHEAD: (usize, usize) = (7, 8);
+
+/// Longest time until the load start, as of when few chunks are missing, for which the checks begin before the copy is
+/// complete; later they would be older than [`CHECK_AGE_MAX`] at the order.
+const AHEAD_MAX: Millis = Millis(CHECK_AGE_MAX.0 / 2);
+
 /// Why a load is not ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum CheckError {
@@ -56,15 +64,20 @@
         manifest: &Manifest,
     ) -> Result<(), CheckError> {
         let begun = self.now();
-        let mut checked: Vec<Option<Millis>> = vec![None; manifest.digests.len()];
         while self.now() <= begun + CHECK_TIME_MAX {
-            let due = due(&checked, self.now());
+            let due = self.due(model, manifest);
             if due.is_empty() {
                 return Ok(());
             }
-            for (chunk, at) in self.check(model, manifest, due).await {
-                checked[chunk as usize] = Some(at);
+            let buffered = |c: &&u32| {
+                let data = self.inventory.buffered(model, manifest.version, **c);
+                data.is_some()
+            };
+            let unstaged = due.iter().filter(buffered).count();
+            if unstaged > 0 {
+                return Err(CheckError::Incomplete(manifest.digests.len() - unstaged));
             }
+            self.check(model, manifest, due).await;
             let held = self.inventory.held(model, manifest.version).len();
             if held < manifest.digests.len() {
                 return Err(CheckError::Incomplete(held));
@@ -73,20 +86,41 @@
         Err(CheckError::Slow)
     }
 
-    /// Checks chunks, some at once; returns the time at which the check of each began.
-    async fn check(
-        &self,
-        model: &str,
-        manifest: &Manifest,
-        chunks: Vec<u32>,
-    ) -> Vec<(u32, Millis)> {
+    /// Checks the chunks that are held once, as soon as few are missing, if their version is to be loaded as soon as the copy
+    /// is complete. The checks before the load are then only those of the last chunks.
+    pub(super) async fn check_ahead(&self, model: &str, manifest: &Manifest) {
+        let (part, whole) = CHECKED_AHEAD;
+        let chunks = manifest.digests.len();
+        while self.inventory.held(model, manifest.version).len() * whole < chunks * part {
+            self.inventory.changed().await;
+        }
+        if self.load_start(model, manifest) > self.now() + AHEAD_MAX {
+            return;
+        }
+        let due = self.due(model, manifest);
+        let held = self.inventory.held(model, manifest.version);
+        let due = due.into_iter().filter(|c| held.contains(c)).collect();
+        self.check(model, manifest, due).await;
+    }
+
+    /// Checks chunks, some at once.
+    async fn check(&self, model: &str, manifest: &Manifest, chunks: Vec<u32>) {
         let checks = chunks.into_iter().map(|chunk| async move {
-            let begun = self.now();
             self.check_chunk(model, manifest, chunk).await;
-            (chunk, begun)
         });
         let running = stream::iter(checks).buffer_unordered(READS_MAX);
-        running.collect().await
+        running.collect::<()>().await;
+    }
+
+    /// Returns the chunks that were not found intact at the endpoint within [`CHECK_AGE_MAX`].
+    fn due(&self, model: &str, manifest: &Manifest) -> Vec<u32> {
+        let now = self.now();
+        let chunks = 0..manifest.digests.len() as u32;
+        let recent = |chunk: &u32| {
+            let at = self.inventory.checked(model, manifest.version, *chunk);
+            at.is_some_and(|at| now <= at + CHECK_AGE_MAX)
+        };
+        chunks.filter(|chunk| !recent(chunk)).collect()
     }
 
     /// Checks the digest of a chunk at the endpoint and records whether it is held.
@@ -95,6 +129,7 @@
         if self.inventory.buffered(model, version, chunk).is_some() {
             return;
         }
+        let begun = self.now();
         let data = self.host.read(model, chunk).await.unwrap_or_else(|e| {
             log::debug!("cannot read staged chunk {chunk}: {e}");
             None
@@ -102,6 +137,7 @@
         let digest = &manifest.digests[chunk as usize];
         if data.is_some_and(|d| is_intact(&d, digest)) {
             self.inventory.insert(model, version, chunk);
+            self.inventory.set_checked(model, version, chunk, begun);
         } else {
             self.drop_unless_buffered(model, manifest, chunk);
         }
@@ -114,11 +150,3 @@
         }
     }
 }
-
-/// Returns the chunks that were not checked within [`CHECK_AGE_MAX`].
-fn due(checked: &[Option<Millis>], now: Millis) -> Vec<u32> {
-    let recent = |at: Millis| now <= at + CHECK_AGE_MAX;
-    let chunks = (0..).zip(checked);
-    let old = chunks.filter(|(_, at)| !at.is_some_and(recent));
-    old.map(|(chunk, _)| chunk).collect()
-}
--- a/src/staging/inventory.rs
+++ b/src/staging/inventory.rs
@@ -39,6 +39,8 @@
     buffered: HashMap<u32, Bytes>,
     /// Number of chunks that this host or a neighbour was last known to hold.
     known: u32,
+    /// When the last check of each chunk began that found it intact at the endpoint, since it was staged.
+    checked: HashMap<u32, Millis>,
 }
 
 /// Chunks of this host that other hosts may copy.
@@ -112,6 +114,7 @@
             log: Vec::new(),
             buffered: HashMap::default(),
             known: 0,
+            checked: HashMap::default(),
         });
         *self.previous.borrow_mut() = current.replace(new);
         self.keep_loaded();
@@ -295,7 +298,10 @@
 
     /// Marks a chunk as not held, because it is missing or corrupt at the endpoint.
     pub(super) fn remove(&self, model: &str, version: WeightVersion, chunk: u32) {
-        self.with_version(model, version, |c| c.held.remove(chunk));
+        self.with_version(model, version, |c| {
+            c.checked.remove(&chunk);
+            c.held.remove(chunk);
+        });
     }
 
     /// Returns the digest of a held chunk.
@@ -336,6 +342,27 @@
                 }
             }
         }
+        for entry in [&self.current, &self.previous] {
+            if let Some(entry) = &mut *entry.borrow_mut() {
+                entry.checked.remove(&chunk);
+            }
+        }
+    }
+
+    /// Records that a chunk was found intact at the endpoint by a check that began at `at`. A chunk that is buffered is not
+    /// the one at the endpoint.
+    pub(super) fn set_checked(&self, model: &str, version: WeightVersion, chunk: u32, at: Millis) {
+        self.with_version(model, version, |c| c.checked.insert(chunk, at));
+    }
+
+    /// Returns when the last check of a chunk began that found it intact at the endpoint.
+    pub(super) fn checked(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        chunk: u32,
+    ) -> Option<Millis> {
+        self.with_version(model, version, |c| c.checked.get(&chunk).copied())?
     }
 
     /// Returns the size of a chunk of the current version in bytes; 0 if there is no version.
--- a/src/staging/load.rs
+++ b/src/staging/load.rs
@@ -136,8 +136,8 @@
         self.load(model, manifest.version).await
     }
 
-    /// Waits for the scheduled load start of this host.
-    async fn wait_for_start(&self, model: &str, manifest: &Manifest) {
+    /// Returns the load start of this host for a version that is complete now, which may have passed.
+    pub(super) fn load_start(&self, model: &str, manifest: &Manifest) -> Millis {
         let (rank, hosts) = self.peers.borrow().load_rank(manifest.version);
         let schedule = HostSchedule {
             bound: self.settings.bound,
@@ -151,13 +151,16 @@
         });
         let now = self.now();
         let start = superseded_at.map_or(now, |at| schedule.start_from(at, now));
-        let start = self
-            .loader
-            .scheduled
-            .get()
-            .map_or(start, |earlier| earlier.min(start));
+        let scheduled = self.loader.scheduled.get();
+        scheduled.map_or(start, |earlier| earlier.min(start))
+    }
+
+    /// Waits for the scheduled load start of this host.
+    async fn wait_for_start(&self, model: &str, manifest: &Manifest) {
+        let (rank, hosts) = self.peers.borrow().load_rank(manifest.version);
+        let start = self.load_start(model, manifest);
         self.loader.scheduled.set(Some(start));
-        let wait = start - now;
+        let wait = start - self.now();
         emit!(
             log_event::LOAD,
             "model={model} version={} state=waiting rank={rank} hosts={hosts} ms={}",
--- a/tests/chunk_checks.rs
+++ b/tests/chunk_checks.rs
@@ -56,6 +56,10 @@
     staged: RefCell<HashMap<u32, Bytes>>,
     loaded: Cell<u64>,
     read_time: Millis,
+    stage_time: Cell<Millis>,
+    /// When a chunk was last staged, and when the last order came.
+    last_stage: Cell<Millis>,
+    last_order: Cell<Millis>,
     /// Whether the first chunk turns bad as soon as it is read once all chunks are staged, and silences follow.
     troubled: Cell<bool>,
     /// When the first chunk turned bad; `None` while it is sound.
@@ -77,6 +81,9 @@
             staged: RefCell::default(),
             loaded: Cell::new(OLD),
             read_time,
+            stage_time: Cell::new(CALL_TIME),
+            last_stage: Cell::default(),
+            last_order: Cell::default(),
             troubled: Cell::new(troubled),
             bad_since: Cell::default(),
             silences: Cell::default(),
@@ -145,7 +152,8 @@
     }
 
     async fn stage(&self, _: &str, chunk: u32, data: Bytes) -> Result<(), HostError> {
-        self.respond(CALL_TIME).await?;
+        self.respond(self.0.stage_time.get()).await?;
+        self.0.last_stage.set(self.0.clock.now());
         self.0.staged.borrow_mut().insert(chunk, data);
         if chunk == 0 {
             self.0.bad_since.set(None);
@@ -158,6 +166,7 @@
         let now = self.0.clock.now();
         let age = self.0.bad_since.get().map(|at| now - at);
         self.0.orders.borrow_mut().push(age);
+        self.0.last_order.set(now);
         self.0.loaded.set(version.0);
         Ok(LoadResponse::Begun)
     }
@@ -165,8 +174,12 @@
 
 /// Runs an agent beside an endpoint, names the new version, and waits until it is loaded or `time` has passed.
 async fn roll_out(engine: &Engine, time: Millis) {
+    roll_out_within(BOUND, engine, time).await;
+}
+
+async fn roll_out_within(bound: Millis, engine: &Engine, time: Millis) {
     let store = MemoryStore::default();
-    start_agent(&store, engine.clone(), CHUNKS, BOUND).await;
+    start_agent(&store, engine.clone(), CHUNKS, bound).await;
     store.write(Topic::Operator, "m", &NEW.to_string());
     let loaded = async {
         while engine.0.loaded.get() != NEW {
@@ -208,3 +221,35 @@
         assert!(pause >= Some(PAUSE_MIN), "the checks are repeated at once");
     });
 }
+
+/// Guards against a late host that begins to check its chunks when the last one has arrived: the checks took 0.45 s, while
+/// no endpoint served.
+#[test]
+fn late_copy_is_checked_before_its_last_chunk() {
+    run_local(async {
+        let engine = Engine::new(Millis(20), false);
+        engine.0.stage_time.set(Millis(60));
+        // The load start has passed when the copy is complete.
+        roll_out_within(Millis(2000), &engine, Millis(8000)).await;
+        assert_eq!(engine.0.loaded.get(), NEW, "the version is not loaded");
+        let (from, to) = (engine.0.last_stage.get(), engine.0.last_order.get());
+        let reads = engine.0.reads.borrow();
+        let reads = reads.iter().filter(|at| **at >= from && **at <= to).count();
+        println!("{reads} reads in {} after the last chunk", to - from);
+        assert!(reads > 0 && reads <= CHUNKS as usize / 2, "{reads} reads");
+    });
+}
+
+/// Guards against additional reads of the endpoint where a copy is complete before the load start.
+#[test]
+fn early_copy_is_checked_once() {
+    run_local(async {
+        let engine = Engine::new(CALL_TIME, false);
+        roll_out_within(Millis(6000), &engine, Millis(8000)).await;
+        assert_eq!(engine.0.loaded.get(), NEW, "the version is not loaded");
+        let (from, to) = (engine.0.last_stage.get(), engine.0.last_order.get());
+        let reads = engine.0.reads.borrow();
+        let reads = reads.iter().filter(|at| **at >= from && **at <= to).count();
+        assert_eq!(reads, CHUNKS as usize);
+    });
+}
