--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -1,6 +1,7 @@
 //! Table of the endpoints that an entry may send requests to, built from their records in the store.
 
 mod delta;
+mod doubts;
 
 use std::{net::SocketAddr, rc::Rc};
 
@@ -290,61 +291,6 @@
         }
     }
 
-    /// Makes removals tentative for [`RENEWAL`], because endpoints could not renew their records during an outage of
-    /// the store that has just ended.
-    pub fn store_recovered(&mut self, now: Millis) {
-        self.tentative_until = now + RENEWAL;
-    }
-
-    /// Makes removals tentative for [`RENEWAL`], because the store was restored from an older copy, and endpoints have yet to
-    /// rewrite their records.
-    pub fn store_restored(&mut self, now: Millis) {
-        self.tentative_until = now + RENEWAL;
-        self.restored_until = now + RENEWAL;
-        // Removals that are tentative already may be due before the endpoints have rewritten their records again.
-        let doubted = self.endpoints.values_mut().filter(|e| e.removal.is_some());
-        for endpoint in doubted {
-            endpoint.removal = Some(now + RENEWAL);
-        }
-    }
-
-    /// Returns whether endpoints have yet to rewrite their records, because the store was restored from an older copy.
-    pub fn is_restoring(&self, now: Millis) -> bool {
-        now < self.restored_until
-    }
-
-    /// Ends doubts that another entry shows to be wrong: `up_since` is the time since which the store has answered it.
-    /// Returns the endpoints that are removed thereby.
-    pub fn end_doubts(&mut self, up_since: Millis, now: Millis) -> Vec<EndpointId> {
-        // A store that was restored answered all the while, perhaps.
-        if self.is_restoring(now) {
-            return Vec::new();
-        }
-        // Each doubt lasts for `RENEWAL`, and is right if the store was away in as long a time before it.
-        let wrong = |until: Millis| up_since + RENEWAL + RENEWAL <= until;
-        if wrong(self.tentative_until) {
-            self.tentative_until = Millis::ZERO;
-        }
-        self.remove_tentative(wrong, now)
-    }
-
-    /// Removes the endpoints whose tentative removal is due by its time; returns these.
-    fn remove_tentative(
-        &mut self,
-        is_due: impl Fn(Millis) -> bool,
-        now: Millis,
-    ) -> Vec<EndpointId> {
-        let endpoints = self.endpoints.values();
-        let due: Vec<_> = endpoints
-            .filter(|e| e.removal.is_some_and(&is_due))
-            .map(|e| e.id.clone())
-            .collect();
-        for id in &due {
-            self.drop_endpoint(id, now);
-        }
-        due
-    }
-
     /// Removes the endpoints that are not among the ids of all records of the store, and returns the ids of these;
     /// right after an outage the removals are tentative.
     pub fn retain_present(
--- a/tests/version_support/mod.rs
+++ b/tests/version_support/mod.rs
@@ -1,4 +1,5 @@
 //! A store whose responses are slow or lost, and entries that read it, for tests of the time of versions.
+#![allow(dead_code)]
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Instant};
 
