--- a/tests/version_copies/fleet.rs
+++ b/tests/version_copies/fleet.rs
@@ -74,6 +74,8 @@
 pub(crate) struct Outcome {
     /// By version: when each host held all chunks, in milliseconds; unordered, with the region of the host.
     pub(crate) complete: [Vec<(u64, usize)>; 2],
+    /// When the origin had sent the last chunk of the newer version of which no host held a copy.
+    pub(crate) last: u64,
     /// Bytes from the origin, in copies.
     pub(crate) copies: f64,
     /// Negative responses of hosts to requests for chunks.
@@ -312,6 +314,10 @@
         self.hosts[i].held[version][chunk as usize] = true;
         if from == Source::Origin {
             self.out.copies += 1.0 / CHUNKS as f64;
+            let known = |h: &Host| h.held[1][chunk as usize];
+            if version == 1 && self.hosts.iter().filter(|h| known(h)).count() == 1 {
+                self.out.last = self.now;
+            }
         }
         let me = self.ids[i];
         for j in 0..self.hosts.len() {
--- a/tests/version_copies/main.rs
+++ b/tests/version_copies/main.rs
@@ -68,6 +68,8 @@
     /// Copies that the origin sent.
     copies: f64,
     missing: u32,
+    /// When the origin had sent each chunk once.
+    last: u64,
 }
 
 fn runs(agent: Agents, hosts: usize, second: u64, outage: (u64, u64)) -> Vec<Outcome> {
@@ -93,6 +95,7 @@
         all: mean(&|o| o.reached(1, hosts, 100)),
         copies: all.iter().map(|o| o.copies).sum::<f64>() / SEEDS as f64,
         missing: all.iter().map(|o| o.missing).sum::<u32>() / SEEDS as u32,
+        last: mean(&|o| o.last),
     };
     println!("hosts={hosts} second={second} {out:?}");
     out
