fix(staging): ask two entries for the assignment at the start

After a kill of all processes agents waited for the response of one entry, 0.6 s if it did not respond, before they began with their weights.

Cause: entries were polled one after another, also before the first response.

Change: until the first response two entries are asked at the same time, and the first response counts. Afterwards one entry is polled, as before.

Result: second_entry_is_asked_at_the_start (an entry of the agent's zone that accepts connections and does not respond) failed before and passes now. Reading and hashing what is staged meanwhile is left.

--- a/src/staging/entries.rs
+++ b/src/staging/entries.rs
@@ -1,7 +1,8 @@
 //! Long polls of entries for this agent's assignment, so that agents do not load the store and the links to it.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, pin::pin, rc::Rc};
 
+use futures_util::future::{select, Either};
 use hyper::StatusCode;
 
 use super::{agent::Agent, log_event, EndpointHost, Origin};
@@ -54,10 +55,11 @@
             };
             let service = &self.settings.service;
             let path = format!("{ASSIGNMENT_PATH}{service}/{zone}/{}", source.tag);
-            let Some(assignment) = source.request(entry, &path).await else {
+            let (entry, response) = source.request_first(entry, &path).await;
+            let Some(assignment) = response else {
                 emit!(log_event::ENTRY, "entry={entry} answers=false");
                 source.current = None;
-                source.entries.pop();
+                source.entries.retain(|e| *e != entry);
                 tokio::time::sleep(jitter(RETRY_DELAY).duration()).await;
                 continue;
             };
@@ -82,6 +84,30 @@
 }
 
 impl AssignmentSource {
+    /// Requests the assignment from an entry; as long as there has been no response, also from the next one at the same time,
+    /// because the first may have stopped. Returns the first response, or the entry that failed last without one.
+    async fn request_first(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+    ) -> (SocketAddr, Option<Assignment>) {
+        let next = self.entries.iter().rev().find(|e| **e != entry).copied();
+        let Some(next) = next.filter(|_| self.tag == 0) else {
+            return (entry, self.request(entry, path).await);
+        };
+        let first = pin!(async { (entry, self.request(entry, path).await) });
+        let second = pin!(async { (next, self.request(next, path).await) });
+        let (done, rest) = match select(first, second).await {
+            Either::Left((done, rest)) => (done, Either::Left(rest)),
+            Either::Right((done, rest)) => (done, Either::Right(rest)),
+        };
+        if done.1.is_some() {
+            return done;
+        }
+        emit!(log_event::ENTRY, "entry={} answers=false", done.0);
+        rest.await
+    }
+
     async fn request(&self, entry: SocketAddr, path: &str) -> Option<Assignment> {
         let limit = ASSIGNMENT_WAIT + RESPONSE_TIMEOUT;
         match get(&self.pool, entry, path, self.clock.now(), limit).await {
--- a/tests/assignment_order.rs
+++ b/tests/assignment_order.rs
@@ -193,3 +193,40 @@
     assert_eq!(read.newest, sent.newest);
     assert_eq!(read.catalog, None);
 }
+
+/// Guards against an agent that waits for an entry of its zone that has stopped, before it asks another one: after a kill of
+/// all processes that delayed the first loads by 0.6 s.
+#[test]
+fn second_entry_is_asked_at_the_start() {
+    run_local(async {
+        let store = MemoryStore::default();
+        let entries = [(addr(2, 8004), "a"), (addr(3, 8004), "b")];
+        for (entry, zone) in entries {
+            let announced = heartbeat(entry, zone, 1, Status::default());
+            let announced = Record {
+                key: entry.to_string().into(),
+                value: Some(postcard::to_stdvec(&announced).expect("encoded").into()),
+            };
+            let appended = store.append(Topic::Entries, &announced).await;
+            appended.expect("it is kept");
+            let listener = TcpListener::bind(entry).await.expect("a port");
+            // The entry of the agent's zone accepts connections and responds to nothing.
+            let reply = (zone == "b").then(|| encode(&assignment(true, Some(NEW))));
+            let replies = Rc::new(RefCell::new(Vec::from_iter(reply)));
+            spawn_local(async move {
+                while let Ok((conn, _)) = listener.accept().await {
+                    spawn_local(serve(conn, replies.clone()));
+                }
+            });
+        }
+        let asked = Asked::default();
+        spawn_local(staging::run::<_, TestDecode, _, _>(
+            settings(1, Millis(60_000)),
+            store,
+            Engine,
+            asked.clone(),
+        ));
+        tokio::time::sleep(Millis(1000).duration()).await;
+        assert!(!asked.0.borrow().is_empty(), "no entry has responded");
+    });
+}
