--- a/tests/version_copies/main.rs
+++ b/tests/version_copies/main.rs
@@ -106,6 +106,8 @@
     let before = means(BEFORE, hosts, 2000, (2500, 8500));
     let now = means(now(hosts), hosts, 2000, (2500, 8500));
     assert!(now.first + 200 < before.first && now.half + 200 < before.half);
+    let spread = |m: &Means| m.first.saturating_sub(m.last);
+    assert!(spread(&now) < spread(&before), "after the last chunk");
     assert!(
         now.missing * 10 < before.missing,
         "requests for chunks that no host holds: {} instead of {}",
