--- a/tests/version_copies/main.rs
+++ b/tests/version_copies/main.rs
@@ -68,6 +68,8 @@
     /// Copies that the origin sent.
     copies: f64,
     missing: u32,
+    /// When the origin had sent each chunk once.
+    last: u64,
 }
 
 fn runs(agent: Agents, hosts: usize, second: u64, outage: (u64, u64)) -> Vec<Outcome> {
@@ -93,6 +95,7 @@
         all: mean(&|o| o.reached(1, hosts, 100)),
         copies: all.iter().map(|o| o.copies).sum::<f64>() / SEEDS as f64,
         missing: all.iter().map(|o| o.missing).sum::<u32>() / SEEDS as u32,
+        last: mean(&|o| o.last),
     };
     println!("hosts={hosts} second={second} {out:?}");
     out
@@ -103,6 +106,8 @@
     let before = means(BEFORE, hosts, 2000, (2500, 8500));
     let now = means(now(hosts), hosts, 2000, (2500, 8500));
     assert!(now.first + 200 < before.first && now.half + 200 < before.half);
+    let spread = |m: &Means| m.first.saturating_sub(m.last);
+    assert!(spread(&now) < spread(&before), "after the last chunk");
     assert!(
         now.missing * 10 < before.missing,
         "requests for chunks that no host holds: {} instead of {}",
