--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,5 +21,6 @@
 pub mod route;
 pub mod shed;
 pub mod silence;
+pub mod spill;
 pub mod stop;
 pub mod supersede;
