--- a/src/decide/spill.rs
+++ b/src/decide/spill.rs
@@ -149,7 +149,8 @@
 #[derive(Debug)]
 struct Elsewhere {
     zone: Zone,
-    /// Cost of an endpoint there, as a share of its slots.
+    /// Time to the zone and back, and the prices with it; as shares of an endpoint's slots.
+    network: f64,
     cost: f64,
     /// Whether it is in another region.
     remote: bool,
@@ -259,6 +260,7 @@
             let mut e = known.map_or_else(
                 || Elsewhere {
                     zone,
+                    network: 0.0,
                     cost: 0.0,
                     remote,
                     own: 0.0,
@@ -268,7 +270,8 @@
                 |i| old.swap_remove(i),
             );
             e.remote = remote;
-            e.cost = (prices.zone_ms + region_ms + round_trip) / MS_PER_SLOTS;
+            e.network = round_trip / MS_PER_SLOTS;
+            e.cost = (prices.zone_ms + region_ms) / MS_PER_SLOTS + e.network;
             self.elsewhere.push(e);
         }
     }
@@ -372,6 +375,9 @@
     }
 
     /// Returns the extra cost of an endpoint in a zone for a request with this draw, as a share of its slots.
+    ///
+    /// The shares contain the price. A request that is selected pays the network only; with the price, the levels would be
+    /// equal for it, and it would follow each change of a late view.
     pub fn cost(&self, zone: &Zone, draw: f64) -> f64 {
         if *zone == self.site.zone {
             return 0.0;
@@ -381,7 +387,10 @@
         if self.is_withheld(zone, draw) {
             return cost + WITHHELD_COST;
         }
-        cost
+        match known {
+            Some(e) if self.home => e.network,
+            _ => cost,
+        }
     }
 
     /// Returns the part of the requests that may consider a zone elsewhere.
