feat(gateway): requests to other zones by known room, price and link

Callers of a zone with too few endpoints were sent elsewhere at a fixed extra cost of 0.12 of the slots, whatever the load, the link and the distance. Entries now compute a share of their requests for each zone elsewhere from what they know of both zones (decide/spill.rs). Delays come from services[].engine.delays, prices and the link from [routing].

--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -22,6 +22,7 @@
     /// Difference of the average from the usual pace, in hundredths, at the time of the last figure.
     excess: f64,
     at: Millis,
+    reported: bool,
 }
 
 impl Pace {
@@ -31,6 +32,12 @@
         let excess = self.excess_at(now);
         self.excess = excess + (newest - excess) * WEIGHT;
         self.at = self.at.max(now);
+        self.reported = true;
+    }
+
+    /// Returns whether a figure was ever reported.
+    pub fn is_reported(&self) -> bool {
+        self.reported
     }
 
     /// Returns the time that work takes now, as a multiple of its usual time.
--- a/src/decide/spill.rs
+++ b/src/decide/spill.rs
@@ -37,11 +37,11 @@
 /// Longest time for which one update changes a share; a paused process does not jump.
 const STEP_MAX: Millis = Millis(1000);
 
-/// Time constant of the moving average of what this entry sends elsewhere: the mean age of the load that it is compared
-/// with.
+/// Time constant, in milliseconds, of the moving average of what this entry sends elsewhere: the mean age of the load that
+/// it is compared with.
 const OWN_TIME: f64 = 600.0;
 
-/// Time constant of the moving averages of the requests and bytes of this entry, in milliseconds.
+/// Time constant of the moving averages of the bytes of this entry, in milliseconds.
 const TRAFFIC_TIME: f64 = 4000.0;
 
 /// Part of a link between regions that is left to weights while a load is pending, as a divisor.
@@ -162,14 +162,13 @@
     logged: f64,
 }
 
-/// Requests and bytes of this entry.
+/// Bytes of this entry, sent to endpoints and received from them.
 #[derive(Clone, Copy, Debug, Default)]
 struct Traffic {
-    /// Since the last update.
-    requests: f64,
-    bytes: f64,
-    /// Moving average of the bytes in a millisecond.
-    rate: f64,
+    /// Bytes since the last update, in each direction.
+    bytes: [f64; 2],
+    /// Moving averages of the bytes in a millisecond.
+    rates: [f64; 2],
 }
 
 /// Where the entry is, and what requests elsewhere cost it.
@@ -243,10 +242,10 @@
         }
     }
 
-    /// Counts a request and the bytes of its body and response.
-    pub fn count(&mut self, requests: u32, bytes: usize) {
-        self.traffic.requests += f64::from(requests);
-        self.traffic.bytes += bytes as f64;
+    /// Counts the bytes of a request's body and response, wherever it was served.
+    pub fn count(&mut self, sent: usize, received: usize) {
+        self.traffic.bytes[0] += sent as f64;
+        self.traffic.bytes[1] += received as f64;
     }
 
     /// Sets the zones elsewhere with their regions, if these are known, and the times to them and back in milliseconds.
@@ -335,10 +334,11 @@
         if time == Millis::ZERO {
             return;
         }
-        let traffic = &mut self.traffic;
-        let rate = traffic.bytes / time.0 as f64;
-        traffic.rate += (rate - traffic.rate) * weight(time, TRAFFIC_TIME);
-        (traffic.requests, traffic.bytes) = (0.0, 0.0);
+        let Traffic { bytes, rates } = &mut self.traffic;
+        for (rate, bytes) in rates.iter_mut().zip(bytes) {
+            let newest = std::mem::take(bytes) / time.0 as f64;
+            *rate += (newest - *rate) * weight(time, TRAFFIC_TIME);
+        }
     }
 
     /// Returns the largest share that this entry may send to another region. All zones of other regions share the link.
@@ -353,10 +353,12 @@
         };
         let own = link.0 as f64 / 1000.0 / divisor / view.region_entries.max(1) as f64;
         let remote = self.elsewhere.iter().filter(|e| e.remote).count().max(1);
-        if self.traffic.rate <= 0.0 {
+        // The link has its rate in each direction, so that the larger of both counts.
+        let needed = self.traffic.rates[0].max(self.traffic.rates[1]);
+        if needed <= 0.0 {
             return 1.0;
         }
-        (own / self.traffic.rate / remote as f64).min(1.0)
+        (own / needed / remote as f64).min(1.0)
     }
 
     /// Returns the zone elsewhere that a request with a uniform draw from 0 to 1 may consider.
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     base::{HashMap, Millis, Service, Workspace, Zone},
-    decide::{cold::ColdStart, residency::AllowedRegions},
+    decide::{cold::ColdStart, residency::AllowedRegions, spill::ZoneDelays},
 };
 
 /// Version of a catalog; a later one has a higher number.
@@ -135,6 +135,8 @@
     pub weights: Option<ServiceWeights>,
     /// Location of the weight store, if this service is the weight store.
     pub origin: Option<OriginSpec>,
+    /// One-way delays between zones.
+    pub delays: ZoneDelays,
     /// How the service's endpoints start; `None` if cold ones need no limit.
     pub cold: Option<ColdStart>,
 }
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -11,6 +11,7 @@
     load_balancer::{LoadBalancer, Refusal},
     priority,
     record::WeightVersion,
+    spill::SpillDraw,
 };
 use crate::{base::Millis, decide::supersede::Margins};
 
@@ -120,6 +121,7 @@
     let owned = ctx.owned.borrow();
     let evacuation = ctx.evacuation.borrow();
     let cold = ctx.cold.borrow();
+    let spills = ctx.spills.borrow();
     let tried = attempts.tried();
     let query = EndpointQuery {
         zone: &ctx.settings.zone,
@@ -141,6 +143,10 @@
             e.duration(job.prompt_tokens, job.output_max, job.output_hint)
         }),
         cold: limits_cold.then_some(&cold),
+        spill: spills.get(&job.service).map(|spill| SpillDraw {
+            spill,
+            draw: fastrand::f64(),
+        }),
     };
     ask(&mut ctx.balancer.borrow_mut(), &query, connections)
 }
--- a/src/gateway/endpoint_query.rs
+++ b/src/gateway/endpoint_query.rs
@@ -2,7 +2,7 @@
 
 use super::{
     cold_times::ColdTimes, desired::DesiredVersions, endpoint_table::EndpointId,
-    record::WeightVersion, schedule::LoadSchedule,
+    record::WeightVersion, schedule::LoadSchedule, spill::SpillDraw,
 };
 use crate::{
     base::{HashSet, Millis, Zone},
@@ -62,4 +62,6 @@
     pub duration: Millis,
     /// Cold times of endpoints; `None` if the service does not limit the requests to cold ones.
     pub cold: Option<&'a ColdTimes>,
+    /// Shares of requests that may go to other zones; `None` if the cost of other zones is fixed.
+    pub spill: Option<SpillDraw<'a>>,
 }
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -280,7 +280,7 @@
 async fn read_response(
     ctx: &Rc<Context>,
     job: &Job,
-    target: Target,
+    mut target: Target,
     head: Parts,
     body: Incoming,
 ) -> Attempt {
@@ -309,6 +309,7 @@
             return Attempt::TimedOut;
         }
     };
+    target.flight.count_received(body.len());
     let status = head.status;
     if status.is_success() {
         screen::record_served(ctx, job, &known);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -105,7 +105,7 @@
     let now = ctx.now();
     let (id, addr) = (choice.id.clone(), choice.addr);
     attempts.exclude(id.clone());
-    let flight = InFlight::begin(ctx, id.clone(), job.prompt_tokens);
+    let mut flight = InFlight::begin(ctx, id.clone(), job.prompt_tokens);
     let limit = CONNECT_TIMEOUT.min(job.deadline - now);
     let (connection, reused) = match open(ctx, job, addr, limit).await {
         Ok(opened) => opened,
@@ -135,6 +135,7 @@
         return Ok(Attempt::NotSent);
     }
     permits::count_sent(ctx, job, &id);
+    flight.count_sent(job.body.len());
     let target = Target {
         id,
         addr,
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -17,6 +17,7 @@
 //! | an endpoint fails part of its requests | its cost grows, so that it is used only when the others are loaded |
 //! | the request may be served in some regions only | the others' endpoints neither get it nor count for `Retry-After` |
 //! | an endpoint is lost | its circuit breaker opens |
+//! | a zone is crowded, others have room | a share of its requests considers the others (`decide/spill.rs`) |
 //! | a zone is evacuated | its endpoints are not capable; the others are chosen by load as before |
 //! | a zone is put back into service | a rising share of requests considers it, with a rising limit of load |
 
@@ -26,7 +27,7 @@
     endpoint_query::EndpointQuery,
     endpoint_table::{Endpoint, EndpointHash, EndpointId},
     evacuation::limit_of_share,
-    load_view::{LoadView, Outcome, ReportedLoad},
+    load_view::{KnownLoad, LoadView, Outcome, ReportedLoad},
     record::WeightVersion,
 };
 use crate::base::{HashMap, Millis};
@@ -105,6 +106,8 @@
     /// Endpoints that this entry owns.
     owned: Vec<(&'e Endpoint, f64)>,
     others: Vec<(&'e Endpoint, f64)>,
+    /// Endpoints of zones for which the request is not selected; used if there are no others.
+    withheld: Vec<(&'e Endpoint, f64)>,
     /// Endpoints of zones that were put back into service lately; used if there are no others.
     ramping: Vec<(&'e Endpoint, f64)>,
     /// Whether any endpoint can run the request, now or later.
@@ -113,6 +116,17 @@
     available: Option<(&'e Endpoint, Millis)>,
 }
 
+/// Draws up to [`CHOICES`] of the endpoints at random.
+fn draw<'a, 'e>(
+    list: &'a mut [(&'e Endpoint, f64)],
+) -> impl Iterator<Item = (&'e Endpoint, f64)> + use<'a, 'e> {
+    (0..CHOICES.min(list.len())).map(move |i| {
+        let j = fastrand::usize(i..list.len());
+        list.swap(i, j);
+        list[i]
+    })
+}
+
 impl<'e> Candidates<'e> {
     /// Notes when a capable endpoint is expected to take requests again.
     fn note_available(&mut self, e: &'e Endpoint, at: Millis) {
@@ -123,14 +137,11 @@
 
     /// Returns the cheapest of the owned endpoints and of up to [`CHOICES`] random others.
     fn best(mut self) -> Option<&'e Endpoint> {
-        let others = (0..CHOICES.min(self.others.len())).map(|i| {
-            let j = fastrand::usize(i..self.others.len());
-            self.others.swap(i, j);
-            self.others[i]
-        });
+        let others = draw(&mut self.others);
         let all = self.owned.into_iter().chain(others);
         let cheaper = |a: &(&Endpoint, f64), b: &(&Endpoint, f64)| a.1.total_cmp(&b.1);
         let best = all.min_by(cheaper);
+        let best = best.or_else(|| draw(&mut self.withheld).min_by(cheaper));
         let best = best.or_else(|| self.ramping.into_iter().min_by(cheaper));
         best.map(|(e, _)| e)
     }
@@ -256,6 +267,8 @@
             let cost = drain + view.cost(e, query, load, now) + cold_cost(e, query, now);
             if share < 1.0 && fastrand::f64() >= share {
                 found.ramping.push((e, cost));
+            } else if query.is_withheld(e) {
+                found.withheld.push((e, cost));
             } else if query.owned.contains(&e.id) {
                 found.owned.push((e, cost));
             } else {
@@ -265,6 +278,22 @@
         found
     }
 
+    /// Returns what is known of the load of an endpoint.
+    pub(super) fn known_load(&self, id: &EndpointId, now: Millis) -> KnownLoad {
+        let none = KnownLoad {
+            load: None,
+            own: 0,
+            pace: 1.0,
+        };
+        let view = self.views.get(id);
+        view.map_or(none, |v| v.known(now, self.peers_complete))
+    }
+
+    /// Returns whether an endpoint has reported its pace.
+    pub(super) fn reports_pace(&self, id: &EndpointId) -> bool {
+        self.views.get(id).is_some_and(LoadView::reports_pace)
+    }
+
     /// Returns whether an endpoint asked by `Retry-After` to get no requests at this time.
     pub fn is_paused(&self, id: &EndpointId, now: Millis) -> bool {
         self.views.get(id).is_some_and(|v| v.paused_until > now)
--- a/src/gateway/load_view.rs
+++ b/src/gateway/load_view.rs
@@ -12,9 +12,6 @@
 /// slots.
 const READ_MS_PER_SLOTS: f64 = 250.0;
 
-/// Cost of an endpoint in another availability zone, as a share of its slots.
-const ZONE_COST: f64 = 0.12;
-
 /// Cost of an idle endpoint on whose host work takes twice its usual time, as a share of its slots.
 const PACE_COST: f64 = 0.5;
 
@@ -125,6 +122,24 @@
     }
 }
 
+/// Requests at an endpoint, and whether that is known rather than a lower bound.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoadFigure {
+    pub(super) requests: u32,
+    pub(super) sure: bool,
+}
+
+/// What is known of an endpoint for routing across zones.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KnownLoad {
+    /// `None` if this entry never considered the endpoint.
+    pub(super) load: Option<LoadFigure>,
+    /// Requests of this entry.
+    pub(super) own: u32,
+    /// Time that work takes there, as a multiple of its usual time.
+    pub(super) pace: f64,
+}
+
 /// Load of one endpoint as this entry knows it.
 #[derive(Debug, Default)]
 pub(super) struct LoadView {
@@ -166,6 +181,26 @@
         self.skipped_until().max(self.closure.expected_at(now))
     }
 
+    /// Returns what is known of the endpoint; `peers_complete` as for [`Self::load`].
+    pub(super) fn known(&self, now: Millis, peers_complete: bool) -> KnownLoad {
+        let fresh = self
+            .reported_at
+            .is_some_and(|at| now < at + PEER_LOAD_LIFETIME);
+        KnownLoad {
+            load: Some(LoadFigure {
+                requests: self.load(now, peers_complete),
+                sure: peers_complete || fresh,
+            }),
+            own: self.in_flight,
+            pace: self.pace.factor(now),
+        }
+    }
+
+    /// Returns whether the endpoint has reported its pace.
+    pub(super) fn reports_pace(&self) -> bool {
+        self.pace.is_reported()
+    }
+
     /// Returns the requests at the endpoint: those of this entry, and those of other entries as far as they are known.
     pub(super) fn load(&self, now: Millis, peers_complete: bool) -> u32 {
         let peer_load: u32 = self
@@ -195,7 +230,7 @@
         let pace = self.pace.factor(now);
         let share =
             f64::from(load) / f64::from(e.record.slots.max(1)) * pace + (pace - 1.0) * PACE_COST;
-        let far = f64::from(u8::from(e.record.zone != *query.zone)) * ZONE_COST;
+        let far = query.zone_cost(e);
         let read = query.read_rate.map_or(0.0, |rate| {
             f64::from(self.unread_tokens) / rate / READ_MS_PER_SLOTS * pace
         });
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -67,6 +67,9 @@
     /// An endpoint is cold or has warmed up, as a response told.
     COLD = 474, "gateway-cold", Info,
         "a response told that its endpoint is cold or has warmed up", "none";
+    /// The share of requests that may go to another zone changed.
+    SPILL = 480, "gateway-spill", Info,
+        "the share of a service's requests that may go to another zone changed", "if it lasts, add endpoints in the zone of the entry";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -378,6 +378,13 @@
         all.into_iter().take(max).map(|b| b.peer).collect()
     }
 
+    /// Returns whether a heartbeat of an entry of another zone arrived within `time`; also if no entry is known there.
+    pub fn is_zone_heard(&self, zone: &Zone, time: Millis, now: Millis) -> bool {
+        let there = |m: &&Member| m.heartbeat.zone == *zone;
+        let mut all = self.others.values().filter(there).peekable();
+        all.peek().is_none() || all.any(|m| m.is_heard(time, now))
+    }
+
     /// Returns the live entries that take callers, including this one if it does.
     pub fn ready_entries(&self, now: Millis) -> Vec<ReadyEntry> {
         let others = self.others.values().filter(|m| m.is_live(now));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -40,6 +40,15 @@
     progress: &'static str,
 }
 
+/// Labels of traffic between two regions.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct RegionLabels {
+    /// Region of the entry.
+    pub(super) from: String,
+    /// Region of the endpoint; `unknown` if its zone is not in the settings.
+    pub(super) to: String,
+}
+
 /// Label of latency histograms.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(super) struct ServiceLabel {
@@ -80,6 +89,9 @@
     pub(super) evacuated_zones: Gauge,
     /// Requests that were not sent after all because the zone of the chosen endpoint was evacuated meanwhile.
     pub(super) evacuation_withheld: Counter,
+    /// Requests that were sent, and the bytes of their bodies and responses, by region.
+    pub(super) region_requests: Family<RegionLabels, Counter>,
+    pub(super) region_bytes: Family<RegionLabels, Counter>,
     /// Datagrams that could not be decoded.
     pub(super) ignored_datagrams: Counter,
     /// Memory that is held for callers, in bytes, and their connections.
@@ -120,6 +132,8 @@
             first: Family::new_with_constructor(latency_histogram),
             evacuated_zones: Gauge::default(),
             evacuation_withheld: Counter::default(),
+            region_requests: Family::default(),
+            region_bytes: Family::default(),
             ignored_datagrams: Counter::default(),
             held: Gauge::default(),
             connections: Gauge::default(),
@@ -170,6 +184,11 @@
             let help = "Requests withheld just before the send because of an evacuated zone";
             let withheld = out.evacuation_withheld.clone();
             r.register("gateway_evacuation_withheld", help, withheld);
+            let help = "Requests sent, by the regions of the entry and of the endpoint";
+            let requests = out.region_requests.clone();
+            r.register("gateway_region_requests", help, requests);
+            let help = "Bytes of requests and responses, by the regions of entry and endpoint";
+            r.register("gateway_region_bytes", help, out.region_bytes.clone());
             let help = "Datagrams that could not be decoded";
             let ignored = out.ignored_datagrams.clone();
             r.register("gateway_ignored_datagrams", help, ignored);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -93,6 +93,7 @@
         Membership::new(me),
         GatewayMetrics::register(lines),
     );
+    ctx.log_routing_faults();
     let (closing, closed) = watch::channel(false);
     // Other entries and agents are served until the process ends.
     let (_ending, ended) = watch::channel(false);
@@ -246,6 +247,7 @@
         ctx.update_ownership();
         ctx.pool.sweep(now);
         expire_limits(&ctx);
+        ctx.update_spills();
         ctx.quarantine.borrow_mut().expire(now);
         let fleet = ctx.endpoints.borrow();
         ctx.balancer
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     base::{Millis, Percent, ProcessName, Region, Size, Zone},
-    decide::{cold::ColdBound, residency::ZoneRegions, shed::Capacity},
+    decide::{cold::ColdBound, residency::ZoneRegions, shed::Capacity, spill::Prices},
 };
 
 /// Addresses on which an entry listens.
@@ -95,6 +95,15 @@
     }
 }
 
+/// Settings of routing across zones.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RoutingSettings {
+    /// Prices of other zones; `None` if the settings have none.
+    pub prices: Option<Prices>,
+    /// Fields whose values were invalid, so that their defaults are used; for the log.
+    pub faults: Vec<String>,
+}
+
 /// Settings of an entry process.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -114,6 +123,8 @@
     pub bounds: Bounds,
     /// Memory and descriptors of the host.
     pub host: HostLimits,
+    /// Routing across zones.
+    pub routing: RoutingSettings,
     /// HTTP path of the directory.
     pub directory_path: String,
     /// HTTP path of the readiness check.
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -282,6 +282,7 @@
             returning,
             reserve: 0,
             duration: WORK,
+            spill: None,
         };
         let (away, ids, now) = (&self.away, &self.ids, self.now);
         let here = |id: &EndpointId| ids.iter().position(|i| i == id).filter(|i| away[*i] <= now);
--- a/tests/copy_support/mod.rs
+++ b/tests/copy_support/mod.rs
@@ -123,6 +123,7 @@
             zone: Some("a".parse().expect("a valid name")),
         }),
         cold: None,
+        delays: Default::default(),
     };
     out.services
         .insert("llm".parse().expect("a valid name"), spec);
--- a/tests/cross_zone.rs
+++ b/tests/cross_zone.rs
@@ -243,7 +243,7 @@
                     let n = homes[self.rng.usize(..homes.len())];
                     second.arrived += 1;
                     second.from[z] += 1;
-                    self.peers[n].spill.count(1, 4000);
+                    self.peers[n].spill.count(400, 4000);
                     let Some(to) = self.choose(n, &load, &phase) else {
                         second.rejected += 1;
                         continue;
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -47,6 +47,7 @@
         seeds: Vec::new(),
         bounds: Bounds::default(),
         host: HostLimits::default(),
+        routing: Default::default(),
         directory_path: "/where".to_owned(),
         ready_path: "/ready".to_owned(),
     }
@@ -87,6 +88,7 @@
         weights: None,
         origin: None,
         cold: None,
+        delays: Default::default(),
     };
     out.services
         .insert("plain".parse().expect("a valid name"), spec);
--- a/tests/uneven_endpoints.rs
+++ b/tests/uneven_endpoints.rs
@@ -140,6 +140,7 @@
                 duration: Millis::ZERO,
                 residency: None,
                 cold: None,
+                spill: None,
             };
             let balancer = &mut balancers[entry];
             let Ok(e) = balancer.pick(table.iter(), &query, now) else {
--- a/tests/version_margins/main.rs
+++ b/tests/version_margins/main.rs
@@ -243,6 +243,7 @@
             returning: false,
             reserve: 0,
             duration,
+            spill: None,
         };
         let balancer = &mut self.balancers[entry];
         let Ok(endpoint) = balancer.pick(self.table.iter(), &query, self.now) else {
