--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -143,7 +143,7 @@
             e.duration(job.prompt_tokens, job.output_max, job.output_hint)
         }),
         cold: limits_cold.then_some(&cold),
-        spill: spills.get(&job.service).map(|spill| SpillDraw {
+        spill: spills.services.get(&job.service).map(|spill| SpillDraw {
             spill,
             draw: fastrand::f64(),
         }),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -24,6 +24,7 @@
     permit_requests::Permits,
     record::WeightVersion,
     schedule::LoadSchedule,
+    spill::{Spills, Traffic},
     steadiness::Steadiness,
     write_time::WriteAge,
     Bounds, GatewaySettings, Headers,
@@ -36,7 +37,6 @@
         quarantine::Quarantine,
         retry::{RetryBudget, RetryDraw},
         returning::Rejections,
-        spill::Spill,
         stop::StopPlan,
         supersede::{Expiry, Margins},
     },
@@ -76,10 +76,7 @@
     pub(super) evacuation: RefCell<Evacuation>,
     /// Cold times that responses of endpoints told.
     pub(super) cold: RefCell<ColdTimes>,
-    /// Shares of requests that may go to other zones, of the services for which that is enabled.
-    pub(super) spills: RefCell<HashMap<Service, Spill>>,
-    /// Time of the last log line of changed shares.
-    pub(super) spill_logged: Cell<Option<Millis>>,
+    pub(super) spills: RefCell<Spills>,
     /// Parts of prompts that were in flight when endpoints ended.
     pub(super) quarantine: RefCell<Quarantine>,
     /// Requests that entries rejected and whose callers may return.
@@ -156,7 +153,6 @@
             evacuation: RefCell::default(),
             cold: RefCell::default(),
             spills: RefCell::default(),
-            spill_logged: Cell::default(),
             quarantine: RefCell::new(Quarantine::new(clock.now())),
             rejections: RefCell::default(),
             quarantined: Notify::new(),
@@ -434,9 +430,7 @@
     outcome: Outcome,
     /// Prompt tokens that the endpoint has yet to read.
     prompt: u32,
-    /// Bytes of the bodies that were sent and received.
-    sent: usize,
-    received: usize,
+    pub(super) traffic: Traffic,
 }
 
 impl InFlight {
@@ -448,8 +442,7 @@
             id,
             outcome: Outcome::Abandoned,
             prompt,
-            sent: 0,
-            received: 0,
+            traffic: Traffic::default(),
         }
     }
 
@@ -460,16 +453,6 @@
         balance.prompt_read(&self.id, prompt);
     }
 
-    /// Counts bytes of the request's body that were sent.
-    pub(super) fn count_sent(&mut self, bytes: usize) {
-        self.sent += bytes;
-    }
-
-    /// Counts bytes of the response's body that were received.
-    pub(super) fn count_received(&mut self, bytes: usize) {
-        self.received += bytes;
-    }
-
     /// Records whether the endpoint has been silent for long; a request that is dropped then counts as failed.
     pub(super) fn set_silent(&mut self, silent: bool) {
         self.outcome = if silent {
@@ -488,7 +471,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.prompt_read();
-        self.ctx.count_traffic(&self.id, self.sent, self.received);
+        self.ctx.count_traffic(&self.id, self.traffic);
         self.ctx.end(&self.id, self.outcome);
     }
 }
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -309,7 +309,7 @@
             return Attempt::TimedOut;
         }
     };
-    target.flight.count_received(body.len());
+    target.flight.traffic.received += body.len();
     let status = head.status;
     if status.is_success() {
         screen::record_served(ctx, job, &known);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -135,7 +135,7 @@
         return Ok(Attempt::NotSent);
     }
     permits::count_sent(ctx, job, &id);
-    flight.count_sent(job.body.len());
+    flight.traffic.sent += job.body.len();
     let target = Target {
         id,
         addr,
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -153,7 +153,7 @@
                 Err(_) if until < job.deadline => return ReadResult::Silent,
                 Err(_) => return ReadResult::DeadlinePassed,
             };
-            self.target.flight.count_received(data.len());
+            self.target.flight.traffic.received += data.len();
             let pushed = self.events.push(&data);
             if self.held.resize(self.events.buffered()).is_err() {
                 return ReadResult::Broken("no memory");
--- a/src/gateway/spill.rs
+++ b/src/gateway/spill.rs
@@ -23,6 +23,22 @@
 /// Extra cost of an endpoint in another zone where routing across zones is not enabled, as a share of its slots.
 const ZONE_COST: f64 = 0.12;
 
+/// Shares of requests that may go to other zones.
+#[derive(Debug, Default)]
+pub(super) struct Spills {
+    /// Of the services for which that is enabled.
+    pub(super) services: HashMap<Service, Spill>,
+    /// Time of the last log line of changed shares.
+    logged: Option<Millis>,
+}
+
+/// Bytes of the bodies of one request that were sent and received.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Traffic {
+    pub(super) sent: usize,
+    pub(super) received: usize,
+}
+
 /// Shares of the requests to other zones, and the draw that selects a zone for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct SpillDraw<'a> {
@@ -66,6 +82,10 @@
         let now = self.now();
         let catalog = self.catalog.borrow().clone();
         let mut spills = self.spills.borrow_mut();
+        let Spills {
+            services: spills,
+            logged,
+        } = &mut *spills;
         let Some(catalog) = catalog else {
             return;
         };
@@ -89,22 +109,19 @@
                 (zone.clone(), region, time)
             }));
             spill.update(&view, now);
-            if self
-                .spill_logged
-                .get()
-                .is_some_and(|at| now < at + LOG_INTERVAL)
-            {
+            if logged.is_some_and(|at| now < at + LOG_INTERVAL) {
                 continue;
             }
             if let Some(shares) = spill.changed_shares() {
-                self.spill_logged.set(Some(now));
+                *logged = Some(now);
                 emit!(log_event::SPILL, "service={service} shares={shares}");
             }
         }
     }
 
     /// Counts the bodies of a request that was sent to an endpoint, in bytes.
-    pub(super) fn count_traffic(&self, id: &EndpointId, sent: usize, received: usize) {
+    pub(super) fn count_traffic(&self, id: &EndpointId, traffic: Traffic) {
+        let Traffic { sent, received } = traffic;
         if sent == 0 && received == 0 {
             return;
         }
@@ -112,7 +129,7 @@
         let Some(e) = table.get(id) else {
             return;
         };
-        if let Some(spill) = self.spills.borrow_mut().get_mut(&e.record.service) {
+        if let Some(spill) = self.spills.borrow_mut().services.get_mut(&e.record.service) {
             spill.count(sent, received);
         }
         let own = e.record.zone == self.settings.zone;
