--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -25,6 +25,7 @@
     permit_requests::Permits,
     record::WeightVersion,
     schedule::LoadSchedule,
+    spill::{Spills, Traffic},
     steadiness::Steadiness,
     worth::WorthLoads,
     write_time::WriteAge,
@@ -86,6 +87,7 @@
     pub(super) log_ends: RefCell<LogEnds>,
     /// Cold times that responses of endpoints told.
     pub(super) cold: RefCell<ColdTimes>,
+    pub(super) spills: RefCell<Spills>,
     /// Parts of prompts that were in flight when endpoints ended.
     pub(super) quarantine: RefCell<Quarantine>,
     /// Requests that entries rejected and whose callers may return.
@@ -168,6 +170,7 @@
             evacuation: RefCell::default(),
             log_ends: RefCell::default(),
             cold: RefCell::default(),
+            spills: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(clock.now())),
             rejections: RefCell::default(),
             quarantined: Notify::new(),
@@ -447,6 +450,7 @@
     outcome: Outcome,
     /// Prompt tokens that the endpoint has yet to read.
     prompt: u32,
+    pub(super) traffic: Traffic,
 }
 
 impl InFlight {
@@ -458,6 +462,7 @@
             id,
             outcome: Outcome::Abandoned,
             prompt,
+            traffic: Traffic::default(),
         }
     }
 
@@ -486,6 +491,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.prompt_read();
+        self.ctx.count_traffic(&self.id, self.traffic);
         self.ctx.end(&self.id, self.outcome);
     }
 }
