--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,9 +12,7 @@
 use tokio::sync::Notify;
 
 use super::{
-    context::{Context, InFlight},
-    endpoint_table::EndpointId,
-    events::EventId,
+    context::Context, endpoint_table::EndpointId, events::EventId, in_flight::InFlight,
     record::WeightVersion,
 };
 use crate::{
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -25,7 +25,7 @@
     permit_requests::Permits,
     record::WeightVersion,
     schedule::LoadSchedule,
-    spill::{Spills, Traffic},
+    spill::Spills,
     steadiness::Steadiness,
     worth::WorthLoads,
     write_time::WriteAge,
@@ -441,74 +441,3 @@
         self.balancer.borrow_mut().end(id, outcome, self.now());
     }
 }
-
-/// A request in flight at an endpoint. Dropped without [`InFlight::end`], it counts as abandoned.
-#[derive(Debug)]
-pub(super) struct InFlight {
-    ctx: Rc<Context>,
-    id: EndpointId,
-    outcome: Outcome,
-    /// Prompt tokens that the endpoint has yet to read.
-    prompt: u32,
-    pub(super) traffic: Traffic,
-}
-
-impl InFlight {
-    /// Counts a request that is sent to an endpoint; `prompt` is its length in tokens.
-    pub(super) fn begin(ctx: &Rc<Context>, id: EndpointId, prompt: u32) -> Self {
-        ctx.balancer.borrow_mut().begin(&id, prompt, ctx.now());
-        Self {
-            ctx: ctx.clone(),
-            id,
-            outcome: Outcome::Abandoned,
-            prompt,
-            traffic: Traffic::default(),
-        }
-    }
-
-    /// Records that the endpoint has read the prompt.
-    pub(super) fn prompt_read(&mut self) {
-        let prompt = std::mem::take(&mut self.prompt);
-        let mut balance = self.ctx.balancer.borrow_mut();
-        balance.prompt_read(&self.id, prompt);
-    }
-
-    /// Records whether the endpoint has been silent for long; a request that is dropped then counts as failed.
-    pub(super) fn set_silent(&mut self, silent: bool) {
-        self.outcome = if silent {
-            Outcome::Failed
-        } else {
-            Outcome::Abandoned
-        };
-    }
-
-    /// Ends the request with its outcome at the endpoint.
-    pub(super) fn end(mut self, outcome: Outcome) {
-        self.outcome = outcome;
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.prompt_read();
-        self.ctx.count_traffic(&self.id, self.traffic);
-        self.ctx.end(&self.id, self.outcome);
-    }
-}
-
-/// A caller's request in progress; counted until it is dropped.
-#[derive(Debug)]
-pub(super) struct Running(Rc<Context>);
-
-impl Running {
-    pub(super) fn begin(ctx: &Rc<Context>) -> Self {
-        ctx.running.set(ctx.running.get() + 1);
-        Self(ctx.clone())
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-    }
-}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -9,7 +9,7 @@
     log_view::LogView,
     record::{Record, RecordStore, Records, StoreError, Topic},
     steadiness::ResponseTime,
-    write_time::{LogTimes, Pending, WriteAge},
+    write_time::{LogTimes, Pending, WriteAge, WriteBounds},
 };
 use crate::{
     base::{jitter, Clock, Era, Millis, SystemClock},
@@ -326,47 +326,6 @@
     era: Option<Era>,
 }
 
-/// Bounds on the time at which the records of one response were written.
-struct WriteBounds {
-    /// Time before which none of them was written; `None` if it follows only from the ends of the log.
-    after: Option<Millis>,
-    /// Time from which they count at the earliest: that of an outage, which keeps processes from older records.
-    outage: Millis,
-    /// When the response arrived.
-    arrived: Millis,
-    /// Time before which the store did not make the response.
-    made: Millis,
-}
-
-impl WriteBounds {
-    /// Takes the response to have been under way no longer than the one to a check after it; without that, the records
-    /// were written at any time since their read began.
-    fn check_wait(&mut self, begun: Millis, taken: Option<Millis>) {
-        let after = self.after.zip(taken).map(|(after, taken)| after - taken);
-        self.after = after.filter(|at| *at > begun);
-        self.made = self.after.unwrap_or(begun);
-    }
-
-    /// Uses the time at which the log last ended before the records of all keys that are not known yet, if it was
-    /// reported. It replaces what is assumed of a takeover and of an outage: a version may have been acknowledged just
-    /// before an outage, of which the response was lost.
-    fn use_report(&mut self, ended: Option<Millis>) {
-        if let Some(at) = ended {
-            self.after = Some(at);
-            self.outage = Millis::ZERO;
-        }
-    }
-
-    /// Returns the age of the record at an offset; `None` if nothing is known of it.
-    fn age(&self, times: &LogTimes, offset: u64, now: Millis) -> Option<WriteAge> {
-        let after = times.written_after(offset).max(self.after)?;
-        Some(WriteAge {
-            age: now - after.max(self.outage),
-            uncertainty: self.arrived - after,
-        })
-    }
-}
-
 impl FollowState {
     fn new(usual_interval: Millis) -> Self {
         Self {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod forward;
 mod gossip;
 mod headers;
+mod in_flight;
 mod issuer;
 mod limits;
 mod load_balancer;
--- a/src/gateway/write_time.rs
+++ b/src/gateway/write_time.rs
@@ -156,3 +156,44 @@
         before.skip(1).copied().next().unwrap_or(self.begun)
     }
 }
+
+/// Bounds on the time at which the records of one response were written.
+pub(super) struct WriteBounds {
+    /// Time before which none of them was written; `None` if it follows only from the ends of the log.
+    pub(super) after: Option<Millis>,
+    /// Time from which they count at the earliest: that of an outage, which keeps processes from older records.
+    pub(super) outage: Millis,
+    /// When the response arrived.
+    pub(super) arrived: Millis,
+    /// Time before which the store did not make the response.
+    pub(super) made: Millis,
+}
+
+impl WriteBounds {
+    /// Takes the response to have been under way no longer than the one to a check after it; without that, the records
+    /// were written at any time since their read began.
+    pub(super) fn check_wait(&mut self, begun: Millis, taken: Option<Millis>) {
+        let after = self.after.zip(taken).map(|(after, taken)| after - taken);
+        self.after = after.filter(|at| *at > begun);
+        self.made = self.after.unwrap_or(begun);
+    }
+
+    /// Uses the time at which the log last ended before the records of all keys that are not known yet, if it was
+    /// reported. It replaces what is assumed of a takeover and of an outage: a version may have been acknowledged just
+    /// before an outage, of which the response was lost.
+    pub(super) fn use_report(&mut self, ended: Option<Millis>) {
+        if let Some(at) = ended {
+            self.after = Some(at);
+            self.outage = Millis::ZERO;
+        }
+    }
+
+    /// Returns the age of the record at an offset; `None` if nothing is known of it.
+    pub(super) fn age(&self, times: &LogTimes, offset: u64, now: Millis) -> Option<WriteAge> {
+        let after = times.written_after(offset).max(self.after)?;
+        Some(WriteAge {
+            age: now - after.max(self.outage),
+            uncertainty: self.arrived - after,
+        })
+    }
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -91,6 +91,7 @@
 
 fn query<'a>(zone: &'a Zone, owned: &'a HashSet<EndpointId>) -> EndpointQuery<'a> {
     EndpointQuery {
+        spill: None,
         zone,
         residency: None,
         cold: None,
