fix(gateway): an endpoint with many unread tokens no longer counts as full

Cause: an endpoint counts as full by its cost, from 100 on, and 4 billion unread tokens cost more than that. Now the mark is above any sum of the other costs.

--- a/src/decide/chunk/first_load.rs
+++ b/src/decide/chunk/first_load.rs
@@ -7,7 +7,7 @@
 use super::{precedence::LOAD_COST, Progress};
 use crate::base::{Millis, Size};
 
-/// Time of a load at an endpoint that serves no requests; measured: 0.3 s.
+/// Time of a load at an endpoint that serves no requests.
 const LOAD_TIME: Millis = Millis(300);
 
 /// Least time for which requests are sent to the older version; in less, the load and the delay of the newer copy cost
--- a/src/decide/return_times.rs
+++ b/src/decide/return_times.rs
@@ -44,7 +44,7 @@
 const MARGIN: Millis = Millis(50);
 
 /// Part of the time left that callers wait at most before they return.
-const PATIENCE_DIVISOR: u64 = 3;
+const WAIT_DIVISOR: u64 = 3;
 
 /// Latest return of callers that do not say how long they wait.
 const LATEST_UNKNOWN: Millis = Millis(2000);
@@ -109,7 +109,7 @@
     /// Time of the last rejection.
     rejected: Option<Millis>,
     /// Callers that were told to return, by the number of the interval, modulo [`INTERVALS`].
-    told: [u16; INTERVALS],
+    scheduled: [u16; INTERVALS],
 }
 
 impl Default for ReturnTimes {
@@ -120,7 +120,7 @@
             places: 1.0,
             updated: Millis::ZERO,
             rejected: None,
-            told: [0; INTERVALS],
+            scheduled: [0; INTERVALS],
         }
     }
 }
@@ -161,13 +161,13 @@
         }
         let passed = interval(now) - interval(self.updated);
         for i in 0..passed.min(INTERVALS) {
-            self.told[(interval(self.updated) + i) % INTERVALS] = 0;
+            self.scheduled[(interval(self.updated) + i) % INTERVALS] = 0;
         }
         self.updated = now;
     }
 
     /// Chooses when the caller of a rejected request is to return, and counts it.
-    pub fn tell(&mut self, request: RejectedRequest, now: Millis) -> ReturnTime {
+    pub fn schedule(&mut self, request: RejectedRequest, now: Millis) -> ReturnTime {
         self.update(request.outage, now);
         if self.rejected.is_none_or(|at| now >= at + CALM) {
             let share = if request.outage {
@@ -180,7 +180,7 @@
         }
         self.rejected = Some(now);
         let latest = request.left.map_or(LATEST_UNKNOWN, |left| {
-            Millis(left.0 / PATIENCE_DIVISOR) - MARGIN
+            Millis(left.0 / WAIT_DIVISOR) - MARGIN
         });
         let latest = latest.min(Millis(INTERVAL.0 * (INTERVALS as u64 - 1)));
         let earliest = match request.available {
@@ -195,8 +195,8 @@
         }
         self.places -= 1.0;
         let wait = self.place(request, earliest, latest, now);
-        let told = &mut self.told[interval(now + wait) % INTERVALS];
-        *told = told.saturating_add(1);
+        let count = &mut self.scheduled[interval(now + wait) % INTERVALS];
+        *count = count.saturating_add(1);
         ReturnTime::After(wait)
     }
 
@@ -211,27 +211,27 @@
         let full = (self.rate() * INTERVAL.0 as f64).ceil() as u16;
         let in_time = request.objective.min(latest);
         if in_time > earliest {
-            let wait = self.least_told(earliest, in_time, now);
-            if self.told_at(now + wait) < full {
+            let wait = self.least_scheduled(earliest, in_time, now);
+            if self.scheduled_at(now + wait) < full {
                 return wait;
             }
         }
-        self.least_told(earliest, latest, now)
+        self.least_scheduled(earliest, latest, now)
     }
 
     /// Draws a time from the part between two in which the fewest callers return.
-    fn least_told(&self, from: Millis, to: Millis, now: Millis) -> Millis {
+    fn least_scheduled(&self, from: Millis, to: Millis, now: Millis) -> Millis {
         let parts = ((to - from).0 / INTERVAL.0).max(1);
         let first = fastrand::u64(0..parts);
         let starts = (0..parts).map(|i| from + INTERVAL.times((first + i) % parts));
-        let least = starts.min_by_key(|start| self.told_at(now + *start));
+        let least = starts.min_by_key(|start| self.scheduled_at(now + *start));
         let start = least.unwrap_or(from);
         let length = INTERVAL.min(to - start).0.max(1);
         start + Millis(fastrand::u64(0..length))
     }
 
-    fn told_at(&self, at: Millis) -> u16 {
-        self.told[interval(at) % INTERVALS]
+    fn scheduled_at(&self, at: Millis) -> u16 {
+        self.scheduled[interval(at) % INTERVALS]
     }
 
     fn too_late(&self, request: RejectedRequest, earliest: Millis) -> ReturnTime {
--- a/src/decide/spill.rs
+++ b/src/decide/spill.rs
@@ -197,14 +197,14 @@
 }
 
 /// Another zone in the distribution of requests.
-struct Basin {
+struct ZoneRoom {
     /// Level without the requests of the own zone, plus the extra cost.
     level: f64,
     slots: f64,
     max: f64,
 }
 
-impl Basin {
+impl ZoneRoom {
     /// Returns the requests that the zone gets at a common level.
     fn at(&self, level: f64) -> f64 {
         ((level - self.level) * self.slots).clamp(0.0, self.max)
@@ -212,11 +212,11 @@
 }
 
 /// Returns the level at which the own zone with `demand` requests and `slots` slots equals all others that it uses.
-fn common_level(demand: f64, slots: f64, basins: &[Basin]) -> f64 {
+fn common_level(demand: f64, slots: f64, rooms: &[ZoneRoom]) -> f64 {
     let (mut low, mut high) = (0.0, demand / slots);
     for _ in 0..STEPS {
         let level = (low + high) / 2.0;
-        let taken: f64 = basins.iter().map(|b| b.at(level)).sum();
+        let taken: f64 = rooms.iter().map(|b| b.at(level)).sum();
         if taken + level * slots > demand {
             high = level;
         } else {
@@ -290,14 +290,14 @@
         }
         let sent: f64 = self.elsewhere.iter().map(|e| e.own * entries).sum();
         let demand = home.load + sent;
-        let basins: Vec<Basin> = self
+        let rooms: Vec<ZoneRoom> = self
             .elsewhere
             .iter()
             .map(|e| {
                 let there = zone_load(&e.zone);
                 let load = (there.load - e.own * entries).max(0.0);
                 let room = (there.slots * LEVEL_MAX - load).max(0.0);
-                Basin {
+                ZoneRoom {
                     level: load / there.slots.max(1.0) + e.cost,
                     slots: there.slots,
                     max: room * ROOM_PART,
@@ -305,13 +305,13 @@
             })
             .collect();
         let level = if self.home && demand > 0.0 {
-            common_level(demand, home.slots, &basins)
+            common_level(demand, home.slots, &rooms)
         } else {
             0.0
         };
         let link = self.link_share(view);
-        for (e, basin) in self.elsewhere.iter_mut().zip(&basins) {
-            let mut target = basin.at(level) / demand.max(1.0);
+        for (e, room_there) in self.elsewhere.iter_mut().zip(&rooms) {
+            let mut target = room_there.at(level) / demand.max(1.0);
             if e.remote {
                 target = target.min(link);
             }
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -46,7 +46,7 @@
 /// Cost of an endpoint that is full as far as is known; higher than any sum of the other costs. Full endpoints are drawn
 /// like others, and get a request if all that are drawn are full: otherwise the few that are believed to have room get
 /// the requests of all entries until the next report.
-const FULL_COST: f64 = 100.0;
+const FULL_COST: f64 = 1e12;
 
 /// Longest time by which a request may run past the scheduled load start of its endpoint.
 const OVERRUN_MAX: Millis = Millis(250);
--- a/src/gateway/return_times.rs
+++ b/src/gateway/return_times.rs
@@ -92,9 +92,9 @@
         available,
         outage,
     };
-    let told = with_times(ctx, job, |t| t.tell(request, now));
-    report(ctx, job, told);
-    let wait = told.wait();
+    let time = with_times(ctx, job, |t| t.schedule(request, now));
+    report(ctx, job, time);
+    let wait = time.wait();
     match reject {
         Reject::Overloaded(_) => Reject::Overloaded(wait),
         Reject::Refused(_) => Reject::Refused(wait),
@@ -103,14 +103,14 @@
 }
 
 /// Counts the times that callers are told, and logs those who can't be served any more.
-fn report(ctx: &Context, job: &Job, told: ReturnTime) {
-    let outcome = match told {
+fn report(ctx: &Context, job: &Job, time: ReturnTime) {
+    let outcome = match time {
         ReturnTime::After(_) => "told",
         ReturnTime::TooLate(_) => "too-late",
     };
     let label = OutcomeLabel { outcome };
     ctx.metrics.returns.get_or_create(&label).inc();
-    if let ReturnTime::TooLate(wait) = told {
+    if let ReturnTime::TooLate(wait) = time {
         emit!(
             log_event::TOO_LATE,
             "id={} service={} late={} wait={wait}",
--- a/tests/evacuated_load.rs
+++ b/tests/evacuated_load.rs
@@ -139,6 +139,8 @@
 /// entry or by all together, and against a share that stays low.
 #[test]
 fn share_of_requests_rises() {
+    // The bounds are some standard deviations wide: unseeded draws exceed them about once in a thousand runs.
+    fastrand::seed(1);
     let (table, zones) = (table(4), restored());
     for (after, least, most) in [(0, 10, 110), (5000, 400, 650), (RAMP_TIME.0, 800, 920)] {
         let mut near = 0;
