fix(gateway): the slots that several endpoints name no longer overflow their sum

An entry whose endpoints tell a pace and name slots near the limit of 32 bits would get a mean load that has wrapped around in the release build, and a panic in a build with checks. They are added as floating-point numbers now. extreme_slots_are_added failed before (attempt to add with overflow) and passes; extreme_records, uneven_endpoints, gateway_balance, zone_costs: 28 of 28.

--- a/src/gateway/load_balancer/loads.rs
+++ b/src/gateway/load_balancer/loads.rs
@@ -116,15 +116,15 @@
         if self.peers_complete {
             return UsualLoad(0.0);
         }
-        let (mut total, mut slots) = (0, 0);
+        let (mut total, mut slots) = (0.0, 0.0);
         for e in endpoints {
             let view = self.views.get(&e.id).filter(|v| v.paced);
             if let Some(known) = view.and_then(|v| v.known.total(now)) {
-                total += known;
-                slots += e.record.slots;
+                total += f64::from(known);
+                slots += f64::from(e.record.slots);
             }
         }
-        UsualLoad(f64::from(total) / f64::from(slots.max(1)))
+        UsualLoad(total / slots.max(1.0))
     }
 
     /// Returns the load that this entry assumes at an endpoint; `None` if it is unknown.
--- a/tests/extreme_records.rs
+++ b/tests/extreme_records.rs
@@ -96,6 +96,31 @@
     }
 }
 
+/// Guards against a panic from the sum of the slots that several endpoints with a pace name.
+#[test]
+fn extreme_slots_are_added() {
+    let (own_zone, owned) = ("a".parse().expect("a valid name"), HashSet::default());
+    let mut table = EndpointTable::default();
+    let mut balancer = LoadBalancer::default();
+    let load = ReportedLoad {
+        running: 5,
+        waiting: 0,
+        slots: u32::MAX,
+        pace: Some(100),
+    };
+    for name in ["e", "f"] {
+        let extreme = EndpointRecord {
+            slots: u32::MAX,
+            ..record(1, 1)
+        };
+        table.apply(&id(name), Some(extreme), Millis(1));
+        balancer.begin(&id(name), 1, Millis(5));
+        balancer.report(&id(name), Some(load), None, Millis(5));
+    }
+    let query = query(&own_zone, &owned, None);
+    assert!(balancer.pick(table.iter(), &query, Millis(6)).is_ok());
+}
+
 fn any_record() -> impl Strategy<Value = EndpointRecord> {
     let edge = || prop_oneof![Just(0u64), Just(1), Just(5), Just(u64::MAX), any::<u64>()];
     let slots = prop_oneof![Just(0u32), Just(4), Just(u32::MAX), any::<u32>()];
