fix(http): connections that are shed end before the next ones are accepted

Cause: an entry that finds many connections waiting accepts up to 128 of them before any other task runs. Each sheds another connection, whose socket stays open until its task runs, so for a moment all are open at once: 128 served ones, 128 accepted ones and those of the process.

Change: the entry accepts the next connection only once what was told to end has ended, so that never more than the connections of the budget, those that may be closing and one are open.

--- a/src/decide/shed.rs
+++ b/src/decide/shed.rs
@@ -204,6 +204,12 @@
         }
     }
 
+    /// Returns whether no more connections are open than may be; ends the surplus of those that are closing.
+    pub fn make_room(&mut self) -> bool {
+        self.end_closing();
+        self.holders.len() <= self.capacity.connections + self.capacity.closing
+    }
+
     /// Accepts a connection; if all are in use, one is shed for it.
     ///
     /// # Errors
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -31,6 +31,8 @@
     /// Connections that were shed, and that were not accepted.
     shed: Cell<u64>,
     refused: Cell<u64>,
+    /// Signals the end of a connection.
+    removed: Notify,
 }
 
 /// What a connection holds.
@@ -71,6 +73,7 @@
             connections: RefCell::default(),
             shed: Cell::default(),
             refused: Cell::default(),
+            removed: Notify::new(),
         })
     }
 
@@ -136,6 +139,18 @@
         Ok(HeldConnection(held))
     }
 
+    /// Waits until there is room for another connection. What was told to end stays open until its task runs, and many
+    /// connections could be accepted before.
+    pub(super) async fn room(&self) {
+        loop {
+            let removed = self.removed.notified();
+            if self.change(Budget::make_room) {
+                return;
+            }
+            removed.await;
+        }
+    }
+
     /// Changes the budget and passes on its orders.
     fn change<T>(&self, change: impl FnOnce(&mut Budget) -> T) -> T {
         let (out, orders) = {
@@ -287,6 +302,7 @@
         let Held { callers, id, .. } = &*self.0;
         callers.budget.borrow_mut().remove(*id);
         callers.connections.borrow_mut().remove(id);
+        callers.removed.notify_waiters();
     }
 }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -114,6 +114,9 @@
         let settled = settle(closing);
         tokio::pin!(settled);
         loop {
+            if let Some(callers) = &callers {
+                callers.room().await;
+            }
             // A connection that waits goes first, so that none is reset with its request when the socket closes.
             let stream = tokio::select! {
                 biased;
