fix(gateway): readers of the store no longer wait in step after a record

What callers saw: with the store away from 18 to 26 s, versions named at its begin counted from 2 to 2.8 s before their acknowledgement, so that requests were rejected from 27 s on although endpoints could have begun them until 29.3 s.

Cause: what bounds the time of such a version is the newest end of a read by any reader. A record ends the waits of all readers at once, and the next ones begin and end together, 3.5 s later: in between nothing is known of the log.

Change: the wait after a response with records is drawn between a quarter of the usual wait and the whole.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -20,7 +20,7 @@
     Attempt, Fence, IdError, Instance, Offset, ProcessName, RecordId, Region, RequestId, Service,
     VersionName, Workspace, Zone,
 };
-pub use jitter::jitter;
+pub use jitter::{jitter, spread};
 pub use lock::lock;
 pub use request_rate::RequestRate;
 pub use unit::{Percent, Rate, Size, UnitError};
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,7 +12,7 @@
     write_time::{LogTimes, Pending, WriteAge, WriteBounds},
 };
 use crate::{
-    base::{jitter, Clock, Era, Millis, SystemClock},
+    base::{jitter, spread, Clock, Era, Millis, SystemClock},
     emit,
 };
 
@@ -165,7 +165,13 @@
         } else {
             UNSTEADY_PAUSE
         };
-        let wait = if polls { wait } else { Millis::ZERO };
+        let wait = match (polls, state.got_records) {
+            (false, _) => Millis::ZERO,
+            (true, false) => wait,
+            // All readers have them at the same time. When their next waits end tells when nothing was written, so that
+            // these ends are spread.
+            (true, true) => spread(wait),
+        };
         let (result, pending) = match state.offset {
             None => Pending::observe(&clock, store.newest(topic), |_| {}).await,
             Some(from) => {
@@ -213,6 +219,7 @@
                     bounds.use_report(reported.map(|v| clock.now() - v.age));
                 }
                 state.record_success(topic, clock.now(), follower);
+                state.got_records = from.is_none() || !records.records.is_empty();
                 state.offset = Some(records.next);
                 let (next, end) = (records.next, records.end);
                 if let Some(from) = from {
@@ -322,6 +329,8 @@
     lost: bool,
     /// Whether the last read failed.
     failing: bool,
+    /// Whether the last successful read returned records, or all records.
+    got_records: bool,
     /// Newest era of the store that was seen; `None` before the first response.
     era: Option<Era>,
 }
@@ -338,6 +347,7 @@
             usual_interval,
             lost: false,
             failing: false,
+            got_records: false,
             era: None,
         }
     }
--- a/tests/version_reports.rs
+++ b/tests/version_reports.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use sesamewing::{
-    base::Millis,
+    base::{spread, Millis},
     gateway::{DesiredVersions, LogEnds, WeightVersion, WriteAge},
 };
 
@@ -44,6 +44,8 @@
 #[derive(Clone, Copy)]
 struct Read {
     begun: Millis,
+    /// Time for which it waits for records.
+    wait: Millis,
     /// Position from which it reads; `None` for one of the newest records.
     from: Option<usize>,
     /// When it ends, and whether its response arrives then.
@@ -62,6 +64,8 @@
     desired: DesiredVersions,
     read: Option<Read>,
     idle_until: Millis,
+    /// Whether the last read brought records, as it did at other readers at that time.
+    got_records: bool,
     position: Option<usize>,
     /// Last time at which the log is known to have ended at the position.
     ended: Millis,
@@ -100,6 +104,8 @@
     log: Vec<Millis>,
     /// Times between which the store does not respond.
     outage: (Millis, Millis),
+    /// Whether waits that begin together are spread.
+    spreads: bool,
     /// Whether the read after a slow response is slow, too.
     slow_lasts: bool,
     /// Share of lost and of slow responses, in percent.
@@ -112,6 +118,7 @@
 
 impl Model {
     fn new(entries: usize, rule: Rule, seed: u64) -> Self {
+        fastrand::seed(seed);
         let entry = |i| Entry {
             zone: i % 3,
             up: true,
@@ -123,6 +130,7 @@
             entries: (0..entries).map(entry).collect(),
             log: vec![Millis(1)],
             outage: (END, END),
+            spreads: rule == Rule::Now,
             slow_lasts: true,
             trouble: 0,
             reads: 0,
@@ -175,6 +183,11 @@
         } else {
             WAIT_BEFORE
         };
+        let wait = if self.spreads && self.entries[i].got_records {
+            spread(wait)
+        } else {
+            wait
+        };
         if reader {
             self.reader_time += STEP;
         }
@@ -189,6 +202,7 @@
                 let lost = self.rng.u32(..100) < self.trouble;
                 e.read = Some(Read {
                     begun: now,
+                    wait,
                     from,
                     end: None,
                     delay,
@@ -200,7 +214,7 @@
         };
         if read.end.is_none() {
             let made = read.from.is_none_or(|at| at < end)
-                || now >= read.begun + wait
+                || now >= read.begun + read.wait
                 || e.failed > Millis::ZERO;
             if away {
                 read.end = Some((now, false));
@@ -263,6 +277,7 @@
             });
             e.desired.record(WeightVersion(v as u64 + 1), age, now);
         }
+        e.got_records = next > known || whole;
         e.failed = Millis::ZERO;
         e.inactive = None;
         e.position = Some(next);
@@ -397,6 +412,52 @@
     out
 }
 
+/// Load: the store is away from 18 to 26 s, a version is named at 18 s, and another record is written some seconds before.
+/// Returns the sum of the times by which the version counts early, the number of entries, and the number of reads.
+fn outage_after_record(entries: usize, spreads: bool) -> (Millis, u64, u32) {
+    let (mut sum, mut counted, mut reads) = (Millis::ZERO, 0, 0);
+    for seed in 1..=if entries > 100 { 4 } else { 20 } {
+        let mut model = Model::new(entries, Rule::Now, seed);
+        model.spreads = spreads;
+        let written = Millis(10_000 + STEP.0 * model.rng.u64(..280));
+        model.run_until(written);
+        model.log.push(model.now);
+        model.run_until(Millis(18_000));
+        model.outage = (Millis(18_000), Millis(26_000));
+        reads += model.reads();
+        model.log.push(model.now);
+        model.run_until(Millis(28_000));
+        for e in &model.entries {
+            let ages: Vec<_> = e.desired.ages(model.now).collect();
+            let age = ages.iter().find(|a| a.0 == WeightVersion(3));
+            let age = age.expect("all entries know of the version").1.age;
+            assert!(model.now - age <= Millis(18_000) + LATE, "it counts late");
+            sum += Millis(18_000) - (model.now - age);
+            counted += 1;
+        }
+    }
+    (sum, counted, reads)
+}
+
+/// Guards against readers that wait together since the last record: their reads end together, and nothing is known of the log
+/// for seconds before an outage.
+#[test]
+fn waits_are_spread() {
+    for entries in [9, 48, 410] {
+        let found = [false, true].map(|spreads| {
+            let (sum, counted, reads) = outage_after_record(entries, spreads);
+            let mean = Millis(sum.0 / counted);
+            println!("{entries} entries, spread {spreads}: {mean} early on average, {reads} reads before");
+            (mean, reads)
+        });
+        let [together, apart] = found;
+        // Six readers that wait independently of each other leave a seventh of the wait on average; reports take some
+        // heartbeats to reach all entries.
+        assert!(apart.0 <= Millis(WAIT.0 / 7) + EARLY, "{entries} entries");
+        assert!(apart.1 * 4 <= together.1 * 5, "{entries} entries");
+    }
+}
+
 /// Guards against a version that counts from late at an entry that takes over or waited for a slow or lost response.
 #[test]
 fn lost_and_slow_responses() {
