feat(rollout): two versions shortly after each other share the time for their loads

Cause: the loads of each version are spread over the time that it allows, apart from the other one. Where both times overlap, twice as many hosts load at once, in the middle of a full load.

Change: both share the time from the first load start of the older version to the last one of the newer: the older one's loads end in the middle of it, the newer one's begin there. A host that waits for its load start computes it again when a newer version becomes desired.

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -6,6 +6,10 @@
 //! schedule is computed from the host list alone, so that entries can compute it too and route long requests away from
 //! a host that is about to load. Hosts in the origin's zone load first, because their copies are complete first.
 //!
+//! Where two versions become desired shortly after each other, their rollouts would overlap, and twice as many hosts
+//! would load at a time. Both then share the time from the first load start of the older one to the last one of the
+//! newer.
+//!
 //! A host whose copy is late loads while requests are still sent to it. It takes the copies of the hosts before it to be
 //! late, too. If these and the hosts on schedule would be too many at once, the latter wait until the former have started.
 
@@ -46,6 +50,27 @@
     }
 }
 
+/// Time at which a version became desired that supersedes the loaded one, and those of the versions next to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Superseded {
+    /// When the loaded version became desired; `None` if that is not known.
+    pub before: Option<Millis>,
+    /// When the first newer version became desired.
+    pub at: Millis,
+    /// When the version after it became desired, if one did.
+    pub after: Option<Millis>,
+}
+
+impl From<Millis> for Superseded {
+    /// A version without others next to it.
+    fn from(at: Millis) -> Self {
+        Self {
+            at,
+            ..Self::default()
+        }
+    }
+}
+
 /// Position of one host in the load schedule of its service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HostSchedule {
@@ -62,14 +87,14 @@
 impl HostSchedule {
     /// Returns the scheduled load start of a host whose copy is complete by then; `superseded` is the time at which a
     /// version newer than the loaded one became desired.
-    pub fn start(&self, superseded: Millis) -> Millis {
+    pub fn start(&self, superseded: impl Into<Superseded>) -> Millis {
         self.start_from(superseded, Millis::ZERO)
     }
 
     /// Returns the load start of a host whose copy is complete at `ready`: its scheduled load start, which entries
     /// compute as well, or, if that has passed, a time while requests are still sent to it.
-    pub fn start_from(&self, superseded: Millis, ready: Millis) -> Millis {
-        let times = self.times(superseded);
+    pub fn start_from(&self, superseded: impl Into<Superseded>, ready: Millis) -> Millis {
+        let times = self.times(superseded.into());
         let (hosts, rank) = (self.hosts.max(1) as u64, self.rank as u64);
         let scheduled = times.first + Millis(times.length().0 * rank / hosts);
         let overdue = times.overdue(ready, hosts);
@@ -88,16 +113,40 @@
         scheduled.max(times.used_until + Millis(rest.0 * step / (waiting + 1)))
     }
 
-    fn times(&self, superseded: Millis) -> Times {
-        let first = superseded + share(self.bound, FIRST_START);
-        Times {
+    fn times(&self, superseded: Superseded) -> Times {
+        let Superseded { before, at, after } = superseded;
+        let (first, last) = self.range(at);
+        let mut times = Times {
             first,
-            last: first.max(superseded + (self.bound - self.margins.load())),
-            used_until: superseded + (self.bound - self.margins.send()),
+            last,
+            used_until: at + (self.bound - self.margins.send()),
+        };
+        let older = before.map(|at| self.range(at));
+        if let Some(older) = older.filter(|(_, end)| *end > first) {
+            times.first = middle(older.0, last).max(first);
         }
+        let newer = after.map(|at| self.range(at));
+        if let Some(newer) = newer.filter(|(begin, _)| *begin < last) {
+            times.last = middle(first, newer.1).clamp(times.first, last);
+        }
+        times
+    }
+
+    /// Returns the first and the last scheduled load start for a version that became desired at a time, apart from other
+    /// versions.
+    fn range(&self, desired: Millis) -> (Millis, Millis) {
+        let first = desired + share(self.bound, FIRST_START);
+        (
+            first,
+            first.max(desired + (self.bound - self.margins.load())),
+        )
     }
 }
 
+fn middle(a: Millis, b: Millis) -> Millis {
+    a + Millis((b - a).0 / 2)
+}
+
 /// Times between which the hosts of a service load a version.
 #[derive(Clone, Copy, Debug)]
 struct Times {
--- a/src/gateway/desired.rs
+++ b/src/gateway/desired.rs
@@ -1,7 +1,7 @@
 //! Versions of a model's weights that the operator made the desired ones.
 
 use super::{WeightVersion, WriteAge};
-use crate::base::Millis;
+use crate::{base::Millis, decide::rollout::Superseded};
 
 /// Number of newest versions that are kept. Weights older than all of these count as superseded by the oldest kept one.
 const VERSIONS_MAX: usize = 16;
@@ -178,6 +178,19 @@
         entry.map(|e| e.at)
     }
 
+    /// Returns the time from which a loaded version is superseded, and those of the versions next to the one that
+    /// superseded it.
+    pub fn superseded(&self, loaded: WeightVersion) -> Option<Superseded> {
+        let at = self.superseded_at(loaded)?;
+        let before = self.entries.iter().find(|e| e.version == loaded && e.known);
+        let after = self.entries.iter().filter(|e| e.version > loaded);
+        Some(Superseded {
+            before: before.map(|e| e.at),
+            at,
+            after: after.map(|e| e.at).filter(|t| *t > at).min(),
+        })
+    }
+
     /// Returns the time from which a loaded version is superseded: that of the earliest desired version after it.
     pub fn superseded_at(&self, loaded: WeightVersion) -> Option<Millis> {
         let newer = self.entries.iter().filter(|e| e.version > loaded);
--- a/src/gateway/schedule.rs
+++ b/src/gateway/schedule.rs
@@ -81,7 +81,7 @@
         bound: Millis,
         margins: Margins,
     ) -> Option<Millis> {
-        let since = desired.superseded_at(loaded)?;
+        let superseded = desired.superseded(loaded)?;
         let next = self.versions.iter().find(|v| v.version > loaded)?;
         let rollout = HostSchedule {
             bound,
@@ -89,6 +89,6 @@
             rank: *next.ranks.get(&e.id)?,
             hosts: self.hosts,
         };
-        Some(rollout.start(since))
+        Some(rollout.start(superseded))
     }
 }
--- a/src/staging/load.rs
+++ b/src/staging/load.rs
@@ -27,6 +27,9 @@
 /// Pause after checks that the endpoint answered too slowly.
 const CHECK_RETRY: Millis = Millis(2000);
 
+/// Interval at which the scheduled load start is computed again while a host waits for it.
+const START_REVIEW: Millis = Millis(200);
+
 /// State of the load of a complete version.
 #[derive(Debug, Default)]
 pub(super) struct Loader {
@@ -145,29 +148,38 @@
             rank,
             hosts,
         };
-        let superseded_at = self.loaded().and_then(|loaded| {
+        let superseded = self.loaded().and_then(|loaded| {
             let desired = self.desired.borrow();
-            desired.get(model)?.superseded_at(loaded)
+            desired.get(model)?.superseded(loaded)
         });
         let now = self.now();
-        let start = superseded_at.map_or(now, |at| schedule.start_from(at, now));
+        let start = superseded.map_or(now, |s| schedule.start_from(s, now));
         let scheduled = self.loader.scheduled.get();
         scheduled.map_or(start, |earlier| earlier.min(start))
     }
 
-    /// Waits for the scheduled load start of this host.
+    /// Waits for the scheduled load start of this host, which is earlier once a newer version becomes desired.
     async fn wait_for_start(&self, model: &str, manifest: &Manifest) {
         let (rank, hosts) = self.peers.borrow().load_rank(manifest.version);
-        let start = self.load_start(model, manifest);
-        self.loader.scheduled.set(Some(start));
-        let wait = start - self.now();
+        let wait = self.time_to_start(model, manifest);
         emit!(
             log_event::LOAD,
             "model={model} version={} state=waiting rank={rank} hosts={hosts} ms={}",
             manifest.version,
             wait.0
         );
-        tokio::time::sleep(wait.duration()).await;
+        let mut left = wait;
+        while left > Millis::ZERO {
+            tokio::time::sleep(left.min(START_REVIEW).duration()).await;
+            left = self.time_to_start(model, manifest);
+        }
+    }
+
+    /// Returns the time until the scheduled load start, which is kept: it becomes no later.
+    fn time_to_start(&self, model: &str, manifest: &Manifest) -> Millis {
+        let start = self.load_start(model, manifest);
+        self.loader.scheduled.set(Some(start));
+        start - self.now()
     }
 
     /// Orders the load and waits until it is complete; returns whether the version is loaded.
