fix(gateway): an entry that did not send its table remains a witness

Cause: the log of a failed run shows the order. The heartbeats in the socket are read; the entry, whose own read is overdue, queries another one for its endpoint table; the query fails; the store answers. An entry that did not send its table is not queried for 1.5 s, and store_up_since left it out for the same time, so that no witness was known: the pause counted as an outage of the store, and the removal was doubted.

Change: whether an entry counts as a witness of the store no longer depends on whether it sent its table. The choice of the entry to query is unchanged.

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -149,8 +149,13 @@
 
     /// Returns whether the entry can be relied on for the state of the store.
     fn is_reader(&self, now: Millis) -> bool {
+        self.is_witness(now) && self.backoff_until <= now
+    }
+
+    /// Returns whether what the entry says of its reads of the store counts, even if it did not send its endpoint table.
+    fn is_witness(&self, now: Millis) -> bool {
         let fresh = self.sends_heartbeats && now < self.last_seen + READER_TIMEOUT;
-        fresh && self.heartbeat.status.reads_store && self.backoff_until <= now
+        fresh && self.heartbeat.status.reads_store
     }
 }
 
--- a/src/gateway/members/readers.rs
+++ b/src/gateway/members/readers.rs
@@ -41,8 +41,8 @@
     /// Returns the time since which the store has answered another entry without a gap; `None` if none is known that
     /// reads it now.
     pub fn store_up_since(&self, now: Millis) -> Option<Millis> {
-        let readers = self.others.values().filter(|m| m.is_reader(now));
-        readers.filter_map(|m| m.reads_since).min()
+        let witnesses = self.others.values().filter(|m| m.is_witness(now));
+        witnesses.filter_map(|m| m.reads_since).min()
     }
 
     /// Returns how many entries of each zone have to read the store.
--- a/tests/paused_entry.rs
+++ b/tests/paused_entry.rs
@@ -3,7 +3,9 @@
 mod gateway_support;
 
 use std::{
+    cell::Cell,
     net::{SocketAddr, UdpSocket},
+    rc::Rc,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc,
@@ -13,13 +15,19 @@
 };
 
 use gateway_support::{
-    addr,
-    gateway::{request, respond, with_store, CALLERS},
-    heartbeat, heartbeat_message, send_request, MemoryStore,
+    addr, endpoint,
+    gateway::{
+        catalog, request, respond, settings, start_stored, with_store, CALLERS, HELD, MODEL,
+    },
+    heartbeat, heartbeat_message,
+    lines::{collect_lines, take_lines},
+    run_local, send_request, set_catalog, MemoryStore, TestDecode,
 };
 use sesamewing::{
     base::Millis,
-    gateway::{CatalogVersion, Status, TableDigest, Topic},
+    gateway::{
+        CatalogVersion, Record, RecordStore, Records, Status, StoreError, TableDigest, Topic,
+    },
 };
 
 /// Time for which the process is paused: longer than the reads of the store may be overdue.
@@ -93,7 +101,7 @@
 }
 
 fn check_pause(late: bool) {
-    let catalog = gateway_support::gateway::catalog();
+    let catalog = catalog();
     let scripts = vec![respond("200 OK", "yes")];
     with_store(
         MemoryStore::default(),
@@ -122,3 +130,111 @@
 fn late_witness_ends_the_doubt() {
     check_pause(true);
 }
+
+/// Interval at which a test looks for an event.
+const POLL: Millis = Millis(5);
+
+/// Longest time in which an expected event of a test comes.
+const EVENT_TIME: Millis = Millis(1200);
+
+/// Time in which the entry applies a response of the store; well below the time for which it does not query an entry that
+/// did not send its table (1.5 s), and for which it would doubt a removal (2.3 s).
+const APPLY_TIME: Millis = Millis(100);
+
+/// A store whose responses are held while it is closed.
+#[derive(Clone, Default)]
+struct Gated {
+    store: MemoryStore,
+    closed: Rc<Cell<bool>>,
+}
+
+impl Gated {
+    async fn opened(&self) {
+        while self.closed.get() {
+            pause(POLL).await;
+        }
+    }
+}
+
+impl RecordStore for Gated {
+    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+        self.opened().await;
+        self.store.newest(topic).await
+    }
+
+    async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
+        let records = self.store.read(topic, from, wait).await?;
+        if !self.closed.get() {
+            return Ok(records);
+        }
+        self.opened().await;
+        self.store.read(topic, from, Millis::ZERO).await
+    }
+
+    async fn append(&self, topic: Topic, record: &Record) -> Result<(), StoreError> {
+        self.store.append(topic, record).await
+    }
+}
+
+async fn pause(time: Millis) {
+    tokio::time::sleep(time.duration()).await;
+}
+
+/// Waits until the entry logs a line that contains a text.
+async fn await_line(text: &str) {
+    let begun = tokio::time::Instant::now();
+    while !take_lines().iter().any(|l| l.contains(text)) {
+        assert!(begun.elapsed() < EVENT_TIME.duration(), "no `{text}`");
+        pause(POLL).await;
+    }
+}
+
+async fn ask() -> String {
+    send_request(addr(1, CALLERS), &request("/once/x"), 1000).await
+}
+
+/// Runs a test against an entry with one endpoint, `e0`, and a store whose responses can be held.
+fn with_gated<F: std::future::Future<Output = ()>>(test: impl FnOnce(Gated) -> F) {
+    collect_lines();
+    run_local(async {
+        set_catalog(catalog());
+        let gated = Gated::default();
+        let at = addr(10, 9000);
+        let value = format!("plain {at} a {MODEL} {HELD}");
+        gated.store.write(Topic::Endpoints, "e0", &value);
+        gated.store.write(Topic::Operator, "config", "1");
+        let _seen = endpoint(at, respond("200 OK", "yes")).await;
+        start_stored::<_, TestDecode>(settings(), gated.clone()).await;
+        test(gated).await;
+    });
+}
+
+/// Guards against an entry that no longer takes another one for a witness of the store because that one did not send its
+/// table: it would then take its own pause for an outage of the store, and keep an endpoint that was removed meanwhile.
+///
+/// Heartbeats are read first after the pause, then the query of the table fails, and then the store's response is read.
+#[test]
+fn silent_table_is_no_outage() {
+    with_gated(|gated| async move {
+        let other = Arc::new(Other::default());
+        let (sender, to, peer) = (other.clone(), addr(1, 8004), addr(2, 8004));
+        let thread = spawn(move || sender.run(to, peer));
+        pause(Millis(1500)).await;
+        let before = ask().await;
+        assert!(before.ends_with("yes"), "`{before}`");
+        gated.store.write(Topic::Endpoints, "e0", "");
+        gated.closed.set(true);
+        take_lines();
+        sleep(PAUSE);
+        await_line("outcome=no-table").await;
+        gated.closed.set(false);
+        pause(APPLY_TIME).await;
+        let after = ask().await;
+        other.ended.store(true, Ordering::Relaxed);
+        thread.join().expect("it ends");
+        assert!(
+            !after.ends_with("yes"),
+            "the removed endpoint got a request"
+        );
+    });
+}
