fix(gateway): what is unread after a pause neither ends nor keeps endpoints

Callers: three orders of events after a pause of an entry were unsafe. An endpoint that could not renew its record during an outage of the store was dropped if heartbeats from before the outage lay in the socket. An endpoint that had renewed its record in time was dropped if the time to do so passed during the pause, before the renewal was read. A removed endpoint got requests for up to 250 ms more after a witness was heard.

Cause: a heartbeat counted as of its read, not of its arrival; the expiry of tentative removals ran before the overdue read of the store; and doubts ended only in the rounds of that expiry.

Change: a witness counts from the arrival of its heartbeat, which the kernel tells. Its liveness still counts from the read. Tentative removals wait for 750 ms after a round that was late by 250 ms or more. Doubts end when a heartbeat is merged, if there are any.

--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -181,6 +181,11 @@
     /// Time until which removals are tentative whatever other entries say, because the store was restored from an older
     /// copy.
     restored_until: Millis,
+    /// Latest time at which a tentative removal is due.
+    doubts_until: Millis,
+    /// Time until which no tentative removal takes effect by its time, because this process was held up and has yet to
+    /// read what was written meanwhile.
+    deferred_until: Millis,
 }
 
 impl EndpointTable {
@@ -272,6 +277,7 @@
         };
         if now < self.tentative_until {
             known.removal = Some(self.tentative_until);
+            self.note_doubt(self.tentative_until);
             return Change::Doubted;
         }
         self.drop_endpoint(id, now);
@@ -400,6 +406,9 @@
         let endpoints = &self.endpoints;
         self.announced
             .retain(|id, l| endpoints.contains_key(id) || now < l.at + TOMBSTONE_RETENTION);
+        if now < self.deferred_until {
+            return Vec::new();
+        }
         self.remove_tentative(|at| at <= now, now)
     }
 
--- a/src/gateway/endpoint_table/delta.rs
+++ b/src/gateway/endpoint_table/delta.rs
@@ -145,6 +145,7 @@
         for (id, at) in doubted {
             if let Some(known) = self.endpoints.get_mut(&id) {
                 known.removal = Some(at);
+                self.note_doubt(at);
             }
         }
         for id in removed {
--- a/src/gateway/endpoint_table/doubts.rs
+++ b/src/gateway/endpoint_table/doubts.rs
@@ -21,6 +21,23 @@
         for endpoint in doubted {
             endpoint.removal = Some(now + RENEWAL);
         }
+        self.note_doubt(now + RENEWAL);
+    }
+
+    /// Notes that a tentative removal is due at a time.
+    pub(super) fn note_doubt(&mut self, due: Millis) {
+        self.doubts_until = self.doubts_until.max(due);
+    }
+
+    /// Returns whether removals are tentative now, or one that is tentative is not due yet.
+    pub fn is_doubting(&self, now: Millis) -> bool {
+        now < self.tentative_until.max(self.doubts_until)
+    }
+
+    /// Puts off tentative removals that are due before `until`, because this process was held up: an endpoint may have
+    /// renewed its record in time, and the renewal is unread.
+    pub fn defer_removals(&mut self, until: Millis) {
+        self.deferred_until = until;
     }
 
     /// Returns whether endpoints have yet to rewrite their records, because the store was restored from an older copy.
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -212,6 +212,29 @@
     emit!(log_event::ENDPOINT, "endpoint={id} change={change:?}{text}");
 }
 
+/// Like [`endpoint_changed`], after the removal of some endpoints.
+pub(super) fn endpoints_removed(ctx: &Context, removed: &[EndpointId]) {
+    for id in removed {
+        endpoint_changed(ctx, id, Change::Removed);
+    }
+    if !removed.is_empty() {
+        ctx.notify_changed();
+    }
+}
+
+/// Removes the endpoints whose removal was doubted although another entry has read the store all the while.
+pub(super) fn end_doubts(ctx: &Context) {
+    let now = ctx.now();
+    if !ctx.endpoints.borrow().is_doubting(now) {
+        return;
+    }
+    let up_since = ctx.members.borrow().store_up_since(now);
+    if let Some(at) = up_since {
+        let removed = ctx.endpoints.borrow_mut().end_doubts(at, now);
+        endpoints_removed(ctx, &removed);
+    }
+}
+
 impl<D: Decode> Follower for EndpointFollower<D> {
     fn apply(&self, record: Record) {
         self.apply_record(&record);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -15,7 +15,7 @@
     datagram::send_to_all,
     endpoint_loads::EndpointLoads,
     endpoint_table::{Change, EndpointHash, EndpointUpdate},
-    followers::{apply_catalog, endpoint_changed},
+    followers::{apply_catalog, end_doubts, endpoint_changed},
     log_event,
     members::HEARTBEAT_INTERVAL,
     message::{Appended, Gossip, Message, ReadTimes},
@@ -74,6 +74,8 @@
                 merge_loads(&ctx, appended.loads.as_ref(), waited);
                 let newest = is_newest(&ctx, &datagram);
                 merge_gossip(&ctx, datagram, &appended.times, waited);
+                // Before the next request, which must not go to an endpoint that the store was right to remove.
+                end_doubts(&ctx);
                 // After the versions, which were written before the log ended there.
                 let era = ctx.store_era.borrow().known();
                 let end = appended.log.filter(|log| newest && log.is_of(era));
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -149,12 +149,14 @@
 
     /// Returns whether the entry can be relied on for the state of the store.
     fn is_reader(&self, now: Millis) -> bool {
-        self.is_witness(now) && self.backoff_until <= now
+        let fresh = self.sends_heartbeats && now < self.last_seen + READER_TIMEOUT;
+        fresh && self.heartbeat.status.reads_store && self.backoff_until <= now
     }
 
-    /// Returns whether what the entry says of its reads of the store counts, even if it did not send its endpoint table.
+    /// Returns whether what the entry says of its reads of the store counts, even if it did not send its endpoint table. A
+    /// heartbeat that lay in the socket says nothing of the time since it arrived.
     fn is_witness(&self, now: Millis) -> bool {
-        let fresh = self.sends_heartbeats && now < self.last_seen + READER_TIMEOUT;
+        let fresh = self.sends_heartbeats && now < self.heard + READER_TIMEOUT;
         fresh && self.heartbeat.status.reads_store
     }
 }
@@ -246,7 +248,7 @@
         if heartbeat.peer == self.me.peer {
             return false;
         }
-        let told = read_time.map(|time| now - time);
+        let told = read_time.map(|time| now - waited - time);
         let Some(known) = self.others.get_mut(&heartbeat.peer) else {
             let mut member = Member::new(heartbeat, true, now);
             member.reads_since = member.reads_since.map(|at| told.unwrap_or(at));
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -8,9 +8,8 @@
 
 use super::{
     context::Context,
-    endpoint_table::Change,
     follow::follow,
-    followers::{endpoint_changed, EndpointFollower, EntryFollower},
+    followers::{end_doubts, endpoints_removed, EndpointFollower, EntryFollower},
     gossip::{follow_peers, receive, send_gossip, send_periodically},
     log_event,
     members::{Heartbeat, Membership, Status},
@@ -48,6 +47,10 @@
 /// Interval at which expired state is removed.
 const EXPIRY_INTERVAL: Millis = Millis(250);
 
+/// Time after a pause of this process in which it reads what was written and sent meanwhile: its next read of the
+/// endpoints' records begins within 500 ms.
+const CATCH_UP_TIME: Millis = Millis(750);
+
 /// Interval between attempts to announce this entry in the store.
 const ANNOUNCE_RETRY: Millis = Millis(700);
 
@@ -252,9 +255,15 @@
 
 /// Removes expired endpoints, connections and loads at regular intervals, and reassigns the ownership of endpoints.
 async fn remove_expired(ctx: Rc<Context>) {
+    let mut last = ctx.now();
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL.duration()).await;
         let now = ctx.now();
+        if now >= last + EXPIRY_INTERVAL + EXPIRY_INTERVAL {
+            let mut table = ctx.endpoints.borrow_mut();
+            table.defer_removals(now + CATCH_UP_TIME);
+        }
+        last = now;
         remove_endpoints(&ctx, now);
         ctx.update_ownership();
         ctx.pool.sweep(now);
@@ -268,20 +277,11 @@
     }
 }
 
-/// Removes the endpoints whose tentative removal takes effect, and those of which another entry shows that the store was
-/// not away.
+/// Removes the endpoints whose tentative removal takes effect.
 fn remove_endpoints(ctx: &Context, now: Millis) {
-    let up_since = ctx.members.borrow().store_up_since(now);
-    let mut removed = ctx.endpoints.borrow_mut().expire(now);
-    if let Some(at) = up_since {
-        removed.extend(ctx.endpoints.borrow_mut().end_doubts(at, now));
-    }
-    for id in &removed {
-        endpoint_changed(ctx, id, Change::Removed);
-    }
-    if !removed.is_empty() {
-        ctx.notify_changed();
-    }
+    let removed = ctx.endpoints.borrow_mut().expire(now);
+    endpoints_removed(ctx, &removed);
+    end_doubts(ctx);
 }
 
 /// Stops the process: other entries stop naming it to callers, then connections close after their responses.
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -81,6 +81,24 @@
     assert_eq!(table.apply(&other, None, now), Change::Removed);
 }
 
+/// Guards against a removal that takes effect although what was written meanwhile is unread, and against one that is put
+/// off for ever.
+#[test]
+fn deferred_removals_wait() {
+    let (mut table, e) = (EndpointTable::default(), id("e"));
+    table.apply(&e, Some(record(10, 1)), Millis(0));
+    let back = Millis(9000);
+    assert!(!table.is_doubting(back));
+    table.store_recovered(back);
+    table.apply(&e, None, back);
+    assert!(table.is_doubting(back));
+    let until = back + RENEWAL + Millis(900);
+    table.defer_removals(until);
+    assert!(table.expire(until - Millis(1)).is_empty());
+    assert_eq!(table.expire(until), vec![e]);
+    assert!(!table.is_doubting(until));
+}
+
 fn loaded(sequence: u64, version: Option<u64>) -> EndpointRecord {
     let models = version.map(|v| ("m".into(), WeightVersion(v)));
     EndpointRecord {
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -272,6 +272,22 @@
     assert_eq!(times.0, [ReadTimes::MAX, Millis(300)]);
 }
 
+/// Guards against an entry that takes what lay in its socket for the present state of another: the store may have been away
+/// since; and against one that forgets a witness because that did not send its table.
+#[test]
+fn witnesses_count_from_arrival() {
+    let (now, outage) = (Millis(100_000), Millis(2300));
+    let mut members = members();
+    let time = Some(Millis(9000));
+    members.merge_waited(reader_heartbeat(2, "a", 1), time, Millis(900), now);
+    assert!(!members.store_was_up(outage, now));
+    members.merge_waited(reader_heartbeat(2, "a", 2), time, Millis(100), now);
+    assert_eq!(members.store_up_since(now), Some(now - Millis(9100)));
+    members.back_off(addr(2, 1), now);
+    assert!(members.store_was_up(outage, now));
+    assert!(!members.store_was_up(outage, now + Millis(700)));
+}
+
 /// Guards against an entry that gets no catalog as long as the entries of its zone that read the store do not send theirs,
 /// or do not read catalogs yet.
 #[test]
--- a/tests/paused_entry.rs
+++ b/tests/paused_entry.rs
@@ -141,6 +141,12 @@
 /// did not send its table (1.5 s), and for which it would doubt a removal (2.3 s).
 const APPLY_TIME: Millis = Millis(100);
 
+/// Time after the begin of the pause until which heartbeats of the other entry arrive.
+const HEARD: Duration = Duration::from_millis(300);
+
+/// Time in which the entry looks for removals that are due.
+const EXPIRY_TIME: Millis = Millis(300);
+
 /// A store whose responses are held while it is closed.
 #[derive(Clone, Default)]
 struct Gated {
@@ -209,32 +215,110 @@
     });
 }
 
+/// Like [`with_gated`], beside another entry that is heard.
+fn with_other<F: std::future::Future<Output = ()>>(test: impl FnOnce(Gated, Arc<Other>) -> F) {
+    with_gated(|gated| async move {
+        let other = Arc::new(Other::default());
+        let (sender, to, peer) = (other.clone(), addr(1, 8004), addr(2, 8004));
+        let thread = spawn(move || sender.run(to, peer));
+        pause(Millis(1500)).await;
+        test(gated, other.clone()).await;
+        other.ended.store(true, Ordering::Relaxed);
+        thread.join().expect("it ends");
+    });
+}
+
+/// Removes the record of the endpoint, holds the store's responses, and holds the process up by `hold`.
+async fn remove_in_pause(gated: &Gated, hold: impl FnOnce()) {
+    let before = ask().await;
+    assert!(before.ends_with("yes"), "`{before}`");
+    gated.store.write(Topic::Endpoints, "e0", "");
+    gated.closed.set(true);
+    take_lines();
+    hold();
+}
+
 /// Guards against an entry that no longer takes another one for a witness of the store because that one did not send its
 /// table: it would then take its own pause for an outage of the store, and keep an endpoint that was removed meanwhile.
 ///
 /// Heartbeats are read first after the pause, then the query of the table fails, and then the store's response is read.
 #[test]
 fn silent_table_is_no_outage() {
-    with_gated(|gated| async move {
-        let other = Arc::new(Other::default());
-        let (sender, to, peer) = (other.clone(), addr(1, 8004), addr(2, 8004));
-        let thread = spawn(move || sender.run(to, peer));
-        pause(Millis(1500)).await;
-        let before = ask().await;
-        assert!(before.ends_with("yes"), "`{before}`");
-        gated.store.write(Topic::Endpoints, "e0", "");
-        gated.closed.set(true);
-        take_lines();
-        sleep(PAUSE);
+    with_other(|gated, _| async move {
+        remove_in_pause(&gated, || sleep(PAUSE)).await;
         await_line("outcome=no-table").await;
         gated.closed.set(false);
         pause(APPLY_TIME).await;
         let after = ask().await;
-        other.ended.store(true, Ordering::Relaxed);
-        thread.join().expect("it ends");
         assert!(
             !after.ends_with("yes"),
             "the removed endpoint got a request"
         );
     });
 }
+
+/// Guards against an entry that takes a heartbeat which lay in its socket for one of the present: the store was away
+/// meanwhile, and an endpoint that could not renew its record would be dropped.
+///
+/// The heartbeats, which arrived at the begin of the pause, are read before the store's response.
+#[test]
+fn held_heartbeats_are_no_witness() {
+    with_other(|gated, other| async move {
+        remove_in_pause(&gated, || {
+            sleep(HEARD);
+            other.cut.store(true, Ordering::Relaxed);
+            sleep(PAUSE - HEARD);
+        })
+        .await;
+        await_line("ready=true").await;
+        gated.closed.set(false);
+        pause(APPLY_TIME).await;
+        let after = ask().await;
+        assert!(after.ends_with("yes"), "`{after}`");
+    });
+}
+
+/// Guards against requests to a removed endpoint after another entry was heard that read the store all the while.
+///
+/// The store's response is read first after the pause, and then a heartbeat.
+#[test]
+fn doubt_ends_with_the_heartbeat() {
+    with_other(|gated, other| async move {
+        other.cut.store(true, Ordering::Relaxed);
+        remove_in_pause(&gated, || sleep(PAUSE)).await;
+        gated.closed.set(false);
+        await_line("change=Doubted").await;
+        other.cut.store(false, Ordering::Relaxed);
+        await_line("ready=true").await;
+        let after = ask().await;
+        assert!(
+            !after.ends_with("yes"),
+            "the removed endpoint got a request"
+        );
+    });
+}
+
+/// Guards against an endpoint that is dropped after a pause because the time to renew its record passed meanwhile, although
+/// it renewed the record in time: the renewal is in a response of the store that is not read yet.
+#[test]
+fn unread_renewal_keeps_the_endpoint() {
+    with_gated(|gated| async move {
+        pause(Millis(700)).await;
+        remove_in_pause(&gated, || ()).await;
+        // An outage of the store, in which the record expires.
+        pause(Millis(3000)).await;
+        gated.closed.set(false);
+        await_line("change=Doubted").await;
+        gated.closed.set(true);
+        let value = format!("plain {} a {MODEL} {HELD} 0 1", addr(10, 9000));
+        gated.store.write(Topic::Endpoints, "e0", &value);
+        sleep(PAUSE);
+        pause(EXPIRY_TIME).await;
+        let held = ask().await;
+        gated.closed.set(false);
+        pause(Millis(2500)).await;
+        let after = ask().await;
+        assert!(held.ends_with("yes"), "`{held}`");
+        assert!(after.ends_with("yes"), "`{after}`");
+    });
+}
