test(gateway): evacuation tests no longer depend on the pace of the machine

Seen: takes_effect_at_all_entries and state_is_known_after_an_outage failed once each beside others' builds (no request was served).

Cause of these 7: the test is wrong. The share of a zone that is back in service rises for 10 s, and the test took its 160 requests for those of 4 s although they take longer on a busy machine.

Change: requests count towards the upper bound, three quarters as before, while 6 s have not passed since the end of the evacuation; in 6 s all 160 are sent unless the machine is busy. The lower bound holds for all 160, as before. Answers that are not 200 are printed.

The start of an entry in tests fails if the entry ends. Before, its result was dropped, and an entry of another process at the same address could be taken for it: its answers would look like the failures that were seen, which is suspected, not shown. Trial: a second entry at the same address "started" before and fails now.

--- a/tests/gateway_evacuation.rs
+++ b/tests/gateway_evacuation.rs
@@ -20,6 +20,13 @@
 /// Time in which a record takes effect at all entries of a test; well below the bound of 5 s.
 const EFFECT: Millis = Millis(1000);
 
+/// Time after the end of an evacuation in which a zone gets well below three quarters of its requests: its share rises for
+/// 10 s.
+const RISE: Millis = Millis(6000);
+
+/// Number of requests below which a share of them tells nothing.
+const EARLY_MIN: usize = 20;
+
 /// Key of the record that evacuates the zone of the entries.
 const KEY: &str = "evacuate/a";
 
@@ -89,12 +96,16 @@
     tokio::time::sleep(time.duration()).await;
 }
 
-/// Sends requests to an entry and returns how many succeeded.
+/// Sends requests to an entry and returns how many succeeded; prints the other answers.
 async fn send_some(n: u8, count: usize) -> usize {
     let mut served = 0;
     for _ in 0..count {
         let answer = send_request(addr(n, CALLERS), &request("/safe/"), 2000).await;
-        served += usize::from(answer.contains(" 200 "));
+        if answer.contains(" 200 ") {
+            served += 1;
+        } else {
+            eprintln!("entry {n}: `{answer}`");
+        }
     }
     served
 }
@@ -119,14 +130,24 @@
         pause(EFFECT).await;
         assert_eq!(send_some(1, 10).await + send_some(2, 10).await, 20);
         assert_eq!((count(&a), count(&b)), (6, 20));
+        let ended = tokio::time::Instant::now();
         store.write(Topic::Operator, KEY, "");
         pause(EFFECT).await;
+        // Requests sent while the share rises, and those of them that the zone got. A busy machine takes longer for all.
+        let (mut early, mut early_back) = (0, 0);
         for _ in 0..80 {
             assert_eq!(send_some(1, 1).await + send_some(2, 1).await, 2);
+            if ended.elapsed() < RISE.duration() {
+                (early, early_back) = (early + 2, count(&a) - 6);
+            }
             pause(Millis(50)).await;
         }
         let back = count(&a) - 6;
-        assert!((5..120).contains(&back), "{back} of 160 in some seconds");
+        assert!(back >= 5, "{back} of 160");
+        assert!(
+            4 * early_back < 3 * early.max(EARLY_MIN),
+            "{early_back} of {early} in some seconds"
+        );
     });
 }
 
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -240,13 +240,16 @@
         store,
         LeftOut::default(),
     );
-    tokio::task::spawn_local(run);
+    let task = tokio::task::spawn_local(run);
     while !send_request(ready, "GET /ready HTTP/1.0\r\n\r\n", 300)
         .await
         .contains(" 200 ")
     {
+        // Another process may answer at the address that this entry could not use.
+        assert!(!task.is_finished(), "the entry ended at its start");
         tokio::time::sleep(Millis(20).duration()).await;
     }
+    assert!(!task.is_finished(), "the entry ended at its start");
 }
 
 /// Returns the number of requests that reached the endpoints.
