fix(staging): entries without an assignment are asked again while another is silent

After a kill of all processes an agent ordered its first load 2.5 s after its start where the first entry accepted its connection and did not respond, although the second one had the assignment after 0.7 s.

Cause: two entries are asked at the start, but one that responds that it has no assignment yet, as all entries do until they have read the store, was not asked again before the request to the silent one timed out after 2 s. Besides, where an entry responded with an older era, the other of the two was dropped from the list instead of it.

Change: when one of the two has no assignment, the agent asks the other entries in turn, with a delay of 60 ms between requests, until one has it or the first request ends. The entry of the older era is the one that is dropped.

--- a/src/staging/entries.rs
+++ b/src/staging/entries.rs
@@ -67,7 +67,7 @@
                 // The entry does not know yet that the store was restored, and may name hosts that have left.
                 emit!(log_event::ENTRY, "entry={entry} answers=older-era");
                 source.current = None;
-                source.entries.pop();
+                source.entries.retain(|e| *e != entry);
                 tokio::time::sleep(jitter(RETRY_DELAY).duration()).await;
                 continue;
             }
@@ -114,7 +114,8 @@
 
 impl AssignmentSource {
     /// Requests the assignment from an entry; as long as there has been no response, also from the next one at the same time,
-    /// because the first may have stopped. Returns the first response, or the entry that failed last without one.
+    /// because the first may have stopped. When one of them has no assignment and the other does not respond, the rest are
+    /// asked in turn meanwhile. Returns the first assignment, or the entry that failed last without one.
     async fn request_first(
         &self,
         entry: SocketAddr,
@@ -126,15 +127,36 @@
         };
         let first = pin!(async { (entry, self.request(entry, path).await) });
         let second = pin!(async { (next, self.request(next, path).await) });
-        let (done, rest) = match select(first, second).await {
-            Either::Left((done, rest)) => (done, Either::Left(rest)),
-            Either::Right((done, rest)) => (done, Either::Right(rest)),
+        let (done, pending, rest) = match select(first, second).await {
+            Either::Left((done, rest)) => (done, next, Either::Left(rest)),
+            Either::Right((done, rest)) => (done, entry, Either::Right(rest)),
         };
         if done.1.is_some() {
             return done;
         }
         emit!(log_event::ENTRY, "entry={} answers=false", done.0);
-        rest.await
+        let others = pin!(self.request_in_turn(pending, path));
+        match select(rest, others).await {
+            Either::Left((response, _)) | Either::Right((response, _)) => response,
+        }
+    }
+
+    /// Requests the assignment from all entries but one, in turn and without end, until one has it: after a kill of all
+    /// processes, entries respond before they have assignments.
+    async fn request_in_turn(
+        &self,
+        except: SocketAddr,
+        path: &str,
+    ) -> (SocketAddr, Option<Assignment>) {
+        loop {
+            for &entry in self.entries.iter().rev().filter(|e| **e != except) {
+                tokio::time::sleep(jitter(RETRY_DELAY).duration()).await;
+                let response = self.request(entry, path).await;
+                if response.is_some() {
+                    return (entry, response);
+                }
+            }
+        }
     }
 
     async fn request(&self, entry: SocketAddr, path: &str) -> Option<Assignment> {
--- a/tests/copy_support/mod.rs
+++ b/tests/copy_support/mod.rs
@@ -7,15 +7,20 @@
 use sesamewing::{
     base::{Digest, Millis, Rate, Size},
     gateway::{
-        Catalog, CatalogVersion, EngineSpeed, HostLimits, OriginSpec, ServiceSpec, ServiceWeights,
-        Topic, WeightVersion,
+        Assignment, Catalog, CatalogVersion, EngineSpeed, HostLimits, OriginSpec, Record,
+        RecordStore, ServiceSpec, ServiceWeights, Status, Topic, WeightVersion,
     },
     staging::{self, AgentSettings, EndpointHost, HostError, HostReport, Manifest, Origin},
 };
 use sha2::{Digest as _, Sha256};
-use tokio::task::{spawn_local, JoinHandle};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::{spawn_local, JoinHandle},
+    time::Instant,
+};
 
-use crate::gateway_support::{addr, set_catalog, MemoryStore, TestDecode};
+use crate::gateway_support::{addr, heartbeat, set_catalog, MemoryStore, TestDecode};
 
 /// Size of a chunk in bytes.
 pub const CHUNK: usize = 8 << 10;
@@ -101,6 +106,84 @@
     agent
 }
 
+/// Time after which an entry answers an agent that has its assignment.
+const POLL_WAIT: Millis = Millis(1500);
+
+/// How an entry answers agents that have no assignment.
+#[derive(Clone, Copy, Debug)]
+pub enum Informed {
+    /// It accepts connections and does not respond.
+    Silent,
+    /// It responds with status 404 until then.
+    At(Instant),
+}
+
+/// Starts an entry of a zone that assigns a version of the model to agents, and announces it in the store.
+pub async fn start_assigner(
+    store: &MemoryStore,
+    n: u8,
+    zone: &str,
+    version: u64,
+    informed: Informed,
+) {
+    let entry = addr(n, 8004);
+    let announced = heartbeat(entry, zone, 1, Status::default());
+    let announced = Record {
+        key: entry.to_string().into(),
+        value: Some(postcard::to_stdvec(&announced).expect("encoded").into()),
+    };
+    let appended = store.append(Topic::Entries, &announced).await;
+    appended.expect("it is kept");
+    let spec = catalog().services.into_values().next();
+    let assignment = Assignment {
+        model: Some("m".into()),
+        origin: spec.and_then(|s| s.origin),
+        newest: Some(WeightVersion(version)),
+        hosts: vec![(addr(1, 9000), "a".parse().expect("a valid name"))],
+        tag: 1,
+        catalog: Some(CatalogVersion(1)),
+        ..Assignment::default()
+    };
+    let reply = assignment.encode().expect("encoded");
+    let listener = TcpListener::bind(entry).await.expect("a port");
+    spawn_local(async move {
+        while let Ok((conn, _)) = listener.accept().await {
+            spawn_local(assign(conn, reply.clone(), informed));
+        }
+    });
+}
+
+async fn assign(mut conn: TcpStream, reply: Vec<u8>, informed: Informed) {
+    let mut data = vec![0; 4096];
+    loop {
+        let len = conn.read(&mut data).await.unwrap_or_default();
+        if len == 0 {
+            return;
+        }
+        let Informed::At(at) = informed else {
+            continue;
+        };
+        let text = String::from_utf8_lossy(&data[..len]).into_owned();
+        let first = text.lines().next().is_some_and(|l| l.contains("/0 "));
+        let (status, body) = if Instant::now() < at {
+            ("404 Not Found", &[][..])
+        } else {
+            ("200 OK", &reply[..])
+        };
+        if !first {
+            tokio::time::sleep(POLL_WAIT.duration()).await;
+        }
+        let head = format!(
+            "HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        let sent = conn.write_all(&[head.as_bytes(), body].concat()).await;
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
 /// Returns a catalog with one service, whose endpoints hold a model.
 pub fn catalog() -> Catalog {
     let mut out = Catalog {
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -11,7 +11,10 @@
 };
 
 use bytes::Bytes;
-use copy_support::{catalog, content, manifest, report, settings, start_agent, CHUNK, PORT};
+use copy_support::{
+    catalog, content, manifest, report, settings, start_agent, start_assigner, Informed, CHUNK,
+    PORT,
+};
 use gateway_support::{addr, run_local, set_catalog, MemoryStore, TestDecode};
 use sesamewing::{
     base::{Digest, HashMap, Millis, Size},
@@ -36,6 +39,8 @@
     down: Cell<bool>,
     /// Number of loads of incomplete, corrupt or mixed chunks.
     bad_loads: Cell<u32>,
+    /// Time of a read of a chunk.
+    read_time: Cell<Millis>,
 }
 
 impl Engine {
@@ -59,6 +64,10 @@
     }
 
     async fn read(&self, _: &str, chunk: u32) -> Result<Option<Bytes>, HostError> {
+        let time = self.0.read_time.get();
+        if time > Millis::ZERO {
+            tokio::time::sleep(time.duration()).await;
+        }
         Ok(self.0.staged.borrow().get(&chunk).cloned())
     }
 
@@ -380,3 +389,55 @@
         agent.abort();
     });
 }
+
+/// Time of a read of a staged chunk in the tests of an agent's start: with 8 reads at once, all take 0.45 s.
+const READ_TIME: Millis = Millis(150);
+
+/// Runs an agent whose endpoint has loaded version 1 and staged version 2, which the second of two entries assigns `informed`
+/// after the start; calls `change` 1 s before. Returns when the load was ordered after the start.
+async fn order_time(
+    engine: &Engine,
+    origin: &MemoryOrigin,
+    first: Option<Informed>,
+    informed: Millis,
+    change: impl FnOnce(),
+) -> Duration {
+    engine.0.loaded.set(1);
+    engine.0.read_time.set(READ_TIME);
+    let staged = (0..CHUNKS).map(|c| (c, content(2, c)));
+    engine.0.staged.borrow_mut().extend(staged);
+    let store = MemoryStore::default();
+    let start = tokio::time::Instant::now();
+    let at = start + informed.duration();
+    start_assigner(&store, 2, "a", 2, first.unwrap_or(Informed::At(at))).await;
+    start_assigner(&store, 3, "b", 2, Informed::At(at)).await;
+    tokio::task::spawn_local(staging::run::<_, TestDecode, _, _>(
+        settings(1, BOUND),
+        store,
+        engine.clone(),
+        origin.clone(),
+    ));
+    tokio::time::sleep((informed - Millis(1000)).duration()).await;
+    change();
+    while engine.0.loaded.get() != 2 && start.elapsed() < Duration::from_secs(10) {
+        tokio::time::sleep(Millis(5).duration()).await;
+    }
+    assert_eq!(engine.0.loaded.get(), 2, "the version is not loaded");
+    assert_eq!(engine.0.bad_loads.get(), 0);
+    start.elapsed()
+}
+
+/// Guards against an agent that waits for an entry which does not respond, because the second one had no assignment yet when
+/// it was asked: all entries have just started after a kill of all processes.
+#[test]
+fn uninformed_entry_is_asked_again() {
+    run_local(async {
+        let engine = Engine::default();
+        let origin = MemoryOrigin::default();
+        let informed = Millis(700);
+        let first = Some(Informed::Silent);
+        let time = order_time(&engine, &origin, first, informed, || ()).await;
+        println!("assignment after {informed}, order after {time:?}");
+        assert!(time < Duration::from_millis(1300), "{time:?}");
+    });
+}
