perf(staging): staged chunks are read while the agent waits for its assignment

After a kill of all processes no endpoint served for 0.45 s more than necessary: agents had their assignments and only then read what was staged.

Cause: the digests of the staged chunks were computed when the manifest was known.

Change: an agent whose endpoint reports a model reads the staged chunks of that model and keeps their digests with the times at which the reads began (`staging/read_ahead.rs`). When the manifest is known, a read that began within 1.2 s counts as a check that began then, whether it found the chunk intact or not; other chunks are read. The checks before the order are as before. They are discarded when they were used, and when the endpoint restarts.

--- a/src/staging/agent.rs
+++ b/src/staging/agent.rs
@@ -17,6 +17,7 @@
     load::Loader,
     log_event,
     peers::{Location, Peers},
+    read_ahead::ReadAhead,
     run::AgentSettings,
     EndpointHost, HostReport, Manifest, Origin,
 };
@@ -92,6 +93,8 @@
     compared: Cell<Option<(WeightVersion, Millis)>>,
     /// Whether chunks did not match the last manifest, so that the next one is fetched from the origin.
     manifest_rejected: Cell<bool>,
+    /// Chunks that were read before the first assignment.
+    pub(super) read_ahead: ReadAhead,
     pub(super) loader: Loader,
     /// Wakes the main loop when the target version or the endpoint's report has changed.
     pub(super) changed: Notify,
@@ -142,6 +145,7 @@
             first_load: RefCell::default(),
             compared: Cell::default(),
             manifest_rejected: Cell::default(),
+            read_ahead: ReadAhead::default(),
             loader: Loader::default(),
             changed: Notify::new(),
             state_changed: Notify::new(),
@@ -181,6 +185,7 @@
         self.last_born.set(born(&report).or(known));
         if restarted {
             self.inventory.clear();
+            self.read_ahead.end();
             self.loader.reset();
         }
         self.changed.notify_one();
--- a/src/staging/check.rs
+++ b/src/staging/check.rs
@@ -9,11 +9,11 @@
 };
 
 /// Reads of staged chunks in progress at once.
-const READS_MAX: usize = 8;
+pub(super) const READS_MAX: usize = 8;
 
 /// Largest age of a chunk's check when the load is ordered. With the timeout of the order it stays below 3 s, for which a
 /// chunk may have been corrupt before the endpoint reads it.
-const CHECK_AGE_MAX: Millis = Millis(1200);
+pub(super) const CHECK_AGE_MAX: Millis = Millis(1200);
 
 /// Time after which checks that an endpoint answers too slowly for [`CHECK_AGE_MAX`] are given up.
 const CHECK_TIME_MAX: Millis = Millis(6000);
@@ -38,21 +38,40 @@
 }
 
 impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
-    /// Checks the digests of the staged chunks; returns how many chunks are held, in memory or at the endpoint.
+    /// Checks the digests of the staged chunks, as far as they were not computed within [`CHECK_AGE_MAX`] while the agent
+    /// waited for its assignment; returns how many chunks are held, in memory or at the endpoint.
     pub(super) async fn verify(&self, model: &str, manifest: &Manifest) -> usize {
         let staged = self.host.staged(model).await.unwrap_or_else(|e| {
             log::debug!("cannot list the staged chunks: {e}");
             Vec::new()
         });
         let chunks = 0..manifest.digests.len() as u32;
-        let (listed, missing) = chunks.partition(|n| staged.contains(n));
-        self.check(model, manifest, listed).await;
+        let (listed, missing): (Vec<_>, Vec<_>) = chunks.partition(|n| staged.contains(n));
+        let unread = self.apply_reads(model, manifest, listed);
+        self.check(model, manifest, unread).await;
         for chunk in missing {
             self.drop_unless_buffered(model, manifest, chunk);
         }
         self.inventory.held(model, manifest.version).len()
     }
 
+    /// Records the results of recent reads of chunks, which were made before the manifest was known; returns the other chunks.
+    fn apply_reads(&self, model: &str, manifest: &Manifest, chunks: Vec<u32>) -> Vec<u32> {
+        let reads = self.read_ahead.take(model);
+        let now = self.now();
+        let mut rest = Vec::new();
+        for chunk in chunks {
+            let read = reads.get(&chunk);
+            let Some(read) = read.filter(|r| now <= r.begun + CHECK_AGE_MAX) else {
+                rest.push(chunk);
+                continue;
+            };
+            let intact = read.digest == manifest.digests[chunk as usize];
+            self.note_check(model, manifest, chunk, intact, read.begun);
+        }
+        rest
+    }
+
     /// Checks all staged chunks, so that none of the checks is older than [`CHECK_AGE_MAX`] when this returns.
     ///
     /// # Errors
@@ -135,12 +154,26 @@
             None
         });
         let digest = &manifest.digests[chunk as usize];
-        if data.is_some_and(|d| is_intact(&d, digest)) {
-            self.inventory.insert(model, version, chunk);
-            self.inventory.set_checked(model, version, chunk, begun);
-        } else {
-            self.drop_unless_buffered(model, manifest, chunk);
+        let intact = data.is_some_and(|d| is_intact(&d, digest));
+        self.note_check(model, manifest, chunk, intact, begun);
+    }
+
+    /// Records whether a check that began at `begun` found a chunk intact at the endpoint. A chunk that is in memory is held
+    /// in any case.
+    fn note_check(
+        &self,
+        model: &str,
+        manifest: &Manifest,
+        chunk: u32,
+        intact: bool,
+        begun: Millis,
+    ) {
+        let version = manifest.version;
+        if !intact {
+            return self.drop_unless_buffered(model, manifest, chunk);
         }
+        self.inventory.insert(model, version, chunk);
+        self.inventory.set_checked(model, version, chunk, begun);
     }
 
     fn drop_unless_buffered(&self, model: &str, manifest: &Manifest, chunk: u32) {
--- a/src/staging/inventory.rs
+++ b/src/staging/inventory.rs
@@ -21,9 +21,14 @@
 /// reads of an endpoint that takes 0.4 s for each delay the newer copy by seconds.
 const KEEP_TIMEOUT: Millis = Millis(150);
 
+/// Returns the SHA-256 digest of a chunk.
+pub(super) fn chunk_digest(data: &[u8]) -> Digest {
+    Digest(Sha256::digest(data).into())
+}
+
 /// Returns whether a chunk matches its SHA-256 digest.
 pub(super) fn is_intact(data: &[u8], digest: &Digest) -> bool {
-    Sha256::digest(data)[..] == digest.0
+    chunk_digest(data) == *digest
 }
 
 /// Chunks of a version that is being copied or is complete.
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -18,6 +18,7 @@
 mod log_event;
 mod notify;
 mod peers;
+mod read_ahead;
 mod run;
 
 pub use host::{EndpointHost, HostError, HostReport, LoadResponse, Manifest, Origin};
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -210,6 +210,9 @@
     async fn poll_endpoint(self: Rc<Self>) {
         loop {
             self.poll_report().await;
+            if self.begins_read_ahead() {
+                spawn_local(self.clone().read_ahead());
+            }
             self.note_loaded();
             self.drop_unused();
             tokio::time::sleep(POLL_INTERVAL.duration()).await;
--- a/tests/staging_copy.rs
+++ b/tests/staging_copy.rs
@@ -427,6 +427,43 @@
     start.elapsed()
 }
 
+/// Guards against an agent that reads and checks what is staged only when it has its assignment: no endpoint served for
+/// 0.45 s after a kill of all processes.
+#[test]
+fn staged_chunks_are_read_ahead() {
+    for informed in [700, 1600, 2200].map(Millis) {
+        run_local(async {
+            let engine = Engine::default();
+            let origin = MemoryOrigin::default();
+            let time = order_time(&engine, &origin, None, informed, || ()).await;
+            println!("assignment after {informed}, order after {time:?}");
+            assert_eq!(origin.0.chunks.get(), 0);
+            let late = time.saturating_sub(informed.duration());
+            assert!(late < Duration::from_millis(300), "{late:?} later");
+        });
+    }
+}
+
+/// Guards against a load of chunks that were read too long before the order, and of chunks of other versions.
+#[test]
+fn old_reads_do_not_count() {
+    run_local(async {
+        let engine = Engine::default();
+        let origin = MemoryOrigin::default();
+        let state = engine.0.clone();
+        // The reads end 3 s after the start.
+        order_time(&engine, &origin, None, Millis(5500), || {
+            let mut staged = state.staged.borrow_mut();
+            staged.insert(3, Bytes::from(vec![0; CHUNK]));
+            staged.insert(7, content(1, 7));
+            staged.remove(&9);
+        })
+        .await;
+        // The origin corrupts the first chunk that it sends.
+        assert_eq!(origin.0.chunks.get(), 4);
+    });
+}
+
 /// Guards against an agent that waits for an entry which does not respond, because the second one had no assignment yet when
 /// it was asked: all entries have just started after a kill of all processes.
 #[test]
