feat(gateway): a choice tells why an endpoint does not get a request

Operators saw that a request was rejected or went to a remote endpoint, but not why: the load balancer skipped an endpoint without a reason, and a second computation of the reasons would differ from the choice after its next change.

`is_capable` and `LoadView::takes_requests` return the reason (`Exclusion`), and `LoadBalancer::consider` judges one endpoint for requests and explanations alike. `LoadBalancer::explain` makes the choice on a copy of the load views, and tells which endpoints any random draw may choose and whether one may refuse the request. Requests use a trace that compiles to nothing.

tests/explain_choice.rs did not compile before. Now 3000 states with 40 requests each agree, and in 300 states all possible endpoints are chosen within 900 requests.

--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -21,6 +21,9 @@
 //! | a zone is evacuated | its endpoints are not capable; the others are chosen by load as before |
 //! | a zone is put back into service | a rising share of requests considers it, with a rising limit of load |
 
+mod candidates;
+mod exclusion;
+mod explain;
 mod loads;
 
 use super::{
@@ -31,6 +34,12 @@
     record::WeightVersion,
 };
 use crate::base::{HashMap, Millis};
+use candidates::{Candidates, Trace};
+use loads::UsualLoad;
+
+pub use candidates::{Group, Rating};
+pub use exclusion::Exclusion;
+pub use explain::{EndpointView, ExplainedChoice, ExplainedEndpoint};
 
 /// Number of endpoints, drawn at random from those that this entry does not own, that compete with the owned ones. The
 /// draw keeps entries with the same view from all choosing the same endpoint.
@@ -113,55 +122,15 @@
     since: Option<Millis>,
 }
 
-/// Endpoints that may get a request, each with its cost.
-#[derive(Debug, Default)]
-struct Candidates<'e> {
-    /// Endpoints that this entry owns.
-    owned: Vec<(&'e Endpoint, f64)>,
-    others: Vec<(&'e Endpoint, f64)>,
-    /// Endpoints of zones for which the request is not selected; used if there are no others.
-    withheld: Vec<(&'e Endpoint, f64)>,
-    /// Endpoints of zones that were put back into service lately; used if there are no others.
-    ramping: Vec<(&'e Endpoint, f64)>,
-    /// Whether any endpoint can run the request, now or later.
-    any_capable: bool,
-    /// Capable endpoint that is expected to take requests first, and when it does.
-    available: Option<(&'e Endpoint, Millis)>,
-}
-
-/// Draws up to [`CHOICES`] of the endpoints at random.
-fn draw<'a, 'e>(
-    list: &'a mut [(&'e Endpoint, f64)],
-) -> impl Iterator<Item = (&'e Endpoint, f64)> + use<'a, 'e> {
-    (0..CHOICES.min(list.len())).map(move |i| {
-        let j = fastrand::usize(i..list.len());
-        list.swap(i, j);
-        list[i]
-    })
-}
-
-impl<'e> Candidates<'e> {
-    /// Notes when a capable endpoint is expected to take requests again.
-    fn note_available(&mut self, e: &'e Endpoint, at: Millis) {
-        if self.available.is_none_or(|(_, first)| at < first) {
-            self.available = Some((e, at));
-        }
-    }
-
-    /// Returns the cheapest of the owned endpoints and of up to [`CHOICES`] random others; `None` if none has room.
-    fn best(mut self) -> Option<&'e Endpoint> {
-        let cheaper = |a: &(&Endpoint, f64), b: &(&Endpoint, f64)| a.1.total_cmp(&b.1);
-        let mut all = self.owned.iter().chain(&self.others);
-        if all.all(|c| c.1 >= FULL_COST) {
-            let withheld = draw(&mut self.withheld).filter(|c| c.1 < FULL_COST);
-            let best = withheld.min_by(cheaper);
-            let best = best.or_else(|| self.ramping.into_iter().min_by(cheaper));
-            return best.map(|c| c.0);
-        }
-        let others = draw(&mut self.others);
-        let all = self.owned.into_iter().chain(others);
-        all.min_by(cheaper).map(|c| c.0)
-    }
+/// What is the same for all endpoints of one choice.
+struct Round<'a> {
+    query: &'a EndpointQuery<'a>,
+    now: Millis,
+    /// Whether the load schedule is ignored; see [`LoadBalancer::is_stalled`].
+    stalled: bool,
+    usual: UsualLoad,
+    /// Whether this entry has known its endpoints for long enough that a new one has just started.
+    settled: bool,
 }
 
 /// Returns the cost of delaying an endpoint's load of a newer version, as a share of its slots: the endpoint drains
@@ -211,10 +180,21 @@
         now: Millis,
     ) -> Result<&'e Endpoint, Refusal> {
         let endpoints: Vec<_> = endpoints.collect();
-        let found = self.candidates(&endpoints, query, now);
+        self.choose(&endpoints, query, now, &mut ())
+    }
+
+    /// Chooses the endpoint of a request, see [`Self::pick`], while `trace` observes how each one is assessed.
+    fn choose<'e>(
+        &mut self,
+        endpoints: &[&'e Endpoint],
+        query: &EndpointQuery<'_>,
+        now: Millis,
+        trace: &mut impl Trace<'e>,
+    ) -> Result<&'e Endpoint, Refusal> {
+        let found = self.candidates(endpoints, query, now, trace);
         if !found.any_capable {
             let usable = |e: &&Endpoint| query.is_allowed(e) && !query.is_evacuated(e);
-            let usable = endpoints.into_iter().filter(usable);
+            let usable = endpoints.iter().copied().filter(usable);
             return Err(Refusal::Unavailable(unavailable_retry_after(usable)));
         }
         let available = found.available;
@@ -229,7 +209,7 @@
         now: Millis,
     ) -> bool {
         let endpoints: Vec<_> = endpoints.collect();
-        let found = self.candidates(&endpoints, query, now);
+        let found = self.candidates(&endpoints, query, now, &mut ());
         found.best().is_some()
     }
 
@@ -252,72 +232,86 @@
         endpoints: &[&'e Endpoint],
         query: &EndpointQuery<'_>,
         now: Millis,
+        trace: &mut impl Trace<'e>,
     ) -> Candidates<'e> {
         let mut found = Candidates::default();
         let starts: Vec<_> = endpoints
             .iter()
             .map(|e| self.scheduled_start(e, query))
             .collect();
-        let stalled = self.is_stalled(endpoints, &starts, query, now);
-        let usual = self.usual_load(endpoints, now);
-        let settled = now >= *self.since.get_or_insert(now) + SLOW_START;
+        let round = Round {
+            query,
+            now,
+            stalled: self.is_stalled(endpoints, &starts, query, now),
+            usual: self.usual_load(endpoints, now),
+            settled: now >= *self.since.get_or_insert(now) + SLOW_START,
+        };
         for (&e, start) in endpoints.iter().zip(starts) {
-            if !self.is_capable(e, query) {
-                continue;
-            }
-            found.any_capable = true;
-            let share = query.zone_share(e, now);
-            let limit = limit_of_share(self.limit(e, query), share);
-            let start = start.filter(|_| !stalled);
-            let Some(drain) = drain_cost(start, query, now) else {
-                found.note_available(e, now);
-                continue;
-            };
-            let view = self.views.entry(e.id.clone()).or_default();
-            let skipped_until = view.skipped_until();
-            found.note_available(e, view.expected_at(now));
-            if skipped_until > now || !view.breaker.allows(now) {
-                continue;
-            }
-            let informed = view.paced && !self.peers_complete;
-            let load = if informed {
-                view.known_load(now, usual.of(e))
-            } else {
-                view.load(now, self.peers_complete)
-            };
-            let queues =
-                informed && share >= 1.0 && limit >= e.record.slots && view.in_flight < limit;
-            if load >= limit && !queues {
-                continue;
-            }
-            let cost = drain + view.cost(e, query, load, now) + cold_cost(e, query, now);
-            let mut cost = cost + view.start_cost(e, settled, now);
-            if informed {
-                cost += loads::crowded_cost(load, e.record.slots);
-            }
-            let cost = if load >= limit {
-                cost + FULL_COST
-            } else {
-                cost
-            };
-            if share < 1.0 && fastrand::f64() >= share {
-                found.ramping.push((e, cost));
-            } else if query.is_withheld(e) {
-                found.withheld.push((e, cost));
-            } else if query.owned.contains(&e.id) {
-                found.owned.push((e, cost));
-            } else {
-                let not_owned = if informed {
-                    KNOWN_NOT_OWNED_COST
-                } else {
-                    NOT_OWNED_COST
-                };
-                found.others.push((e, cost + not_owned));
-            }
+            self.consider(e, start, &round, &mut found, trace);
         }
         found
     }
 
+    /// Adds an endpoint to the candidates with its cost if it may get the request now. `start` is its scheduled load start.
+    #[inline]
+    fn consider<'e>(
+        &mut self,
+        e: &'e Endpoint,
+        start: Option<Millis>,
+        round: &Round<'_>,
+        found: &mut Candidates<'e>,
+        trace: &mut impl Trace<'e>,
+    ) {
+        let (query, now) = (round.query, round.now);
+        if let Err(exclusion) = self.is_capable(e, query) {
+            return trace.exclude(e, exclusion);
+        }
+        found.any_capable = true;
+        let share = query.zone_share(e, now);
+        let limit = limit_of_share(self.limit(e, query), share);
+        let start = start.filter(|_| !round.stalled);
+        let Some(drain) = drain_cost(start, query, now) else {
+            found.note_available(e, now);
+            return trace.exclude(e, Exclusion::LoadsSoon);
+        };
+        let view = self.views.entry(e.id.clone()).or_default();
+        found.note_available(e, view.expected_at(now));
+        if let Err(exclusion) = view.takes_requests(now) {
+            return trace.exclude(e, exclusion);
+        }
+        let informed = view.is_informed(self.peers_complete);
+        let load = view.load_at_choice(now, self.peers_complete, || round.usual.of(e));
+        let queues = informed && share >= 1.0 && limit >= e.record.slots && view.in_flight < limit;
+        if load >= limit && !queues {
+            return trace.exclude(e, Exclusion::Full { load, limit });
+        }
+        let cost = drain + view.cost(e, query, load, now) + cold_cost(e, query, now);
+        let mut cost = cost + view.start_cost(e, round.settled, now);
+        if informed {
+            cost += loads::crowded_cost(load, e.record.slots);
+        }
+        if load >= limit {
+            cost += FULL_COST;
+        }
+        let (group, surcharge) = if query.is_withheld(e) {
+            (Group::Withheld, 0.0)
+        } else if query.owned.contains(&e.id) {
+            (Group::Owned, 0.0)
+        } else if informed {
+            (Group::Drawn, KNOWN_NOT_OWNED_COST)
+        } else {
+            (Group::Drawn, NOT_OWNED_COST)
+        };
+        let rating = Rating {
+            group,
+            cost,
+            surcharge,
+            share,
+        };
+        trace.rate(e, &rating);
+        found.add(e, &rating);
+    }
+
     /// Returns what is known of the load of an endpoint.
     pub(super) fn summary(&self, id: &EndpointId, now: Millis) -> LoadSummary {
         let none = LoadSummary {
@@ -353,20 +347,39 @@
         view.closure.extend(until, interval);
     }
 
-    fn is_capable(&self, e: &Endpoint, query: &EndpointQuery<'_>) -> bool {
-        if !query.is_allowed(e) || query.is_evacuated(e) {
-            return false;
+    /// Returns whether an endpoint can run a request, now or later.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot.
+    #[inline]
+    fn is_capable(&self, e: &Endpoint, query: &EndpointQuery<'_>) -> Result<(), Exclusion> {
+        if !query.is_allowed(e) {
+            return Err(Exclusion::Region);
         }
-        if e.record.draining || query.tried.contains(&e.id) {
-            return false;
+        if query.is_evacuated(e) {
+            return Err(Exclusion::Evacuated);
+        }
+        if e.record.draining {
+            return Err(Exclusion::Draining);
+        }
+        if query.tried.contains(&e.id) {
+            return Err(Exclusion::Tried);
         }
         let Some(required) = query.weights else {
-            return true;
+            return Ok(());
         };
-        let Some(version) = self.version(e, required.model) else {
-            return false;
+        let Some(loaded) = self.version(e, required.model) else {
+            return Err(Exclusion::NotLoaded);
         };
-        version >= required.oldest && query.exact.is_none_or(|v| v == version)
+        let oldest = required.oldest;
+        if loaded < oldest {
+            return Err(Exclusion::OldVersion { loaded, oldest });
+        }
+        match query.exact {
+            Some(exact) if exact != loaded => Err(Exclusion::OtherVersion { loaded, exact }),
+            _ => Ok(()),
+        }
     }
 
     /// Returns the version that an endpoint has loaded: the newer one of its record and of its latest response.
--- a/src/gateway/load_balancer/loads.rs
+++ b/src/gateway/load_balancer/loads.rs
@@ -108,7 +108,7 @@
 
     /// Returns whether the load of an endpoint is the newest known one instead of the requests in flight.
     pub(super) fn knows_load(&self, view: &LoadView) -> bool {
-        view.paced && !self.peers_complete
+        view.is_informed(self.peers_complete)
     }
 
     /// Returns the mean known load of endpoints that tell their pace, as a share of their slots.
--- a/src/gateway/load_view.rs
+++ b/src/gateway/load_view.rs
@@ -4,7 +4,7 @@
 
 use super::{
     endpoint_loads::EndpointLoad, endpoint_query::EndpointQuery, endpoint_table::Endpoint,
-    record::WeightVersion,
+    load_balancer::Exclusion, record::WeightVersion,
 };
 use crate::{
     base::Millis,
@@ -98,7 +98,7 @@
 }
 
 /// Time in which an endpoint that limits its request rate gets no requests of this entry.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Closure {
     /// Time at which a permit may be granted again.
     until: Millis,
@@ -156,7 +156,7 @@
 }
 
 /// Load of one endpoint as this entry knows it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct LoadView {
     /// Requests of this entry in flight.
     pub(super) in_flight: u32,
@@ -193,13 +193,70 @@
 
 impl LoadView {
     /// Returns the time until which the endpoint gets no requests.
-    pub(super) fn skipped_until(&self) -> Millis {
+    fn skipped_until(&self) -> Millis {
         self.backoff
             .0
             .max(self.paused_until)
             .max(self.closure.until)
     }
 
+    /// Returns whether the endpoint gets requests now, if it has room.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it gets none.
+    pub(super) fn takes_requests(&self, now: Millis) -> Result<(), Exclusion> {
+        if self.skipped_until() <= now && self.breaker.allows(now) {
+            return Ok(());
+        }
+        Err(self.skip_reason(now))
+    }
+
+    /// Returns why the endpoint gets no requests.
+    fn skip_reason(&self, now: Millis) -> Exclusion {
+        let (paused, backoff, closed) = self.skipped_for(now);
+        if paused > Millis::ZERO {
+            return Exclusion::Paused(paused);
+        }
+        if closed > Millis::ZERO {
+            return Exclusion::Closed(closed);
+        }
+        if backoff > Millis::ZERO {
+            return Exclusion::Backoff(backoff);
+        }
+        Exclusion::Broken
+    }
+
+    /// Returns the times for which the endpoint gets no requests: because it asked for that, because it rejected one, and
+    /// until another permit may be granted; zero if that does not hold.
+    pub(super) fn skipped_for(&self, now: Millis) -> (Millis, Millis, Millis) {
+        let left = |until: Millis| until - now;
+        (
+            left(self.paused_until),
+            left(self.backoff.0),
+            left(self.closure.until),
+        )
+    }
+
+    /// Returns whether the load of the endpoint is the newest known one instead of the requests in flight.
+    pub(super) fn is_informed(&self, peers_complete: bool) -> bool {
+        self.paced && !peers_complete
+    }
+
+    /// Returns the requests at the endpoint as a choice counts them; `usual` is the load of one that tells its pace and
+    /// whose load is unknown.
+    pub(super) fn load_at_choice(
+        &self,
+        now: Millis,
+        peers_complete: bool,
+        usual: impl FnOnce() -> u32,
+    ) -> u32 {
+        if self.is_informed(peers_complete) {
+            return self.known_load(now, usual());
+        }
+        self.load(now, peers_complete)
+    }
+
     /// Returns when the endpoint is expected to take a further request; not before [`LoadView::skipped_until`].
     pub(super) fn expected_at(&self, now: Millis) -> Millis {
         self.skipped_until().max(self.closure.expected_at(now))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -94,7 +94,10 @@
 pub use headers::Headers;
 pub use issuer::{Grant, Issuers, PermitId, PermitReply, PermitRequest, PermitTerms};
 pub use limits::{Limit, LimitReport, Limits, Observation};
-pub use load_balancer::{LoadBalancer, Refusal};
+pub use load_balancer::{
+    EndpointView, Exclusion, ExplainedChoice, ExplainedEndpoint, Group, LoadBalancer, Rating,
+    Refusal,
+};
 pub use load_view::{Outcome, ReportedLoad};
 pub use log_view::{LogEnds, LogView};
 pub use members::{Heartbeat, Member, Membership, Status};
