feat(operator): `sesamewing explain` tells where an entry would send a request

Callers saw 503 or a slow endpoint elsewhere; operators had to infer the reason from log lines of many requests.

The command posts the properties of a request to the metrics port of an entry, which passes them through the code of requests: route and workspace (`accept_unsent`), query (`choose::explain`), choice (`LoadBalancer::explain`) and `Retry-After` (`explain_return`). Views, return times and load schedules are copies; no permit, retry or request counter is touched.

--- a/src/decide/evacuation.rs
+++ b/src/decide/evacuation.rs
@@ -117,6 +117,11 @@
         self.zones.contains(zone)
     }
 
+    /// Returns the evacuated zones.
+    pub fn zones(&self) -> impl Iterator<Item = &Zone> {
+        self.zones.iter()
+    }
+
     /// Returns the number of evacuated zones.
     pub fn count(&self) -> usize {
         self.zones.len()
--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -119,6 +119,11 @@
         Self { route, workspace }
     }
 
+    /// Returns the lists of the route and of the workspace; `None` is no restriction.
+    pub fn lists(&self) -> (Option<&AllowedRegions>, Option<&AllowedRegions>) {
+        (self.route.as_deref(), self.workspace.as_deref())
+    }
+
     /// Returns whether not all endpoints may serve the request.
     pub fn is_restricted(&self) -> bool {
         self.route.is_some() || self.workspace.is_some()
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    body,
+    body::{self, RequestBody},
     catalog::{CallerLimits, Catalog, Route, WorkspaceSpec},
     context::Context,
     events::EventId,
@@ -175,6 +175,39 @@
     id: HeaderValue,
 }
 
+/// Returns the catalog in force.
+///
+/// # Errors
+///
+/// Returns the rejection of an entry that has no catalog or no endpoint table yet.
+fn known_catalog(ctx: &Context) -> Result<Rc<Catalog>, Reject> {
+    let catalog = ctx.catalog.borrow().clone();
+    let known = catalog.filter(|_| ctx.table_loaded.get());
+    known.ok_or_else(|| Reject::Starting(crate::base::jitter(STARTING_RETRY_AFTER)))
+}
+
+/// Times of a request.
+#[derive(Clone, Copy, Debug)]
+struct Times {
+    start: Millis,
+    /// When the request times out.
+    deadline: Millis,
+    /// When the caller stops waiting; `None` if it didn't say so.
+    caller_deadline: Option<Millis>,
+}
+
+impl Times {
+    /// Returns those of a request that began to arrive at `start`.
+    fn of(head: &Parts, route: &Route, names: &Headers, start: Millis) -> Self {
+        let left = header_number(&head.headers, &names.deadline).map(Millis);
+        Self {
+            start,
+            deadline: start + left.unwrap_or(DEADLINE_DEFAULT).min(route.timeout),
+            caller_deadline: left.map(|left| start + left),
+        }
+    }
+}
+
 /// Determines the route and the workspace of a request from its head.
 fn address(head: &Parts, catalog: &Catalog, names: &Headers) -> Result<Addressed, Reject> {
     if head_size(head) > catalog.limits.header_max.max(HEAD_ALWAYS) {
@@ -201,32 +234,54 @@
 /// is read before that too.
 pub(super) async fn accept(ctx: &Context, req: Request<Incoming>) -> Result<Job, Reject> {
     let start = ctx.now();
-    let catalog = ctx.catalog.borrow().clone();
+    let catalog = known_catalog(ctx);
     let (head, body) = req.into_parts();
     let held = ctx.callers.body(head.extensions.get());
-    let Some(catalog) = catalog.filter(|_| ctx.table_loaded.get()) else {
-        body::discard(body, CallerLimits::default().send_time, held).await;
-        return Err(Reject::Starting(crate::base::jitter(STARTING_RETRY_AFTER)));
+    let catalog = match catalog {
+        Ok(catalog) => catalog,
+        Err(reject) => {
+            body::discard(body, CallerLimits::default().send_time, held).await;
+            return Err(reject);
+        }
     };
-    let names = &ctx.headers;
     let limits = &catalog.limits;
-    let Addressed {
-        uri,
-        route,
-        workspace,
-        id,
-    } = match address(&head, &catalog, names) {
+    let addressed = match address(&head, &catalog, &ctx.headers) {
         Ok(addressed) => addressed,
         Err(reject) => {
             body::discard(body, limits.send_time, held).await;
             return Err(reject);
         }
     };
-    let time_left = header_number(&head.headers, &names.deadline).map(Millis);
-    let caller_deadline = time_left.map(|left| start + left);
-    let deadline = start + time_left.unwrap_or(DEADLINE_DEFAULT).min(route.timeout);
-    let time = limits.send_time.min(deadline - ctx.now());
+    let times = Times::of(&head, &addressed.route, &ctx.headers, start);
+    let time = limits.send_time.min(times.deadline - ctx.now());
     let body = body::read(body, limits.body_max, time, held).await?;
+    let mut job = prepare(ctx, head, addressed, times, body)?;
+    if let Some(at) = rejected_at(ctx, &job) {
+        job.returning = true;
+        job.first_at = at;
+    }
+    Ok(job)
+}
+
+/// Determines what the attempts at endpoints need of a request that is complete.
+///
+/// # Errors
+///
+/// Returns the rejection of a request that the entry does not forward.
+fn prepare(
+    ctx: &Context,
+    head: Parts,
+    addressed: Addressed,
+    times: Times,
+    body: RequestBody,
+) -> Result<Job, Reject> {
+    let names = &ctx.headers;
+    let Addressed {
+        uri,
+        route,
+        workspace,
+        id,
+    } = addressed;
     let mut headers = head.headers;
     let model = text(&headers, &names.model).map(Rc::from);
     let parts = shared_parts(text(&headers, &names.parts).unwrap_or_default());
@@ -242,7 +297,11 @@
         let value = HeaderValue::from_str(w.name.as_str()).map_err(|_| Reject::Malformed)?;
         headers.insert(&names.workspace, value);
     }
-    if ctx.stop.get().is_some_and(|plan| !plan.admits(deadline)) {
+    if ctx
+        .stop
+        .get()
+        .is_some_and(|plan| !plan.admits(times.deadline))
+    {
         return Err(Reject::Stopping(crate::base::jitter(stop::RETRY_AFTER)));
     }
     let service = route.service(rendezvous(b"split", id.as_bytes())).clone();
@@ -254,10 +313,10 @@
     let groups = groups.chain(workspace.iter().map(|w| Group::Workspace(w.name.clone())));
     let groups = groups.collect();
     let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
-    let mut job = Job {
+    Ok(Job {
         returning: false,
-        caller_deadline,
-        deadline,
+        caller_deadline: times.caller_deadline,
+        deadline: times.deadline,
         id,
         service,
         method: head.method,
@@ -270,17 +329,26 @@
         prompt_tokens,
         output_max,
         output_hint,
-        start,
-        first_at: start,
+        start: times.start,
+        first_at: times.start,
         groups,
         last_event,
         priority,
         residency,
         route,
-    };
-    if let Some(at) = rejected_at(ctx, &job) {
-        job.returning = true;
-        job.first_at = at;
-    }
-    Ok(job)
+    })
+}
+
+/// Determines what the attempts of a request without a body would need if it arrived now, for its explanation. Nothing is
+/// recorded.
+///
+/// # Errors
+///
+/// Returns the rejection with which the entry would respond.
+pub(super) fn accept_unsent(ctx: &Context, head: Parts) -> Result<Job, Reject> {
+    let start = ctx.now();
+    let catalog = known_catalog(ctx)?;
+    let addressed = address(&head, &catalog, &ctx.headers)?;
+    let times = Times::of(&head, &addressed.route, &ctx.headers, start);
+    prepare(ctx, head, addressed, times, RequestBody::default())
 }
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -37,7 +37,7 @@
 const SHED_RETRY_AFTER: Millis = Millis(1000);
 
 /// A complete body of a request.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct RequestBody {
     pub(super) data: Bytes,
     /// Keeps its memory counted; `None` if its connection does not count.
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -8,7 +8,7 @@
     context::Context,
     endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement},
     endpoint_table::EndpointId,
-    load_balancer::{LoadBalancer, Refusal},
+    load_balancer::{ExplainedChoice, LoadBalancer, Refusal},
     priority,
     record::WeightVersion,
     spill::SpillDraw,
@@ -78,6 +78,20 @@
     })
 }
 
+/// Calls `describe` with the explained choice for the first attempt of a request and with its query; see [`choose`].
+pub(super) fn explain<T>(
+    ctx: &Context,
+    job: &Job,
+    now: Millis,
+    describe: impl FnOnce(&ExplainedChoice<'_>, &EndpointQuery<'_>) -> T,
+) -> T {
+    consult(ctx, job, &Attempts::new(), |balancer, query, _| {
+        let table = ctx.endpoints.borrow();
+        let endpoints = table.of_service(&job.service);
+        describe(&balancer.explain(endpoints, query, now), query)
+    })
+}
+
 /// Calls `ask` with the load balancer, the request's query, and the connections that an endpoint of its service accepts.
 fn consult<T>(
     ctx: &Context,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -36,6 +36,7 @@
     decide::{
         era::StoreEra,
         evacuation::Evacuation,
+        explanation_limit::ExplanationLimit,
         priority::PriorityLoad,
         quarantine::Quarantine,
         residency::Residency,
@@ -137,6 +138,8 @@
     pub(super) ended: Cell<bool>,
     /// Requests of callers in progress.
     pub(super) running: Cell<u32>,
+    /// Limits the explanations that operators ask for.
+    pub(super) explanations: RefCell<ExplanationLimit>,
 }
 
 impl Context {
@@ -196,6 +199,7 @@
             exiting: Notify::new(),
             ended: Cell::default(),
             running: Cell::default(),
+            explanations: RefCell::default(),
         })
     }
 
@@ -391,6 +395,14 @@
         }
     }
 
+    /// Calls a function that explains a decision, and forgets the load schedules that it computed.
+    pub(super) fn keep_schedules<T>(&self, explain: impl FnOnce() -> T) -> T {
+        let known = self.schedules.borrow().clone();
+        let result = explain();
+        self.schedules.replace(known);
+        result
+    }
+
     /// Returns by when a request to an endpoint with this version of a model must be sent and must have begun; `None` if
     /// the version is not superseded. `read_time` is the time in which the endpoint reads the prompt.
     pub(super) fn expiry(
--- a/src/gateway/load_balancer/explain.rs
+++ b/src/gateway/load_balancer/explain.rs
@@ -200,7 +200,7 @@
         let odds = Odds::new(&trace);
         let usual = copy.usual_load(&endpoints, now);
         let known = |(i, (e, verdict)): (usize, &(&'e Endpoint, Verdict))| ExplainedEndpoint {
-            endpoint: *e,
+            endpoint: e,
             verdict: *verdict,
             possible: verdict.is_ok_and(|r| odds.is_possible(i, &r)),
             view: copy.view_of(e, usual, query, now),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,8 @@
 mod evacuation;
 mod evaluate;
 mod events;
+mod explain;
+mod explanation;
 mod follow;
 mod followers;
 mod forward;
@@ -90,6 +92,11 @@
     TableDigest, TableView, RENEWAL,
 };
 pub use events::{EventError, EventId, Events};
+pub use explanation::{
+    Decision, ExplainReply, ExplainRequest, ExplainedPermit, ExplainedRegions, ExplainedRoute,
+    ExplainedSpill, ExplainedState, ExplainedWeights, Explanation, SecretKey, Standing,
+    EXPLAIN_BUILD, EXPLAIN_PATH, EXPLANATION_MAX,
+};
 pub use follow::{follow, Follower};
 pub use headers::Headers;
 pub use issuer::{Grant, Issuers, PermitId, PermitReply, PermitRequest, PermitTerms};
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -122,7 +122,7 @@
     }
 
     /// Returns the time after which the caller should retry; `None` if a retry is useless or may run the request twice.
-    fn retry_after(self) -> Option<Millis> {
+    pub(super) fn retry_after(self) -> Option<Millis> {
         match self {
             Self::Starting(t)
             | Self::Stopping(t)
--- a/src/gateway/return_times.rs
+++ b/src/gateway/return_times.rs
@@ -68,33 +68,39 @@
     Some(next - now)
 }
 
-/// Replaces the `Retry-After` of a rejection for want of a slot, or of an endpoint that can run the request.
-pub(super) fn schedule_return(ctx: &Context, job: &Job, reject: Reject) -> Reject {
+/// Returns what the return time of a rejected request depends on; `None` if the rejection keeps its `Retry-After`: it is not
+/// for want of a slot, or of an endpoint that can run the request.
+fn rejected_request(
+    ctx: &Context,
+    job: &Job,
+    reject: Reject,
+    now: Millis,
+) -> Option<RejectedRequest> {
     // A caller that resumes a stream returns as soon as it can: the stream has begun, and its gap grows.
     if job.last_event.is_some() || !needs_engine(ctx, job) {
-        return reject;
+        return None;
     }
     let (available, outage) = match reject {
         Reject::Overloaded(wait) => (Some(wait).filter(|w| *w > UNKNOWN_MAX), false),
         Reject::Refused(_) => (None, false),
         Reject::Unavailable(_) => (next_load_end(ctx, job), true),
-        _ => return reject,
+        _ => return None,
     };
     let objective = if job.returning {
         Millis::ZERO
     } else {
         Millis(job.route.objective.0 / OBJECTIVE_DIVISOR)
     };
-    let now = ctx.now();
-    let request = RejectedRequest {
+    Some(RejectedRequest {
         left: job.caller_deadline.map(|deadline| deadline - now),
         objective,
         available,
         outage,
-    };
-    let time = with_times(ctx, job, |t| t.schedule(request, now));
-    report(ctx, job, time);
-    let wait = time.wait();
+    })
+}
+
+/// Returns a rejection with another `Retry-After`.
+fn with_wait(reject: Reject, wait: Millis) -> Reject {
     match reject {
         Reject::Overloaded(_) => Reject::Overloaded(wait),
         Reject::Refused(_) => Reject::Refused(wait),
@@ -102,6 +108,29 @@
     }
 }
 
+/// Replaces the `Retry-After` of a rejection for want of a slot, or of an endpoint that can run the request.
+pub(super) fn schedule_return(ctx: &Context, job: &Job, reject: Reject) -> Reject {
+    let now = ctx.now();
+    let Some(request) = rejected_request(ctx, job, reject, now) else {
+        return reject;
+    };
+    let time = with_times(ctx, job, |t| t.schedule(request, now));
+    report(ctx, job, time);
+    with_wait(reject, time.wait())
+}
+
+/// Returns the rejection that [`schedule_return`] would return, without telling a caller to return.
+pub(super) fn explain_return(ctx: &Context, job: &Job, reject: Reject) -> Reject {
+    let now = ctx.now();
+    let Some(request) = rejected_request(ctx, job, reject, now) else {
+        return reject;
+    };
+    let key = (job.service.clone(), job.residency.clone());
+    let known = ctx.return_times.borrow().get(&key).cloned();
+    let time = known.unwrap_or_default().schedule(request, now);
+    with_wait(reject, time.wait())
+}
+
 /// Counts the times that callers are told, and logs those who can't be served any more.
 fn report(ctx: &Context, job: &Job, time: ReturnTime) {
     let outcome = match time {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -198,8 +198,9 @@
     }
     if let Some(addr) = sockets.metrics {
         let context = ctx.clone();
-        let handler = move |req: hyper::Request<_>| {
-            std::future::ready(serve::metrics(&context, req.uri().path()))
+        let handler = move |req| {
+            let context = context.clone();
+            async move { serve::operator(&context, req).await }
         };
         let serving = listen_on(addr)?.serve(ServeOptions::default, handler, closed.clone());
         spawn_local(serving);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -19,6 +19,8 @@
     context::Context,
     directory::{Directory, DirectoryQuery},
     evaluate::response_headers,
+    explain,
+    explanation::EXPLAIN_PATH,
     in_flight::Running,
     log_event,
     metrics::{RequestLabels, ServiceLabel},
@@ -270,8 +272,15 @@
     news.encode().ok().map(Bytes::from)
 }
 
-/// Handles a request for the metrics.
-pub(super) fn metrics(ctx: &Context, path: &str) -> FullResponse {
+/// Handles a request of an operator: for the metrics, or for the explanation of a request.
+pub(super) async fn operator(ctx: &Context, req: Request<Incoming>) -> FullResponse {
+    if req.uri().path() == EXPLAIN_PATH {
+        return explain::respond(ctx, req).await;
+    }
+    metrics(ctx, req.uri().path())
+}
+
+fn metrics(ctx: &Context, path: &str) -> FullResponse {
     if path != METRICS_PATH {
         return empty(StatusCode::NOT_FOUND);
     }
--- a/src/operator/error.rs
+++ b/src/operator/error.rs
@@ -11,7 +11,7 @@
     Done = 0,
     /// The input is invalid or the change was refused.
     Refused = 1,
-    /// The command line is wrong.
+    /// The command line is wrong, or there is no explanation of a request.
     Usage = 2,
     /// The platform or the process cannot be reached.
     Unreachable = 3,
@@ -33,6 +33,9 @@
     /// The command line is wrong.
     #[error("{0}")]
     Usage(String),
+    /// There is no explanation of a request.
+    #[error("{0}")]
+    Unexplained(String),
     /// The settings tree is not valid.
     #[error(transparent)]
     Invalid(#[from] Problems),
@@ -59,7 +62,7 @@
     /// Returns the exit code.
     pub fn code(&self) -> Code {
         match self {
-            Self::Usage(_) => Code::Usage,
+            Self::Usage(_) | Self::Unexplained(_) => Code::Usage,
             Self::Invalid(_) | Self::Refused(_) => Code::Refused,
             Self::Unreachable(_) => Code::Unreachable,
             Self::Conflict(_) => Code::Conflict,
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -8,6 +8,8 @@
 mod diff;
 mod drain;
 mod error;
+mod explain;
+mod explain_text;
 mod fleet;
 mod invocation;
 mod publish;
@@ -68,6 +70,6 @@
     }
     text + "\nEach command has --help and --json. Commands that talk to the deployment need --platform URL or\n\
         SESAMEWING_PLATFORM in the environment.\n\n\
-        Exit codes: 0 done, 1 refused or invalid, 2 wrong usage, 3 platform or process unreachable, 4 conflict,\n\
+        Exit codes: 0 done, 1 refused or invalid, 2 wrong usage or no explanation, 3 platform or process unreachable, 4 conflict,\n\
         5 not caught up"
 }
--- a/tests/explain_choice.rs
+++ b/tests/explain_choice.rs
@@ -12,9 +12,9 @@
         supersede::Margins,
     },
     gateway::{
-        ColdTimes, DesiredVersions, Endpoint, EndpointId, EndpointQuery, EndpointRecord,
-        EndpointTable, Exclusion, LoadBalancer, LoadSchedule, Outcome, PendingLoads, Refusal,
-        Revision, SpillDraw, WeightRequirement, WeightVersion,
+        ColdTimes, DesiredVersions, EndpointId, EndpointQuery, EndpointRecord, EndpointTable,
+        Exclusion, LoadBalancer, LoadSchedule, Outcome, PendingLoads, Refusal, Revision, SpillDraw,
+        WeightRequirement, WeightVersion,
     },
 };
 
@@ -278,10 +278,9 @@
             for _ in 0..REQUESTS {
                 match balancer.pick(table.iter(), query, NOW) {
                     Ok(e) => {
-                        let same = |x: &&Endpoint| x.id == e.id;
-                        let allowed = explained.endpoints.iter().filter(|x| x.possible);
-                        let allowed: Vec<_> = allowed.map(|x| x.endpoint).collect();
-                        assert!(allowed.iter().any(|x| same(x)), "state {seed}: {}", e.id);
+                        let mut allowed = explained.endpoints.iter().filter(|x| x.possible);
+                        let found = allowed.any(|x| x.endpoint.id == e.id);
+                        assert!(found, "state {seed}: {}", e.id);
                         sent += 1;
                     }
                     Err(Refusal::Unavailable(_)) => {
--- a/tests/operator_cli.rs
+++ b/tests/operator_cli.rs
@@ -459,8 +459,8 @@
     assert_eq!(json["code"], 3);
     assert_eq!(sesamewing(&["check", "/nonexistent"]).code, 1);
     for command in [
-        "check", "diff", "publish", "pull", "show", "status", "drain", "timeline", "options",
-        "events",
+        "check", "diff", "explain", "publish", "pull", "show", "status", "drain", "timeline",
+        "options", "events",
     ] {
         let run = sesamewing(&[command, "--help"]);
         assert!(
