fix(gateway): rejections no longer count as withheld requests

`gateway_evacuation_withheld` counts requests that were withheld just before the send because of an evacuated zone. It rose as well by each evacuated endpoint of a service whenever a request was rejected for want of an endpoint: `next_load_end` asked `evacuation_reason`, which counts. It asks the set of evacuated zones now. An explanation would have changed the counter too.

--- a/src/gateway/return_times.rs
+++ b/src/gateway/return_times.rs
@@ -56,10 +56,11 @@
     let schedule = ctx.load_schedule(&job.service, named);
     let bound = ctx.bounds.get().version;
     let table = ctx.endpoints.borrow();
+    let evacuation = ctx.evacuation.borrow();
     let ends = table.of_service(&job.service).filter_map(|e| {
         let is_eligible = !e.record.draining
             && job.residency.allows(&e.record.zone)
-            && ctx.evacuation_reason(e).is_none();
+            && !evacuation.contains(&e.record.zone);
         let loaded = e.weights(model).filter(|_| is_eligible)?;
         let start = schedule.load_start(e, loaded, named, bound, Margins::default())?;
         Some(start + LOAD_TIME)
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -6,7 +6,10 @@
 
 use gateway_support::{
     addr,
-    gateway::{arrivals, catalog, request, respond, settings, start_entry, with_store, CALLERS},
+    gateway::{
+        arrivals, catalog, catalog_of_engines, request, respond, settings, start_entry, with_store,
+        CALLERS,
+    },
     header,
     lines::{collect_lines, take_lines},
     run_local, send_request, set_catalog, MemoryStore,
@@ -180,6 +183,29 @@
     });
 }
 
+/// Guards against a rejection, or its explanation, that counts requests which were withheld just before the send: none was
+/// about to be sent.
+#[test]
+fn rejections_withhold_nothing() {
+    let store = MemoryStore::default();
+    store.write(Topic::Operator, "evacuate/a", "1");
+    store.write(Topic::Operator, "m", "4");
+    let scripts = vec![respond("200 OK", "yes")];
+    with_store(store, catalog_of_engines(1.0), scripts, |_, _| async {
+        let withheld = "gateway_evacuation_withheld_total 0\n";
+        let before = metrics().await;
+        assert!(before.contains(withheld), "{before}");
+        let e = explanation("/safe/x", &["--model", "m"]).await;
+        assert!(matches!(e.decision, Decision::Reject { .. }), "{e:?}");
+        assert_eq!(metrics().await, before);
+        let text = request("/safe/x").replace("\r\nConnection", "\r\nX-Model: m\r\nConnection");
+        let res = send_request(addr(1, CALLERS), &text, 2000).await;
+        assert!(res.starts_with("HTTP/1.1 503"), "{res}");
+        let after = metrics().await;
+        assert!(after.contains(withheld), "{after}");
+    });
+}
+
 /// Checks that a run failed for invalid input: one clear line, and no key.
 fn assert_invalid(run: &Run, wanted: &str) {
     assert_eq!(run.code, 2, "{run:?}");
