feat(gateway): what is sent to an endpoint stays within its memory

Callers saw requests with long prompts sent to endpoints whose memory was full. The value engine.kv_capacity_tokens of the configuration was not read anywhere, and the output length of requests in flight was not counted.

Each entry now counts prompt and largest output of its requests in flight at each endpoint and tells other entries the ten largest sums. A request that fits nowhere now is rejected like one for full endpoints; one that is larger than the memory of every endpoint gets 413 at once. decide/memory.rs decides; docs/design/endpoint-memory.md has the rule and what was considered. Without a capacity, or with 0, nothing changes.

Before the change (platform/tests/endpoint_memory.rs, real processes, memory of 1000 tokens, 8 requests of 400): memory_is_kept failed with 3200 tokens in flight and 8 times 200; larger_than_the_memory failed with 200 instead of 413. After it 3 of 3 pass, with 2 of 8 served and at most 800 tokens. The tokens add at most 1080 bytes a second. 88 tests of the touched parts pass; the whole suite was not run.

EndpointQuery and ServiceSpec have a field more, so tests that construct them name it; no check of theirs changed.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 pub mod lease;
 pub mod limit;
 pub mod member;
+pub mod memory;
 pub mod own_speed;
 pub mod pace;
 pub mod permit;
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     base::{HashMap, Millis, Service, Workspace, Zone},
-    decide::{cold::ColdStart, residency::AllowedRegions, spill::ZoneDelays},
+    decide::{cold::ColdStart, memory::Tokens, residency::AllowedRegions, spill::ZoneDelays},
 };
 
 /// Version of a catalog; a later one has a higher number.
@@ -143,6 +143,8 @@
     pub origin: Option<OriginSpec>,
     /// One-way delays between zones.
     pub delays: ZoneDelays,
+    /// Tokens that fit into the memory of each endpoint; `None` if that is not limited.
+    pub memory: Option<Tokens>,
     /// How the service's endpoints start; `None` if cold ones need no limit.
     pub cold: Option<ColdStart>,
 }
@@ -238,6 +240,11 @@
         self.services.values().any(|s| s.cold.is_some())
     }
 
+    /// Returns whether the memory of a service's endpoints is limited.
+    pub fn limits_memory(&self) -> bool {
+        self.services.values().any(|s| s.memory.is_some())
+    }
+
     /// Returns the location of the weight store, if a service is the weight store.
     pub fn origin(&self) -> Option<&OriginSpec> {
         self.services.values().find_map(|s| s.origin.as_ref())
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -6,10 +6,10 @@
     accept::Job,
     attempt::Attempts,
     context::Context,
-    endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement},
+    endpoint_query::{EndpointQuery, MemoryQuery, PendingLoads, WeightRequirement},
     endpoint_table::EndpointId,
     load_balancer::{LoadBalancer, Refusal},
-    priority,
+    memory, priority,
     record::WeightVersion,
     spill::SpillDraw,
     worth,
@@ -120,6 +120,7 @@
         }
     });
     let owned = ctx.owned.borrow();
+    let homes = ctx.homes.borrow();
     let evacuation = ctx.evacuation.borrow();
     let cold = ctx.cold.borrow();
     let spills = ctx.spills.borrow();
@@ -147,6 +148,12 @@
             e.duration(job.prompt_tokens, job.output_max, job.output_hint)
         }),
         cold: limits_cold.then_some(&cold),
+        memory: memory::demand(ctx, job).map(|demand| MemoryQuery {
+            demand,
+            begun: attempts.sent.get() > 0 || job.last_event.is_some(),
+            entries: memory::entries(ctx),
+            homes: &homes,
+        }),
         spill: spills.services.get(&job.service).map(|spill| SpillDraw {
             spill,
             draw: fastrand::f64(),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -21,7 +21,7 @@
     members::Membership,
     message::DesiredAge,
     metrics::GatewayMetrics,
-    ownership::owned_endpoints,
+    ownership::divide,
     permit_requests::Permits,
     record::WeightVersion,
     schedule::LoadSchedule,
@@ -111,6 +111,8 @@
     pub(super) return_times: RefCell<HashMap<(Service, Residency), ReturnTimes>>,
     /// Endpoints that this entry owns.
     pub(super) owned: RefCell<HashSet<EndpointId>>,
+    /// Endpoints whose memory this entry fills, each with the number of entries that do.
+    pub(super) homes: RefCell<HashMap<EndpointId, u32>>,
     /// Whether the endpoint table was loaded, from the store or from another entry.
     pub(super) table_loaded: Cell<bool>,
     /// Whether the endpoint table changed since the last call of [`Context::notify_changed`].
@@ -184,6 +186,7 @@
             worth: RefCell::default(),
             return_times: RefCell::default(),
             owned: RefCell::default(),
+            homes: RefCell::default(),
             table_loaded: Cell::default(),
             table_changed: Cell::default(),
             reader_since: Cell::default(),
@@ -357,12 +360,13 @@
         })
     }
 
-    /// Recomputes which endpoints this entry owns, from the entries that are live now.
+    /// Recomputes which endpoints this entry owns and of which it is a home, from the entries that are live now.
     pub(super) fn update_ownership(&self) {
         let members = self.members.borrow();
         let entries = members.ready_entries(self.now());
-        let owned = owned_endpoints(&self.endpoints.borrow(), &entries, members.me().peer);
+        let (owned, homes) = divide(&self.endpoints.borrow(), &entries, members.me().peer);
         *self.owned.borrow_mut() = owned;
+        *self.homes.borrow_mut() = homes;
     }
 
     /// Discards the load schedules, because endpoints were added or removed.
--- a/src/gateway/endpoint_query.rs
+++ b/src/gateway/endpoint_query.rs
@@ -5,8 +5,13 @@
     record::WeightVersion, schedule::LoadSchedule, spill::SpillDraw,
 };
 use crate::{
-    base::{HashSet, Millis, Zone},
-    decide::{evacuation::Evacuation, residency::Residency, supersede::Margins},
+    base::{HashMap, HashSet, Millis, Zone},
+    decide::{
+        evacuation::Evacuation,
+        memory::{MemoryDemand, Right},
+        residency::Residency,
+        supersede::Margins,
+    },
 };
 
 /// Loads of a newer version that the hosts of a service have still to begin.
@@ -35,6 +40,39 @@
     pub oldest_queued: WeightVersion,
 }
 
+/// What a request needs of an endpoint's memory, and where it may take it.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryQuery<'a> {
+    /// Memory of each endpoint, and what the request needs of it.
+    pub demand: MemoryDemand,
+    /// Whether the request was sent to an endpoint before.
+    pub begun: bool,
+    /// Number of entries.
+    pub entries: u32,
+    /// Endpoints of which the entry is a home, with the number of homes; see [`home_endpoints`](super::home_endpoints()).
+    pub homes: &'a HashMap<EndpointId, u32>,
+}
+
+impl MemoryQuery<'_> {
+    /// Returns the right of the request to the memory of an endpoint. A single entry is the home of all endpoints, also
+    /// before it has learned of them.
+    pub(super) fn right(&self, id: &EndpointId) -> Right {
+        let alone = self.entries <= 1;
+        if self.begun {
+            return Right::Begun;
+        }
+        if alone {
+            return Right::Home { homes: 1, alone };
+        }
+        let entries = self.entries;
+        let homes = self.homes.get(id).copied();
+        homes.map_or(Right::Open { entries }, |homes| Right::Home {
+            homes,
+            alone,
+        })
+    }
+}
+
 /// Properties of a request, and of the entry that forwards it, by which its endpoint is chosen.
 #[derive(Clone, Debug)]
 pub struct EndpointQuery<'a> {
@@ -62,6 +100,8 @@
     pub duration: Millis,
     /// Cold times of endpoints; `None` if the service does not limit the requests to cold ones.
     pub cold: Option<&'a ColdTimes>,
+    /// What the request needs of an endpoint's memory; `None` if that is not limited.
+    pub memory: Option<MemoryQuery<'a>>,
     /// Shares of requests that may go to other zones; `None` if the cost of other zones is fixed.
     pub spill: Option<SpillDraw<'a>>,
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,7 +26,7 @@
     in_flight::InFlight,
     load_balancer::Refusal,
     load_view::Outcome,
-    log_event,
+    log_event, memory,
     permits::{self, Permit},
     priority,
     record::WeightVersion,
@@ -106,7 +106,7 @@
     let now = ctx.now();
     let (id, addr) = (choice.id.clone(), choice.addr);
     attempts.exclude(id.clone());
-    let mut flight = InFlight::begin(ctx, id.clone(), job.prompt_tokens);
+    let mut flight = InFlight::begin(ctx, id.clone(), job.prompt_tokens, memory::tokens(job));
     let limit = CONNECT_TIMEOUT.min(job.deadline - now);
     let (connection, reused) = match open(ctx, job, addr, limit).await {
         Ok(opened) => opened,
@@ -132,6 +132,9 @@
             "id={} endpoint={id} outcome=not-sent reason=\"{reason}\"",
             job.id()
         );
+        if reason == memory::NO_MEMORY {
+            attempts.readmit(&id);
+        }
         flight.end(Outcome::Abandoned);
         return Ok(Attempt::NotSent);
     }
@@ -190,7 +193,10 @@
         Some(e) if !job.residency.allows(&e.record.zone) => {
             Some("the endpoint is in a region that is not allowed")
         }
-        Some(e) => ctx.evacuation_reason(e),
+        Some(e) => {
+            let reason = ctx.evacuation_reason(e);
+            reason.or_else(|| memory::withhold_reason(ctx, job, id))
+        }
     }
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -18,7 +18,8 @@
     followers::{apply_catalog, endpoint_changed},
     log_event,
     members::HEARTBEAT_INTERVAL,
-    message::{Appended, Gossip, Message, ReadTimes},
+    memory,
+    message::{Appended, Gossip, Message},
     operator_records::Decode,
     permits, returning, screen, serve,
 };
@@ -73,7 +74,7 @@
                 merge_evacuation(&ctx, &datagram, &appended, waited);
                 merge_loads(&ctx, appended.loads.as_ref(), waited);
                 let newest = is_newest(&ctx, &datagram);
-                merge_gossip(&ctx, datagram, &appended.times, waited);
+                merge_gossip(&ctx, datagram, &appended, waited);
                 // After the versions, which were written before the log ended there.
                 let era = ctx.store_era.borrow().known();
                 let end = appended.log.filter(|log| newest && log.is_of(era));
@@ -138,21 +139,24 @@
     }
 }
 
-/// Merges a datagram of another entry; `times` are those of its heartbeats, `waited` is the time for which it lay in the
+/// Merges a datagram of another entry and what it appended; `waited` is the time for which it lay in the
 /// socket.
-fn merge_gossip(ctx: &Context, datagram: Gossip, times: &ReadTimes, waited: Millis) {
+fn merge_gossip(ctx: &Context, datagram: Gossip, appended: &Appended, waited: Millis) {
     let now = ctx.now();
     ctx.merge_desired(datagram.desired);
     let sender = datagram.heartbeats.first().map(|h| h.peer);
     if let Some(sender) = sender {
         let mut balance = ctx.balancer.borrow_mut();
         balance.merge_peer_load(sender, &datagram.in_flight, now);
+        if let Some(tokens) = &appended.tokens {
+            balance.merge_peer_tokens(sender, &datagram.in_flight, tokens);
+        }
     }
     merge_leaving(ctx, &datagram.leaving);
     let mut members = ctx.members.borrow_mut();
     for (i, heartbeat) in datagram.heartbeats.into_iter().enumerate() {
         let (peer, status) = (heartbeat.peer, heartbeat.status);
-        let time = times.0.get(i).copied();
+        let time = appended.times.0.get(i).copied();
         if members.merge_waited(heartbeat, time, waited, now) {
             emit!(log_event::MEMBER, "entry={peer} ready={}", status.ready);
         }
@@ -179,18 +183,23 @@
         in_flight: ctx.balancer.borrow().in_flight(),
         leaving: ctx.endpoints.borrow().leaving(ctx.now()),
     };
+    let tokens = memory::report(ctx, &datagram.in_flight);
     let message = Message::Gossip(datagram);
     let copy = ctx.evacuation.borrow().copy(ctx.now());
     let loads = {
         let owned = ctx.owned.borrow();
         ctx.balancer.borrow().loads(&owned, ctx.now())
     };
-    match copy {
-        Some(copy) => {
+    match (copy, tokens) {
+        (Some(copy), None) => {
             let appended = (times, copy, ctx.log_view(), loads);
             send_to_all(socket, &(message, appended), targets).await;
         }
-        None => send_to_all(socket, &(message, times), targets).await,
+        (Some(copy), tokens) => {
+            let appended = (times, copy, ctx.log_view(), loads, tokens);
+            send_to_all(socket, &(message, appended), targets).await;
+        }
+        (None, _) => send_to_all(socket, &(message, times), targets).await,
     }
 }
 
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use super::{context::Context, endpoint_table::EndpointId, load_view::Outcome, spill::Traffic};
+use crate::decide::memory::Tokens;
 
 /// A request in flight at an endpoint. Dropped without [`InFlight::end`], it counts as abandoned.
 #[derive(Debug)]
@@ -12,18 +13,25 @@
     outcome: Outcome,
     /// Prompt tokens that the endpoint has yet to read.
     prompt: u32,
+    /// Prompt and largest output.
+    tokens: Tokens,
     pub(super) traffic: Traffic,
 }
 
 impl InFlight {
-    /// Counts a request that is sent to an endpoint; `prompt` is its length in tokens.
-    pub(super) fn begin(ctx: &Rc<Context>, id: EndpointId, prompt: u32) -> Self {
-        ctx.balancer.borrow_mut().begin(&id, prompt, ctx.now());
+    /// Counts a request that is sent to an endpoint; `prompt` is its length in tokens, `tokens` that with its largest output.
+    pub(super) fn begin(ctx: &Rc<Context>, id: EndpointId, prompt: u32, tokens: Tokens) -> Self {
+        {
+            let mut balancer = ctx.balancer.borrow_mut();
+            balancer.begin(&id, prompt, ctx.now());
+            balancer.begin_tokens(&id, tokens);
+        }
         Self {
             ctx: ctx.clone(),
             id,
             outcome: Outcome::Abandoned,
             prompt,
+            tokens,
             traffic: Traffic::default(),
         }
     }
@@ -53,6 +61,10 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.prompt_read();
+        self.ctx
+            .balancer
+            .borrow_mut()
+            .end_tokens(&self.id, self.tokens);
         self.ctx.count_traffic(&self.id, self.traffic);
         self.ctx.end(&self.id, self.outcome);
     }
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -16,12 +16,14 @@
 //! | an endpoint is cold, and its service limits cold ones | the same; costs more, so that warm ones come first |
 //! | an endpoint fails part of its requests | its cost grows, so that it is used only when the others are loaded |
 //! | the request may be served in some regions only | the others' endpoints neither get it nor count for `Retry-After` |
+//! | an endpoint's memory is limited, and little of it is free | it gets requests that fit (`decide/memory.rs`) |
 //! | an endpoint is lost | its circuit breaker opens |
 //! | a zone is crowded, others have room | a share of its requests considers the others (`decide/spill.rs`) |
 //! | a zone is evacuated | its endpoints are not capable; the others are chosen by load as before |
 //! | a zone is put back into service | a rising share of requests considers it, with a rising limit of load |
 
 mod loads;
+mod memory;
 
 use super::{
     endpoint_query::EndpointQuery,
@@ -290,6 +292,9 @@
             if load >= limit && !queues {
                 continue;
             }
+            if !memory::fits(view, e, query, load, now) {
+                continue;
+            }
             let cost = drain + view.cost(e, query, load, now) + cold_cost(e, query, now);
             let mut cost = cost + view.start_cost(e, settled, now);
             if informed {
@@ -357,7 +362,7 @@
         if !query.is_allowed(e) || query.is_evacuated(e) {
             return false;
         }
-        if e.record.draining || query.tried.contains(&e.id) {
+        if e.record.draining || query.tried.contains(&e.id) || query.is_too_large() {
             return false;
         }
         let Some(required) = query.weights else {
--- a/src/gateway/load_balancer/loads.rs
+++ b/src/gateway/load_balancer/loads.rs
@@ -6,7 +6,7 @@
     super::{
         endpoint_loads::{EndpointLoad, EndpointLoads},
         endpoint_table::{Endpoint, EndpointHash, EndpointId},
-        load_view::LoadView,
+        load_view::{LoadView, PeerLoad},
     },
     LoadBalancer,
 };
@@ -67,10 +67,15 @@
         now: Millis,
     ) {
         for (id, view) in &mut self.views {
-            view.peer_load.retain(|t| t.0 != from);
+            view.peer_load.retain(|t| t.from != from);
             let hash = id.hash();
             if let Some((_, count)) = loads.iter().find(|l| l.0 == hash) {
-                view.peer_load.push((from, *count, now));
+                view.peer_load.push(PeerLoad {
+                    from,
+                    requests: *count,
+                    tokens: None,
+                    at: now,
+                });
             }
         }
     }
--- a/src/gateway/load_view.rs
+++ b/src/gateway/load_view.rs
@@ -8,7 +8,13 @@
 };
 use crate::{
     base::Millis,
-    decide::{known_load::KnownLoad, own_speed::OwnSpeed, pace::Pace, route::Breaker},
+    decide::{
+        known_load::KnownLoad,
+        memory::{Held, Tokens},
+        own_speed::OwnSpeed,
+        pace::Pace,
+        route::Breaker,
+    },
 };
 
 /// Time in milliseconds that an endpoint needs to read its unread prompts at which these cost as much as a full set of
@@ -155,18 +161,38 @@
     pub(super) pace: f64,
 }
 
+/// Requests in flight at an endpoint as another entry reported them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PeerLoad {
+    /// Address of the entry.
+    pub(super) from: SocketAddr,
+    pub(super) requests: u16,
+    /// Their tokens; `None` if it did not tell.
+    pub(super) tokens: Option<Tokens>,
+    /// Time of the report.
+    pub(super) at: Millis,
+}
+
+impl PeerLoad {
+    fn is_fresh(&self, now: Millis) -> bool {
+        now < self.at + PEER_LOAD_LIFETIME
+    }
+}
+
 /// Load of one endpoint as this entry knows it.
 #[derive(Debug, Default)]
 pub(super) struct LoadView {
     /// Requests of this entry in flight.
     pub(super) in_flight: u32,
+    /// Tokens of these requests.
+    pub(super) held: Held,
     /// Prompt tokens of the requests in flight that the endpoint has yet to read.
     unread_tokens: u32,
     /// Requests of other entries when the endpoint last reported its load, and the time of that report.
     other_load: u32,
     reported_at: Option<Millis>,
-    /// Address of each other entry with requests in flight here, their number and the time of its report.
-    pub(super) peer_load: Vec<(SocketAddr, u16, Millis)>,
+    /// Requests in flight here of each other entry that has any.
+    pub(super) peer_load: Vec<PeerLoad>,
     /// How long work takes on the endpoint's host.
     pace: Pace,
     /// How long work takes there for tens of seconds, from streams of this entry and as other entries told.
@@ -237,11 +263,21 @@
     fn counted(&self, now: Millis) -> u32 {
         self.peer_load
             .iter()
-            .filter(|t| now < t.2 + PEER_LOAD_LIFETIME)
-            .map(|t| u32::from(t.1))
+            .filter(|t| t.is_fresh(now))
+            .map(|t| u32::from(t.requests))
             .fold(self.in_flight, u32::saturating_add)
     }
 
+    /// Returns the requests whose tokens are known: those of this entry, and those of entries that told them.
+    pub(super) fn known_tokens(&self, now: Millis) -> Held {
+        let fresh = self.peer_load.iter().filter(|t| t.is_fresh(now));
+        let told = fresh.filter_map(|t| {
+            let requests = u32::from(t.requests);
+            t.tokens.map(|tokens| Held { requests, tokens })
+        });
+        told.fold(self.held, Held::plus)
+    }
+
     /// Returns the requests at the endpoint: those of this entry, and those of other entries as far as they are known.
     pub(super) fn load(&self, now: Millis, peers_complete: bool) -> u32 {
         let counted = self.counted(now);
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -64,6 +64,9 @@
     /// A request that can't meet its latency objective any more was sent with the lowest urgency.
     LATE = 488, "gateway-late", Info,
         "a request that can't meet its latency objective any more was sent with the lowest urgency, because slots are scarce", "check the load of the service's engines";
+    /// A request was rejected while endpoints had too little memory for it.
+    MEMORY = 490, "gateway-memory", Info,
+        "a request was rejected while endpoints had too little memory for its prompt and its largest output", "check the load of the service's engines, and engine.kv_capacity_tokens in the configuration";
     /// A zone was evacuated or put back into service, as the operator's record says.
     EVACUATION = 472, "gateway-evacuation", Info,
         "a zone was evacuated, so that its endpoints get no requests, or put back into service", "for endpoints=0 check the name of the zone in the operator's record; for change=Ignored remove records of zones that don't exist";
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -9,6 +9,7 @@
     limits::LimitReport,
     log_view::LogView,
     members::Heartbeat,
+    peer_tokens::PeerTokens,
     record::WeightVersion,
     write_time::WriteAge,
 };
@@ -86,6 +87,8 @@
     pub log: Option<LogView>,
     /// Loads of endpoints that the sender of a [`Gossip`] knows; they follow the end of the log.
     pub loads: Option<EndpointLoads>,
+    /// Tokens of the sender's requests in flight; they follow the loads.
+    pub tokens: Option<PeerTokens>,
 }
 
 impl Appended {
@@ -101,11 +104,14 @@
             };
         };
         let (log, rest): (Option<LogView>, _) = postcard::take_from_bytes(rest).unwrap_or_default();
+        let (loads, rest): (Option<EndpointLoads>, _) =
+            postcard::take_from_bytes(rest).unwrap_or_default();
         Self {
             times,
             evacuation: Some(evacuation),
             log,
-            loads: postcard::from_bytes(rest).unwrap_or_default(),
+            loads,
+            tokens: postcard::from_bytes(rest).unwrap_or_default(),
         }
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -67,6 +67,10 @@
     pub(super) limited: Counter,
     /// Requests rejected while slots were kept free for more urgent ones.
     pub(super) reserved: Counter,
+    /// Requests rejected while endpoints had too little memory for them, and requests that were not sent after all because
+    /// others had taken the memory of the chosen endpoint meanwhile.
+    pub(super) memory_rejected: Counter,
+    pub(super) memory_withheld: Counter,
     /// Requests sent to engines with the lowest urgency because they can't meet their latency objective.
     pub(super) late: Counter,
     /// Rejected callers, by whether they were told to return within their deadline.
@@ -129,6 +133,8 @@
             retries: Counter::default(),
             limited: Counter::default(),
             reserved: Counter::default(),
+            memory_rejected: Counter::default(),
+            memory_withheld: Counter::default(),
             late: Counter::default(),
             returns: Family::default(),
             cold: Counter::default(),
@@ -165,6 +171,13 @@
             r.register("gateway_limited_requests", help, out.limited.clone());
             let help = "Requests rejected while slots were kept free for more urgent ones";
             r.register("gateway_reserved_rejections", help, out.reserved.clone());
+            let help = "Requests rejected while endpoints had too little memory for them";
+            let rejected = out.memory_rejected.clone();
+            r.register("gateway_memory_rejections", help, rejected);
+            let help =
+                "Requests withheld just before the send because the endpoint's memory was taken";
+            let withheld = out.memory_withheld.clone();
+            r.register("gateway_memory_withheld", help, withheld);
             let help =
                 "Requests that can't meet their latency objective, sent with the lowest urgency";
             r.register("gateway_late_requests", help, out.late.clone());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,11 +43,13 @@
 mod log_event;
 mod log_view;
 mod members;
+mod memory;
 mod message;
 mod metrics;
 mod mirror;
 mod operator_records;
 mod ownership;
+mod peer_tokens;
 mod permit_requests;
 mod permits;
 mod priority;
@@ -84,7 +86,7 @@
 pub use desired::DesiredVersions;
 pub use directory::{Directory, DirectoryQuery};
 pub use endpoint_loads::{EndpointLoad, EndpointLoads};
-pub use endpoint_query::{EndpointQuery, PendingLoads, WeightRequirement};
+pub use endpoint_query::{EndpointQuery, MemoryQuery, PendingLoads, WeightRequirement};
 pub use endpoint_table::{
     Change, Endpoint, EndpointHash, EndpointId, EndpointTable, EndpointUpdate, TableDelta,
     TableDigest, TableView, RENEWAL,
@@ -100,7 +102,8 @@
 pub use members::{Heartbeat, Member, Membership, Status};
 pub use message::{Appended, DesiredAge, Gossip, Message, ProbeRequest, ReadTimes};
 pub use operator_records::{Decode, OperatorFollower, OperatorSink};
-pub use ownership::{owned_endpoints, ReadyEntry};
+pub use ownership::{home_endpoints, owned_endpoints, ReadyEntry};
+pub use peer_tokens::{EndpointTokens, PeerTokens};
 pub use prompt::shared_parts;
 pub use record::{
     EndpointRecord, OperatorRecord, Record, RecordFault, RecordStore, Records, Revision,
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -14,6 +14,7 @@
     context::Context,
     forward::{attempt, may_join, may_repeat, Repetition},
     load_balancer::Refusal,
+    memory,
     reply::Reject,
 };
 use crate::base::Millis;
@@ -121,6 +122,7 @@
     job: &Job,
     attempts: &Attempts,
 ) -> Result<Answer, Reject> {
+    memory::check(ctx, job)?;
     let mut ended = Ended::default();
     let mut race = FuturesUnordered::new();
     let mut newest = 1;
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -41,6 +41,9 @@
     /// The body exceeds the catalog's limit; the request was not run.
     #[error("the request body is too large")]
     TooLarge,
+    /// Prompt and largest output exceed the memory of each endpoint; the request was not run.
+    #[error("not run, the prompt and its largest output exceed the memory of every endpoint")]
+    TooLong,
     /// This entry has no catalog or no endpoint table yet; the request was not run.
     #[error("not run, this entry is starting; retry after {0}")]
     Starting(Millis),
@@ -85,7 +88,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooLarge | Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Starting(_)
             | Self::Stopping(_)
             | Self::MemoryUsedUp(_)
@@ -107,6 +110,7 @@
             Self::NoRoute => "no-route",
             Self::RequestTimeout => "slow",
             Self::HeadTooLarge | Self::TooLarge => "too-large",
+            Self::TooLong => "too-long",
             Self::Starting(_) => "starting",
             Self::Stopping(_) => "stopping",
             Self::MemoryUsedUp(_) => "memory",
--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -5,7 +5,7 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    accept::Job, context::Context, datagram::send_to_all, message::Message, priority,
+    accept::Job, context::Context, datagram::send_to_all, memory, message::Message, priority,
     reply::Reject, worth,
 };
 use crate::{
@@ -52,6 +52,7 @@
     if matches!(reject, Reject::Overloaded(_)) {
         priority::record(ctx, job, false);
         worth::record(ctx, job, false);
+        memory::record_rejected(ctx, job);
     }
     let Some(deadline) = job.caller_deadline.filter(|_| overloaded) else {
         return;
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -372,6 +372,7 @@
             returning,
             reserve: 0,
             duration: WORK,
+            memory: None,
             spill: None,
         };
         let (away, ids, now) = (&self.away, &self.ids, self.now);
--- a/tests/cold_times.rs
+++ b/tests/cold_times.rs
@@ -320,6 +320,7 @@
             evacuation: None,
             residency: None,
             reserve: 0,
+            memory: None,
             spill: None,
         };
         let mut balancer = LoadBalancer::default();
--- a/tests/copy_support/mod.rs
+++ b/tests/copy_support/mod.rs
@@ -123,6 +123,7 @@
             zone: Some("a".parse().expect("a valid name")),
         }),
         cold: None,
+        memory: None,
         delays: Default::default(),
     };
     out.services
--- a/tests/evacuated_load.rs
+++ b/tests/evacuated_load.rs
@@ -80,6 +80,7 @@
         duration: Millis::ZERO,
         residency: None,
         cold: None,
+        memory: None,
         spill: None,
     };
     let e = balancer.pick(table.iter(), &query, now)?;
--- a/tests/extreme_records.rs
+++ b/tests/extreme_records.rs
@@ -47,6 +47,7 @@
         returning: true,
         reserve: 0,
         duration: Millis(1000),
+        memory: None,
         spill: None,
     }
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -91,6 +91,7 @@
 
 fn query<'a>(zone: &'a Zone, owned: &'a HashSet<EndpointId>) -> EndpointQuery<'a> {
     EndpointQuery {
+        memory: None,
         spill: None,
         zone,
         residency: None,
--- a/tests/gateway_homes.rs
+++ b/tests/gateway_homes.rs
@@ -99,6 +99,7 @@
         returning: false,
         reserve: 0,
         duration: Millis(1000),
+        memory: None,
         spill: None,
     }
 }
--- a/tests/gateway_support/gateway.rs
+++ b/tests/gateway_support/gateway.rs
@@ -88,6 +88,7 @@
         weights: None,
         origin: None,
         cold: None,
+        memory: None,
         delays: Default::default(),
     };
     out.services
--- a/tests/region_rules.rs
+++ b/tests/region_rules.rs
@@ -185,6 +185,7 @@
         evacuation: None,
         reserve: 0,
         cold: None,
+        memory: None,
         spill: None,
     };
     let mut balancer = LoadBalancer::default();
--- a/tests/uneven_endpoints.rs
+++ b/tests/uneven_endpoints.rs
@@ -143,6 +143,7 @@
                 duration: Millis::ZERO,
                 residency: None,
                 cold: None,
+                memory: None,
                 spill: None,
             };
             let balancer = &mut balancers[entry];
--- a/tests/version_margins/main.rs
+++ b/tests/version_margins/main.rs
@@ -243,6 +243,7 @@
             returning: false,
             reserve: 0,
             duration,
+            memory: None,
             spill: None,
         };
         let balancer = &mut self.balancers[entry];
--- a/tests/zone_costs.rs
+++ b/tests/zone_costs.rs
@@ -58,6 +58,7 @@
         reserve: 0,
         duration: Millis::ZERO,
         cold: None,
+        memory: None,
         spill,
     }
 }
