feat(gateway): streams are read on while their callers do not read

A caller that read nothing of a stream made the entry stop reading its endpoint's response, because hyper does not ask for the body while the caller's socket is full. Endpoints cut off what is not read for a few seconds. The caller was closed only after 5 s, and only if all memory for callers was used.

The entry now reads a stream ahead, within the part of the memory for responses; what it holds counts as unread by the caller's connection. If that part is used up and a response grows over its share, the caller that has not read for longest (1 s at least) is shed, before the response of another caller is given up.

--- a/src/decide/shed.rs
+++ b/src/decide/shed.rs
@@ -18,6 +18,10 @@
 /// has run.
 const READ_STALL: Millis = Millis(5000);
 
+/// Time without progress after which a caller that reads is shed for a response that needs the memory. Endpoints cut off
+/// responses that are not read for a few seconds.
+const RESPONSE_STALL: Millis = Millis(1000);
+
 /// Bytes that count as progress: a caller that sends or reads them one by one makes none.
 const PROGRESS: usize = 4 << 10;
 
@@ -320,19 +324,67 @@
         if new <= old {
             return Ok(());
         }
+        self.shed_above(self.capacity.bytes, now);
+        while !self.holds_response(new) {
+            if !self.shed_reader(now) {
+                self.responses = self.responses - new + old;
+                self.used = self.used - new + old;
+                return Err(NoMemory);
+            }
+        }
+        Ok(())
+    }
+
+    /// Adds bytes of a response that are read before a connection's caller reads them. Callers that do not read are shed if
+    /// the memory is used up, which may include that one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and leaves the size as it was, if the memory is used up and the response grows over its share, or if
+    /// the connection is shed.
+    pub fn read_ahead(&mut self, id: HolderId, bytes: usize, now: Millis) -> Result<(), NoMemory> {
+        let sizes = self.sizes(id);
+        let unsent = sizes.unsent + bytes;
+        self.resize(id, Sizes { unsent, ..sizes }, now);
+        while !self.holds_response(unsent) && self.shed_reader(now) {}
+        let holder = self.holders.get(&id);
+        let open = holder.is_some_and(|h| h.phase != Phase::Closing);
+        if open && self.holds_response(unsent) {
+            return Ok(());
+        }
+        self.update(id, |h| h.sizes.unsent = sizes.unsent);
+        Err(NoMemory)
+    }
+
+    /// Returns whether a response may have this size, which is counted already.
+    fn holds_response(&self, size: usize) -> bool {
         let Capacity {
             bytes, responses, ..
         } = self.capacity;
-        self.shed_above(bytes, now);
         let over = self.responses > responses || self.used > bytes;
         let share = responses / self.response_count.max(1);
         // Shares that were taken earlier add up, so there is a bound for these too.
-        if over && (new > share || self.used > bytes + responses) {
-            self.responses = self.responses - new + old;
-            self.used = self.used - new + old;
-            return Err(NoMemory);
-        }
-        Ok(())
+        !over || (size <= share && self.used <= bytes + responses)
+    }
+
+    /// Sheds the caller that has not read its response for longest, if that is long; returns whether there is one.
+    fn shed_reader(&mut self, now: Millis) -> bool {
+        let stalled = self.holders.iter().filter(|(_, h)| {
+            let unread = h.phase == Phase::Sending && h.sizes.unsent > 0;
+            unread && now - h.since >= RESPONSE_STALL
+        });
+        let first = stalled.min_by_key(|(id, h)| (h.since, Reverse(h.sizes.unsent), **id));
+        let Some(id) = first.map(|(id, _)| *id) else {
+            return false;
+        };
+        self.shed(id, now);
+        true
+    }
+
+    /// Sheds a connection.
+    fn shed(&mut self, id: HolderId, now: Millis) {
+        self.set_phase(id, Phase::Closing, now);
+        self.orders.push((id, Order::Shed));
     }
 
     /// Changes a connection and the sums that it is part of.
@@ -364,8 +416,7 @@
         let Some((_, Reverse(id))) = ranked.max() else {
             return false;
         };
-        self.set_phase(id, Phase::Closing, now);
-        self.orders.push((id, Order::Shed));
+        self.shed(id, now);
         true
     }
 
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -55,7 +55,7 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     /// Keeps the memory of the body counted.
-    _held: Option<HeldBody>,
+    pub(super) held: Option<HeldBody>,
     pub(super) model: Option<Rc<str>>,
     /// Parts of the prompt that other requests may share.
     pub(super) parts: Vec<PartKey>,
@@ -264,7 +264,7 @@
         uri,
         headers,
         body: body.data,
-        _held: body.held,
+        held: body.held,
         model,
         parts,
         prompt_tokens,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 mod priority;
 mod prompt;
 mod race;
+mod read_ahead;
 mod record;
 mod reply;
 mod residency;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use futures_util::{stream, Stream};
+use futures_util::{future::Either, stream, Stream};
 use hyper::body::Frame;
 
 use super::{
@@ -19,12 +19,13 @@
     in_flight::Running,
     load_view::Outcome,
     log_event, metrics,
+    read_ahead::ReadAhead,
     reply::Reject,
     source::{ReadResult, Source, EVENT_TIMEOUT},
     standby::{Next, StreamView},
     worth,
 };
-use crate::emit;
+use crate::{emit, http::HeldBody};
 
 /// Error that ends the caller's connection because the stream ended before its last event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -155,19 +156,27 @@
         Reject::Lost
     }
 
-    /// Returns the body of the response to the caller.
+    /// Returns the body of the response to the caller. It is read on while the caller does not read, if what it holds counts.
     pub(super) fn into_stream(self) -> impl Stream<Item = Result<Frame<Bytes>, Cut>> {
-        stream::unfold(self, |mut relay| async move {
-            let item = relay.next().await?;
+        let reader = match self.job.held.as_ref().map(HeldBody::unread) {
+            Some(unread) => Either::Left(ReadAhead::begin(self, unread)),
+            None => Either::Right(self),
+        };
+        stream::unfold(reader, |mut reader| async move {
+            let item = match &mut reader {
+                Either::Left(ahead) => ahead.next().await?,
+                Either::Right(relay) => relay.next().await?,
+            };
             if item.is_err() {
                 // hyper writes what it holds while a body is pending, and drops it when the body fails.
                 tokio::task::yield_now().await;
             }
-            Some((item.map(Frame::data), relay))
+            Some((item.map(Frame::data), reader))
         })
     }
 
-    async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+    /// Returns what comes next in the stream.
+    pub(super) async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
         if let Some(first) = self.first.take() {
             return Some(Ok(first));
         }
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -59,6 +59,14 @@
 #[derive(Debug)]
 pub struct HeldBody(Rc<Held>);
 
+/// What is read of a response before its caller reads it. It counts until it is dropped.
+#[derive(Debug)]
+pub struct UnreadResponse {
+    held: Rc<Held>,
+    /// Size in bytes.
+    size: usize,
+}
+
 /// The caller's request was shed; it was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the memory for callers is used up")]
@@ -328,6 +336,14 @@
         Ok(())
     }
 
+    /// Begins to read a response ahead of its caller.
+    pub fn unread(&self) -> UnreadResponse {
+        UnreadResponse {
+            held: self.0.clone(),
+            size: 0,
+        }
+    }
+
     /// Waits until the request is shed.
     pub async fn shed(&self) {
         loop {
@@ -344,6 +360,34 @@
     }
 }
 
+impl UnreadResponse {
+    /// Counts bytes that are read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no memory for them.
+    pub fn add(&mut self, bytes: usize) -> Result<(), NoMemory> {
+        let Held { callers, id, .. } = &*self.held;
+        let now = callers.clock.now();
+        callers.change(|b| b.read_ahead(*id, bytes, now))?;
+        self.size += bytes;
+        Ok(())
+    }
+
+    /// Removes bytes that are passed on to the caller's connection.
+    pub fn remove(&mut self, bytes: usize) {
+        self.size -= bytes;
+        self.held
+            .resize(|s| s.unsent = s.unsent.saturating_sub(bytes));
+    }
+}
+
+impl Drop for UnreadResponse {
+    fn drop(&mut self) {
+        self.remove(self.size);
+    }
+}
+
 impl Drop for HeldBody {
     fn drop(&mut self) {
         self.0.resize(|s| s.body = 0);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -14,7 +14,7 @@
 mod tcp_info;
 
 pub use call::{call, call_once, get, CallError, CallLimit, HeadReceived, BODY_MAX};
-pub use callers::{Callers, HeldBody, Shed};
+pub use callers::{Callers, HeldBody, Shed, UnreadResponse};
 pub use connect::{connect, Connection};
 pub(crate) use framing::{has_unknown_coding, is_final};
 pub use pool::Pool;
--- a/tests/shed_order.rs
+++ b/tests/shed_order.rs
@@ -245,3 +245,50 @@
     budget.begin_response();
     assert_eq!(budget.resize_response(0, CAPACITY.responses, NOW), Ok(()));
 }
+
+/// Adds a connection whose caller has not read `size` bytes of its response since `now`.
+fn unread(budget: &mut Budget, size: usize, now: Millis) -> HolderId {
+    let id = admit(budget, now);
+    budget.set_phase(id, Phase::Sending, now);
+    budget.read_ahead(id, size, now).expect("memory");
+    id
+}
+
+/// Guards against the response of another caller that fails because one that does not read holds the memory.
+#[test]
+fn reader_goes_before_other_responses() {
+    let mut budget = budget();
+    let old = unread(&mut budget, 200 * KB, NOW);
+    let fresh = unread(&mut budget, 200 * KB, NOW + Millis(600));
+    budget.begin_response();
+    let now = NOW + Millis(1100);
+    assert_eq!(budget.resize_response(0, 112 * KB, now), Ok(()));
+    assert_eq!(shed(&mut budget), []);
+    assert_eq!(budget.resize_response(112 * KB, 300 * KB, now), Ok(()));
+    assert_eq!(shed(&mut budget), [old]);
+    // One that has read lately stays.
+    assert_eq!(
+        budget.resize_response(300 * KB, 400 * KB, now),
+        Err(NoMemory)
+    );
+    assert_eq!(shed(&mut budget), []);
+    assert_eq!(budget.sizes(fresh).unsent, 200 * KB);
+}
+
+/// Guards against a caller that does not read and keeps its endpoint waiting, and against one that reads and is shed.
+#[test]
+fn reader_over_its_share_goes_itself() {
+    let mut budget = budget();
+    let id = unread(&mut budget, 512 * KB, NOW);
+    let soon = NOW + Millis(900);
+    assert_eq!(budget.read_ahead(id, KB, soon), Err(NoMemory));
+    assert_eq!(budget.sizes(id).unsent, 512 * KB);
+    budget.progress(id, 8 * KB, soon);
+    let later = NOW + Millis(1500);
+    assert_eq!(budget.read_ahead(id, KB, later), Err(NoMemory));
+    assert_eq!(shed(&mut budget), []);
+    assert_eq!(budget.read_ahead(id, KB, NOW + Millis(2000)), Err(NoMemory));
+    assert_eq!(shed(&mut budget), [id]);
+    budget.remove(id);
+    assert_eq!(budget.usage().bytes, 0);
+}
