--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -16,6 +16,7 @@
 //! | an endpoint is cold, and its service limits cold ones | the same; costs more, so that warm ones come first |
 //! | an endpoint fails part of its requests | its cost grows, so that it is used only when the others are loaded |
 //! | the request may be served in some regions only | the others' endpoints neither get it nor count for `Retry-After` |
+//! | an endpoint's memory is limited, and little of it is free | it gets requests that fit (`decide/memory.rs`) |
 //! | an endpoint is lost | its circuit breaker opens |
 //! | a zone is crowded, others have room | a share of its requests considers the others (`decide/spill.rs`) |
 //! | a zone is evacuated | its endpoints are not capable; the others are chosen by load as before |
@@ -25,6 +26,7 @@
 mod exclusion;
 mod explain;
 mod loads;
+mod memory;
 
 use super::{
     endpoint_query::EndpointQuery,
@@ -285,6 +287,9 @@
         if load >= limit && !queues {
             return trace.exclude(e, Exclusion::Full { load, limit });
         }
+        if !memory::fits(view, e, query, load, now) {
+            return trace.exclude(e, Exclusion::NoMemory);
+        }
         let cost = drain + view.cost(e, query, load, now) + cold_cost(e, query, now);
         let mut cost = cost + view.start_cost(e, round.settled, now);
         if informed {
@@ -347,41 +352,6 @@
         view.closure.extend(until, interval);
     }
 
-    /// Returns whether an endpoint can run a request, now or later.
-    ///
-    /// # Errors
-    ///
-    /// Returns why it cannot.
-    #[inline]
-    fn is_capable(&self, e: &Endpoint, query: &EndpointQuery<'_>) -> Result<(), Exclusion> {
-        if !query.is_allowed(e) {
-            return Err(Exclusion::Region);
-        }
-        if query.is_evacuated(e) {
-            return Err(Exclusion::Evacuated);
-        }
-        if e.record.draining {
-            return Err(Exclusion::Draining);
-        }
-        if query.tried.contains(&e.id) {
-            return Err(Exclusion::Tried);
-        }
-        let Some(required) = query.weights else {
-            return Ok(());
-        };
-        let Some(loaded) = self.version(e, required.model) else {
-            return Err(Exclusion::NotLoaded);
-        };
-        let oldest = required.oldest;
-        if loaded < oldest {
-            return Err(Exclusion::OldVersion { loaded, oldest });
-        }
-        match query.exact {
-            Some(exact) if exact != loaded => Err(Exclusion::OtherVersion { loaded, exact }),
-            _ => Ok(()),
-        }
-    }
-
     /// Returns the version that an endpoint has loaded: the newer one of its record and of its latest response.
     pub fn version(&self, e: &Endpoint, model: &str) -> Option<WeightVersion> {
         let loaded = e.weights(model)?;
--- a/src/gateway/load_view.rs
+++ b/src/gateway/load_view.rs
@@ -1,14 +1,18 @@
 //! Load of one endpoint as an entry knows it, and the cost of sending it a request.
 
-use std::net::SocketAddr;
-
 use super::{
-    endpoint_loads::EndpointLoad, endpoint_query::EndpointQuery, endpoint_table::Endpoint,
-    load_balancer::Exclusion, record::WeightVersion,
+    endpoint_loads::EndpointLoad,
+    endpoint_query::EndpointQuery,
+    endpoint_table::Endpoint,
+    load_balancer::Exclusion,
+    peer_load::{PeerLoad, PEER_LOAD_LIFETIME},
+    record::WeightVersion,
 };
 use crate::{
     base::Millis,
-    decide::{known_load::KnownLoad, own_speed::OwnSpeed, pace::Pace, route::Breaker},
+    decide::{
+        known_load::KnownLoad, memory::Held, own_speed::OwnSpeed, pace::Pace, route::Breaker,
+    },
 };
 
 /// Time in milliseconds that an endpoint needs to read its unread prompts at which these cost as much as a full set of
@@ -31,9 +35,6 @@
 /// Age at which the load that an endpoint reported is no longer used.
 const REPORT_LIFETIME: Millis = Millis(2000);
 
-/// Age at which the requests in flight that another entry reported are no longer counted.
-const PEER_LOAD_LIFETIME: Millis = Millis(1200);
-
 /// Difference from the usual time that is not believed: short slowdowns of a few streams look like it. Without it, twice
 /// as many requests wait for a slot at 75 % load in the model.
 const SPEED_TOLERANCE: f64 = 0.3;
@@ -160,13 +161,15 @@
 pub(super) struct LoadView {
     /// Requests of this entry in flight.
     pub(super) in_flight: u32,
+    /// Tokens of these requests.
+    pub(super) held: Held,
     /// Prompt tokens of the requests in flight that the endpoint has yet to read.
     unread_tokens: u32,
     /// Requests of other entries when the endpoint last reported its load, and the time of that report.
     other_load: u32,
     reported_at: Option<Millis>,
-    /// Address of each other entry with requests in flight here, their number and the time of its report.
-    pub(super) peer_load: Vec<(SocketAddr, u16, Millis)>,
+    /// Requests in flight here of each other entry that has any.
+    pub(super) peer_load: Vec<PeerLoad>,
     /// How long work takes on the endpoint's host.
     pace: Pace,
     /// How long work takes there for tens of seconds, from streams of this entry and as other entries told.
@@ -294,8 +297,8 @@
     fn counted(&self, now: Millis) -> u32 {
         self.peer_load
             .iter()
-            .filter(|t| now < t.2 + PEER_LOAD_LIFETIME)
-            .map(|t| u32::from(t.1))
+            .filter(|t| t.is_fresh(now))
+            .map(|t| u32::from(t.requests))
             .fold(self.in_flight, u32::saturating_add)
     }
 
--- a/tests/explain_choice.rs
+++ b/tests/explain_choice.rs
@@ -247,6 +247,7 @@
             reserve: rng.u32(0..3) / 2,
             duration: Millis(rng.u64(0..3000)),
             cold: rng.bool().then_some(&self.cold),
+            memory: None,
             spill: self.spill.as_ref().map(|spill| SpillDraw {
                 spill,
                 draw: self.draw,
@@ -429,6 +430,7 @@
         reserve: 0,
         duration: Millis::ZERO,
         cold: None,
+        memory: None,
         spill: None,
     };
     let explained = balancer.explain(table.iter(), &query, NOW);
