feat(gateway): metrics and log lines of slow endpoints and unknown loads

Operators could not see which endpoints entries take for slow, nor how many loads an entry does not know.

gateway_endpoint_time is the estimated time that work takes at each owned endpoint, relative to the usual one, as far as it is known; gateway_slow_endpoints counts the slow ones, gateway_unknown_loads is the share of unknown loads. SW494 gateway-speed tells that an endpoint began to count as slow (1.3 times the usual time) or no longer does (below 1.2 or unknown), at most one line in 5 s for an endpoint. Metrics are computed when they are read, the state every 0.25 s; nothing is sent.

That an SW494 line is written was not tested over sockets.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,6 +25,7 @@
 pub mod route;
 pub mod shed;
 pub mod silence;
+pub mod slow;
 pub mod spill;
 pub mod stop;
 pub mod supersede;
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -22,6 +22,9 @@
 //! | a zone is put back into service | a rising share of requests considers it, with a rising limit of load |
 
 mod loads;
+mod speeds;
+
+pub use speeds::SpeedChange;
 
 use super::{
     endpoint_query::EndpointQuery,
--- a/src/gateway/load_view.rs
+++ b/src/gateway/load_view.rs
@@ -8,7 +8,9 @@
 };
 use crate::{
     base::Millis,
-    decide::{known_load::KnownLoad, own_speed::OwnSpeed, pace::Pace, route::Breaker},
+    decide::{
+        known_load::KnownLoad, own_speed::OwnSpeed, pace::Pace, route::Breaker, slow::SlowState,
+    },
 };
 
 /// Time in milliseconds that an endpoint needs to read its unread prompts at which these cost as much as a full set of
@@ -172,6 +174,7 @@
     /// How long work takes there for tens of seconds, from streams of this entry and as other entries told.
     own: OwnSpeed,
     told: OwnSpeed,
+    pub(super) slow: SlowState,
     /// Start of the endpoint's process, in Unix milliseconds, and when this entry met it if it had just started then.
     start: Option<(u64, Option<Millis>)>,
     /// Whether the endpoint's responses tell a pace.
@@ -303,6 +306,13 @@
             .report(relative / self.pace.factor(now).max(1.0), now);
     }
 
+    /// Returns the time that work takes at the endpoint for long, as a multiple of the usual one, from streams of this entry or
+    /// else as other entries told; `None` if there are too few samples, or if the endpoint tells no pace.
+    pub(super) fn known_time(&self, now: Millis) -> Option<f64> {
+        let known = [self.own, self.told].into_iter().find(|s| s.is_known(now));
+        known.filter(|_| self.paced).map(|s| s.factor(now))
+    }
+
     /// Returns that time as far as own streams tell it, for other entries.
     pub(super) fn shared_speed(&self, now: Millis) -> Option<f64> {
         self.own.is_known(now).then(|| self.own.factor(now))
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -79,6 +79,9 @@
     /// The share of requests that may go to another zone changed.
     SPILL = 482, "gateway-spill", Info,
         "the share of a service's requests that may go to another zone changed", "if it lasts, add endpoints in the zone of the entry";
+    /// An endpoint began to count as slow, or no longer does.
+    SPEED = 494, "gateway-speed", Info,
+        "work takes longer than usual at an endpoint for tens of seconds, or no longer does", "for state=slow check the host of the endpoint";
     /// The process starts, drains, reloads its settings or stops.
     PROCESS = 459, "gateway-process", Info,
         "the process starts, drains, reloads or stops", "none";
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of an entry in the gateway build.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{
@@ -49,6 +51,12 @@
     pub(super) to: String,
 }
 
+/// Label of an endpoint.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct EndpointLabel {
+    pub(super) endpoint: String,
+}
+
 /// Label of latency histograms.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(super) struct ServiceLabel {
@@ -100,6 +108,12 @@
     /// Requests that were sent, and the bytes of their bodies and responses, by region.
     pub(super) region_requests: Family<RegionLabels, Counter>,
     pub(super) region_bytes: Family<RegionLabels, Counter>,
+    /// Time that work takes at each owned endpoint for tens of seconds, as a multiple of the usual one, as far as it is known.
+    pub(super) endpoint_time: Family<EndpointLabel, Gauge<f64, AtomicU64>>,
+    /// Endpoints where work takes longer than usual for tens of seconds.
+    pub(super) slow_endpoints: Gauge,
+    /// Share of the endpoints whose load is unknown, 0 to 1.
+    pub(super) unknown_loads: Gauge<f64, AtomicU64>,
     /// Datagrams that could not be decoded.
     pub(super) ignored_datagrams: Counter,
     /// Memory that is held for callers, in bytes, and their connections.
@@ -147,6 +161,9 @@
             outdated_responses: Counter::default(),
             region_requests: Family::default(),
             region_bytes: Family::default(),
+            endpoint_time: Family::default(),
+            slow_endpoints: Gauge::default(),
+            unknown_loads: Gauge::default(),
             ignored_datagrams: Counter::default(),
             held: Gauge::default(),
             connections: Gauge::default(),
@@ -214,6 +231,12 @@
             r.register("gateway_region_requests", help, requests);
             let help = "Bytes of requests and responses, by the regions of entry and endpoint";
             r.register("gateway_region_bytes", help, out.region_bytes.clone());
+            let help = "Time that work takes at an owned endpoint, as a multiple of the usual one";
+            r.register("gateway_endpoint_time", help, out.endpoint_time.clone());
+            let help = "Endpoints where work takes longer than usual for tens of seconds";
+            r.register("gateway_slow_endpoints", help, out.slow_endpoints.clone());
+            let help = "Share of the endpoints whose load is unknown, 0 to 1";
+            r.register("gateway_unknown_loads", help, out.unknown_loads.clone());
             let help = "Datagrams that could not be decoded";
             let ignored = out.ignored_datagrams.clone();
             r.register("gateway_ignored_datagrams", help, ignored);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -260,6 +260,7 @@
         ctx.pool.sweep(now);
         expire_limits(&ctx);
         ctx.update_spills();
+        ctx.update_slow_endpoints();
         ctx.quarantine.borrow_mut().expire(now);
         let fleet = ctx.endpoints.borrow();
         ctx.balancer
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -276,6 +276,7 @@
         return empty(StatusCode::NOT_FOUND);
     }
     ctx.metrics.set_held(&ctx.callers);
+    ctx.set_speeds();
     Response::new(Full::from(ctx.metrics.encode()))
 }
 
