fix(gateway): known totals fade in 800 ms instead of 500

A total fades towards the mean of all endpoints, from which the load of a slow host differs for long.

--- a/src/decide/known_load.rs
+++ b/src/decide/known_load.rs
@@ -9,8 +9,9 @@
 pub const LIFETIME: Millis = Millis(3000);
 
 /// Time constant in which a total approaches the usual one, because the requests that it counts end and others begin. In the
-/// model `endpoint_loads` a total of 1 s is further from the truth than the mean of all endpoints.
-const FADING: Millis = Millis(500);
+/// model `endpoint_loads` a total of 1 s is further from the truth than the mean of all endpoints. At 500 ms slow hosts, whose
+/// load differs from the mean for long, get too many requests in `uneven_endpoints`.
+const FADING: Millis = Millis(800);
 
 /// The newest known total of an endpoint, and the requests of this process that began or ended there since.
 #[derive(Clone, Debug, Default)]
