--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -27,6 +27,9 @@
 mod explain;
 mod loads;
 mod memory;
+mod speeds;
+
+pub use speeds::SpeedChange;
 
 use super::{
     endpoint_query::EndpointQuery,
@@ -130,7 +133,7 @@
     now: Millis,
     /// Whether the load schedule is ignored; see [`LoadBalancer::is_stalled`].
     stalled: bool,
-    usual: UsualLoad,
+    usual: Option<UsualLoad>,
     /// Whether this entry has known its endpoints for long enough that a new one has just started.
     settled: bool,
 }
@@ -281,10 +284,12 @@
         if let Err(exclusion) = view.takes_requests(now) {
             return trace.exclude(e, exclusion);
         }
-        let informed = view.is_informed(self.peers_complete);
-        let load = view.load_at_choice(now, self.peers_complete, || round.usual.of(e));
+        view.usual = round.usual.map(|u| u.of(e));
+        let informed = view.counts_known(self.peers_complete);
+        let load = view.load_at_choice(now, self.peers_complete);
         let queues = informed && share >= 1.0 && limit >= e.record.slots && view.in_flight < limit;
-        if load >= limit && !queues {
+        let full = load >= limit && !(informed && view.had_room(limit, now));
+        if full && !queues {
             return trace.exclude(e, Exclusion::Full { load, limit });
         }
         if !memory::fits(view, e, query, load, now) {
@@ -295,7 +300,7 @@
         if informed {
             cost += loads::crowded_cost(load, e.record.slots);
         }
-        if load >= limit {
+        if full {
             cost += FULL_COST;
         }
         let (group, surcharge) = if query.is_withheld(e) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod ending;
 mod endpoint_loads;
 mod endpoint_query;
+mod endpoint_speed;
 mod endpoint_table;
 mod evacuation;
 mod evaluate;
@@ -107,7 +108,7 @@
 pub use limits::{Limit, LimitReport, Limits, Observation};
 pub use load_balancer::{
     EndpointView, Exclusion, ExplainedChoice, ExplainedEndpoint, Group, LoadBalancer, Rating,
-    Refusal,
+    Refusal, SpeedChange,
 };
 pub use load_view::{Outcome, ReportedLoad};
 pub use log_view::{LogEnds, LogView};
