fix(gateway): a fading load gives no memory of an endpoint away

Where known loads fade to the mean of the endpoints, one with a single large request could count as idle, and any entry may send to an idle endpoint.

--- a/src/gateway/load_balancer/memory.rs
+++ b/src/gateway/load_balancer/memory.rs
@@ -16,6 +16,12 @@
     decide::memory::{MemoryDemand, Tokens},
 };
 
+/// Returns the requests that count for the memory of an endpoint where a choice counts `load`: not less than the newest
+/// total, because the memory of requests that may have ended must not be given away.
+fn cautious_load(view: &LoadView, load: u32, now: Millis) -> u32 {
+    load.max(view.known.total(now).unwrap_or_default())
+}
+
 /// Returns whether a request fits into the memory of an endpoint beside `load` requests.
 pub(super) fn fits(
     view: &LoadView,
@@ -28,6 +34,7 @@
         return true;
     };
     let right = memory.right(&e.id);
+    let load = cautious_load(view, load, now);
     memory
         .demand
         .fits(view.known_tokens(now), view.held, load, right)
@@ -59,7 +66,7 @@
         let Some(view) = self.views.get(id) else {
             return false;
         };
-        let load = self.assumed_load(id, now).unwrap_or_default();
+        let load = cautious_load(view, view.load_at_choice(now, self.peers_complete), now);
         demand.is_exceeded(view.known_tokens(now), load)
     }
 
@@ -68,7 +75,7 @@
         let Some(view) = self.views.get(id) else {
             return false;
         };
-        let load = self.assumed_load(id, now).unwrap_or_default();
+        let load = cautious_load(view, view.load_at_choice(now, self.peers_complete), now);
         let known = view.known_tokens(now);
         let right = memory.right(id);
         !memory.demand.fits(known, view.held, load, right)
