fix(gateway): ample memory of endpoints is not shared out

With 410 entries the share of an entry that is not a home is 1/820 of an endpoint's memory, less than one request of usual size, so that most endpoints with room would get none although their slots never fill the memory. Where twice the slots fit into the memory, no shares apply. ample_memory_is_not_shared does not compile before.

--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -98,6 +98,8 @@
     },
     /// The request was sent before, so that something of it may have begun. Few requests are sent again.
     Begun,
+    /// The memory is larger than what requests in all slots need; see [`MemoryDemand::is_ample`].
+    Ample,
 }
 
 /// What a request needs of the memory of an endpoint that it is sent to.
@@ -131,7 +133,7 @@
         let (limit, sharers) = match right {
             // One that is larger than a share fits nowhere else.
             _ if used == 0 => return true,
-            Right::Begun => return true,
+            Right::Begun | Right::Ample => return true,
             Right::Home { homes, alone: true } => (self.capacity.0, homes),
             Right::Home { homes, .. } => {
                 (self.capacity.0 - self.capacity.0 / MARGIN_DIVISOR, homes)
@@ -142,6 +144,14 @@
         total <= limit && own.tokens.0.saturating_add(self.tokens.0) <= share
     }
 
+    /// Returns whether twice as many requests as an endpoint has slots fit into its memory, if all are as large as this one or
+    /// as the mean of the `held` ones. Shares of the memory would then only keep requests from endpoints with room.
+    pub fn is_ample(self, held: Held, slots: u32) -> bool {
+        let mean = held.tokens.0.div_ceil(u64::from(held.requests.max(1)));
+        let usual = self.tokens.0.max(mean);
+        usual.saturating_mul(u64::from(slots)) <= self.capacity.0 / OPEN_DIVISOR
+    }
+
     /// Returns whether `load` requests exceed the memory, of which `held` are known and the request is one.
     pub fn is_exceeded(self, held: Held, load: u32) -> bool {
         held.of_load(load, self.tokens) > self.capacity.0
--- a/src/gateway/load_balancer.rs
+++ b/src/gateway/load_balancer.rs
@@ -292,7 +292,8 @@
         if full && !queues {
             return trace.exclude(e, Exclusion::Full { load, limit });
         }
-        if !memory::fits(view, e, query, load, now) {
+        let memory = query.memory;
+        if memory.is_some_and(|m| !memory::fits(view, e, m, load, now)) {
             return trace.exclude(e, Exclusion::NoMemory);
         }
         let cost = drain + view.cost(e, query, load, now) + cold_cost(e, query, now);
--- a/src/gateway/load_balancer/memory.rs
+++ b/src/gateway/load_balancer/memory.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     base::Millis,
-    decide::memory::{MemoryDemand, Tokens},
+    decide::memory::{MemoryDemand, Right, Tokens},
 };
 
 /// Returns the requests that count for the memory of an endpoint where a choice counts `load`: not less than the newest
@@ -26,18 +26,18 @@
 pub(super) fn fits(
     view: &LoadView,
     e: &Endpoint,
-    query: &EndpointQuery<'_>,
+    memory: MemoryQuery<'_>,
     load: u32,
     now: Millis,
 ) -> bool {
-    let Some(memory) = query.memory else {
-        return true;
+    let known = view.known_tokens(now);
+    let right = if memory.demand.is_ample(known, e.record.slots) {
+        Right::Ample
+    } else {
+        memory.right(&e.id)
     };
-    let right = memory.right(&e.id);
     let load = cautious_load(view, load, now);
-    memory
-        .demand
-        .fits(view.known_tokens(now), view.held, load, right)
+    memory.demand.fits(known, view.held, load, right)
 }
 
 impl EndpointQuery<'_> {
@@ -71,14 +71,12 @@
     }
 
     /// Returns whether an endpoint has too little memory for a further request, as far as is known.
-    pub fn lacks_memory(&self, id: &EndpointId, memory: MemoryQuery<'_>, now: Millis) -> bool {
-        let Some(view) = self.views.get(id) else {
-            return false;
-        };
-        let load = cautious_load(view, view.load_at_choice(now, self.peers_complete), now);
-        let known = view.known_tokens(now);
-        let right = memory.right(id);
-        !memory.demand.fits(known, view.held, load, right)
+    pub fn lacks_memory(&self, e: &Endpoint, memory: MemoryQuery<'_>, now: Millis) -> bool {
+        let view = self.views.get(&e.id);
+        view.is_some_and(|view| {
+            let load = view.load_at_choice(now, self.peers_complete);
+            !fits(view, e, memory, load, now)
+        })
     }
 
     /// Adds the tokens of the requests in flight that another entry reported with [`LoadBalancer::merge_peer_load`] just now.
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -68,7 +68,7 @@
         };
         let (balancer, table) = (ctx.balancer.borrow(), ctx.endpoints.borrow());
         let endpoints = table.of_service(&job.service);
-        let lacking = endpoints.filter(|e| balancer.lacks_memory(&e.id, memory, now));
+        let lacking = endpoints.filter(|e| balancer.lacks_memory(e, memory, now));
         lacking.count()
     };
     if lacking == 0 {
--- a/tests/endpoint_memory.rs
+++ b/tests/endpoint_memory.rs
@@ -117,6 +117,25 @@
     assert!(large.fits(Held::default(), Held::default(), 0, open));
 }
 
+/// Guards against shares that keep requests from endpoints with room although their memory can't be used up: with 410
+/// entries a share is less than one request.
+#[test]
+fn ample_memory_is_not_shared() {
+    let demand =
+        |tokens| MemoryDemand::new(Some(Tokens(100_000)), Tokens(tokens)).expect("a limit");
+    let none = Held::default();
+    assert!(demand(4000).is_ample(none, 12));
+    assert!(!demand(4200).is_ample(none, 12));
+    let large = Held {
+        requests: 2,
+        tokens: Tokens(9000),
+    };
+    assert!(!demand(1000).is_ample(large, 12));
+    let entries = 410;
+    assert!(!demand(4000).fits(large, none, 2, Right::Open { entries }));
+    assert!(demand(4000).fits(large, none, 2, Right::Ample));
+}
+
 /// Guards against requests of other entries that count as nothing because only their number is known.
 #[test]
 fn unknown_requests_count() {
