--- a/src/gateway/load_balancer/exclusion.rs
+++ b/src/gateway/load_balancer/exclusion.rs
@@ -2,7 +2,10 @@
 
 use std::fmt;
 
-use super::super::record::WeightVersion;
+use super::{
+    super::{endpoint_query::EndpointQuery, endpoint_table::Endpoint, record::WeightVersion},
+    LoadBalancer,
+};
 use crate::base::Millis;
 
 /// Why an endpoint does not get a request now.
@@ -16,6 +19,8 @@
     Draining,
     /// The request was sent to the endpoint before.
     Tried,
+    /// The request is larger than the memory of the endpoint.
+    TooLarge,
     /// The endpoint has no version of the model loaded.
     NotLoaded,
     /// The endpoint has an older version loaded than the oldest on which the request may begin.
@@ -49,6 +54,8 @@
         /// Load from which the endpoint gets no further requests.
         limit: u32,
     },
+    /// The requests there leave too little memory for this one.
+    NoMemory,
 }
 
 impl Exclusion {
@@ -60,6 +67,7 @@
                 | Self::Evacuated
                 | Self::Draining
                 | Self::Tried
+                | Self::TooLarge
                 | Self::NotLoaded
                 | Self::OldVersion { .. }
                 | Self::OtherVersion { .. }
@@ -73,6 +81,7 @@
             Self::Evacuated => "evacuated",
             Self::Draining => "draining",
             Self::Tried => "tried",
+            Self::TooLarge => "too-large",
             Self::NotLoaded => "not-loaded",
             Self::OldVersion { .. } => "old-version",
             Self::OtherVersion { .. } => "other-version",
@@ -82,6 +91,7 @@
             Self::Closed(_) => "closed",
             Self::Broken => "broken",
             Self::Full { .. } => "full",
+            Self::NoMemory => "no-memory",
         }
     }
 }
@@ -93,6 +103,7 @@
             Self::Evacuated => f.write_str("its zone is evacuated"),
             Self::Draining => f.write_str("it drains"),
             Self::Tried => f.write_str("the request was sent to it before"),
+            Self::TooLarge => f.write_str("the request is larger than its memory"),
             Self::NotLoaded => f.write_str("it has not loaded the model"),
             Self::OldVersion { loaded, oldest } => {
                 write!(f, "it has version {loaded}, {oldest} is required")
@@ -106,6 +117,51 @@
             Self::Closed(left) => write!(f, "it limits its request rate, closed for {left}"),
             Self::Broken => f.write_str("it cannot be reached, its circuit breaker is open"),
             Self::Full { load, limit } => write!(f, "it has {load} requests of at most {limit}"),
+            Self::NoMemory => f.write_str("its requests leave too little memory"),
+        }
+    }
+}
+
+impl LoadBalancer {
+    /// Returns whether an endpoint can run a request, now or later.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot.
+    #[inline]
+    pub(super) fn is_capable(
+        &self,
+        e: &Endpoint,
+        query: &EndpointQuery<'_>,
+    ) -> Result<(), Exclusion> {
+        if !query.is_allowed(e) {
+            return Err(Exclusion::Region);
+        }
+        if query.is_evacuated(e) {
+            return Err(Exclusion::Evacuated);
+        }
+        if e.record.draining {
+            return Err(Exclusion::Draining);
+        }
+        if query.tried.contains(&e.id) {
+            return Err(Exclusion::Tried);
+        }
+        if query.is_too_large() {
+            return Err(Exclusion::TooLarge);
+        }
+        let Some(required) = query.weights else {
+            return Ok(());
+        };
+        let Some(loaded) = self.version(e, required.model) else {
+            return Err(Exclusion::NotLoaded);
+        };
+        let oldest = required.oldest;
+        if loaded < oldest {
+            return Err(Exclusion::OldVersion { loaded, oldest });
+        }
+        match query.exact {
+            Some(exact) if exact != loaded => Err(Exclusion::OtherVersion { loaded, exact }),
+            _ => Ok(()),
         }
     }
 }
--- a/src/gateway/load_balancer/explain.rs
+++ b/src/gateway/load_balancer/explain.rs
@@ -7,7 +7,6 @@
     },
     candidates::{Group, Rating, Verdict},
     exclusion::Exclusion,
-    loads::UsualLoad,
     LoadBalancer, Refusal, CHOICES, FULL_COST,
 };
 use crate::base::{HashMap, Millis};
@@ -198,12 +197,11 @@
         let mut trace: Vec<(&Endpoint, Verdict)> = Vec::new();
         let choice = copy.choose(&endpoints, query, now, &mut trace);
         let odds = Odds::new(&trace);
-        let usual = copy.usual_load(&endpoints, now);
         let known = |(i, (e, verdict)): (usize, &(&'e Endpoint, Verdict))| ExplainedEndpoint {
             endpoint: e,
             verdict: *verdict,
             possible: verdict.is_ok_and(|r| odds.is_possible(i, &r)),
-            view: copy.view_of(e, usual, query, now),
+            view: copy.view_of(e, query, now),
         };
         let endpoints = trace.iter().enumerate().map(known);
         ExplainedChoice {
@@ -227,20 +225,14 @@
         }
     }
 
-    /// Returns what is known of an endpoint; `usual` is the load of one of which nothing is known.
-    fn view_of(
-        &self,
-        e: &Endpoint,
-        usual: UsualLoad,
-        query: &EndpointQuery<'_>,
-        now: Millis,
-    ) -> EndpointView {
+    /// Returns what is known of an endpoint.
+    fn view_of(&self, e: &Endpoint, query: &EndpointQuery<'_>, now: Millis) -> EndpointView {
         let none = LoadView::default();
         let view = self.views.get(&e.id).unwrap_or(&none);
         let summary = view.summary(now, self.peers_complete);
         let (paused, backoff, closed) = view.skipped_for(now);
         EndpointView {
-            load: view.load_at_choice(now, self.peers_complete, || usual.of(e)),
+            load: view.load_at_choice(now, self.peers_complete),
             own: summary.own,
             limit: limit_of_share(self.limit(e, query), query.zone_share(e, now)),
             pace: summary.pace,
--- a/src/gateway/load_view.rs
+++ b/src/gateway/load_view.rs
@@ -1,14 +1,19 @@
 //! Load of one endpoint as an entry knows it, and the cost of sending it a request.
 
-use std::net::SocketAddr;
-
 use super::{
-    endpoint_loads::EndpointLoad, endpoint_query::EndpointQuery, endpoint_table::Endpoint,
-    load_balancer::Exclusion, record::WeightVersion,
+    endpoint_loads::EndpointLoad,
+    endpoint_query::EndpointQuery,
+    endpoint_table::Endpoint,
+    load_balancer::Exclusion,
+    peer_load::{PeerLoad, PEER_LOAD_LIFETIME},
+    record::WeightVersion,
 };
 use crate::{
     base::Millis,
-    decide::{known_load::KnownLoad, own_speed::OwnSpeed, pace::Pace, route::Breaker},
+    decide::{
+        known_load::KnownLoad, memory::Held, own_speed::OwnSpeed, pace::Pace, route::Breaker,
+        slow::SlowState,
+    },
 };
 
 /// Time in milliseconds that an endpoint needs to read its unread prompts at which these cost as much as a full set of
@@ -31,9 +36,6 @@
 /// Age at which the load that an endpoint reported is no longer used.
 const REPORT_LIFETIME: Millis = Millis(2000);
 
-/// Age at which the requests in flight that another entry reported are no longer counted.
-const PEER_LOAD_LIFETIME: Millis = Millis(1200);
-
 /// Difference from the usual time that is not believed: short slowdowns of a few streams look like it. Without it, twice
 /// as many requests wait for a slot at 75 % load in the model.
 const SPEED_TOLERANCE: f64 = 0.3;
@@ -160,24 +162,30 @@
 pub(super) struct LoadView {
     /// Requests of this entry in flight.
     pub(super) in_flight: u32,
+    /// Tokens of these requests.
+    pub(super) held: Held,
     /// Prompt tokens of the requests in flight that the endpoint has yet to read.
     unread_tokens: u32,
     /// Requests of other entries when the endpoint last reported its load, and the time of that report.
     other_load: u32,
-    reported_at: Option<Millis>,
-    /// Address of each other entry with requests in flight here, their number and the time of its report.
-    pub(super) peer_load: Vec<(SocketAddr, u16, Millis)>,
+    pub(super) reported_at: Option<Millis>,
+    /// Requests in flight here of each other entry that has any.
+    pub(super) peer_load: Vec<PeerLoad>,
     /// How long work takes on the endpoint's host.
     pace: Pace,
     /// How long work takes there for tens of seconds, from streams of this entry and as other entries told.
     own: OwnSpeed,
     told: OwnSpeed,
+    pub(super) slow: SlowState,
     /// Start of the endpoint's process, in Unix milliseconds, and when this entry met it if it had just started then.
     start: Option<(u64, Option<Millis>)>,
     /// Whether the endpoint's responses tell a pace.
     pub(super) paced: bool,
     /// Requests of all entries at an endpoint that tells its pace.
     pub(super) known: KnownLoad,
+    /// Requests at an endpoint like this one when it was last considered: the mean of those of its service that tell
+    /// their pace; `None` if none does.
+    pub(super) usual: Option<u32>,
     /// Moving average of failures, 0 to 1.
     failures: f64,
     /// End of the backoff after a rejected request, and the length of that backoff.
@@ -243,20 +251,6 @@
         self.paced && !peers_complete
     }
 
-    /// Returns the requests at the endpoint as a choice counts them; `usual` is the load of one that tells its pace and
-    /// whose load is unknown.
-    pub(super) fn load_at_choice(
-        &self,
-        now: Millis,
-        peers_complete: bool,
-        usual: impl FnOnce() -> u32,
-    ) -> u32 {
-        if self.is_informed(peers_complete) {
-            return self.known_load(now, usual());
-        }
-        self.load(now, peers_complete)
-    }
-
     /// Returns when the endpoint is expected to take a further request; not before [`LoadView::skipped_until`].
     pub(super) fn expected_at(&self, now: Millis) -> Millis {
         self.skipped_until().max(self.closure.expected_at(now))
@@ -291,11 +285,11 @@
     }
 
     /// Returns the requests in flight that this entry sent and that others reported.
-    fn counted(&self, now: Millis) -> u32 {
+    pub(super) fn counted(&self, now: Millis) -> u32 {
         self.peer_load
             .iter()
-            .filter(|t| now < t.2 + PEER_LOAD_LIFETIME)
-            .map(|t| u32::from(t.1))
+            .filter(|t| t.is_fresh(now))
+            .map(|t| u32::from(t.requests))
             .fold(self.in_flight, u32::saturating_add)
     }
 
@@ -311,14 +305,6 @@
         counted.max(self.in_flight.saturating_add(self.other_load))
     }
 
-    /// Returns the requests at an endpoint that tells its pace, where not all other entries report to this one; an
-    /// unknown load counts as `usual`, the mean of the known ones. What entries reported to be in flight is less than
-    /// the load, because not all of them did.
-    pub(super) fn known_load(&self, now: Millis, usual: u32) -> u32 {
-        let known = self.known.total(now).unwrap_or(usual);
-        known.max(self.counted(now))
-    }
-
     /// Returns the time that work takes at the endpoint for long, as a multiple of the usual one.
     fn own_factor(&self, now: Millis) -> f64 {
         if !self.paced {
@@ -338,6 +324,13 @@
             .report(relative / self.pace.factor(now).max(1.0), now);
     }
 
+    /// Returns the time that work takes at the endpoint for long, as a multiple of the usual one, from streams of this entry or
+    /// else as other entries told; `None` if there are too few samples, or if the endpoint tells no pace.
+    pub(super) fn known_time(&self, now: Millis) -> Option<f64> {
+        let known = [self.own, self.told].into_iter().find(|s| s.is_known(now));
+        known.filter(|_| self.paced).map(|s| s.factor(now))
+    }
+
     /// Returns that time as far as own streams tell it, for other entries.
     pub(super) fn shared_speed(&self, now: Millis) -> Option<f64> {
         self.own.is_known(now).then(|| self.own.factor(now))
@@ -431,13 +424,22 @@
         }
     }
 
-    /// Returns what is known of the endpoint's load and how old that is, for other entries; `None` if it is too old. The
-    /// load of an endpoint that is not owned is told only if the endpoint itself told it to this entry.
-    pub(super) fn shared_load(&self, owned: bool, now: Millis) -> Option<(u32, Millis)> {
-        let (total, age) = self.known.total(now).zip(self.known.age(now))?;
-        let direct = self.reported_at.is_some_and(|at| now - at == age);
-        let shared = self.paced && (owned || direct) && age < SHARED_AGE;
-        shared.then_some((total, age))
+    /// Returns what is known of the endpoint's load and how old that is, for other entries; `None` if it is too old. Own
+    /// requests since are added only to a total that the endpoint itself told: entries that tell each other the same
+    /// total would count them again each time.
+    pub(super) fn shared_load(&self, now: Millis) -> Option<(u32, Millis)> {
+        let age = self.known.age(now).filter(|a| *a < SHARED_AGE)?;
+        let total = if self.is_direct(now) {
+            self.known.total(now)
+        } else {
+            self.known.newest()
+        };
+        total.filter(|_| self.paced).map(|total| (total, age))
+    }
+
+    /// Returns whether the newest load is from a response of the endpoint to this entry.
+    pub(super) fn is_direct(&self, now: Millis) -> bool {
+        self.reported_at.map(|at| now - at) == self.known.age(now)
     }
 
     /// Counts the end of a request, and updates failures, backoff and circuit breaker by its outcome.
