fix(gateway): a request that fits into an endpoint's memory is not withheld just after

What callers saw: nothing yet; found in review. A request larger than those at an endpoint, of most of which only the number is known, fitted when the endpoint was chosen and was withheld before the send, up to four times, and was then rejected.

Cause: before the choice the unknown requests count as the mean of the known ones, after it as a mean that includes the request itself.

Change: both count alike. Result: chosen_requests_are_sent failed before and passes.

--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -152,8 +152,11 @@
         usual.saturating_mul(u64::from(slots)) <= self.capacity.0 / OPEN_DIVISOR
     }
 
-    /// Returns whether `load` requests exceed the memory, of which `held` are known and the request is one.
-    pub fn is_exceeded(self, held: Held, load: u32) -> bool {
-        held.of_load(load, self.tokens) > self.capacity.0
+    /// Returns whether `load` requests exceed the memory, of which `held` are known and this request is one. It counts as in
+    /// [`Self::fits`]: the mean is that of the others.
+    pub fn is_exceeded(self, mut held: Held, load: u32) -> bool {
+        held.end(self.tokens);
+        let used = held.of_load(load.saturating_sub(1), self.tokens);
+        used.saturating_add(self.tokens.0) > self.capacity.0
     }
 }
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -49,7 +49,8 @@
     Some(NO_MEMORY)
 }
 
-/// Reason for which a request is not sent to an endpoint whose memory is used up.
+/// Reason for which a request is not sent to an endpoint whose memory is used up; after it the endpoint may be chosen
+/// again.
 pub(super) const NO_MEMORY: &str = "the endpoint has too little memory for it";
 
 /// Logs and counts a request that was rejected while endpoints had too little memory for it.
--- a/tests/endpoint_memory.rs
+++ b/tests/endpoint_memory.rs
@@ -149,6 +149,18 @@
     assert!(!fits(Held::default(), 50));
 }
 
+/// Guards against a request that fits when its endpoint is chosen and is withheld just after, although nothing has changed: it
+/// is larger than those there, whose number alone is known of most.
+#[test]
+fn chosen_requests_are_sent() {
+    let large = MemoryDemand::new(Some(Tokens(200)), Tokens(100)).expect("a limit");
+    let known = held(1, 1);
+    assert!(large.fits(known, Held::default(), 10, OWNER));
+    let with_it = known.plus(held(1, 100));
+    assert!(!large.is_exceeded(with_it, 11));
+    assert!(large.is_exceeded(with_it, 111));
+}
+
 /// Guards against shares of an endpoint's homes that do not add up to its memory, and against entries without a home.
 #[test]
 fn each_entry_has_a_home() {
