fix(rollout): times of versions in another order than the versions are survived

A version that is to be enforced at once counts from the start of the process, so that the loaded one may have a later time. Its loads were then put off, and where a third version followed closely, the range of load starts was inverted, on which `clamp` panics.

Change: only an earlier version counts as the one before, and load starts stay within the range of their version. Result: times_in_another_order panicked before and passes.

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -85,8 +85,8 @@
 }
 
 impl HostSchedule {
-    /// Returns the scheduled load start of a host whose copy is complete by then; `superseded` is the time at which a
-    /// version newer than the loaded one became desired.
+    /// Returns the scheduled load start of a host whose copy is complete by then; `superseded` tells when a version newer
+    /// than the loaded one became desired, and the versions next to it.
     pub fn start(&self, superseded: impl Into<Superseded>) -> Millis {
         self.start_from(superseded, Millis::ZERO)
     }
@@ -123,7 +123,7 @@
         };
         let older = before.map(|at| self.range(at));
         if let Some(older) = older.filter(|(_, end)| *end > first) {
-            times.first = middle(older.0, last).max(first);
+            times.first = middle(older.0, last).clamp(first, last);
         }
         let newer = after.map(|at| self.range(at));
         if let Some(newer) = newer.filter(|(begin, _)| *begin < last) {
@@ -143,6 +143,7 @@
     }
 }
 
+/// Returns the time in the middle between two; `a` if `b` is earlier.
 fn middle(a: Millis, b: Millis) -> Millis {
     a + Millis((b - a).0 / 2)
 }
--- a/src/gateway/desired.rs
+++ b/src/gateway/desired.rs
@@ -185,7 +185,7 @@
         let before = self.entries.iter().find(|e| e.version == loaded && e.known);
         let after = self.entries.iter().filter(|e| e.version > loaded);
         Some(Superseded {
-            before: before.map(|e| e.at),
+            before: before.map(|e| e.at).filter(|t| *t <= at),
             at,
             after: after.map(|e| e.at).filter(|t| *t > at).min(),
         })
--- a/tests/rollout_turns.rs
+++ b/tests/rollout_turns.rs
@@ -6,6 +6,7 @@
         rollout::{HostSchedule, Superseded},
         supersede::Margins,
     },
+    gateway::{DesiredVersions, WeightVersion},
 };
 
 const BOUND: Millis = Millis(10_000);
@@ -138,3 +139,30 @@
     let alone: Vec<_> = alone.into_iter().map(|s| s + Millis(20_000)).collect();
     assert_eq!(starts, alone);
 }
+
+/// Guards against a panic, or loads that are put off, where the times of versions are not in the order of the versions: a
+/// version that is to be enforced at once counts from the start of the process.
+#[test]
+fn times_in_another_order() {
+    for (before, after) in [(30_000, 2000), (12_000, 900), (3000, 60_000)] {
+        let superseded = Superseded {
+            before: Some(Millis(before)),
+            at: Millis(1000),
+            after: Some(Millis(after)),
+        };
+        for rank in 0..HOSTS {
+            let schedule = HostSchedule {
+                bound: BOUND,
+                margins: Margins::default(),
+                rank,
+                hosts: HOSTS,
+            };
+            assert!(schedule.start(superseded) < Millis(1000) + BOUND);
+        }
+    }
+    let mut desired = DesiredVersions::default();
+    desired.set(WeightVersion(1), Millis(30_000));
+    desired.set_found(WeightVersion(2));
+    let found = desired.superseded(WeightVersion(1)).expect("superseded");
+    assert_eq!((found.before, found.at), (None, Millis::ZERO));
+}
