fix(staging): uploads that wait agree on whose turn it is

Each waiting upload looked for itself whether it was the next one. The order changes when an upload has waited for 0.4 s, so that two could each take the other for the next, and the link would idle until a requester gave up after 2.5 s.

Change: the turn is given once, when the former one ends or an upload begins while none has it. upload_order and weight_exchange pass; the fault itself depends on the time between two wake-ups and has no test.

--- a/src/staging/uploads.rs
+++ b/src/staging/uploads.rs
@@ -21,12 +21,12 @@
     clock: SystemClock,
     /// Number of the next upload.
     next: Cell<u64>,
-    /// Number of uploads that wait or are being sent.
+    /// Number of uploads that wait for their turn or are read from the endpoint.
     count: Cell<usize>,
     /// Uploads that wait for their turn, with their numbers.
     waiting: RefCell<Vec<(u64, Upload)>>,
     /// Upload whose turn it is, until the pacer lets it pass.
-    pacing: Cell<Option<u64>>,
+    turn: Cell<Option<u64>>,
     /// Wakes the uploads that wait when the turn of another one is over.
     passed: Notify,
 }
@@ -45,12 +45,13 @@
             next: Cell::default(),
             count: Cell::default(),
             waiting: RefCell::default(),
-            pacing: Cell::default(),
+            turn: Cell::default(),
             passed: Notify::new(),
         }
     }
 
-    /// Begins an upload; `None` if `max` are in progress.
+    /// Begins an upload; `None` if `max` are in progress. The caller must call [`UploadGuard::wait_turn`] at once: the upload
+    /// may have its turn already.
     pub(super) fn begin(&self, requester: Requester, max: usize) -> Option<UploadGuard<'_>> {
         if self.count.get() >= max {
             return None;
@@ -60,26 +61,32 @@
         let since = self.clock.now();
         let upload = Upload { requester, since };
         self.waiting.borrow_mut().push((id, upload));
+        self.give_turn();
         Some(UploadGuard { uploads: self, id })
     }
 
-    /// Returns whether it is the turn of a waiting upload.
-    fn is_next(&self, id: u64) -> bool {
+    /// Gives the turn to the first waiting upload, if no other one has it. All uploads are compared at one time: their
+    /// order changes as they wait.
+    fn give_turn(&self) {
+        if self.turn.get().is_some() {
+            return;
+        }
         let now = self.clock.now();
         let waiting = self.waiting.borrow();
         let next = waiting
             .iter()
             .min_by_key(|(id, u)| (u.precedence(now), *id));
-        self.pacing.get().is_none() && next.is_some_and(|n| n.0 == id)
+        self.turn.set(next.map(|n| n.0));
+        self.passed.notify_waiters();
     }
 
     /// Ends the turn of an upload, if it waits or has its turn.
     fn end_turn(&self, id: u64) {
         self.waiting.borrow_mut().retain(|w| w.0 != id);
-        if self.pacing.get() == Some(id) {
-            self.pacing.set(None);
+        if self.turn.get() == Some(id) {
+            self.turn.set(None);
         }
-        self.passed.notify_waiters();
+        self.give_turn();
     }
 }
 
@@ -89,12 +96,11 @@
         let (uploads, id) = (self.uploads, self.id);
         loop {
             let passed = uploads.passed.notified();
-            if uploads.is_next(id) {
+            if uploads.turn.get() == Some(id) {
                 break;
             }
             passed.await;
         }
-        uploads.pacing.set(Some(id));
         uploads.pacer.acquire(bytes).await;
         uploads.end_turn(id);
     }
