fix(explain): requests that are larger than the memory are explained as they are rejected

Found in review. An entry rejects such a request with 413 for good, and its explanation named 503 with a Retry-After. too_large_requests_are_explained failed before and passes.

Also: a request for an explanation that is late or too large is told so, regions that are left out of a reply are counted, and some names and comments say more clearly what they mean.

--- a/src/decide/explanation_limit.rs
+++ b/src/decide/explanation_limit.rs
@@ -5,8 +5,9 @@
 use crate::base::Millis;
 
 /// Largest number of explanations within [`WINDOW`].
-const EXPLANATIONS_MAX: usize = 4;
+pub const EXPLANATIONS_MAX: usize = 4;
 
+/// Time within which explanations are counted.
 const WINDOW: Millis = Millis(1000);
 
 /// Times of the latest explanations.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -399,8 +399,9 @@
         }
     }
 
-    /// Calls a function that explains a decision, and forgets the load schedules that it computed.
-    pub(super) fn keep_schedules<T>(&self, explain: impl FnOnce() -> T) -> T {
+    /// Calls a function and then restores the load schedules that were known before, so that an explanation leaves none
+    /// behind.
+    pub(super) fn with_schedules_restored<T>(&self, explain: impl FnOnce() -> T) -> T {
         let known = self.schedules.borrow().clone();
         let result = explain();
         self.schedules.replace(known);
--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -23,11 +23,13 @@
         ExplainedSpill, ExplainedState, ExplainedWeights, Explanation, Standing,
     },
     load_balancer::{ExplainedChoice, ExplainedEndpoint, Group, Rating},
+    memory,
     reply::Reject,
     return_times::explain_return,
 };
 use crate::{
     base::{Millis, Zone},
+    decide::explanation_limit::EXPLANATIONS_MAX,
     decide::{residency::AllowedRegions, worth},
 };
 
@@ -99,13 +101,23 @@
         wait: Some(wait),
         ..Failure::new(
             StatusCode::TOO_MANY_REQUESTS,
-            format!("the entry gives 4 explanations per second; try again in {wait}"),
+            format!(
+                "the entry gives {EXPLANATIONS_MAX} explanations per second; try again in {wait}"
+            ),
         )
     })?;
     let body = Limited::new(req.into_body(), REQUEST_MAX).collect();
     let body = tokio::time::timeout(REQUEST_TIME.duration(), body).await;
-    let Ok(Ok(body)) = body else {
-        return Err(Failure::malformed());
+    let body = match body {
+        Err(_) => {
+            let text = format!("the request did not arrive within {REQUEST_TIME}");
+            return Err(Failure::new(StatusCode::REQUEST_TIMEOUT, text));
+        }
+        Ok(Err(_)) => {
+            let text = format!("the request is broken off or larger than {REQUEST_MAX} bytes");
+            return Err(Failure::new(StatusCode::PAYLOAD_TOO_LARGE, text));
+        }
+        Ok(Ok(body)) => body,
     };
     // What the decoder says may contain the key.
     let request = serde_json::from_slice(&body.to_bytes());
@@ -151,7 +163,7 @@
         }
         Err(reject) => return Err(Failure::new(reject.status(), reject.to_string())),
     };
-    ctx.keep_schedules(|| {
+    ctx.with_schedules_restored(|| {
         let now = ctx.now();
         let explain = |choice: &ExplainedChoice<'_>, query: &EndpointQuery<'_>| {
             describe(ctx, &job, request.zone.as_ref(), choice, query, now)
@@ -196,8 +208,14 @@
 }
 
 fn region_names(list: Option<&AllowedRegions>) -> Option<Vec<String>> {
-    let names = list?.regions().iter().take(REGIONS_MAX);
-    Some(names.map(ToString::to_string).collect())
+    let names = list?.regions();
+    let shown = names.iter().take(REGIONS_MAX).map(ToString::to_string);
+    let left = names.len().saturating_sub(REGIONS_MAX);
+    Some(
+        shown
+            .chain((left > 0).then(|| format!("and {left} more")))
+            .collect(),
+    )
 }
 
 /// Describes an explained choice; the endpoints of `only` are listed, or all.
@@ -286,6 +304,10 @@
     possible: usize,
     now: Millis,
 ) -> Decision {
+    // As `forward` does before the first choice.
+    if let Err(reject) = memory::check(ctx, job) {
+        return rejection(reject);
+    }
     let e = match explained.choice {
         Ok(e) => e,
         Err(refusal) => return rejection(explain_return(ctx, job, refusal.into())),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -168,8 +168,8 @@
         let wait = match (polls, state.got_records) {
             (false, _) => Millis::ZERO,
             (true, false) => wait,
-            // All readers have them at the same time. When their next waits end tells when nothing was written, so that
-            // these ends are spread.
+            // All readers get records at the same time. Their next waits are of different length, so that they do not all
+            // end together: the end of each shows that nothing was written until then.
             (true, true) => spread(wait),
         };
         let (result, pending) = match state.offset {
--- a/src/gateway/load_balancer/explain.rs
+++ b/src/gateway/load_balancer/explain.rs
@@ -105,8 +105,8 @@
 /// What may become of a request, depending on the random draws: that of endpoints that the entry does not own, and for each
 /// endpoint of a zone that was put back into service lately, whether the request considers it.
 ///
-/// It follows from the rules of `Candidates::best`. What it calls possible may be
-/// impossible only where zones were put back lately.
+/// Must match `Candidates::best`. Where zones were put back lately it may call an endpoint possible that no draw chooses;
+/// otherwise it is exact.
 #[derive(Debug)]
 struct Odds {
     owned: GroupCosts,
--- a/src/operator/explain_text.rs
+++ b/src/operator/explain_text.rs
@@ -105,7 +105,7 @@
                 out += &format!(", a random draw among {} possible ones", e.possible);
             }
             if e.may_reject {
-                out += "; another draw rejects it";
+                out += "; another draw may reject it";
             }
             if let Some(ExplainedPermit { rate, issuer }) = permit {
                 out += &format!("; needs a permit of {issuer} ({rate} requests/s)");
@@ -121,7 +121,10 @@
             let wait = retry_after_s.map_or("none".to_owned(), |s| format!("{s} s, jittered"));
             let mut out = format!("reject with {status}: {text} (Retry-After: {wait})");
             if e.possible > 0 {
-                out += &format!("; other draws send it to one of {} endpoints", e.possible);
+                out += &format!(
+                    "; other draws may send it to one of {} endpoints",
+                    e.possible
+                );
             }
             out
         }
--- a/src/staging/entries.rs
+++ b/src/staging/entries.rs
@@ -114,8 +114,8 @@
 
 impl AssignmentSource {
     /// Requests the assignment from an entry; as long as there has been no response, also from the next one at the same time,
-    /// because the first may have stopped. When one of them has no assignment and the other does not respond, the rest are
-    /// asked in turn meanwhile. Returns the first assignment, or the entry that failed last without one.
+    /// because the first may have stopped. When one of them has no assignment and the other does not respond, all
+    /// entries but the silent one are asked in turn meanwhile. Returns the first assignment, or the entry that failed last without one.
     async fn request_first(
         &self,
         entry: SocketAddr,
@@ -149,12 +149,13 @@
         path: &str,
     ) -> (SocketAddr, Option<Assignment>) {
         loop {
+            tokio::time::sleep(jitter(RETRY_DELAY).duration()).await;
             for &entry in self.entries.iter().rev().filter(|e| **e != except) {
-                tokio::time::sleep(jitter(RETRY_DELAY).duration()).await;
                 let response = self.request(entry, path).await;
                 if response.is_some() {
                     return (entry, response);
                 }
+                tokio::time::sleep(jitter(RETRY_DELAY).duration()).await;
             }
         }
     }
--- a/src/staging/read_ahead.rs
+++ b/src/staging/read_ahead.rs
@@ -78,8 +78,9 @@
 }
 
 impl<S: RecordStore, D: Decode, H: EndpointHost, O: Origin> Agent<S, D, H, O> {
-    /// Returns whether chunks are to be read ahead from now on: the endpoint has told a model, and none were read yet.
-    pub(super) fn begins_read_ahead(&self) -> bool {
+    /// Returns whether to begin reading ahead; true only once, when the endpoint has told a model and the time for it has
+    /// not passed.
+    pub(super) fn take_begin(&self) -> bool {
         let report = self.report.borrow();
         let known = report.as_ref().is_some_and(|r| !r.models.is_empty());
         known && self.reads_ahead() && !self.read_ahead.begun.replace(true)
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -212,7 +212,7 @@
     async fn poll_endpoint(self: Rc<Self>) {
         loop {
             self.poll_report().await;
-            if self.begins_read_ahead() {
+            if self.take_begin() {
                 spawn_local(self.clone().read_ahead());
             }
             self.note_loaded();
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -16,7 +16,7 @@
 };
 use sesamewing::{
     base::Millis,
-    decide::explanation_limit::ExplanationLimit,
+    decide::{explanation_limit::ExplanationLimit, memory::Tokens},
     gateway::{
         Decision, ExplainReply, Explanation, Repeat, Standing, Topic, EXPLAIN_BUILD,
         EXPLANATION_MAX,
@@ -110,6 +110,30 @@
 
 const BODY: &str = r#"{"host":"h.example","path":"/safe/x","key":"key","prompt":0,"output":0}"#;
 
+/// Guards against an explanation of a request that is larger than the memory of all endpoints by which it might be served
+/// later, while the entry rejects it for good.
+#[test]
+fn too_large_requests_are_explained() {
+    let mut limited = catalog();
+    for service in limited.services.values_mut() {
+        service.memory = Some(Tokens(100));
+    }
+    let scripts = vec![respond("200 OK", "yes")];
+    with_store(MemoryStore::default(), limited, scripts, |_, _| async {
+        let e = explanation("/safe/x", &["--prompt", "101"]).await;
+        let Decision::Reject {
+            status,
+            retry_after_s,
+            ..
+        } = e.decision
+        else {
+            panic!("{e:?}");
+        };
+        assert_eq!((status, retry_after_s), (413, None));
+        assert_eq!(e.endpoints[0].standing, Standing::Excluded);
+    });
+}
+
 /// Guards against an explanation that lacks the choice or the state of an endpoint, prints the key, or changes counters.
 #[test]
 fn choices_are_explained() {
