--- a/src/decide/explanation_limit.rs
+++ b/src/decide/explanation_limit.rs
@@ -4,7 +4,7 @@
 
 use crate::base::Millis;
 
-/// Largest number of explanations within [`WINDOW`].
+/// Largest number of explanations per second.
 pub const EXPLANATIONS_MAX: usize = 4;
 
 /// Time within which explanations are counted.
