--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import base64
+import hashlib
 import json
 import os
 import random
@@ -180,6 +181,10 @@
             self.store.write("keyed.servers", name, self.entry())
             await asyncio.sleep(HEARTBEAT)
 
+    def host_call(self, line, body):
+        """Answers a call of the agent on the same machine; None for all others."""
+        return None
+
     async def crash(self):
         """Ends the runner at once: its channels are reset, and its entry lapses after three intervals."""
         if not self.up:
@@ -202,10 +207,15 @@
             while (call := await read_message(reader)) is not None:
                 line, headers, body = call
                 expected = headers.get("sesamewing-expect-instance")
-                if line.split(" ")[1] == "/healthz":
+                own = self.host_call(line, body)
+                wanted = headers.get("sesamewing-expect-version")
+                if own is not None:
+                    status, data = own
+                    writer.write(f"HTTP/1.1 {status}\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+                elif line.split(" ")[1] == "/healthz":
                     text = f"HTTP/1.1 200 OK\r\nSesamewing-Instance-Id: {self.name}\r\nContent-Length: 0\r\n\r\n"
                     writer.write(text.encode())
-                elif expected not in (None, self.name):
+                elif expected not in (None, self.name) or wanted not in (None, str(getattr(self, "version", None))):
                     text = (f"HTTP/1.1 421 Misdirected Request\r\nSesamewing-Instance-Id: {self.name}\r\n"
                             f"Sesamewing-Not-Executed: 1\r\nSesamewing-Attempt-Id: {headers.get('sesamewing-attempt-id', '')}\r\n"
                             "Content-Length: 0\r\n\r\n")
@@ -332,6 +342,129 @@
     return Node(record, folder, "entry", host, text)
 
 
+def agent(record, folder, store, host, seeds, service):
+    """Returns the agent process beside the runner of a host; it is not started yet."""
+    extra = f'app = "{ip(host)}:8001"\nservice = "{service}"'
+    text = settings(host, "agent", store, seeds[:3], "", extra, memory=128, fds=2048, mbps=7.6)
+    return Node(record, folder, "agent", host, text)
+
+
+def digests(model, version, chunks, size):
+    """Returns the pieces of a version and their digests."""
+    pieces = [random.Random(f"{model}/{version}/{n}").randbytes(size) for n in range(chunks)]
+    return pieces, [hashlib.sha256(piece).hexdigest() for piece in pieces]
+
+
+class Weights:
+    """The weights of one model: pieces and digests of each version."""
+
+    def __init__(self, model, chunks=64, size=32768):
+        self.model, self.chunks, self.size = model, chunks, size
+        self.versions = {}
+
+    def of(self, version):
+        if version not in self.versions:
+            self.versions[version] = digests(self.model, version, self.chunks, self.size)
+        return self.versions[version]
+
+
+class Origin:
+    """The service with the origin of weights. `spoil(body)` may change the body of a manifest."""
+
+    def __init__(self, record, weights, host, spoil=lambda body: body):
+        self.record, self.weights, self.host, self.spoil = record, weights, host, spoil
+        self.newest = 1
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, ip(self.host), 8006)
+        self.addr = f"{ip(self.host)}:8006"
+
+    async def serve(self, reader, writer):
+        try:
+            while (got := await read_message(reader)) is not None:
+                path, _, query = got[0].split(" ")[1].partition("?")
+                query = dict(pair.partition("=")[::2] for pair in query.split("&"))
+                version = int(query.get("version") or self.newest)
+                pieces, names = self.weights.of(version)
+                status, body = "200 OK", b""
+                if version > self.newest or version < self.newest - 1:
+                    status = "410 Gone"
+                elif "/manifest/" in path:
+                    manifest = {"model": self.weights.model, "version": version,
+                                "chunk_bytes": self.weights.size, "layers": 16, "digests": names}
+                    body = self.spoil(json.dumps(manifest).encode())
+                    self.record.note(f"origin sends the manifest of version {version}: {body[:70].decode()}...")
+                else:
+                    body = pieces[int(query["sample_size"])]
+                writer.write(f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
+
+
+class ModelRunner(Runner):
+    """A model runner with staged pieces and orders."""
+
+    def __init__(self, store, host, service, handle, weights, record, **more):
+        super().__init__(store, host, service, handle, **more)
+        self.weights, self.record = weights, record
+        self.staged = dict(enumerate(weights.of(1)[0]))
+        self.version, self.busy, self.orders = 1, False, 0
+
+    def models(self):
+        if self.version is None:
+            return []
+        return [{"name": self.weights.model, "version": self.version, "adapters": []}]
+
+    def entry(self):
+        return {**super().entry(), "stage": "both", "models": self.models()}
+
+    def tell(self):
+        self.sequence += 1
+        self.store.write("keyed.servers", self.name, self.entry())
+
+    async def load(self, version):
+        self.busy, self.version = True, None
+        self.tell()
+        await asyncio.sleep(0.3)
+        whole = [self.staged.get(n) for n in range(self.weights.chunks)] == self.weights.of(version)[0]
+        self.busy, self.version = False, version
+        self.tell()
+        self.record.note(f"runner {self.name} has loaded version {version}, {'whole' if whole else 'NOT WHOLE'}")
+
+    def host_call(self, line, body):
+        """Answers a call of the agent; returns status and body, or None for a request."""
+        method, target, _ = line.split(" ")
+        path, _, query = target.partition("?")
+        query = dict(pair.partition("=")[::2] for pair in query.split("&"))
+        if path == "/sesamewing/report":
+            report = {"stage": "both", "models": self.models(), "busy": self.busy, "sequence": self.orders,
+                      "queued": 0, "active": 0, "kv_used_tokens": 0, "kv_total_tokens": 1640000,
+                      "kv_handles": 0, "born": self.born}
+            return "200 OK", json.dumps(report).encode()
+        if path.startswith("/sesamewing/stage-get/"):
+            if "sample_size" not in query:
+                return "200 OK", json.dumps({"held": sorted(self.staged)}).encode()
+            piece = self.staged.get(int(query["sample_size"]))
+            return ("200 OK", piece) if piece is not None else ("404 Not Found", b"")
+        if path.startswith("/sesamewing/stage-put/"):
+            self.staged[int(query["sample_size"])] = body
+            return "200 OK", b""
+        if path == "/sesamewing/order":
+            order = json.loads(body)
+            if self.busy:
+                return "409 Conflict", b""
+            if self.version == order["version"]:
+                return "200 OK", b""
+            self.orders += 1
+            self.record.note(f"runner {self.name} takes the order to load version {order['version']}")
+            asyncio.create_task(self.load(order["version"]))
+            return "202 Accepted", b""
+        return None
+
+
 async def call(host, port, data, limit):
     """Sends bytes on a new channel and reads one response; returns status line, headers and body, or None."""
     writer = None
