--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod moved_store;
 mod node;
+mod odd_entries;
 mod record;
 mod runner;
 mod store;
@@ -51,6 +52,7 @@
     };
     let verdict = match case.as_str() {
         "moved-store" => moved_store::run(&setup),
+        "odd-entries" => odd_entries::run(&setup),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     };
     let (text, code) = match verdict {
--- a/review/rig-3/store.rs
+++ b/review/rig-3/store.rs
@@ -12,6 +12,10 @@
 
 use crate::http::{field, response, Wire};
 
+/// Largest page of newest records.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1 << 20;
+
 #[derive(Default)]
 struct Topic {
     log: Vec<(String, Vec<u8>)>,
@@ -89,17 +93,24 @@
         out
     }
 
-    fn newest(&self, topic: &str) -> Vec<u8> {
+    /// Returns a page of the newest records, which follow the key `after`.
+    fn newest(&self, topic: &str, after: &str) -> Vec<u8> {
         let topics = self.topics.lock().unwrap();
         let none = Topic::default();
         let topic = topics.get(topic).unwrap_or(&none);
-        let items = topic.newest.iter().map(|(key, (value, offset))| {
+        let (mut items, mut size, mut more) = (Vec::new(), 0, false);
+        for (key, (value, offset)) in topic.newest.iter().filter(|(k, _)| k.as_str() > after) {
             let value = base64(value);
-            format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}")
-        });
-        let items = items.collect::<Vec<_>>().join(",");
-        let end = topic.log.len();
-        format!("{{\"items\":[{items}],\"has_more\":false,\"end_offset\":{end}}}").into_bytes()
+            let item = format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}");
+            if items.len() == PAGE_ITEMS || (size + item.len() > PAGE_BYTES && !items.is_empty()) {
+                more = true;
+                break;
+            }
+            size += item.len();
+            items.push(item);
+        }
+        let (items, end) = (items.join(","), topic.log.len());
+        format!("{{\"items\":[{items}],\"has_more\":{more},\"end_offset\":{end}}}").into_bytes()
     }
 }
 
@@ -176,7 +187,10 @@
             let (status, body) = match path.as_str() {
                 "/sesamewing/log-append" => self.store.append(topic, &body),
                 "/sesamewing/log-read" => (200, self.store.read(&query, open)),
-                "/sesamewing/log-newest" => (200, self.store.newest(topic)),
+                "/sesamewing/log-newest" => {
+                    let after = field(&query, "after").unwrap_or_default();
+                    (200, self.store.newest(topic, after))
+                }
                 _ => (404, Vec::new()),
             };
             if !open() || wire.write(&response(status, &body)).is_err() {
