--- a/review/rig-3/caller.rs
+++ b/review/rig-3/caller.rs
@@ -20,15 +20,28 @@
 
 /// Sends a request and waits for its response.
 pub fn send(addr: SocketAddr, path: &str, id: &str, key: &str, deadline: u64) -> (u16, String) {
+    send_with(addr, path, id, key, deadline, &[])
+}
+
+/// Like [`send`], with further headers.
+pub fn send_with(
+    addr: SocketAddr,
+    path: &str,
+    id: &str,
+    key: &str,
+    deadline: u64,
+    more: &[(&str, &str)],
+) -> (u16, String) {
     let exchange = || -> std::io::Result<(u16, String)> {
         let mut wire = Wire::connect(addr, Duration::from_millis(deadline))?;
         let deadline = deadline.to_string();
-        let headers = [
+        let mut headers = vec![
             ("Host", "one.example"),
             ("Sesamewing-Attempt-Id", id),
             ("Sesamewing-Deadline-Ms", &deadline),
             ("Sesamewing-Key", key),
         ];
+        headers.extend_from_slice(more);
         wire.write(&message(&format!("POST {path} HTTP/1.1"), &headers, b"an order"))?;
         let Some(head) = wire.head()? else {
             return Ok((0, String::new()));
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -6,12 +6,16 @@
 
 mod caller;
 mod http;
+mod moved_origin;
 mod moved_store;
 mod node;
 mod odd_entries;
+mod odd_memory;
 mod record;
 mod runner;
+mod sha256;
 mod store;
+mod weights;
 
 use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
@@ -52,7 +56,9 @@
     };
     let verdict = match case.as_str() {
         "moved-store" => moved_store::run(&setup),
+        "moved-origin" => moved_origin::run(&setup),
         "odd-entries" => odd_entries::run(&setup),
+        "odd-memory" => odd_memory::run(&setup),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     };
     let (text, code) = match verdict {
--- a/review/rig-3/node.rs
+++ b/review/rig-3/node.rs
@@ -16,7 +16,9 @@
 
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
+
+/// Memory of a machine, as the settings say.
+pub const MEMORY_MB: u64 = 260;
 
 /// Networks and ports of a case; the process id keeps those of two cases apart.
 pub fn addr(host: u8, port: u16) -> SocketAddr {
@@ -34,6 +36,7 @@
     pub name: String,
     pub host: u8,
     zone: &'static str,
+    program: PathBuf,
     folder: PathBuf,
     child: Child,
 }
@@ -84,7 +87,7 @@
 [limits]
 cpu_quota = 0.25
 cpu_speedup = 1
-memory_mb = 260
+memory_mb = {memory}
 max_fds = 4100
 bandwidth_mbps = 1000.0
 disk_mb = 0
@@ -130,6 +133,7 @@
 partition_mb = 200
 ttl_min_ms = 1000
 "#,
+        memory = MEMORY_MB,
         ip = addr(host, 0).ip(),
         region = region(zone),
         seeds = seeds.join(","),
@@ -142,27 +146,64 @@
     )
 }
 
+fn spawn(program: &Path, folder: &Path, name: &str, role: &str) -> Child {
+    let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log")));
+    let log = log.expect("a log can be written");
+    let errors = log.try_clone().expect("a log can be shared");
+    Command::new(program)
+        .arg(role)
+        .env_clear()
+        .env("SESAMEWING_SETTINGS", folder.join(format!("{name}.toml")))
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(errors)
+        .spawn()
+        .expect("the program of the deploy file starts")
+}
+
+/// An agent as a process.
+pub struct Agent(Child);
+
+impl Agent {
+    /// Starts the agent of the model runner at `app`, on the runner's host.
+    pub fn start(program: &Path, folder: &Path, app: SocketAddr, service: &str, zone: &str, s: Settings) -> Self {
+        let host = match app.ip() {
+            std::net::IpAddr::V4(ip) => ip.octets()[3],
+            std::net::IpAddr::V6(_) => 0,
+        };
+        let name = format!("side-{zone}-{host}");
+        let text = settings_text(&name, host, zone, s);
+        let (head, rest) = text.split_once("[listen]").unwrap_or_default();
+        let (_, rest) = rest.split_once("[limits]").unwrap_or_default();
+        let head = head.replace("role = \"entry\"", "role = \"agent\"").replace("\"edge\"", "\"side\"");
+        let head = head.replace("[zones]", &format!("app = \"{app}\"\nservice = \"{service}\"\n[zones]"));
+        let rest = rest.replace("bandwidth_mbps = 1000.0", "bandwidth_mbps = 7.6");
+        let rest = rest.replace(&format!("memory_mb = {MEMORY_MB}"), "memory_mb = 128");
+        let text = format!("{head}[listen]\n[limits]{rest}");
+        fs::write(folder.join(format!("{name}.toml")), text).expect("settings can be written");
+        Self(spawn(program, folder, &name, "agent"))
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 impl Entry {
     /// Starts an entry; `program` is the one of the deploy file.
     pub fn start(program: &Path, folder: &Path, host: u8, zone: &'static str, s: Settings) -> Self {
         let name = format!("edge-{zone}-{host}");
         let file = folder.join(format!("{name}.toml"));
         fs::write(&file, settings_text(&name, host, zone, s)).expect("settings can be written");
-        let log = File::create(folder.join(format!("{name}.log"))).expect("a log can be written");
-        let errors = log.try_clone().expect("a log can be shared");
-        let child = Command::new(program)
-            .arg("entry")
-            .env_clear()
-            .env("SESAMEWING_SETTINGS", &file)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .expect("the program of the deploy file starts");
+        let child = spawn(program, folder, &name, "entry");
         Self {
             name,
             host,
             zone,
+            program: program.to_owned(),
             folder: folder.to_owned(),
             child,
         }
@@ -194,6 +235,21 @@
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
+
+    /// Returns the resident memory of the process in MiB.
+    pub fn memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let size = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
+        size.unwrap_or(0) / 1024
+    }
+
+    /// Starts the process again after its end, with the settings in effect.
+    pub fn start_again(&mut self) {
+        let _ = self.child.wait();
+        self.child = spawn(&self.program, &self.folder, &self.name, "entry");
+    }
 }
 
 impl Drop for Entry {
--- a/review/rig-3/odd_entries.rs
+++ b/review/rig-3/odd_entries.rs
@@ -28,9 +28,10 @@
 const ODD_BYTES: usize = 250_000;
 
 const ENTRIES: [(u8, &str); 3] = [(10, "cph-a"), (11, "aar-a"), (12, "ode-a")];
-const SERVICE: &str = "gateway-a";
+pub const SERVICE: &str = "gateway-a";
 
-fn config() -> String {
+/// Returns a configuration with one route to one service.
+pub fn config() -> String {
     format!(
         "{{\"version\":3,\"routes\":[{{\"name\":\"r-order\",\"hostname\":\"one.example\",\"path_prefix\":\"/order/\",\
          \"type\":\"unsafe\",\"timeout_ms\":1500,\"target_latency_ms\":300,\"priority\":1,\"service\":\"{SERVICE}\",\
