fix(gateway): a list of the store is applied page by page

Cause: `newest` collected the records of all pages before a follower saw the first one, so that a process held the whole list, whatever its size. The same on related paths: the operator's list, the announcements of entries, and both lists that an agent reads while no entry responds.

Change: a page is read, applied and dropped. `Follower::replace` becomes `list_begun`, `apply` and `list_ended`; only the last one removes what is missing, so that a part of a list takes nothing away. A list may take many seconds now without harm: pages leave out what the log holds from the list's begin on, and the log is read from there every 300 ms meanwhile, so that drains, removals and configurations take effect in time. A list is complete once the log is read up to the end that its last page told. A page that fails is read again; a copy of the table that arrives meanwhile replaces the list; another era begins a new one. Nobody relies on an entry before the end of its list; after 2 s it serves with the endpoints that it knows.

--- a/src/base/json.rs
+++ b/src/base/json.rs
@@ -22,8 +22,11 @@
     Some(out)
 }
 
+/// Members of an object that are not decoded, by name.
+pub type Members<'a> = HashMap<Vec<u8>, &'a [u8]>;
+
 /// Returns the members of an object by name; `None` if the text does not begin with an object, or a name occurs twice.
-pub fn members(object: &[u8]) -> Option<HashMap<Vec<u8>, &[u8]>> {
+pub fn members(object: &[u8]) -> Option<Members<'_>> {
     let mut out = HashMap::default();
     let mut scanner = Scanner(object);
     scanner.list(b'{', b'}', |s| {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,21 +1,29 @@
-//! Follows a compacted topic of the store.
+//! Follows a compacted topic of the store: its newest records first, page by page, and its log from there on.
 
-use std::{convert::Infallible, future::Future, panic::AssertUnwindSafe, rc::Rc};
+mod follower;
+mod list;
+mod state;
+
+use std::{convert::Infallible, panic::AssertUnwindSafe, rc::Rc};
 
 use futures_util::FutureExt;
 
 use super::{
     log_event,
-    log_view::LogView,
-    record::{Record, RecordStore, Records, StoreError, Topic},
+    record::{PageStart, RecordStore, Records, StoreError, Topic},
     steadiness::ResponseTime,
-    write_time::{LogTimes, Pending, WriteAge, WriteBounds},
+    write_time::{LogTimes, Pending},
 };
 use crate::{
-    base::{jitter, spread, Clock, Era, Millis, SystemClock},
+    base::{jitter, spread, Clock, Millis, SystemClock},
     emit,
 };
 
+pub use follower::Follower;
+pub use list::read_list;
+use list::ListProgress;
+use state::{FollowState, Step};
+
 /// Mean pause after a failed read; short, because the time limit on applying a new configuration continues to run.
 const READ_RETRY: Millis = Millis(300);
 
@@ -38,91 +46,6 @@
 /// Pause after a panic of a follower, before all records are read again.
 const PANIC_RETRY: Millis = Millis(1000);
 
-/// Applies the records of a compacted topic.
-pub trait Follower {
-    /// Called before each record, and before all records of [`Follower::replace`], with what is known of their age;
-    /// `None` if that is nothing, because this process had not followed the topic before.
-    fn note_age(&self, _age: Option<WriteAge>) {}
-
-    /// Returns the longest time from when another process last passed on the topic's content to when
-    /// [`Follower::should_read`] becomes true; `None` if none did.
-    fn handover_time(&self) -> Option<Millis> {
-        None
-    }
-
-    /// Returns the newest known end of the topic's log if another process reported one. Versions before that position
-    /// came with the report or before it.
-    fn reported_end(&self) -> Option<LogView> {
-        None
-    }
-
-    /// Applies one record.
-    fn apply(&self, record: Record);
-
-    /// Replaces the known state by all records of the topic; keys that are missing were removed.
-    fn replace(&self, records: Vec<Record>);
-
-    /// Called when a read succeeds after an outage of the store, before its records are applied.
-    fn store_recovered(&self);
-
-    /// Called when all records of a read are applied; `next` is the offset of the next record, and `age` the time since
-    /// the moment at which the log ended there, `None` if it holds further records.
-    fn batch_applied(&self, _next: u64, _age: Option<Millis>) {}
-
-    /// Returns the offset before which all records are applied, if another process passed on the content of the topic up
-    /// to there.
-    fn applied_until(&self) -> Option<u64> {
-        None
-    }
-
-    /// Called when the log turns out to have begun anew, so that offsets of before tell nothing.
-    fn log_restarted(&self) {}
-
-    /// Called with the era of each response of the store, before the response is examined.
-    fn note_era(&self, _era: Era) {}
-
-    /// Returns the newest era of the store that this process knows by other reads, or from other processes.
-    fn era(&self) -> Option<Era> {
-        None
-    }
-
-    /// Called for each response that is ignored because it is of an older era of the store.
-    fn response_ignored(&self) {}
-
-    /// Called after each successful read, before its records are applied.
-    fn read_succeeded(&self) {}
-
-    /// Returns whether to read the topic; while this is false, another process passes on its content.
-    fn should_read(&self) -> bool {
-        true
-    }
-
-    /// Returns the pause after a read; topics that change continually are read at intervals instead of by long poll.
-    fn pause(&self) -> Millis {
-        Millis::ZERO
-    }
-
-    /// Returns whether the store responds as soon as usual. While it does not, the topic is read at short intervals, because
-    /// a long poll may not end with the next record.
-    fn is_steady(&self) -> bool {
-        true
-    }
-
-    /// Returns whether other processes read the topic, too, so that records end the waits of several readers at once.
-    fn has_other_readers(&self) -> bool {
-        false
-    }
-
-    /// Called at intervals while a read has no response, and when it ends.
-    fn note_response(&self, _response: ResponseTime) {}
-
-    /// Completes when a waiting read must be abandoned and issued again, because there may be records that would not end
-    /// its wait, for example after the read of another topic found the store to be back.
-    fn read_interrupted(&self) -> impl Future<Output = ()> {
-        std::future::pending()
-    }
-}
-
 /// Follows a topic and never returns. Each read waits up to `wait` for new records; the follower's pause separates
 /// reads. If the follower panics, all records are read again.
 pub async fn follow<S: RecordStore>(
@@ -132,11 +55,18 @@
     follower: Rc<impl Follower>,
 ) {
     let clock = SystemClock::start();
-    let mut state = FollowState::new(wait + follower.pause());
+    let mut reader = Reader {
+        store: &store,
+        topic,
+        wait,
+        follower: &*follower,
+        clock,
+        least_pause: Millis::ZERO,
+        state: FollowState::new(wait + follower.pause()),
+    };
     loop {
-        state.restart(clock.now());
-        let run = follow_topic(&store, topic, wait, &*follower, clock, &mut state);
-        if AssertUnwindSafe(run).catch_unwind().await.is_err() {
+        reader.state.restart(clock.now());
+        if AssertUnwindSafe(reader.run()).catch_unwind().await.is_err() {
             emit!(
                 log_event::RECORD,
                 "topic={topic:?} reason=\"a record made the follower panic; all records are read again\""
@@ -146,131 +76,305 @@
     }
 }
 
-async fn follow_topic<S: RecordStore>(
-    store: &S,
+/// A response of the store with the times of its read.
+struct Response {
+    records: Records,
+    pending: Pending,
+    /// Longest wait that the read asked for.
+    wait: Millis,
+}
+
+/// Reads a topic and has its records applied.
+struct Reader<'a, S, F> {
+    store: &'a S,
     topic: Topic,
+    /// Longest wait of a read.
     wait: Millis,
-    follower: &impl Follower,
+    follower: &'a F,
     clock: SystemClock,
-    state: &mut FollowState,
-) -> Infallible {
-    loop {
-        if !follower.should_read() {
-            state.stop(clock.now());
-            tokio::time::sleep(INACTIVE_POLL.duration()).await;
-            continue;
+    /// Least pause after the read in progress.
+    least_pause: Millis,
+    state: FollowState,
+}
+
+impl<S: RecordStore, F: Follower> Reader<'_, S, F> {
+    async fn run(&mut self) -> Infallible {
+        loop {
+            let pause = if self.follower.should_read() {
+                self.read_next().await
+            } else {
+                self.drop_list();
+                self.state.stop(self.clock.now());
+                INACTIVE_POLL
+            };
+            tokio::time::sleep(pause.duration()).await;
         }
-        state.follow_era(topic, follower.era());
-        let known = follower.applied_until();
-        state.offset = state.offset.max(state.offset.and(known));
-        // While reads fail, a long poll would delay the detection that the store is back.
-        let polls = !state.failing && follower.is_steady();
-        let least_pause = if polls || wait == Millis::ZERO {
-            Millis::ZERO
-        } else {
-            UNSTEADY_PAUSE
-        };
-        let spreads = state.got_records && follower.has_other_readers();
-        let wait = match (polls, spreads) {
-            (false, _) => Millis::ZERO,
-            (true, false) => wait,
-            // All readers get records at the same time. Their next waits are of different length, so that they do not all
-            // end together: the end of each shows that nothing was written until then.
-            (true, true) => spread(wait),
-        };
-        let (result, pending) = match state.offset {
-            None => Pending::observe(&clock, store.newest(topic), |_| {}).await,
-            Some(from) => {
-                let read = store.read(topic, from, wait);
-                let pending = |time| follower.note_response(ResponseTime::Pending(time - wait));
+    }
+
+    /// Makes one read and has its response applied; returns the pause before the next read.
+    async fn read_next(&mut self) -> Millis {
+        self.state.follow_era(self.topic, self.follower.era());
+        let known = self.follower.applied_until();
+        if self.state.follow_copy(known) {
+            self.follower.list_dropped();
+        }
+        let step = self.state.step(self.clock.now());
+        let wait = self.next_wait();
+        self.least_pause = self.next_least_pause();
+        let (result, pending) = match &step {
+            Step::Begin => self.read_page(&PageStart::default()).await,
+            Step::Page(start) => self.read_page(start).await,
+            Step::Log(from) => {
+                let read = self.store.read(self.topic, *from, wait);
+                let pending = |time| {
+                    self.follower
+                        .note_response(ResponseTime::Pending(time - wait))
+                };
                 tokio::select! {
-                    observed = Pending::observe(&clock, read, pending) => observed,
-                    () = follower.read_interrupted() => continue,
+                    observed = Pending::observe(&self.clock, read, pending) => observed,
+                    () = self.follower.read_interrupted() => return Millis::ZERO,
                 }
             }
         };
-        let from = state.offset;
-        note_response(follower, from.is_some(), wait, &result, &pending);
-        let result = state.check_era(result, follower);
+        let is_log = matches!(step, Step::Log(_));
+        note_response(self.follower, is_log, wait, &result, &pending);
+        let result = self.state.check_era(result, self.follower);
         let era = result.as_ref().ok().map(|r| r.era);
-        let known = if state.follow_era(topic, era.max(follower.era())) {
-            follower.applied_until()
+        let newest = era.max(self.follower.era());
+        let known = if self.state.follow_era(self.topic, newest) {
+            self.follower.applied_until()
         } else {
             known
         };
         match result {
             // Records before these may have been missed, because offsets are used again.
-            Ok(_) if from.is_some() && state.offset.is_none() => {}
-            Ok(records) if from.is_some_and(|at| records.end < at) => {
-                log_restart(topic, from, records.end);
-                follower.log_restarted();
-                state.offset = None;
-                tokio::time::sleep(jitter(READ_RETRY).duration()).await;
-            }
-            Ok(_) if from.is_some() && state.is_store_lost(clock.now()) => {
-                // The backlog of an outage would come in pages, and other processes must not rely on this one before
-                // the last page; the newest record of each key comes at once.
-                state.offset = None;
-            }
+            Ok(_) if step != Step::Begin && self.state.offset.is_none() => Millis::ZERO,
             Ok(records) => {
-                let mut bounds = state.bounds(&records, &pending, wait, follower.handover_time());
-                if from.is_some() && bounds.after > Some(pending.begun + CHECK_MIN) {
-                    let check = check_response(store, topic, &records, &state.times, &clock);
-                    bounds.check_wait(pending.begun, check.await);
-                }
-                if from.is_none() {
-                    let reported = follower
-                        .reported_end()
-                        .filter(|v| v.position <= records.next);
-                    bounds.use_report(reported.map(|v| clock.now() - v.age));
-                }
-                state.record_success(topic, clock.now(), follower);
-                state.got_records =
-                    !records.records.is_empty() && (from.is_some() || state.read > 0);
-                state.offset = Some(records.next);
-                let (next, end) = (records.next, records.end);
-                if let Some(from) = from {
-                    for (offset, record) in (from..).zip(records.records) {
-                        follower.note_age(bounds.age(&state.times, offset, clock.now()));
-                        follower.apply(record);
-                    }
-                } else {
-                    if known > Some(next) {
-                        // The store answers with its present state, so that the log has begun anew.
-                        log_restart(topic, known, next);
-                        follower.log_restarted();
-                    }
-                    follower.note_age(bounds.age(&state.times, state.read, clock.now()));
-                    // What another process passed on during the read may be newer.
-                    if follower.applied_until().is_none_or(|at| at <= next) {
-                        follower.replace(records.records);
-                    }
-                }
-                state.read = next;
-                state.times.record_end(end, bounds.made, next);
-                let age = (next >= end).then(|| clock.now() - bounds.made);
-                follower.batch_applied(next, age);
-                let pause = follower.pause().max(least_pause);
-                tokio::time::sleep(pause.duration()).await;
+                let response = Response {
+                    records,
+                    pending,
+                    wait,
+                };
+                self.accept(step, response, known).await
             }
-            Err(StoreError::Trimmed) => {
-                emit!(
-                    log_event::STORE,
-                    "topic={topic:?} outcome=trimmed offset={:?}",
-                    state.offset
-                );
-                state.offset = None;
+            Err(e) => self.fail(is_log, &e, &pending),
+        }
+    }
+
+    async fn read_page(&self, start: &PageStart) -> (Result<Records, StoreError>, Pending) {
+        let read = self.store.newest(self.topic, start);
+        let (page, pending) = Pending::observe(&self.clock, read, |_| {}).await;
+        (page.and_then(|p| start.check(p)), pending)
+    }
+
+    /// Returns the longest wait of the next read.
+    fn next_wait(&self) -> Millis {
+        if self.state.list.is_some() || !self.polls() {
+            return Millis::ZERO;
+        }
+        if self.state.got_records && self.follower.has_other_readers() {
+            // All readers get records at the same time. Their next waits are of different length, so that they do not all
+            // end together: the end of each shows that nothing was written until then.
+            return spread(self.wait);
+        }
+        self.wait
+    }
+
+    /// Returns whether reads wait for records. While reads fail, a long poll would delay the detection that the store is
+    /// back.
+    fn polls(&self) -> bool {
+        !self.state.failing && self.follower.is_steady()
+    }
+
+    /// Returns the least pause after the next read.
+    fn next_least_pause(&self) -> Millis {
+        if self.polls() || self.wait == Millis::ZERO {
+            Millis::ZERO
+        } else {
+            UNSTEADY_PAUSE
+        }
+    }
+
+    /// Applies a response, unless it shows that all records have to be read; returns the pause before the next read.
+    async fn accept(&mut self, step: Step, response: Response, known: Option<u64>) -> Millis {
+        let now = self.clock.now();
+        let end = response.records.end;
+        match step {
+            Step::Log(from) if end < from => {
+                log_restart(self.topic, Some(from), end);
+                self.follower.log_restarted();
+                self.begin_again();
+                jitter(READ_RETRY)
             }
-            Err(e) => {
-                state.failed_at = pending.begun;
-                state.record_failure(topic, clock.now(), &e);
-                if state.lost || matches!(e, StoreError::Malformed(_)) {
-                    // The log may remain unreadable from this offset on, for example if the response is too large.
-                    state.offset = None;
-                }
-                tokio::time::sleep(jitter(READ_RETRY).duration()).await;
+            // The backlog of an outage would come in pages, and other processes must not rely on this one before the last
+            // page; a list holds only the newest record of each key.
+            Step::Log(_) | Step::Page(_) if self.state.is_store_lost(now) => {
+                self.begin_again();
+                Millis::ZERO
             }
+            Step::Log(from) => self.apply_log(from, response).await,
+            Step::Page(_) => self.apply_page(response.records),
+            Step::Begin => self.begin_list(response, known),
+        }
+    }
+
+    /// Applies records of the log from the offset `from` on.
+    async fn apply_log(&mut self, from: u64, response: Response) -> Millis {
+        let Response {
+            records,
+            pending,
+            wait,
+        } = response;
+        let mut bounds = self.state.bounds(&records, &pending, wait, None);
+        if bounds.after > Some(pending.begun + CHECK_MIN) {
+            let times = &self.state.times;
+            let check = check_response(self.store, self.topic, &records, times, &self.clock);
+            bounds.check_wait(pending.begun, check.await);
+        }
+        let now = self.clock.now();
+        self.state.record_success(self.topic, now, self.follower);
+        if self.state.list.is_none() {
+            self.follower.read_succeeded();
+        }
+        self.state.got_records = !records.records.is_empty();
+        let (next, end) = (records.next, records.end);
+        self.state.offset = Some(next);
+        for (offset, record) in (from..).zip(records.records) {
+            let age = bounds.age(&self.state.times, offset, self.clock.now());
+            self.follower.note_age(age);
+            self.follower.apply(record);
+        }
+        self.state.times.record_end(end, bounds.made, next);
+        if let Some(list) = &mut self.state.list {
+            list.log_applied(next >= end, bounds.made, self.clock.now());
+            return self.continue_list();
+        }
+        self.finish_read(next, (next >= end).then_some(bounds.made))
+    }
+
+    /// Begins a list with its first page. `known` is the offset before which another process had applied all records when
+    /// the read began.
+    fn begin_list(&mut self, response: Response, known: Option<u64>) -> Millis {
+        let Response {
+            records,
+            pending,
+            wait,
+        } = response;
+        let handover = self.follower.handover_time();
+        let mut bounds = self.state.bounds(&records, &pending, wait, handover);
+        let reported = self.follower.reported_end();
+        let reported = reported.filter(|v| v.position <= records.next);
+        bounds.use_report(reported.map(|v| self.clock.now() - v.age));
+        let now = self.clock.now();
+        self.state.record_success(self.topic, now, self.follower);
+        self.state.got_records = !records.records.is_empty() && self.state.read > 0;
+        let next = records.next;
+        self.state.offset = Some(next);
+        if known > Some(next) {
+            // The store answers with its present state, so that the log has begun anew.
+            log_restart(self.topic, known, next);
+            self.follower.log_restarted();
         }
+        let times = &mut self.state.times;
+        self.follower
+            .note_age(bounds.age(times, self.state.read, self.clock.now()));
+        times.record_end(records.end, bounds.made, next);
+        // What another process passed on during the read may be newer.
+        let known = self.follower.applied_until();
+        if known > Some(next) {
+            self.follower.read_succeeded();
+            return self.finish_read(next, Some(bounds.made));
+        }
+        self.state.list = Some(ListProgress::new(&records, known, bounds.made, now));
+        self.follower.list_begun();
+        records
+            .records
+            .into_iter()
+            .for_each(|r| self.follower.apply(r));
+        self.continue_list()
+    }
+
+    /// Applies a further page of a list.
+    fn apply_page(&mut self, page: Records) -> Millis {
+        let known = self.follower.applied_until();
+        let Some(list) = self.state.list.as_mut().filter(|l| l.known == known) else {
+            // Another process passed on its content meanwhile.
+            return Millis::ZERO;
+        };
+        list.page_applied(&page);
+        self.state
+            .record_success(self.topic, self.clock.now(), self.follower);
+        page.records
+            .into_iter()
+            .for_each(|r| self.follower.apply(r));
+        self.continue_list()
+    }
+
+    /// Ends a list if all its records are applied; returns the pause before the next read.
+    fn continue_list(&mut self) -> Millis {
+        let offset = self.state.offset.unwrap_or_default();
+        let complete = |l: &mut ListProgress| l.is_complete(offset);
+        let Some(list) = self.state.list.take_if(complete) else {
+            self.follower.list_continued();
+            return Millis::ZERO;
+        };
+        self.follower.read_succeeded();
+        self.follower.list_ended();
+        self.finish_read(offset, list.made)
+    }
+
+    /// Notes that all records before an offset are applied, where the log ended at or after `made`; `None` if it holds
+    /// further records.
+    fn finish_read(&mut self, offset: u64, made: Option<Millis>) -> Millis {
+        self.state.read = offset;
+        let age = made.map(|at| self.clock.now() - at);
+        self.follower.batch_applied(offset, age);
+        self.pause()
+    }
+
+    /// Handles a read that failed; returns the pause before the next one.
+    fn fail(&mut self, is_log: bool, error: &StoreError, pending: &Pending) -> Millis {
+        if *error == StoreError::Trimmed {
+            emit!(
+                log_event::STORE,
+                "topic={:?} outcome=trimmed offset={:?}",
+                self.topic,
+                self.state.offset
+            );
+            self.begin_again();
+            return Millis::ZERO;
+        }
+        self.state.failed_at = pending.begun;
+        let now = self.clock.now();
+        self.state.record_failure(self.topic, now, error);
+        let unreadable = matches!(error, StoreError::Malformed(_));
+        let pages_left = self.state.list.as_mut().filter(|l| l.has_pages());
+        if self.state.lost {
+            self.begin_again();
+        } else if let Some(list) = pages_left.filter(|_| unreadable && is_log) {
+            list.log_unreadable();
+        } else if unreadable {
+            // The log may remain unreadable from this offset on.
+            self.begin_again();
+        }
+        jitter(READ_RETRY)
+    }
+
+    /// Makes the next read begin a list.
+    fn begin_again(&mut self) {
+        self.drop_list();
+        self.state.begin_again();
+    }
+
+    fn drop_list(&mut self) {
+        if self.state.list.take().is_some() {
+            self.follower.list_dropped();
+        }
+    }
+
+    /// Returns the pause after a read whose records are applied.
+    fn pause(&self) -> Millis {
+        self.follower.pause().max(self.least_pause)
     }
 }
 
@@ -316,165 +420,3 @@
         "topic={topic:?} outcome=restarted offset={known:?} end={end}"
     );
 }
-
-/// Progress of reading one topic, and whether the store answers.
-struct FollowState {
-    /// Offset of the next record to read; `None` before the first read and when all records must be read again.
-    offset: Option<u64>,
-    /// Offset up to which all records are applied.
-    read: u64,
-    times: LogTimes,
-    /// Time up to which another process passed on the topic's content, or little less; `None` if none did.
-    inactive_at: Option<Millis>,
-    /// When the last read that failed began.
-    failed_at: Millis,
-    /// When a read succeeded last.
-    last_success: Millis,
-    /// Longest time between two successful reads while the store works.
-    usual_interval: Millis,
-    /// Whether the outage in progress was logged.
-    lost: bool,
-    /// Whether the last read failed.
-    failing: bool,
-    /// Whether the last successful read returned records, and was not the first one.
-    got_records: bool,
-    /// Newest era of the store that was seen; `None` before the first response.
-    era: Option<Era>,
-}
-
-impl FollowState {
-    fn new(usual_interval: Millis) -> Self {
-        Self {
-            offset: None,
-            read: 0,
-            times: LogTimes::default(),
-            inactive_at: None,
-            failed_at: Millis::ZERO,
-            last_success: Millis::ZERO,
-            usual_interval,
-            lost: false,
-            failing: false,
-            got_records: false,
-            era: None,
-        }
-    }
-
-    /// Notes the era of a response; fails if that is older than the newest known one.
-    fn check_era(
-        &self,
-        result: Result<Records, StoreError>,
-        follower: &impl Follower,
-    ) -> Result<Records, StoreError> {
-        let records = result?;
-        follower.note_era(records.era);
-        if Some(records.era) < self.era.max(follower.era()) {
-            follower.response_ignored();
-            return Err(StoreError::Outdated(records.era));
-        }
-        Ok(records)
-    }
-
-    /// Begins a newer era of the store, whose offsets are those of another log; returns whether `newest` is one.
-    fn follow_era(&mut self, topic: Topic, newest: Option<Era>) -> bool {
-        if newest <= self.era {
-            return false;
-        }
-        let before = std::mem::replace(&mut self.era, newest);
-        if let Some((before, era)) = before.zip(newest) {
-            emit!(
-                log_event::STORE,
-                "topic={topic:?} outcome=restored era={era} before={before} offset={:?}",
-                self.offset
-            );
-            self.offset = None;
-            self.times.restart(self.read);
-            self.read = 0;
-        }
-        true
-    }
-
-    /// Makes the next read return all records.
-    fn restart(&mut self, now: Millis) {
-        self.offset = None;
-        self.last_success = now;
-        self.lost = false;
-        self.failing = false;
-    }
-
-    /// Resets the state while the topic is not read.
-    fn stop(&mut self, now: Millis) {
-        self.restart(now);
-        self.times = LogTimes::default();
-        self.inactive_at = Some(now);
-    }
-
-    /// Returns the bounds on the write times of a response's records, and learns from it how long responses take.
-    /// `handover` is [`Follower::handover_time`].
-    fn bounds(
-        &mut self,
-        records: &Records,
-        pending: &Pending,
-        wait: Millis,
-        handover: Option<Millis>,
-    ) -> WriteBounds {
-        let Pending { begun, ended, .. } = *pending;
-        let mut out = WriteBounds {
-            after: None,
-            outage: Millis::ZERO,
-            arrived: ended - records.body_time,
-            made: begun,
-        };
-        let Some(from) = self.offset else {
-            let passed_on = self.inactive_at.zip(handover);
-            out.after = passed_on.map(|(at, time)| at - time);
-            if self.is_store_lost(ended) {
-                out.outage = self.failed_at;
-            }
-            self.times.record_latency(ended - begun - records.body_time);
-            return out;
-        };
-        if !records.records.is_empty() {
-            let arrived = pending.arrived_after(records.body_time);
-            // A read that does not wait says nothing by the time of its response.
-            let waited = self.times.waited_after(from, begun, arrived);
-            out.after = waited.filter(|_| wait > Millis::ZERO);
-            out.made = begun.max(out.after.unwrap_or_default());
-        } else if ended >= begun + wait {
-            self.times.record_latency(ended - (begun + wait));
-            out.made = begun + wait;
-        }
-        out
-    }
-
-    /// Returns whether reads have failed for so long that the store counts as lost.
-    fn is_store_lost(&self, now: Millis) -> bool {
-        self.lost || now > self.last_success + self.usual_interval + STORE_TIMEOUT
-    }
-
-    fn record_success(&mut self, topic: Topic, now: Millis, follower: &impl Follower) {
-        if self.is_store_lost(now) {
-            let away = now - self.last_success;
-            emit!(
-                log_event::STORE,
-                "topic={topic:?} outcome=regained away={}",
-                away.0
-            );
-            follower.store_recovered();
-        }
-        self.lost = false;
-        self.failing = false;
-        self.last_success = now;
-        follower.read_succeeded();
-    }
-
-    fn record_failure(&mut self, topic: Topic, now: Millis, error: &StoreError) {
-        self.failing = true;
-        if !self.lost && self.is_store_lost(now) {
-            self.lost = true;
-            emit!(
-                log_event::STORE,
-                "topic={topic:?} outcome=lost reason=\"{error}\""
-            );
-        }
-    }
-}
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -1,6 +1,10 @@
 //! How an entry applies the records of the store's topics.
 
-use std::{cell::Cell, marker::PhantomData, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    marker::PhantomData,
+    rc::Rc,
+};
 
 use bytes::Bytes;
 
@@ -33,6 +37,10 @@
 /// new record is read.
 const ENDPOINTS_PAUSE_LOADING: Millis = Millis(300);
 
+/// Time after which the endpoints of a list that are known so far serve requests: the rest may take many seconds, in which
+/// callers would be rejected.
+const PARTIAL_TABLE_TIME: Millis = Millis(2000);
+
 /// Pause between reads of the announcements of entries; most of their state arrives by heartbeat.
 const ENTRIES_PAUSE: Millis = Millis(2000);
 
@@ -139,6 +147,10 @@
     ctx: Rc<Context>,
     /// Limits the log lines about records that cannot be used.
     lines: LineRate,
+    /// Endpoints that the list names that is being read; `None` while none is.
+    listed: RefCell<Option<HashSet<EndpointId>>>,
+    /// Time at which the newest list was begun.
+    list_begun: Cell<Millis>,
     _decode: PhantomData<D>,
 }
 
@@ -147,26 +159,40 @@
         Self {
             ctx,
             lines: LineRate::new(SKIPPED_LINES),
+            listed: RefCell::default(),
+            list_begun: Cell::default(),
             _decode: PhantomData,
         }
     }
 
     /// Applies a record. One that names no endpoint to use, as another writer may leave it, removes the endpoint that the
     /// record before it named: an entry that starts later does not know that one.
-    fn apply_record(&self, record: &Record) -> Option<EndpointId> {
+    fn apply_record(&self, record: &Record) {
         let Some(id) = EndpointId::from_key(&record.key) else {
             self.log_skipped(&record.key, "the key is no valid id of an endpoint");
-            return None;
+            return;
         };
         let decoded = record.value.as_ref().map(|v| self.decode(v));
         let decoded = decoded.and_then(|result| {
             let skipped = |e: &String| self.log_skipped(&record.key, e);
             result.inspect_err(skipped).ok()
         });
-        let now = self.ctx.now();
+        let (now, names_one) = (self.ctx.now(), decoded.is_some());
         let change = self.ctx.endpoints.borrow_mut().apply(&id, decoded, now);
         endpoint_changed(&self.ctx, &id, change);
-        Some(id)
+        if names_one {
+            self.note_listed(id);
+        }
+    }
+
+    /// Notes that the list that is being read names an endpoint. No more are noted than the table has.
+    fn note_listed(&self, id: EndpointId) {
+        let Some(listed) = &mut *self.listed.borrow_mut() else {
+            return;
+        };
+        if self.ctx.endpoints.borrow().get(&id).is_some() {
+            listed.insert(id);
+        }
     }
 
     fn decode(&self, value: &[u8]) -> Result<EndpointRecord, String> {
@@ -277,16 +303,30 @@
         }
     }
 
-    fn replace(&self, records: Vec<Record>) {
-        let present: HashSet<_> = records
-            .iter()
-            .filter_map(|r| self.apply_record(r))
-            .collect();
-        let missing = self
-            .ctx
-            .endpoints
-            .borrow_mut()
-            .retain_present(&present, self.ctx.now());
+    fn list_begun(&self) {
+        self.listed.replace(Some(HashSet::default()));
+        self.list_begun.set(self.ctx.now());
+    }
+
+    fn list_continued(&self) {
+        let overdue = self.ctx.now() >= self.list_begun.get() + PARTIAL_TABLE_TIME;
+        if overdue && self.ctx.endpoints.borrow().iter().next().is_some() {
+            self.ctx.table_loaded.set(true);
+        }
+        if self.ctx.table_changed.get() {
+            self.ctx.notify_changed();
+        }
+    }
+
+    fn list_ended(&self) {
+        let Some(listed) = self.listed.take() else {
+            return;
+        };
+        let now = self.ctx.now();
+        let missing = {
+            let mut table = self.ctx.endpoints.borrow_mut();
+            table.retain_present(&listed, now)
+        };
         for id in missing {
             let gone = self.ctx.endpoints.borrow().get(&id).is_none();
             let change = if gone {
@@ -300,6 +340,10 @@
         self.ctx.table_changed.set(true);
     }
 
+    fn list_dropped(&self) {
+        self.listed.take();
+    }
+
     fn pause(&self) -> Millis {
         if self.ctx.is_load_pending() {
             ENDPOINTS_PAUSE_LOADING
@@ -349,12 +393,6 @@
         }
     }
 
-    fn replace(&self, records: Vec<Record>) {
-        for record in records {
-            self.apply(record);
-        }
-    }
-
     fn read_succeeded(&self) {
         // Entries that start at the same time may announce themselves only after the first read of this one.
         self.read
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -107,7 +107,7 @@
     ExplainedSpill, ExplainedState, ExplainedWeights, Explanation, SecretKey, Standing,
     EXPLAIN_BUILD, EXPLAIN_PATH, EXPLANATION_MAX,
 };
-pub use follow::{follow, Follower};
+pub use follow::{follow, read_list, Follower};
 pub use headers::Headers;
 pub use issuer::{Grant, Issuers, PermitId, PermitReply, PermitRequest, PermitTerms};
 pub use limits::{Limit, LimitReport, Limits, Observation};
@@ -124,8 +124,8 @@
 pub use peer_tokens::{EndpointTokens, PeerTokens};
 pub use prompt::shared_parts;
 pub use record::{
-    EndpointRecord, Incarnation, OperatorRecord, Record, RecordFault, RecordStore, Records,
-    Revision, StoreError, Topic, WeightVersion,
+    EndpointRecord, Incarnation, OperatorRecord, PageStart, Record, RecordFault, RecordStore,
+    Records, Revision, StoreError, Topic, WeightVersion,
 };
 pub use reply::Reject;
 pub use reported_load::ReportedLoad;
--- a/src/gateway/operator_records.rs
+++ b/src/gateway/operator_records.rs
@@ -241,18 +241,22 @@
         }
     }
 
-    fn replace(&self, records: Vec<Record>) {
+    fn list_begun(&self) {
         // Zones whose records are absent are in service.
         self.evacuation.replace(EvacuationRead {
             whole: true,
             ..EvacuationRead::default()
         });
-        for record in records {
-            self.apply(record);
-        }
+    }
+
+    fn list_ended(&self) {
         self.read.set(true);
     }
 
+    fn list_dropped(&self) {
+        self.evacuation.take();
+    }
+
     fn batch_applied(&self, next: u64, age: Option<Millis>) {
         let read = self.evacuation.take();
         self.sink.evacuation(EvacuationRead {
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -45,6 +45,32 @@
     pub body_time: Millis,
     /// Era of the store in which the offsets hold.
     pub era: Era,
+    /// Key after which the list goes on, if these are a page of it and further ones follow; `None` for a read of the log.
+    pub more: Option<Bytes>,
+}
+
+/// Where a page of the newest records of a topic begins, and what it leaves out. The first page has the default.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PageStart {
+    /// Key that the page follows.
+    pub after: Option<Bytes>,
+    /// Offset from which on the caller reads the log; records there and later are left out of the page.
+    pub until: Option<u64>,
+}
+
+impl PageStart {
+    /// Checks that the list goes on after a page that begins here.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Malformed`] if the page after it would begin here again.
+    pub fn check(&self, page: Records) -> Result<Records, StoreError> {
+        if page.more.is_some() && page.more == self.after {
+            let text = "a page does not continue the one before".to_owned();
+            return Err(StoreError::Malformed(text));
+        }
+        Ok(page)
+    }
 }
 
 /// Why a call to the store failed.
@@ -69,13 +95,17 @@
 
 /// Store of the platform: logs of records, one for each topic.
 pub trait RecordStore: Clone + 'static {
-    /// Reads the newest record of each key. The records are read in pages and are no consistent snapshot; `next` is the
-    /// end of the log before the first page.
+    /// Reads a page of the newest record of each key, in the order of the keys. Pages are no consistent snapshot; `next`
+    /// and `end` are the end of the log at the time of this page.
     ///
     /// # Errors
     ///
-    /// Returns an error if the store cannot be reached.
-    fn newest(&self, topic: Topic) -> impl Future<Output = Result<Records, StoreError>>;
+    /// Returns an error if the store cannot be reached or its response cannot be decoded.
+    fn newest(
+        &self,
+        topic: Topic,
+        start: &PageStart,
+    ) -> impl Future<Output = Result<Records, StoreError>>;
 
     /// Reads records from the offset `from` on; waits up to `wait` for the first one.
     ///
--- a/src/staging/assignment.rs
+++ b/src/staging/assignment.rs
@@ -13,8 +13,8 @@
     decide::{chunk::Topology, era::EraChange},
     emit,
     gateway::{
-        Assignment, Catalog, CatalogVersion, Decode, DesiredVersions, EndpointUpdate, LoggedAge,
-        RecordStore, Topic, WeightVersion, WriteAge,
+        read_list, Assignment, Catalog, CatalogVersion, Decode, DesiredVersions, EndpointUpdate,
+        LoggedAge, RecordStore, Topic, WeightVersion, WriteAge,
     },
 };
 
@@ -171,20 +171,18 @@
         if !self.is_assignment_stale() {
             return;
         }
-        let records = match self.store.newest(Topic::Endpoints).await {
-            Ok(records) if self.is_of_older_era(records.era) => return,
-            Ok(records) => records.records,
-            Err(e) => {
-                log::debug!("cannot read the list of hosts: {e}");
-                return;
-            }
-        };
-        let values = records.iter().filter_map(|r| r.value.as_ref());
-        let decoded = values.filter_map(|v| D::endpoint(v).ok());
-        let endpoints = decoded.filter(|e| e.check().is_ok());
-        let own = endpoints.filter(|e| e.service == self.settings.service);
-        let hosts: Vec<_> = own.map(|e| (e.addr, e.zone)).collect();
-        self.set_hosts(&hosts);
+        let mut hosts = Vec::new();
+        let list = read_list(&self.store, Topic::Endpoints, |record| {
+            let decoded = record.value.and_then(|v| D::endpoint(&v).ok());
+            let sound = decoded.filter(|e| e.check().is_ok());
+            let own = sound.filter(|e| e.service == self.settings.service);
+            hosts.extend(own.map(|e| (e.addr, e.zone)));
+        });
+        match list.await {
+            Ok(list) if self.is_of_older_era(list.era) => {}
+            Ok(_) => self.set_hosts(&hosts),
+            Err(e) => log::debug!("cannot read the list of hosts: {e}"),
+        }
     }
 
     /// Returns the state of the endpoint and the entries to notify; `None` if the endpoint does not respond or its
--- a/src/staging/entries.rs
+++ b/src/staging/entries.rs
@@ -10,7 +10,8 @@
     base::{jitter, Clock, Millis, SystemClock},
     emit,
     gateway::{
-        Assignment, Decode, Heartbeat, RecordStore, Topic, ASSIGNMENT_PATH, ASSIGNMENT_WAIT,
+        read_list, Assignment, Decode, Heartbeat, RecordStore, Topic, ASSIGNMENT_PATH,
+        ASSIGNMENT_WAIT,
     },
     http::{get, Pool},
 };
@@ -94,18 +95,19 @@
     /// therefore polled first.
     async fn announced_entries(&self) -> Vec<SocketAddr> {
         let zone = self.settings.zone.as_str();
-        let records = match self.store.newest(Topic::Entries).await {
-            Ok(records) if self.is_of_older_era(records.era) => return Vec::new(),
-            Ok(records) => records.records,
+        let mut heartbeats: Vec<Heartbeat> = Vec::new();
+        let list = read_list(&self.store, Topic::Entries, |record| {
+            let value = record.value;
+            heartbeats.extend(value.and_then(|v| postcard::from_bytes(&v).ok()));
+        });
+        match list.await {
+            Ok(list) if self.is_of_older_era(list.era) => return Vec::new(),
+            Ok(_) => {}
             Err(e) => {
                 log::debug!("cannot read the announcements of entries: {e}");
                 return Vec::new();
             }
-        };
-        let values = records.iter().filter_map(|r| r.value.as_ref());
-        let mut heartbeats: Vec<Heartbeat> = values
-            .filter_map(|v| postcard::from_bytes(v).ok())
-            .collect();
+        }
         fastrand::shuffle(&mut heartbeats);
         heartbeats.sort_by_key(|b| b.zone.as_str() == zone);
         heartbeats.into_iter().map(|b| b.peer).collect()
--- a/tests/gateway_evacuation.rs
+++ b/tests/gateway_evacuation.rs
@@ -14,7 +14,7 @@
 };
 use sesamewing::{
     base::Millis,
-    gateway::{Record, RecordStore, Records, Repeat, StoreError, Topic},
+    gateway::{PageStart, Record, RecordStore, Records, Repeat, StoreError, Topic},
 };
 
 /// Time in which a record takes effect at all entries of a test; well below the bound of 5 s.
@@ -47,9 +47,9 @@
 }
 
 impl RecordStore for Unstable {
-    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+    async fn newest(&self, topic: Topic, start: &PageStart) -> Result<Records, StoreError> {
         self.check()?;
-        self.store.newest(topic).await
+        self.store.newest(topic, start).await
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -10,7 +10,7 @@
 use gateway_support::{run_local, MemoryStore};
 use sesamewing::{
     base::Millis,
-    gateway::{follow, Follower, Record, RecordStore, Records, StoreError, Topic},
+    gateway::{follow, Follower, PageStart, Record, RecordStore, Records, StoreError, Topic},
 };
 
 /// A store that can be unavailable, and that returns one record per read.
@@ -30,9 +30,9 @@
 }
 
 impl RecordStore for FlakyStore {
-    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+    async fn newest(&self, topic: Topic, start: &PageStart) -> Result<Records, StoreError> {
         self.check_available()?;
-        self.store.newest(topic).await
+        self.store.newest(topic, start).await
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
@@ -48,27 +48,37 @@
     }
 }
 
-/// A follower that records the calls it gets, in order.
+/// A follower that records the calls it gets, in order; those of a list as one.
 #[derive(Default)]
-struct CallLog(RefCell<Vec<String>>);
+struct CallLog {
+    calls: RefCell<Vec<String>>,
+    /// Keys of the list in progress.
+    list: RefCell<Option<Vec<String>>>,
+}
 
 impl CallLog {
-    fn push(&self, text: &str, records: &[Record]) {
-        let keys = records.iter().map(|r| String::from_utf8_lossy(&r.key));
-        let keys: Vec<_> = keys.collect();
-        self.0
-            .borrow_mut()
-            .push(format!("{text} {}", keys.join(",")));
+    fn push(&self, text: &str, keys: &[String]) {
+        let call = format!("{text} {}", keys.join(","));
+        self.calls.borrow_mut().push(call);
     }
 }
 
 impl Follower for CallLog {
     fn apply(&self, record: Record) {
-        self.push("take", &[record]);
+        let key = String::from_utf8_lossy(&record.key).into_owned();
+        match &mut *self.list.borrow_mut() {
+            Some(list) => list.push(key),
+            None => self.push("take", &[key]),
+        }
+    }
+
+    fn list_begun(&self) {
+        self.list.replace(Some(Vec::new()));
     }
 
-    fn replace(&self, records: Vec<Record>) {
-        self.push("replace", &records);
+    fn list_ended(&self) {
+        let keys = self.list.take().expect("a list was begun");
+        self.push("replace", &keys);
     }
 
     fn store_recovered(&self) {
@@ -98,7 +108,7 @@
         tokio::time::sleep(Millis(2500).duration()).await;
         store.unavailable.set(false);
         tokio::time::sleep(Millis(600).duration()).await;
-        let calls = calls.0.borrow();
+        let calls = calls.calls.borrow();
         assert_eq!(*calls, ["replace a", "regained ", "replace a,b,c,d"]);
     });
 }
@@ -111,8 +121,8 @@
 }
 
 impl RecordStore for BrokenLog {
-    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
-        self.store.newest(topic).await
+    async fn newest(&self, topic: Topic, start: &PageStart) -> Result<Records, StoreError> {
+        self.store.newest(topic, start).await
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
@@ -149,7 +159,7 @@
             tokio::time::sleep(Millis(60).duration()).await;
             store.store.write(topic, "b", "1");
             tokio::time::sleep(limit.duration()).await;
-            let calls = calls.0.borrow();
+            let calls = calls.calls.borrow();
             assert_eq!(calls.last().map(String::as_str), Some("replace a,b"));
         });
     }
@@ -161,12 +171,17 @@
 
 impl Follower for Panicking {
     fn apply(&self, record: Record) {
-        assert!(record.key != "odd", "an odd record");
+        let listed = self.0.list.borrow().is_some();
+        assert!(listed || record.key != "odd", "an odd record");
         self.0.apply(record);
     }
 
-    fn replace(&self, records: Vec<Record>) {
-        self.0.replace(records);
+    fn list_begun(&self) {
+        self.0.list_begun();
+    }
+
+    fn list_ended(&self) {
+        self.0.list_ended();
     }
 
     fn store_recovered(&self) {}
@@ -193,7 +208,7 @@
         tokio::time::sleep(Millis(1500).duration()).await;
         store.write(topic, "c", "1");
         tokio::time::sleep(Millis(200).duration()).await;
-        let calls = calls.0 .0.borrow();
+        let calls = calls.0.calls.borrow();
         let expected = ["replace a", "replace a,odd,b", "take c"];
         assert_eq!(*calls, expected);
     });
@@ -211,8 +226,6 @@
         self.known.set(true);
     }
 
-    fn replace(&self, _: Vec<Record>) {}
-
     fn store_recovered(&self) {}
 
     fn read_succeeded(&self) {
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -19,8 +19,8 @@
 use sesamewing::{
     base::{Era, HashMap, Millis},
     gateway::{
-        Catalog, Decode, EndpointRecord, Gossip, Heartbeat, Message, OperatorRecord, Record,
-        RecordStore, Records, Revision, Status, StoreError, Topic, WeightVersion,
+        Catalog, Decode, EndpointRecord, Gossip, Heartbeat, Message, OperatorRecord, PageStart,
+        Record, RecordStore, Records, Revision, Status, StoreError, Topic, WeightVersion,
     },
 };
 use tokio::{
@@ -186,7 +186,7 @@
 }
 
 impl RecordStore for MemoryStore {
-    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+    async fn newest(&self, topic: Topic, _: &PageStart) -> Result<Records, StoreError> {
         let records = self.records_from(topic, 0)?;
         let next = records.len() as u64;
         Ok(Records {
--- a/tests/paused_entry.rs
+++ b/tests/paused_entry.rs
@@ -26,7 +26,8 @@
 use sesamewing::{
     base::Millis,
     gateway::{
-        CatalogVersion, Record, RecordStore, Records, Status, StoreError, TableDigest, Topic,
+        CatalogVersion, PageStart, Record, RecordStore, Records, Status, StoreError, TableDigest,
+        Topic,
     },
 };
 
@@ -163,9 +164,9 @@
 }
 
 impl RecordStore for Gated {
-    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+    async fn newest(&self, topic: Topic, start: &PageStart) -> Result<Records, StoreError> {
         self.opened().await;
-        self.store.newest(topic).await
+        self.store.newest(topic, start).await
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -14,7 +14,9 @@
 };
 use sesamewing::{
     base::Millis,
-    gateway::{follow, Follower, Record, RecordStore, Records, StoreError, Topic, RENEWAL},
+    gateway::{
+        follow, Follower, PageStart, Record, RecordStore, Records, StoreError, Topic, RENEWAL,
+    },
 };
 use tokio::task::spawn_local;
 
@@ -192,9 +194,12 @@
 }
 
 impl RecordStore for Delayed {
-    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+    async fn newest(&self, topic: Topic, start: &PageStart) -> Result<Records, StoreError> {
         let older = self.older.take();
-        older.unwrap_or(self.store.clone()).newest(topic).await
+        older
+            .unwrap_or(self.store.clone())
+            .newest(topic, start)
+            .await
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
@@ -221,10 +226,6 @@
         self.keys.borrow_mut().push(key);
     }
 
-    fn replace(&self, records: Vec<Record>) {
-        records.into_iter().for_each(|r| self.apply(r));
-    }
-
     fn store_recovered(&self) {}
 
     fn response_ignored(&self) {
--- a/tests/store_steadiness.rs
+++ b/tests/store_steadiness.rs
@@ -12,7 +12,8 @@
 use sesamewing::{
     base::Millis,
     gateway::{
-        CatalogVersion, Record, RecordStore, Records, ResponseTime, Steadiness, StoreError, Topic,
+        CatalogVersion, PageStart, Record, RecordStore, Records, ResponseTime, Steadiness,
+        StoreError, Topic,
     },
 };
 
@@ -79,9 +80,9 @@
 }
 
 impl RecordStore for Store {
-    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+    async fn newest(&self, topic: Topic, start: &PageStart) -> Result<Records, StoreError> {
         self.delay().await;
-        self.records.newest(topic).await
+        self.records.newest(topic, start).await
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Records, StoreError> {
--- a/tests/table_order.rs
+++ b/tests/table_order.rs
@@ -20,8 +20,8 @@
 use sesamewing::{
     base::{rendezvous, Millis},
     gateway::{
-        CatalogVersion, Decode, EndpointId, Record, RecordStore, Records, Status, StoreError,
-        TableDelta, TableDigest, Topic,
+        CatalogVersion, Decode, EndpointId, PageStart, Record, RecordStore, Records, Status,
+        StoreError, TableDelta, TableDigest, Topic,
     },
     http::{listen, ServeOptions},
 };
@@ -45,8 +45,8 @@
 }
 
 impl RecordStore for SlowStore {
-    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
-        let state = self.store.newest(topic).await;
+    async fn newest(&self, topic: Topic, start: &PageStart) -> Result<Records, StoreError> {
+        let state = self.store.newest(topic, start).await;
         if topic == Topic::Endpoints {
             sleep(self.delay.duration()).await;
         }
--- a/tests/version_support/mod.rs
+++ b/tests/version_support/mod.rs
@@ -5,7 +5,9 @@
 
 use sesamewing::{
     base::{rendezvous, Millis},
-    gateway::{Catalog, Record, RecordStore, Records, ServiceWeights, StoreError, Topic},
+    gateway::{
+        Catalog, PageStart, Record, RecordStore, Records, ServiceWeights, StoreError, Topic,
+    },
 };
 use tokio::task::{spawn_local, AbortHandle, LocalSet};
 
@@ -95,14 +97,14 @@
 }
 
 impl RecordStore for HarshStore {
-    async fn newest(&self, topic: Topic) -> Result<Records, StoreError> {
+    async fn newest(&self, topic: Topic, start: &PageStart) -> Result<Records, StoreError> {
         if topic != Topic::Operator {
-            return self.store.newest(topic).await;
+            return self.store.newest(topic, start).await;
         }
         if self.state.rejects.get() {
             return Err(StoreError::Refused(503));
         }
-        let mut all = self.store.newest(topic).await?;
+        let mut all = self.store.newest(topic, start).await?;
         let mut newest: Vec<Record> = Vec::new();
         for record in all.records {
             newest.retain(|r| r.key != record.key);
