fix(platform): a response of the store that is too large is read as far as it goes

Cause: a read of the log asks for a number of records, and its response has a limit in bytes. One that exceeded it failed and was repeated until the store counted as lost; removals were then doubted as after an outage, and each reader read the whole list again, for as long as such records came. Besides, a reader paused between the parts of what was written at once: 8,000 small records delayed a removal by 4 s.

No pause follows a read that leaves records behind. Such a connection is closed, because the rest of its response would be taken for the next one.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -249,7 +249,12 @@
             list.log_applied(next >= end, bounds.made, self.clock.now());
             return self.continue_list();
         }
-        self.finish_read(next, (next >= end).then_some(bounds.made))
+        let pause = self.finish_read(next, (next >= end).then_some(bounds.made));
+        // A response has a limit of records and bytes; what is beyond it takes effect no later.
+        if from < next && next < end {
+            return Millis::ZERO;
+        }
+        pause
     }
 
     /// Begins a list with its first page. `known` is the offset before which another process had applied all records when
--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{Request, Response};
+use hyper::{body::Incoming, Request, Response};
 
 use super::{
     connect::{connect, Connection},
@@ -23,6 +23,8 @@
     pub time: Millis,
     /// Largest body of the response, in bytes.
     pub body: usize,
+    /// Whether the call returns the beginning of a body that is larger, or that has not arrived in time, instead of failing.
+    pub cuts: bool,
 }
 
 impl From<Millis> for CallLimit {
@@ -31,6 +33,7 @@
         Self {
             time,
             body: BODY_MAX,
+            cuts: false,
         }
     }
 }
@@ -48,6 +51,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct HeadReceived(pub Instant);
 
+/// Only the beginning of the body was read, because of the limits of the call; an extension of the response.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyCut;
+
 /// Why a call brought no response.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
@@ -84,7 +91,10 @@
         .await
         .map_err(|e| CallError::Connect(addr, e.to_string()))?;
     let res = exchange(&mut conn, addr, req, limit).await?;
-    pool.put(addr, conn, now + limit.time + IDLE, IDLE_MAX);
+    // The rest of a body that was cut would be taken for the next response.
+    if res.extensions().get::<BodyCut>().is_none() {
+        pool.put(addr, conn, now + limit.time + IDLE, IDLE_MAX);
+    }
     Ok(res)
 }
 
@@ -128,31 +138,76 @@
     req: Request<Full<Bytes>>,
     limit: CallLimit,
 ) -> Result<Response<Bytes>, CallError> {
-    let lost = |text: String| CallError::Lost(addr, text);
-    let exchange = async {
-        let res = conn
-            .send(req)
-            .await
-            .map_err(|e| lost(e.into_error().to_string()))?;
-        let (mut head, body) = res.into_parts();
-        head.extensions.insert(HeadReceived(Instant::now()));
-        if !is_final(head.status) {
-            let status = head.status.as_u16();
-            return Err(lost(format!("status {status}, which is no final response")));
+    let end = tokio::time::Instant::now() + limit.time.duration();
+    let late = || lost(addr, format!("no response within {}", limit.time));
+    let head = tokio::time::timeout_at(end, read_head(conn, addr, req));
+    let (mut head, body) = head.await.map_err(|_| late())??.into_parts();
+    if limit.cuts {
+        let (data, cut) = read_beginning(body, addr, limit.body, end).await?;
+        if cut {
+            head.extensions.insert(BodyCut);
         }
-        if has_unknown_coding(&head.headers) {
-            return Err(lost("a transfer coding that is not `chunked`".to_owned()));
+        return Ok(Response::from_parts(head, data));
+    }
+    let data = tokio::time::timeout_at(end, read_whole(body, addr, limit.body));
+    let data = data.await.map_err(|_| late())??;
+    Ok(Response::from_parts(head, data))
+}
+
+fn lost(addr: SocketAddr, reason: impl ToString) -> CallError {
+    CallError::Lost(addr, reason.to_string())
+}
+
+/// Sends a request and reads the head of its response.
+async fn read_head(
+    conn: &mut Connection,
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, CallError> {
+    let sent = conn.send(req).await;
+    let mut res = sent.map_err(|e| lost(addr, e.into_error()))?;
+    res.extensions_mut().insert(HeadReceived(Instant::now()));
+    if !is_final(res.status()) {
+        let status = res.status().as_u16();
+        let text = format!("status {status}, which is no final response");
+        return Err(lost(addr, text));
+    }
+    if has_unknown_coding(res.headers()) {
+        return Err(lost(addr, "a transfer coding that is not `chunked`"));
+    }
+    Ok(res)
+}
+
+async fn read_whole(body: Incoming, addr: SocketAddr, max: usize) -> Result<Bytes, CallError> {
+    let read = Limited::new(body, max).collect().await;
+    let read = read.map_err(|e| match e.downcast::<LengthLimitError>() {
+        Ok(_) => CallError::TooLarge(addr, max),
+        Err(e) => lost(addr, e),
+    })?;
+    Ok(read.to_bytes())
+}
+
+/// Reads up to `max` bytes of a body until `end`; returns them, and whether the body is longer.
+async fn read_beginning(
+    mut body: Incoming,
+    addr: SocketAddr,
+    max: usize,
+    end: tokio::time::Instant,
+) -> Result<(Bytes, bool), CallError> {
+    let mut out = BytesMut::new();
+    loop {
+        let Ok(frame) = tokio::time::timeout_at(end, body.frame()).await else {
+            return Ok((out.freeze(), true));
+        };
+        let Some(frame) = frame else {
+            return Ok((out.freeze(), false));
+        };
+        let frame = frame.map_err(|e| lost(addr, e))?;
+        let data = frame.into_data().unwrap_or_default();
+        let room = max - out.len();
+        out.extend_from_slice(&data[..data.len().min(room)]);
+        if data.len() > room {
+            return Ok((out.freeze(), true));
         }
-        let body = Limited::new(body, limit.body)
-            .collect()
-            .await
-            .map_err(|e| match e.downcast::<LengthLimitError>() {
-                Ok(_) => CallError::TooLarge(addr, limit.body),
-                Err(e) => lost(e.to_string()),
-            })?;
-        Ok(Response::from_parts(head, body.to_bytes()))
-    };
-    tokio::time::timeout(limit.time.duration(), exchange)
-        .await
-        .map_err(|_| lost(format!("no response within {}", limit.time)))?
+    }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -13,7 +13,7 @@
 mod server;
 mod tcp_info;
 
-pub use call::{call, call_once, get, CallError, CallLimit, HeadReceived, BODY_MAX};
+pub use call::{call, call_once, get, BodyCut, CallError, CallLimit, HeadReceived, BODY_MAX};
 pub use callers::{Callers, HeldBody, Shed, UnreadResponse};
 pub use connect::{connect, Connection};
 pub(crate) use framing::{has_unknown_coding, is_final};
--- a/src/staging/exchange.rs
+++ b/src/staging/exchange.rs
@@ -332,8 +332,8 @@
         requester: Requester,
     ) -> Result<Bytes, Fault> {
         let limit = CallLimit {
-            time: TRANSFER_TIMEOUT,
             body: manifest.chunk.0 as usize,
+            ..TRANSFER_TIMEOUT.into()
         };
         let digest = &manifest.digests[chunk as usize];
         let mut path = format!("/chunk/{model}/{}/{chunk}", manifest.version);
