feat(gateway): one line and a counter for records that cannot be used

Operators saw five SW456 lines a second, one for each odd record, for as long as a large list of them was read, and not how many there are; the operator's topic and the announcements of entries had a line for each without a limit.

--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -20,13 +20,13 @@
     operator_records::{Decode, OperatorSink},
     record::{EndpointRecord, Record, WeightVersion},
     steadiness::ResponseTime,
+    unusable::{Unusable, UnusableReport},
     write_time::{LoggedAge, WriteAge},
 };
 use crate::{
-    base::{Era, Excerpt, HashSet, Millis},
+    base::{Era, HashSet, Millis},
     decide::evacuation::EvacuationRead,
     emit,
-    observe::LineRate,
 };
 
 /// Pause between reads of the endpoints, whose records change continually; short, because requests to a draining
@@ -44,9 +44,6 @@
 /// Pause between reads of the announcements of entries; most of their state arrives by heartbeat.
 const ENTRIES_PAUSE: Millis = Millis(2000);
 
-/// Log lines a second about records of endpoints that cannot be used.
-const SKIPPED_LINES: u32 = 5;
-
 /// Longest time from when a zone reader last had the answer of the store to when the entry that takes over reads the
 /// operator's records: the zone reader reports for a while that it reads, its last heartbeat counts for a while, and the
 /// entry that takes over reads the endpoints first. Used only where no entry reported the end of the log: it is too short
@@ -91,9 +88,12 @@
         self.apply_evacuation(read);
     }
 
-    fn malformed(&self, key: &str, reason: &str) {
-        let (key, reason) = (Excerpt(key), Excerpt(reason));
-        emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
+    fn count_malformed(&self, record: &Record) {
+        self.metrics.count_unusable("Operator", record);
+    }
+
+    fn malformed(&self, report: &UnusableReport) {
+        emit!(log_event::RECORD, "topic=Operator {report}");
     }
 
     fn should_read(&self) -> bool {
@@ -145,8 +145,7 @@
 /// Follower of the endpoints' records.
 pub(super) struct EndpointFollower<D> {
     ctx: Rc<Context>,
-    /// Limits the log lines about records that cannot be used.
-    lines: LineRate,
+    unusable: Unusable,
     /// Endpoints that the list names that is being read; `None` while none is.
     listed: RefCell<Option<HashSet<EndpointId>>>,
     /// Time at which the newest list was begun.
@@ -158,7 +157,7 @@
     pub(super) fn new(ctx: Rc<Context>) -> Self {
         Self {
             ctx,
-            lines: LineRate::new(SKIPPED_LINES),
+            unusable: Unusable::default(),
             listed: RefCell::default(),
             list_begun: Cell::default(),
             _decode: PhantomData,
@@ -169,12 +168,12 @@
     /// record before it named: an entry that starts later does not know that one.
     fn apply_record(&self, record: &Record) {
         let Some(id) = EndpointId::from_key(&record.key) else {
-            self.log_skipped(&record.key, "the key is no valid id of an endpoint");
+            self.note_unusable(record, "the key is no valid id of an endpoint");
             return;
         };
         let decoded = record.value.as_ref().map(|v| self.decode(v));
         let decoded = decoded.and_then(|result| {
-            let skipped = |e: &String| self.log_skipped(&record.key, e);
+            let skipped = |e: &String| self.note_unusable(record, e);
             result.inspect_err(skipped).ok()
         });
         let (now, names_one) = (self.ctx.now(), decoded.is_some());
@@ -205,11 +204,14 @@
         Ok(record)
     }
 
-    fn log_skipped(&self, key: &[u8], reason: &str) {
-        if self.lines.admits() {
-            let key = String::from_utf8_lossy(key);
-            let (key, reason) = (Excerpt(&key), Excerpt(reason));
-            emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
+    fn note_unusable(&self, record: &Record, reason: &str) {
+        self.ctx.metrics.count_unusable("Endpoints", record);
+        self.unusable.note(record, reason);
+    }
+
+    fn report_unusable(&self) {
+        if let Some(report) = self.unusable.report(self.ctx.now()) {
+            emit!(log_event::RECORD, "topic=Endpoints {report}");
         }
     }
 }
@@ -297,6 +299,7 @@
     }
 
     fn batch_applied(&self, next: u64, _age: Option<Millis>) {
+        self.report_unusable();
         self.ctx.endpoints.borrow_mut().advance(next);
         if self.ctx.table_changed.get() {
             self.ctx.notify_changed();
@@ -309,6 +312,7 @@
     }
 
     fn list_continued(&self) {
+        self.report_unusable();
         let overdue = self.ctx.now() >= self.list_begun.get() + PARTIAL_TABLE_TIME;
         if overdue && self.ctx.endpoints.borrow().iter().next().is_some() {
             self.ctx.table_loaded.set(true);
@@ -377,9 +381,26 @@
 
 /// Follower of the announcements of entries.
 pub(super) struct EntryFollower {
-    pub(super) ctx: Rc<Context>,
+    ctx: Rc<Context>,
     /// Whether the announcements were read after the other entries of a common start had time to write theirs.
-    pub(super) read: Cell<bool>,
+    read: Cell<bool>,
+    unusable: Unusable,
+}
+
+impl EntryFollower {
+    pub(super) fn new(ctx: Rc<Context>) -> Self {
+        Self {
+            ctx,
+            read: Cell::default(),
+            unusable: Unusable::default(),
+        }
+    }
+
+    fn report_unusable(&self) {
+        if let Some(report) = self.unusable.report(self.ctx.now()) {
+            emit!(log_event::RECORD, "topic=Entries {report}");
+        }
+    }
 }
 
 impl Follower for EntryFollower {
@@ -389,10 +410,21 @@
         };
         match postcard::from_bytes::<Heartbeat>(value) {
             Ok(beat) => self.ctx.members.borrow_mut().announce(beat, self.ctx.now()),
-            Err(e) => emit!(log_event::RECORD, "topic=entries reason=\"{e}\""),
+            Err(e) => {
+                self.ctx.metrics.count_unusable("Entries", &record);
+                self.unusable.note(&record, &e.to_string());
+            }
         }
     }
 
+    fn list_continued(&self) {
+        self.report_unusable();
+    }
+
+    fn batch_applied(&self, _next: u64, _age: Option<Millis>) {
+        self.report_unusable();
+    }
+
     fn read_succeeded(&self) {
         // Entries that start at the same time may announce themselves only after the first read of this one.
         self.read
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -12,6 +12,7 @@
     },
 };
 
+use super::record::Record;
 use crate::{
     http::Callers,
     observe::{LeftOut, Metrics},
@@ -36,6 +37,12 @@
     pub(super) outcome: &'static str,
 }
 
+/// Label of a topic of the store.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct TopicLabel {
+    topic: &'static str,
+}
+
 /// Label of a request whose connection ended.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ProgressLabel {
@@ -120,6 +127,9 @@
     pub(super) unknown_loads: Gauge<f64, AtomicU64>,
     /// Datagrams that could not be decoded.
     pub(super) ignored_datagrams: Counter,
+    /// Records of the store that could not be used, and their bytes.
+    unusable_records: Family<TopicLabel, Counter>,
+    unusable_bytes: Family<TopicLabel, Counter>,
     /// Memory that is held for callers, in bytes, and their connections.
     held: Gauge,
     connections: Gauge,
@@ -171,6 +181,8 @@
             slow_endpoints: Gauge::default(),
             unknown_loads: Gauge::default(),
             ignored_datagrams: Counter::default(),
+            unusable_records: Family::default(),
+            unusable_bytes: Family::default(),
             held: Gauge::default(),
             connections: Gauge::default(),
             shed: Counter::default(),
@@ -253,6 +265,13 @@
             let help = "Datagrams that could not be decoded";
             let ignored = out.ignored_datagrams.clone();
             r.register("gateway_ignored_datagrams", help, ignored);
+            let help =
+                "Records of the store that could not be used, by topic, each time they are read";
+            let records = out.unusable_records.clone();
+            r.register("gateway_unusable_records", help, records);
+            let help = "Bytes of the records of the store that could not be used, by topic";
+            let bytes = out.unusable_bytes.clone();
+            r.register("gateway_unusable_bytes", help, bytes);
             let help = "Memory that is held for callers, in bytes";
             r.register("gateway_held_bytes", help, out.held.clone());
             let help = "Connections of callers";
@@ -278,6 +297,14 @@
         self.refused.inc_by(new);
     }
 
+    /// Counts a record of a topic that could not be used.
+    pub(super) fn count_unusable(&self, topic: &'static str, record: &Record) {
+        let label = TopicLabel { topic };
+        self.unusable_records.get_or_create(&label).inc();
+        let bytes = self.unusable_bytes.get_or_create(&label);
+        bytes.inc_by(record.size());
+    }
+
     /// Counts a request in flight whose connection ended.
     pub(super) fn count_dropped(&self, progress: &'static str) {
         let label = ProgressLabel { progress };
--- a/src/gateway/operator_records.rs
+++ b/src/gateway/operator_records.rs
@@ -15,6 +15,7 @@
     log_view::LogView,
     record::{EndpointRecord, OperatorRecord, Record, WeightVersion},
     steadiness::ResponseTime,
+    unusable::{Unusable, UnusableReport},
     write_time::WriteAge,
 };
 use crate::{
@@ -78,8 +79,11 @@
     /// See [`Follower::log_restarted`].
     fn log_restarted(&self) {}
 
-    /// Reports a record that cannot be decoded.
-    fn malformed(&self, key: &str, reason: &str);
+    /// Counts a record that cannot be decoded.
+    fn count_malformed(&self, _record: &Record) {}
+
+    /// Reports records that cannot be decoded; called at intervals.
+    fn malformed(&self, report: &UnusableReport);
 
     /// See [`Follower::should_read`].
     fn should_read(&self) -> bool {
@@ -127,6 +131,7 @@
     applied: RefCell<HashMap<Rc<str>, WeightVersion>>,
     /// What the read in progress says of evacuated zones.
     evacuation: RefCell<EvacuationRead>,
+    unusable: Unusable,
     /// Whether the first read is done.
     read: Cell<bool>,
     /// Whether even the first read waits until the sink's [`OperatorSink::should_read`] is true.
@@ -143,6 +148,7 @@
             age: Cell::default(),
             applied: RefCell::default(),
             evacuation: RefCell::default(),
+            unusable: Unusable::default(),
             read: Cell::new(false),
             on_demand: false,
             _decode: PhantomData,
@@ -183,6 +189,17 @@
 }
 
 impl<D: Decode, T: OperatorSink> OperatorFollower<D, T> {
+    fn note_malformed(&self, record: &Record, reason: &str) {
+        self.sink.count_malformed(record);
+        self.unusable.note(record, reason);
+    }
+
+    fn report_unusable(&self) {
+        if let Some(report) = self.unusable.report(self.clock.now()) {
+            self.sink.malformed(&report);
+        }
+    }
+
     /// Notes a record that evacuates a zone, or that puts it back into service because it has no value. Returns whether
     /// the record is such a one.
     fn note_evacuation(&self, record: &Record) -> bool {
@@ -194,10 +211,7 @@
                 let zones = &mut self.evacuation.borrow_mut().zones;
                 zones.push((zone, record.value.is_some()));
             }
-            Err(e) => {
-                let key = String::from_utf8_lossy(&record.key);
-                self.sink.malformed(&key, &e.to_string());
-            }
+            Err(e) => self.note_malformed(record, &e.to_string()),
         }
         true
     }
@@ -224,20 +238,20 @@
         if self.note_evacuation(&record) {
             return;
         }
-        let Some(value) = record.value else {
+        let Some(value) = &record.value else {
             return;
         };
-        match D::operator_record(&record.key, &value) {
-            Ok(Some(OperatorRecord::Catalog(catalog))) => self.sink.catalog(*catalog, value),
+        match D::operator_record(&record.key, value) {
+            Ok(Some(OperatorRecord::Catalog(catalog))) => {
+                self.sink.catalog(*catalog, value.clone());
+            }
             Ok(Some(OperatorRecord::Weights(model, version))) => {
                 if self.note_applied(&model, version) {
                     self.sink.weights(model, version, self.age());
                 }
             }
             Ok(None) => {}
-            Err(e) => self
-                .sink
-                .malformed(&String::from_utf8_lossy(&record.key), &e),
+            Err(e) => self.note_malformed(&record, &e),
         }
     }
 
@@ -249,6 +263,10 @@
         });
     }
 
+    fn list_continued(&self) {
+        self.report_unusable();
+    }
+
     fn list_ended(&self) {
         self.read.set(true);
     }
@@ -258,6 +276,7 @@
     }
 
     fn batch_applied(&self, next: u64, age: Option<Millis>) {
+        self.report_unusable();
         let read = self.evacuation.take();
         self.sink.evacuation(EvacuationRead {
             position: next,
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -32,6 +32,14 @@
     pub value: Option<Bytes>,
 }
 
+impl Record {
+    /// Returns the size of key and value, in bytes.
+    pub fn size(&self) -> u64 {
+        let value = self.value.as_ref().map_or(0, Bytes::len);
+        (self.key.len() + value) as u64
+    }
+}
+
 /// Records of a topic and the offset that follows them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Records {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,6 +1,6 @@
 //! The entry process: sockets, followers of the store's topics, heartbeats and shutdown.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use eyre::WrapErr;
@@ -111,10 +111,7 @@
     let callers = serve_all(&ctx, &closed)?;
     let intents = Rc::new(OperatorFollower::<D, _>::new(ctx.clone()));
     let endpoints = Rc::new(EndpointFollower::<D>::new(ctx.clone()));
-    let entries = Rc::new(EntryFollower {
-        ctx: ctx.clone(),
-        read: Cell::default(),
-    });
+    let entries = Rc::new(EntryFollower::new(ctx.clone()));
     spawn_local(follow(
         store.clone(),
         Topic::Operator,
--- a/src/staging/run.rs
+++ b/src/staging/run.rs
@@ -15,11 +15,11 @@
     EndpointHost, Origin,
 };
 use crate::{
-    base::{Era, Excerpt, Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
+    base::{Era, Millis, ProcessName, Rate, Region, Service, Size, SystemClock, Zone},
     emit,
     gateway::{
         follow, Catalog, Decode, HostLimits, OperatorFollower, OperatorSink, RecordStore, Topic,
-        WeightVersion, WriteAge,
+        UnusableReport, WeightVersion, WriteAge,
     },
     http::{listen, Callers, ServeOptions},
     net::Pacer,
@@ -189,9 +189,8 @@
         Agent::handover_time(self)
     }
 
-    fn malformed(&self, key: &str, reason: &str) {
-        let (key, reason) = (Excerpt(key), Excerpt(reason));
-        emit!(log_event::RECORD, "key={key} reason=\"{reason}\"");
+    fn malformed(&self, report: &UnusableReport) {
+        emit!(log_event::RECORD, "topic=Operator {report}");
     }
 
     fn should_read(&self) -> bool {
