fix(gateway): a model's name in the operator's records has a limit

Callers would see: after one record of a version whose model has a name of 100 KB, an entry sends no heartbeats any more, because none fits into a datagram; other entries and the directory take it for gone. Each entry and agent also keeps every such name, up to 400 MB of them.

Change: the same limit for both; a record with a longer name is counted as one that cannot be used.

--- a/src/gateway/operator_records.rs
+++ b/src/gateway/operator_records.rs
@@ -13,7 +13,7 @@
     catalog::Catalog,
     follow::Follower,
     log_view::LogView,
-    record::{EndpointRecord, OperatorRecord, Record, WeightVersion},
+    record::{check_model_name, EndpointRecord, OperatorRecord, Record, WeightVersion},
     steadiness::ResponseTime,
     unusable::{Unusable, UnusableReport},
     write_time::WriteAge,
@@ -246,7 +246,9 @@
                 self.sink.catalog(*catalog, value.clone());
             }
             Ok(Some(OperatorRecord::Weights(model, version))) => {
-                if self.note_applied(&model, version) {
+                if let Err(e) = check_model_name(&model) {
+                    self.note_malformed(&record, &e.to_string());
+                } else if self.note_applied(&model, version) {
                     self.sink.weights(model, version, self.age());
                 }
             }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -208,9 +208,26 @@
     /// No endpoint can have the address, or a connection to it would lead to this host.
     #[error("no endpoint has this address; check the writer of the record")]
     Address,
-    /// Too many models, or a name that is too long.
-    #[error("more than {MODELS_MAX} models, or a name longer than {MODEL_NAME_MAX} bytes; check the writer of the record")]
+    /// Too many models.
+    #[error("more than {MODELS_MAX} models; check the writer of the record")]
     Models,
+    /// The name of a model is too long.
+    #[error(
+        "a model's name is longer than {MODEL_NAME_MAX} bytes; check the writer of the record"
+    )]
+    ModelName,
+}
+
+/// Checks the name of a model, which every entry keeps and passes on in datagrams.
+///
+/// # Errors
+///
+/// Returns [`RecordFault::ModelName`] if it is too long.
+pub(super) fn check_model_name(name: &str) -> Result<(), RecordFault> {
+    if name.len() > MODEL_NAME_MAX {
+        return Err(RecordFault::ModelName);
+    }
+    Ok(())
 }
 
 /// Returns whether an endpoint can have an address.
@@ -230,11 +247,10 @@
         if !is_usable(self.addr) {
             return Err(RecordFault::Address);
         }
-        let long = |m: &(Rc<str>, WeightVersion)| m.0.len() > MODEL_NAME_MAX;
-        if self.models.len() > MODELS_MAX || self.models.iter().any(long) {
+        if self.models.len() > MODELS_MAX {
             return Err(RecordFault::Models);
         }
-        Ok(())
+        self.models.iter().try_for_each(|m| check_model_name(&m.0))
     }
 }
 
