fix(gateway): endpoints of services that no configuration names have a limit

Callers would see: after another writer had left 300,000 entries that read like endpoints of a service that nobody configured, an entry held 253 MiB and was killed each time it started.

Change: from 2,048 endpoints on, a new one is kept only if the configuration in force names its service, and from an eighth of the host's memory on (1 KiB each) none; the others hold, and a refused record is counted as one that cannot be used. An endpoint whose service is named later comes with the next renewal of its record.

--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -395,6 +395,11 @@
         self.endpoints.get(id)
     }
 
+    /// Returns the number of endpoints.
+    pub fn count(&self) -> usize {
+        self.endpoints.len()
+    }
+
     /// Returns the endpoints of all services.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values()
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -24,7 +24,7 @@
     write_time::{LoggedAge, WriteAge},
 };
 use crate::{
-    base::{Era, HashSet, Millis},
+    base::{Era, HashSet, Millis, Size},
     decide::evacuation::EvacuationRead,
     emit,
 };
@@ -37,6 +37,13 @@
 /// new record is read.
 const ENDPOINTS_PAUSE_LOADING: Millis = Millis(300);
 
+/// Number of endpoints from which on a new one is kept only if the configuration names its service.
+const UNNAMED_MAX: usize = 2048;
+
+/// Part of the host's memory that endpoints may take, and the memory for one; those that list many models take more.
+const TABLE_SHARE: u64 = 8;
+const ENDPOINT_SIZE: Size = Size(1 << 10);
+
 /// Time after which the endpoints of a list that are known so far serve requests: the rest may take many seconds, in which
 /// callers would be rejected.
 const PARTIAL_TABLE_TIME: Millis = Millis(2000);
@@ -173,8 +180,9 @@
         };
         let decoded = record.value.as_ref().map(|v| self.decode(v));
         let decoded = decoded.and_then(|result| {
+            let admitted = result.and_then(|r| self.admit(&id, r));
             let skipped = |e: &String| self.note_unusable(record, e);
-            result.inspect_err(skipped).ok()
+            admitted.inspect_err(skipped).ok()
         });
         let (now, names_one) = (self.ctx.now(), decoded.is_some());
         let change = self.ctx.endpoints.borrow_mut().apply(&id, decoded, now);
@@ -204,6 +212,26 @@
         Ok(record)
     }
 
+    /// Admits a record to the table, unless it names a new endpoint for which there is no room. An endpoint that is refused
+    /// because no configuration names its service yet comes with the next renewal of its record.
+    fn admit(&self, id: &EndpointId, record: EndpointRecord) -> Result<EndpointRecord, String> {
+        let table = self.ctx.endpoints.borrow();
+        if table.get(id).is_some() || table.count() < UNNAMED_MAX {
+            return Ok(record);
+        }
+        let catalog = self.ctx.catalog.borrow();
+        let named = catalog.as_ref();
+        let named = named.is_some_and(|c| c.services.contains_key(&record.service));
+        if !named {
+            return Err("too many endpoints of services that no configuration names".to_owned());
+        }
+        let memory = self.ctx.settings.host.memory;
+        if table.count() as u64 >= memory.0 / TABLE_SHARE / ENDPOINT_SIZE.0 {
+            return Err("the memory of the host has no room for more endpoints".to_owned());
+        }
+        Ok(record)
+    }
+
     fn note_unusable(&self, record: &Record, reason: &str) {
         self.ctx.metrics.count_unusable("Endpoints", record);
         self.unusable.note(record, reason);
