--- a/src/gateway/abandoned.rs
+++ b/src/gateway/abandoned.rs
@@ -1,6 +1,6 @@
 //! Logs requests that are dropped before their response is whole.
 
-use super::{accept::Job, context::Context, log_event};
+use super::{context::Context, job::Job, log_event};
 use crate::emit;
 
 /// Logs a request that is dropped, with the time that its deadline left and the last event that its caller got.
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use super::{
-    accept::Job,
     attempt::Attempts,
     context::Context,
     endpoint_query::{EndpointQuery, MemoryQuery, PendingLoads, WeightRequirement},
     endpoint_table::{EndpointId, EndpointTable},
+    job::Job,
     load_balancer::{ExplainedChoice, LoadBalancer, Refusal},
     memory, priority,
     record::{Incarnation, WeightVersion},
--- a/src/gateway/cold_times.rs
+++ b/src/gateway/cold_times.rs
@@ -5,10 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{
-    endpoint_table::{Endpoint, EndpointHash},
-    record::EndpointRecord,
-};
+use super::endpoint_table::{Endpoint, EndpointHash};
 use crate::{
     base::{HashMap, Millis, RequestRate},
     decide::cold::{is_cold, HeardCold},
@@ -23,24 +20,6 @@
 /// Time after its end for which a cold time is kept: longer than reports of an earlier one are under way.
 const RETENTION: Millis = Millis(10_000);
 
-/// Cold time that an endpoint's record names.
-#[derive(Clone, Copy, Debug)]
-pub struct ColdTime {
-    /// Time at which this entry learned the record.
-    pub learned: Millis,
-    /// Latest time at which the endpoint has warmed up.
-    pub until: Millis,
-}
-
-impl ColdTime {
-    pub(super) fn new(record: &EndpointRecord, now: Millis) -> Self {
-        Self {
-            learned: now,
-            until: now + record.cold,
-        }
-    }
-}
-
 /// What a response told of an endpoint's cold time, for other entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ColdReport {
--- a/src/gateway/dropped.rs
+++ b/src/gateway/dropped.rs
@@ -1,10 +1,10 @@
 //! Logs, counts and records requests in flight whose connections ended before their responses were complete.
 
 use super::{
-    accept::Job,
     attempt::Target,
     context::Context,
     ending::{Ending, Progress},
+    job::Job,
     log_event,
     screen::record_end,
 };
--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    cold_times::ColdTime,
+    cold_time::ColdTime,
     record::{EndpointRecord, Incarnation, Revision, WeightVersion},
 };
 use crate::base::{rendezvous, HashMap, HashSet, Millis, Service};
--- a/src/gateway/evaluate.rs
+++ b/src/gateway/evaluate.rs
@@ -14,7 +14,6 @@
 };
 
 use super::{
-    accept::Job,
     attempt::{Attempt, Attempts, StreamingResponse, Target},
     buffers::{self, BufferError, Held},
     cold::record_cold,
@@ -25,6 +24,7 @@
     endpoint_table::{Change, EndpointId},
     followers::endpoint_changed,
     headers::text,
+    job::Job,
     limits::Observation,
     load_view::Outcome,
     log_event,
--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -13,7 +13,7 @@
 };
 
 use super::{
-    accept::{accept_unsent, Job},
+    accept::accept_unsent,
     choose,
     cold::limit_in_force,
     context::Context,
@@ -22,6 +22,7 @@
         Decision, ExplainReply, ExplainRequest, ExplainedPermit, ExplainedRegions, ExplainedRoute,
         ExplainedSpill, ExplainedState, ExplainedWeights, Explanation, Standing,
     },
+    job::Job,
     load_balancer::{ExplainedChoice, ExplainedEndpoint, Group, Rating},
     memory,
     reply::Reject,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -247,14 +247,19 @@
         self.state.times.record_end(end, bounds.made, next);
         if let Some(list) = &mut self.state.list {
             list.log_applied(next >= end, bounds.made, self.clock.now());
-            return self.continue_list();
+            let pause = self.continue_list();
+            // A log that holds records and brings none is not asked without a pause.
+            let stuck = next == from && next < end;
+            return if stuck { jitter(READ_RETRY) } else { pause };
         }
         let pause = self.finish_read(next, (next >= end).then_some(bounds.made));
         // A response has a limit of records and bytes; what is beyond it takes effect no later.
-        if from < next && next < end {
-            return Millis::ZERO;
+        let more = from < next && next < end;
+        if more {
+            Millis::ZERO
+        } else {
+            pause
         }
-        pause
     }
 
     /// Begins a list with its first page. `known` is the offset before which another process had applied all records when
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,7 +12,6 @@
 use hyper::{header::HeaderValue, Request};
 
 use super::{
-    accept::Job,
     attempt::{Attempt, Attempts, Pass, Target},
     catalog::Repeat,
     choose::{choose, has_room, Choice},
@@ -23,6 +22,7 @@
     endpoint_table::EndpointId,
     evaluate::evaluate,
     in_flight::InFlight,
+    job::Job,
     load_balancer::Refusal,
     load_view::Outcome,
     log_event, memory,
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -1,8 +1,8 @@
 //! Keeps requests within the memory of endpoints, where the catalog names one.
 
 use super::{
-    accept::Job, context::Context, endpoint_query::MemoryQuery, endpoint_table::EndpointId,
-    log_event, peer_tokens::PeerTokens, reply::Reject, EndpointHash,
+    context::Context, endpoint_query::MemoryQuery, endpoint_table::EndpointId, job::Job, log_event,
+    peer_tokens::PeerTokens, reply::Reject, EndpointHash,
 };
 use crate::{
     decide::memory::{MemoryDemand, Tokens},
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod catalog;
 mod choose;
 mod cold;
+mod cold_time;
 mod cold_times;
 mod compression;
 mod context;
@@ -40,6 +41,7 @@
 mod headers;
 mod in_flight;
 mod issuer;
+mod job;
 mod limits;
 mod load_balancer;
 mod load_view;
@@ -92,7 +94,8 @@
     CallerLimits, Catalog, CatalogVersion, ChunkLayout, EngineSpeed, OriginSpec, Repeat, Route,
     ServiceSpec, ServiceWeights, WorkspaceSpec,
 };
-pub use cold_times::{ColdNews, ColdReport, ColdTime, ColdTimes};
+pub use cold_time::ColdTime;
+pub use cold_times::{ColdNews, ColdReport, ColdTimes};
 pub use compression::{compress, decompress};
 pub use desired::DesiredVersions;
 pub use directory::{Directory, DirectoryQuery};
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -7,13 +7,13 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    accept::Job,
     cold::{limit_in_force, LimitInForce},
     cold_times::ColdNews,
     context::Context,
     datagram::send_to_all,
     endpoint_table::{EndpointHash, EndpointId},
     issuer::{Grant, PermitId, PermitReply, PermitRequest, PermitTerms},
+    job::Job,
     limits::LimitReport,
     log_event,
     message::Message,
--- a/src/gateway/priority.rs
+++ b/src/gateway/priority.rs
@@ -1,6 +1,6 @@
 //! Counts requests for engines by priority, and tells how many slots a request leaves to more urgent ones.
 
-use super::{accept::Job, context::Context, log_event};
+use super::{context::Context, job::Job, log_event};
 use crate::emit;
 
 /// Slots of an engine that a request leaves free; `slots` are those of one engine.
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -9,10 +9,10 @@
 use hyper::Response;
 
 use super::{
-    accept::Job,
     attempt::{Attempt, Attempts, StreamingResponse},
     context::Context,
     forward::{attempt, may_join, may_repeat, Repetition},
+    job::Job,
     load_balancer::Refusal,
     memory,
     reply::Reject,
--- a/src/gateway/residency.rs
+++ b/src/gateway/residency.rs
@@ -4,11 +4,11 @@
 use std::{fmt, rc::Rc};
 
 use super::{
-    accept::Job,
     catalog::{Catalog, WorkspaceSpec},
     context::Context,
     endpoint_query::EndpointQuery,
     endpoint_table::Endpoint,
+    job::Job,
     log_event,
     reply::Reject,
 };
--- a/src/gateway/return_times.rs
+++ b/src/gateway/return_times.rs
@@ -1,7 +1,7 @@
 //! Tells rejected callers when to return, from what can be served then; for services with engines.
 
 use super::{
-    accept::Job, context::Context, load_balancer::LOAD_TIME, log_event, metrics::OutcomeLabel,
+    context::Context, job::Job, load_balancer::LOAD_TIME, log_event, metrics::OutcomeLabel,
     reply::Reject,
 };
 use crate::{
--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -5,7 +5,7 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    accept::Job, context::Context, datagram::send_to_all, memory, message::Message, priority,
+    context::Context, datagram::send_to_all, job::Job, memory, message::Message, priority,
     reply::Reject, worth,
 };
 use crate::{
--- a/src/gateway/screen.rs
+++ b/src/gateway/screen.rs
@@ -6,13 +6,13 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    accept::Job,
     attempt::{Attempts, Pass, Target},
     choose::choose,
     context::Context,
     datagram::send_to_all,
     ending::{Ending, Progress},
     issuer::{Grant, PermitReply},
+    job::Job,
     load_balancer::Refusal,
     log_event,
     message::{Message, ProbeRequest},
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -13,7 +13,7 @@
 
 use super::{
     abandoned::Awaited,
-    accept::{accept, Job},
+    accept::accept,
     assignment::{self, ASSIGNMENT_PATH},
     attempt::Attempts,
     context::Context,
@@ -22,6 +22,7 @@
     explain,
     explanation::EXPLAIN_PATH,
     in_flight::Running,
+    job::Job,
     log_event,
     metrics::{RequestLabels, ServiceLabel},
     race::{forward, Answer},
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -10,7 +10,6 @@
 };
 
 use super::{
-    accept::Job,
     attempt::{Attempts, StreamingResponse, Target},
     buffers::Held,
     context::Context,
@@ -18,6 +17,7 @@
     ending::{Ending, Progress},
     evaluate::keep_connection,
     events::Events,
+    job::Job,
     load_view::Outcome,
     screen,
 };
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -11,11 +11,11 @@
 };
 
 use super::{
-    accept::Job,
     attempt::{Attempt, Attempts},
     context::Context,
     ended::discount_ended,
     forward::{attempt, may_join, Repetition},
+    job::Job,
     load_balancer::Refusal,
     load_view::Outcome,
     race::RETRY_INTERVAL,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -8,7 +8,6 @@
 
 use super::{
     abandoned::log_abandoned,
-    accept::Job,
     attempt::{Attempts, StreamingResponse},
     buffers::Held,
     catalog::Repeat,
@@ -16,6 +15,7 @@
     endpoint_table::EndpointId,
     evaluate::RESPONSE_MAX,
     in_flight::Running,
+    job::Job,
     load_view::Outcome,
     log_event, metrics,
     read_ahead::ReadAhead,
--- a/src/gateway/worth.rs
+++ b/src/gateway/worth.rs
@@ -1,6 +1,6 @@
 //! Weighs requests for engines by whether they can still meet their latency objective, where requests differ.
 
-use super::{accept::Job, context::Context, log_event};
+use super::{context::Context, job::Job, log_event};
 use crate::{
     base::Millis,
     decide::worth::{meets_objective, WorthRequest},
