refactor(gateway): a catalog keeps a copy of its text, not the response that held it

The encoded catalog was a slice of the store's response, so that up to 2 MiB stayed in memory with it. Names and comments of the list's reader are clearer.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -254,8 +254,8 @@
         }
         let pause = self.finish_read(next, (next >= end).then_some(bounds.made));
         // A response has a limit of records and bytes; what is beyond it takes effect no later.
-        let more = from < next && next < end;
-        if more {
+        let has_more = from < next && next < end;
+        if has_more {
             Millis::ZERO
         } else {
             pause
--- a/src/gateway/follow/list.rs
+++ b/src/gateway/follow/list.rs
@@ -89,8 +89,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if a page cannot be read, or the pages are of two eras of the store or do not continue each other; then what was passed
-/// on is not all.
+/// Returns an error if a page cannot be read, or the pages are of two eras of the store or do not continue each other; then
+/// what was passed on is not all.
 pub async fn read_list<S: RecordStore>(
     store: &S,
     topic: Topic,
@@ -101,15 +101,15 @@
     loop {
         let mut page = store.newest(topic, &start).await?;
         let records = std::mem::take(&mut page.records);
-        let known = first.get_or_insert_with(|| page.clone());
-        if known.era != page.era {
+        let first = first.get_or_insert_with(|| page.clone());
+        if first.era != page.era {
             let text = "pages are of two eras of the store".to_owned();
             return Err(StoreError::Malformed(text));
         }
         let page = start.check(page)?;
         records.into_iter().for_each(&mut apply);
         if page.more.is_none() {
-            return Ok(known.clone());
+            return Ok(first.clone());
         }
         start.after = page.more;
     }
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -184,10 +184,10 @@
             let skipped = |e: &String| self.note_unusable(record, e);
             admitted.inspect_err(skipped).ok()
         });
-        let (now, names_one) = (self.ctx.now(), decoded.is_some());
+        let (now, is_present) = (self.ctx.now(), decoded.is_some());
         let change = self.ctx.endpoints.borrow_mut().apply(&id, decoded, now);
         endpoint_changed(&self.ctx, &id, change);
-        if names_one {
+        if is_present {
             self.note_listed(id);
         }
     }
@@ -220,9 +220,8 @@
             return Ok(record);
         }
         let catalog = self.ctx.catalog.borrow();
-        let named = catalog.as_ref();
-        let named = named.is_some_and(|c| c.services.contains_key(&record.service));
-        if !named {
+        let names = |c: &Rc<Catalog>| c.services.contains_key(&record.service);
+        if !catalog.as_ref().is_some_and(names) {
             return Err("too many endpoints of services that no configuration names".to_owned());
         }
         let memory = self.ctx.settings.host.memory;
--- a/src/gateway/operator_records.rs
+++ b/src/gateway/operator_records.rs
@@ -243,7 +243,9 @@
         };
         match D::operator_record(&record.key, value) {
             Ok(Some(OperatorRecord::Catalog(catalog))) => {
-                self.sink.catalog(*catalog, value.clone());
+                // A copy: the value is a part of the response, which would be kept with it.
+                let raw = Bytes::copy_from_slice(value);
+                self.sink.catalog(*catalog, raw);
             }
             Ok(Some(OperatorRecord::Weights(model, version))) => {
                 if let Err(e) = check_model_name(&model) {
